--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Chores of the project; run "make help" for the list.
+
+GOBIN      := $(CURDIR)/bin
+GOFUMPT    := mvdan.cc/gofumpt@v0.12.0
+LINTER     := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+PROTOC_GO  := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+PROTOC_RPC := storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
+SOURCES    := $(shell git ls-files '*.go' ':!wire/*.pb.go')
+
+.PHONY: help build demo test lint format tools generate bench clean
+
+help: ## list the chores
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
+
+build: ## build the program
+	go build -o gypsumbank .
+
+demo: build ## send one request of each kind through a small deployment
+	./gypsumbank demo --once
+
+test: ## run all tests with the race detector
+	go test -race ./...
+
+lint: tools ## check format and lint
+	@test -z "$$($(GOBIN)/gofumpt -l $(SOURCES))" || { echo "gofumpt would change:"; $(GOBIN)/gofumpt -l $(SOURCES); exit 1; }
+	$(GOBIN)/golangci-lint run ./...
+
+format: tools ## format all sources
+	$(GOBIN)/gofumpt -w $(SOURCES)
+
+tools: bin/gofumpt bin/golangci-lint ## install the formatter and the linter
+
+bin/gofumpt:
+	GOBIN=$(GOBIN) go install $(GOFUMPT)
+
+bin/golangci-lint:
+	GOBIN=$(GOBIN) go install $(LINTER)
+
+generate: ## make the code in wire/ again; needs protoc
+	GOBIN=$(GOBIN) go install $(PROTOC_GO)
+	GOBIN=$(GOBIN) go install $(PROTOC_RPC)
+	PATH=$(GOBIN):$$PATH protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. wire/wire.proto
+
+bench: ## run the benchmarks
+	go test -run '^$$' -bench . -benchmem ./...
+
+clean: ## remove what was built
+	rm -rf bin gypsumbank
--- /dev/null
+++ b/cmd_entry.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"gypsumbank/entry"
+	"gypsumbank/logs"
+)
+
+var cmdEntry = command{
+	name: "entry",
+	help: "Run an entry, which serves callers.",
+	setup: func(clause *kingpin.CmdClause, actions map[string]action) {
+		path := configFlag(clause)
+		actions[clause.FullCommand()] = func(ctx context.Context, env Env) error {
+			config, err := loadConfig(*path, "entry")
+			if err != nil {
+				return err
+			}
+			e, err := entry.New(config, logs.New(config.Log, config.Node, env.Err))
+			if err != nil {
+				return err
+			}
+			return e.Run(ctx)
+		}
+	},
+}
--- /dev/null
+++ b/cmd_sidecar.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"gypsumbank/logs"
+	"gypsumbank/sidecar"
+)
+
+var cmdSidecar = command{
+	name: "sidecar",
+	help: "Run a sidecar, the gate to one target.",
+	setup: func(clause *kingpin.CmdClause, actions map[string]action) {
+		path := configFlag(clause)
+		actions[clause.FullCommand()] = func(ctx context.Context, env Env) error {
+			config, err := loadConfig(*path, "sidecar")
+			if err != nil {
+				return err
+			}
+			s, err := sidecar.New(config, logs.New(config.Log, config.Node, env.Err))
+			if err != nil {
+				return err
+			}
+			return s.Run(ctx)
+		}
+	},
+}
--- /dev/null
+++ b/deployment/deployment_test.go
@@ -0,0 +1,78 @@
+package deployment_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/deployment"
+)
+
+func start(t *testing.T, size deployment.Size) *deployment.Deployment {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	d, err := deployment.New(t.Context(), size, "", logrus.NewEntry(logger))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	if err := d.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func post(t *testing.T, d *deployment.Deployment, entry int, path, body string, headers map[string]string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, d.URL(entry)+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+d.Size().Key(d.Size().Members[0]))
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(text)
+}
+
+func TestStreamedAnswerIsWhole(t *testing.T) {
+	d := start(t, deployment.Small())
+	response, text := post(t, d, 0, "/v1/chat/completions", `{"model":"blend-00","stream":true,"messages":[{"role":"user","content":"a light blend [[length=20]]"}]}`, nil)
+	if response.StatusCode != http.StatusOK || !strings.HasSuffix(text, "data: [DONE]\n\n") {
+		t.Fatalf("status %d, answer %q", response.StatusCode, text)
+	}
+	if events := strings.Count(text, "data: "); events != 22 {
+		t.Errorf("%d events, want 20 tokens, an end and a mark: %s", events, text)
+	}
+}
+
+func TestLedgerEventRunsOnce(t *testing.T) {
+	d := start(t, deployment.Small())
+	for entry := range 2 {
+		headers := map[string]string{"Idempotency-Key": "sale-1"}
+		response, text := post(t, d, entry, "/services/ledger/events", `{"id":"sale-1"}`, headers)
+		if response.StatusCode != http.StatusCreated {
+			t.Fatalf("entry %d: status %d, answer %s", entry, response.StatusCode, text)
+		}
+	}
+	if runs := d.Counts().Runs("sale-1"); runs != 1 {
+		t.Errorf("the event ran %d times", runs)
+	}
+}
--- /dev/null
+++ b/dialer/doc.go
@@ -0,0 +1,2 @@
+// Package dialer opens authenticated connections to other processes of the system.
+package dialer
--- /dev/null
+++ b/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is the client of a model engine.
+package engine
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is the process that callers send their requests to.
+package entry
--- /dev/null
+++ b/entry/generate.go
@@ -0,0 +1,337 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"storj.io/drpc"
+
+	"gypsumbank/completion"
+	"gypsumbank/dialer"
+	"gypsumbank/router"
+	"gypsumbank/suspect"
+	"gypsumbank/timeline"
+	"gypsumbank/wire"
+)
+
+const (
+	tokenBuffer = 64
+	maxAttempts = 64
+	retryPause  = 100 * time.Millisecond
+	searchTime  = 15 * time.Second // time without progress after which a request is given up
+	busyRetry   = 2 * time.Second
+)
+
+var (
+	errTimeout = errors.New("request took too long")
+	errSilent  = errors.New("target made no progress")
+	errForeign = errors.New("answer belongs to another request")
+	errOrder   = errors.New("tokens came out of order")
+)
+
+// job is one request for a completion on its way through targets.
+type job struct {
+	caller      *caller
+	request     *completion.Request
+	model       string
+	adapter     string
+	seed        uint64
+	fingerprint uint64
+	tokens      chan string
+	ended       chan *problem
+
+	// The fields below belong to the goroutine of generate until ended has a value.
+	prefix  []string
+	attempt uint32
+	sent    bool // a target may have started the request
+	reason  string
+	usage   completion.Usage
+}
+
+// attemptEnd is how an attempt ended: finished, refused, interrupted or broken.
+type attemptEnd interface{ attemptEnd() }
+
+type finished struct{}
+
+type refused struct{ refusal *wire.Refused }
+
+type interrupted struct{ cause *wire.Interrupted }
+
+type broken struct{ err error }
+
+func (finished) attemptEnd()    {}
+func (refused) attemptEnd()     {}
+func (interrupted) attemptEnd() {}
+func (broken) attemptEnd()      {}
+
+// generate runs a job to its end, over as many targets as it takes.
+func (e *Entry) generate(ctx context.Context, job *job) *problem {
+	tried := map[string]bool{}
+	progress := time.Now()
+	full := 0
+	for job.attempt < maxAttempts && time.Since(progress) < searchTime {
+		choice, err := e.router.Pick(job.caller.lists.Allowances(), job.model, job.adapter, tried)
+		if err != nil {
+			clear(tried)
+			if full > 0 {
+				return e.giveUp(job, "all targets are busy", busyRetry)
+			}
+			if !pause(ctx, retryPause) {
+				return e.stopped(ctx, job)
+			}
+			continue
+		}
+		before := len(job.prefix)
+		end := e.attempt(ctx, job, choice)
+		if len(job.prefix) > before {
+			progress = time.Now()
+			clear(tried)
+		}
+		if ctx.Err() != nil {
+			return e.stopped(ctx, job)
+		}
+		switch end := end.(type) {
+		case finished:
+			e.record(job.event(timeline.RequestFinished, choice.VM.Name, job.reason))
+			return nil
+		case refused:
+			tried[choice.VM.Name] = true
+			if failed := e.afterRefusal(job, choice, end.refusal); failed != nil {
+				return failed
+			}
+			if end.refusal.GetReason() == wire.RefusalReason_REFUSAL_QUEUE_FULL {
+				full++
+			}
+		case interrupted:
+			tried[choice.VM.Name] = true
+			if failed := e.afterInterruption(ctx, job, choice, end.cause); failed != nil {
+				return failed
+			}
+		case broken:
+			tried[choice.VM.Name] = true
+			e.afterBreak(job, choice, end.err)
+		}
+	}
+	return e.giveUp(job, "no target could serve the request", busyRetry)
+}
+
+// attempt sends a job to one target and passes its tokens on.
+func (e *Entry) attempt(ctx context.Context, job *job, choice router.Choice) attemptEnd {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	job.attempt++
+	e.router.Begin(choice.VM.Name)
+	defer e.router.End(choice.VM.Name)
+	e.record(job.event(routeKind(job), choice.VM.Name, fmt.Sprintf("attempt %d, token %d", job.attempt, len(job.prefix))))
+	watchdog := time.AfterFunc(e.config.Entry.SilenceTimeout, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	conn := e.node.Dialer().Conn(ctx, choice.VM.Address)
+	stream, err := wire.NewDRPCSidecarClient(conn).Generate(ctx, e.message(job, choice))
+	if err != nil {
+		return broken{err: causeOr(ctx, err)}
+	}
+	defer closeStream(stream)
+	for {
+		event, err := stream.Recv()
+		if err != nil {
+			return broken{err: causeOr(ctx, err)}
+		}
+		watchdog.Reset(e.config.Entry.SilenceTimeout)
+		if event.GetRequestId() != job.caller.requestID {
+			return broken{err: errForeign}
+		}
+		if end := e.take(ctx, job, choice, event); end != nil {
+			return end
+		}
+	}
+}
+
+// take handles one event and returns how the attempt ended, or nil if it goes on.
+func (e *Entry) take(ctx context.Context, job *job, choice router.Choice, event *wire.GenerateEvent) attemptEnd {
+	switch kind := event.GetKind().(type) {
+	case *wire.GenerateEvent_Accepted:
+		job.sent = true
+		e.router.Observe(choice.VM.Name, kind.Accepted.GetHint())
+	case *wire.GenerateEvent_Heartbeat:
+	case *wire.GenerateEvent_Token:
+		return job.deliver(ctx, kind.Token)
+	case *wire.GenerateEvent_Finished:
+		if int(kind.Finished.GetCompletionTokens()) != len(job.prefix) {
+			return broken{err: errOrder}
+		}
+		job.reason = kind.Finished.GetReason()
+		job.usage = completion.NewUsage(int(kind.Finished.GetPromptTokens()), len(job.prefix))
+		return finished{}
+	case *wire.GenerateEvent_Refused:
+		return refused{refusal: kind.Refused}
+	case *wire.GenerateEvent_Interrupted:
+		return interrupted{cause: kind.Interrupted}
+	}
+	return nil
+}
+
+// deliver passes the next token to the caller, drops one that it already has and rejects a gap.
+func (j *job) deliver(ctx context.Context, token *wire.Token) attemptEnd {
+	j.sent = true
+	index := int(token.GetIndex())
+	if index < len(j.prefix) {
+		return nil
+	}
+	if index > len(j.prefix) {
+		return broken{err: errOrder}
+	}
+	select {
+	case j.tokens <- token.GetText():
+		j.prefix = append(j.prefix, token.GetText())
+		return nil
+	case <-ctx.Done():
+		return broken{err: context.Cause(ctx)}
+	}
+}
+
+func (e *Entry) message(job *job, choice router.Choice) *wire.GenerateRequest {
+	return &wire.GenerateRequest{
+		RequestId:    job.caller.requestID,
+		Attempt:      job.attempt,
+		Customer:     job.caller.customer.Name(),
+		Member:       job.caller.customer.Member(),
+		Model:        job.model,
+		Adapter:      job.adapter,
+		Prompt:       job.request.Prompt(),
+		MaxTokens:    uint32(job.request.MaxTokens()),
+		Seed:         job.seed,
+		Priority:     int32(job.caller.plan.Priority),
+		Prefix:       job.prefix,
+		Fingerprint:  job.fingerprint,
+		KnownCrashes: e.node.Suspects().Crashes(job.fingerprint),
+		MayLoad:      choice.MayLoad,
+		Clock:        e.node.Ring().Clock(),
+	}
+}
+
+func (e *Entry) afterRefusal(job *job, choice router.Choice, refusal *wire.Refused) *problem {
+	e.router.Observe(choice.VM.Name, refusal.GetHint())
+	e.record(job.event(timeline.RequestRefused, choice.VM.Name, refusal.GetDetail()))
+	switch refusal.GetReason() {
+	case wire.RefusalReason_REFUSAL_LEAVING:
+		e.node.Roster().MarkLeaving(choice.VM.Name, true)
+	case wire.RefusalReason_REFUSAL_TARGET_DOWN:
+		e.router.Unreachable(choice.VM.Name)
+	case wire.RefusalReason_REFUSAL_SUSPECT:
+		e.node.Suspects().Raise(job.fingerprint, suspect.BlockAfter)
+		return crashing(job.outcome())
+	}
+	return nil
+}
+
+// afterInterruption spreads the word of a crash before anything is answered, so that a resubmission meets it.
+func (e *Entry) afterInterruption(ctx context.Context, job *job, choice router.Choice, cause *wire.Interrupted) *problem {
+	e.record(job.event(timeline.RequestRetried, choice.VM.Name, cause.GetDetail()))
+	switch cause.GetReason() {
+	case wire.InterruptReason_INTERRUPT_DRAINING:
+		e.node.Roster().MarkLeaving(choice.VM.Name, true)
+	case wire.InterruptReason_INTERRUPT_TARGET_CRASHED:
+		e.router.Unreachable(choice.VM.Name)
+		e.node.Suspects().Raise(job.fingerprint, cause.GetCrashCount())
+		e.node.NotifyEntries(context.WithoutCancel(ctx))
+	}
+	if e.node.Suspects().Blocked(job.fingerprint) {
+		return crashing(job.outcome())
+	}
+	return nil
+}
+
+func (e *Entry) afterBreak(job *job, choice router.Choice, err error) {
+	e.record(job.event(timeline.RequestRetried, choice.VM.Name, err.Error()))
+	if !errors.Is(err, dialer.ErrNotConnected) {
+		job.sent = true
+	}
+	e.node.Dialer().Forget(choice.VM.Address)
+	e.router.Unreachable(choice.VM.Name)
+}
+
+// giveUp ends a job that no target could finish.
+func (e *Entry) giveUp(job *job, message string, retryAfter time.Duration) *problem {
+	e.record(job.event(timeline.RequestFailed, "", message))
+	failed := unavailable("no_capacity", message, retryAfter)
+	failed.outcome = job.outcome()
+	return failed
+}
+
+// stopped ends a job whose caller has gone or whose time is over.
+func (e *Entry) stopped(ctx context.Context, job *job) *problem {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errTimeout) {
+		e.record(job.event(timeline.RequestFailed, "", cause.Error()))
+		return &problem{
+			status: fasthttp.StatusGatewayTimeout, kind: "server_error", code: "timeout",
+			message: cause.Error(), outcome: job.outcome(),
+		}
+	}
+	e.record(job.event(timeline.RequestCancelled, "", "caller has gone"))
+	return unavailable("cancelled", "the caller has gone", 0)
+}
+
+func crashing(outcome string) *problem {
+	return &problem{
+		status:  fasthttp.StatusUnprocessableEntity,
+		kind:    "invalid_request_error",
+		code:    "request_crashes_targets",
+		message: "targets crashed while they ran this request",
+		outcome: outcome,
+	}
+}
+
+// outcome tells what is known about a job that failed.
+func (j *job) outcome() string {
+	switch {
+	case len(j.prefix) > 0:
+		return outcomeRun
+	case j.sent:
+		return outcomeUnknown
+	}
+	return outcomeNotRun
+}
+
+func (j *job) used() int { return len(j.prefix) }
+
+func (j *job) event(kind timeline.Kind, target, detail string) timeline.Event {
+	return timeline.Event{
+		Kind:      kind,
+		RequestID: j.caller.requestID,
+		Customer:  j.caller.customer.Name(),
+		Target:    target,
+		Model:     j.model,
+		Detail:    detail,
+	}
+}
+
+func routeKind(job *job) timeline.Kind {
+	if len(job.prefix) > 0 {
+		return timeline.RequestResumed
+	}
+	return timeline.RequestRouted
+}
+
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func causeOr(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+func closeStream(stream drpc.Stream) { _ = stream.Close() }
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"gypsumbank/allowance"
+	"gypsumbank/completion"
+	"gypsumbank/limiter"
+	"gypsumbank/plan"
+	"gypsumbank/snapshot"
+	"gypsumbank/wire"
+)
+
+const (
+	outcomeHeader   = "Gypsumbank-Outcome"
+	requestIDHeader = "Gypsumbank-Request-Id"
+	replayedHeader  = "Idempotent-Replayed"
+	keyHeader       = "Idempotency-Key"
+	maxKeyLength    = 255
+	servicePrefix   = "/services/"
+
+	outcomeRun     = "run"
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+var errLeaving = errors.New("entry is leaving")
+
+// caller is an authenticated caller with what its plan allows.
+type caller struct {
+	customer  plan.Customer
+	plan      allowance.Plan
+	lists     *snapshot.Snapshot
+	requestID string
+}
+
+// problem is an answer other than success.
+type problem struct {
+	status     int
+	kind       string
+	code       string
+	message    string
+	outcome    string
+	retryAfter time.Duration
+}
+
+func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
+	if e.probe.Handle(ctx) {
+		return
+	}
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	requestID := newRequestID()
+	ctx.Response.Header.Set(requestIDHeader, requestID)
+	who, failed := e.authenticate(ctx, requestID)
+	if failed != nil {
+		failed.write(ctx)
+		return
+	}
+	if failed := e.route(ctx, who); failed != nil {
+		failed.write(ctx)
+	}
+}
+
+func (e *Entry) route(ctx *fasthttp.RequestCtx, who *caller) *problem {
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/models" && ctx.IsGet():
+		e.models(ctx, who)
+		return nil
+	case path == "/v1/chat/completions" && ctx.IsPost():
+		return e.complete(ctx, who, true)
+	case path == "/v1/completions" && ctx.IsPost():
+		return e.complete(ctx, who, false)
+	case path == "/v1/models", path == "/v1/chat/completions", path == "/v1/completions":
+		return invalid(fasthttp.StatusMethodNotAllowed, "method_not_allowed", "the method is not allowed here")
+	case strings.HasPrefix(path, servicePrefix):
+		return e.call(ctx, who)
+	}
+	return invalid(fasthttp.StatusNotFound, "not_found", "no such path")
+}
+
+func (e *Entry) authenticate(ctx *fasthttp.RequestCtx, requestID string) (*caller, *problem) {
+	lists, err := e.node.Snapshot()
+	if err != nil {
+		return nil, unavailable("starting", err.Error(), time.Second)
+	}
+	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	customer, known := lists.Plans().Authenticate(key)
+	if !ok || !known {
+		return nil, invalid(fasthttp.StatusUnauthorized, "invalid_api_key", "the bearer key is missing or not known")
+	}
+	allowed, ok := lists.Allowances().Plan(customer.Plan())
+	if !ok {
+		return nil, invalid(fasthttp.StatusForbidden, "no_plan", "the customer's plan is not listed")
+	}
+	return &caller{customer: customer, plan: allowed, lists: lists, requestID: requestID}, nil
+}
+
+// admit applies the limits of the caller's plan; the returned function ends the request with the tokens that it used.
+func (e *Entry) admit(who *caller) (func(tokens int), *problem) {
+	entries := len(e.node.Roster().Entries())
+	err := e.limiter.Begin(who.customer.Name(), who.plan, entries)
+	var exceeded *limiter.ExceededError
+	if errors.As(err, &exceeded) {
+		return nil, &problem{
+			status:     fasthttp.StatusTooManyRequests,
+			kind:       "rate_limit_error",
+			code:       "plan_limit_exceeded",
+			message:    err.Error(),
+			outcome:    outcomeNotRun,
+			retryAfter: exceeded.RetryAfter,
+		}
+	}
+	return func(tokens int) { e.limiter.End(who.customer.Name(), tokens) }, nil
+}
+
+func (e *Entry) models(ctx *fasthttp.RequestCtx, who *caller) {
+	var names []string
+	parents := map[string]string{}
+	for _, model := range who.lists.Allowances().Models() {
+		if who.plan.AllowsModel(model.Name) {
+			names = append(names, model.Name)
+		}
+	}
+	for _, adapter := range who.lists.Allowances().Adapters() {
+		if who.plan.AllowsAdapter(adapter.Name) {
+			names = append(names, adapter.Name)
+			parents[adapter.Name] = adapter.Base
+		}
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(completion.Models(names, parents))
+}
+
+// unreadable answers requests that could not be read.
+func (e *Entry) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	failed := invalid(fasthttp.StatusBadRequest, "malformed_request", "the request could not be read")
+	var small *fasthttp.ErrSmallBuffer
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		failed = invalid(fasthttp.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than allowed")
+	case errors.As(err, &small):
+		failed = invalid(fasthttp.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than allowed")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		failed = invalid(fasthttp.StatusRequestTimeout, "request_timeout", "the request did not arrive in time")
+	}
+	failed.write(ctx)
+	ctx.SetConnectionClose()
+}
+
+func invalid(status int, code, message string) *problem {
+	return &problem{status: status, kind: "invalid_request_error", code: code, message: message, outcome: outcomeNotRun}
+}
+
+func unavailable(code, message string, retryAfter time.Duration) *problem {
+	return &problem{
+		status:     fasthttp.StatusServiceUnavailable,
+		kind:       "server_error",
+		code:       code,
+		message:    message,
+		outcome:    outcomeNotRun,
+		retryAfter: retryAfter,
+	}
+}
+
+func (p *problem) write(ctx *fasthttp.RequestCtx) {
+	ctx.SetStatusCode(p.status)
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(outcomeHeader, p.outcome)
+	if p.retryAfter > 0 {
+		seconds := math.Ceil(p.retryAfter.Seconds())
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	ctx.SetBody(p.encode())
+}
+
+func (p *problem) encode() []byte {
+	return completion.Failure{Message: p.message, Type: p.kind, Code: p.code}.Encode()
+}
+
+func outcomeName(outcome wire.Outcome) string {
+	switch outcome {
+	case wire.Outcome_OUTCOME_RUN:
+		return outcomeRun
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return outcomeNotRun
+	case wire.Outcome_OUTCOME_UNKNOWN, wire.Outcome_OUTCOME_UNSPECIFIED:
+	}
+	return outcomeUnknown
+}
+
+func newRequestID() string {
+	raw := make([]byte, 12)
+	_, _ = rand.Read(raw)
+	return "req-" + hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/handshake/doc.go
@@ -0,0 +1,2 @@
+// Package handshake checks on each new connection that both ends know the shared secret.
+package handshake
--- /dev/null
+++ b/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter holds customers to the limits of their plans.
+package limiter
--- /dev/null
+++ b/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs builds the logger of a process.
+package logs
--- /dev/null
+++ b/logs/logger.go
@@ -0,0 +1,27 @@
+package logs
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/settings"
+)
+
+// New returns a logger that writes to out with the node's name and availability zone on each line.
+func New(config settings.Log, node settings.Node, out io.Writer) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(out)
+	if config.Format == "json" {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	} else {
+		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	}
+	level, err := logrus.ParseLevel(config.Level)
+	if err != nil {
+		logger.SetOutput(io.Discard)
+		level = logrus.PanicLevel
+	}
+	logger.SetLevel(level)
+	return logger.WithFields(logrus.Fields{"node": node.Name, "availability-zone": node.AvailabilityZone})
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"gypsumbank/dialer"
+	"gypsumbank/handshake"
+	"gypsumbank/meter"
+	"gypsumbank/roster"
+	"gypsumbank/settings"
+	"gypsumbank/snapshot"
+	"gypsumbank/suspect"
+	"gypsumbank/table"
+	"gypsumbank/timeline"
+	"gypsumbank/vmlist"
+	"gypsumbank/wire"
+)
+
+// SnapshotKey is the key of the item that holds the lists.
+const SnapshotKey = "lists/current"
+
+const maxSuspects = 64
+
+// ErrNoSnapshot reports that the process has not received the lists yet.
+var ErrNoSnapshot = errors.New("lists not received yet")
+
+// Node is the part of a process that other processes and operators talk to.
+type Node struct {
+	info     *wire.NodeInfo
+	config   *settings.Config
+	dialer   *dialer.Dialer
+	table    *table.Client
+	vms      *vmlist.Client
+	roster   *roster.Roster
+	meter    *meter.Meter
+	suspects *suspect.Table
+	ring     *timeline.Ring
+	log      *logrus.Entry
+
+	mu       sync.RWMutex
+	current  *snapshot.Snapshot
+	changed  chan struct{}
+	describe func(*wire.NodeStatus)
+	onHint   func(vm vmlist.VM, reply *wire.ExchangeReply, err error)
+	cursor   int
+}
+
+// New returns the node of a process with the given role.
+func New(config *settings.Config, role string, log *logrus.Entry) *Node {
+	incarnation := uint64(time.Now().UnixNano())
+	return &Node{
+		info: &wire.NodeInfo{
+			Name:        config.Node.Name,
+			Zone:        config.Node.AvailabilityZone,
+			Role:        role,
+			Incarnation: incarnation,
+		},
+		config:   config,
+		dialer:   dialer.New(handshake.New(config.Node.Secret)),
+		table:    table.New(config.Platform.Table, config.Platform.TableTimeout),
+		vms:      vmlist.New(config.Platform.VMList),
+		roster:   roster.New(),
+		meter:    meter.New(config.Node.Name, incarnation),
+		suspects: suspect.New(time.Now),
+		ring:     timeline.New(0),
+		log:      log,
+		changed:  make(chan struct{}),
+		describe: func(*wire.NodeStatus) {},
+		onHint:   func(vmlist.VM, *wire.ExchangeReply, error) {},
+	}
+}
+
+// Info returns the name, zone, role and incarnation of the process.
+func (n *Node) Info() *wire.NodeInfo { return n.info }
+
+// Dialer returns the dialer of the process.
+func (n *Node) Dialer() *dialer.Dialer { return n.dialer }
+
+// Table returns the client of the table service.
+func (n *Node) Table() *table.Client { return n.table }
+
+// Roster returns the known VMs.
+func (n *Node) Roster() *roster.Roster { return n.roster }
+
+// Meter returns the counters of use.
+func (n *Node) Meter() *meter.Meter { return n.meter }
+
+// Suspects returns the contents that were running when a target crashed.
+func (n *Node) Suspects() *suspect.Table { return n.suspects }
+
+// Ring returns the recorded events.
+func (n *Node) Ring() *timeline.Ring { return n.ring }
+
+// Log returns the logger of the process.
+func (n *Node) Log() *logrus.Entry { return n.log }
+
+// OnDescribe sets what the role adds to the status of the node; it is called before Run.
+func (n *Node) OnDescribe(describe func(*wire.NodeStatus)) { n.describe = describe }
+
+// OnHint sets what is done with the outcome of each exchange with a model target; it is called before Run.
+func (n *Node) OnHint(onHint func(vmlist.VM, *wire.ExchangeReply, error)) { n.onHint = onHint }
+
+// Snapshot returns the lists in force or ErrNoSnapshot.
+func (n *Node) Snapshot() (*snapshot.Snapshot, error) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if n.current == nil {
+		return nil, ErrNoSnapshot
+	}
+	return n.current, nil
+}
+
+// Changed returns a channel that is closed when the next snapshot comes into force.
+func (n *Node) Changed() <-chan struct{} {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.changed
+}
+
+// Adopt puts a snapshot into force if its version is higher than that in force.
+func (n *Node) Adopt(message *wire.Snapshot, source string) error {
+	if message.GetVersion() <= n.version() {
+		return nil
+	}
+	next, err := snapshot.New(message)
+	if err != nil {
+		return fmt.Errorf("snapshot %d from %s: %w", message.GetVersion(), source, err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.current != nil && next.Version() <= n.current.Version() {
+		return nil
+	}
+	n.current = next
+	close(n.changed)
+	n.changed = make(chan struct{})
+	n.ring.Add(timeline.Event{Kind: timeline.EditInForce, Detail: fmt.Sprintf("version %d from %s", next.Version(), source)})
+	n.log.WithField("version", next.Version()).WithField("source", source).Info("lists in force")
+	return nil
+}
+
+// Run keeps the lists, the roster and the use up to date until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.every(ctx, n.pollTable) })
+	group.Go(func() error { return n.every(ctx, n.pollVMs) })
+	group.Go(func() error { return n.every(ctx, n.exchangeSome) })
+	group.Go(func() error { return n.every(ctx, n.pollHints) })
+	err := group.Wait()
+	n.dialer.Close()
+	return err
+}
+
+func (n *Node) every(ctx context.Context, do func(context.Context)) error {
+	ticker := time.NewTicker(n.config.Platform.PollInterval)
+	defer ticker.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) version() uint64 {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if n.current == nil {
+		return 0
+	}
+	return n.current.Version()
+}
+
+func (n *Node) pollTable(ctx context.Context) {
+	wasUp := n.table.Up()
+	item, err := n.table.Get(ctx, SnapshotKey)
+	n.noteTable(wasUp)
+	if err != nil {
+		return
+	}
+	message := &wire.Snapshot{}
+	if err := proto.Unmarshal(item.Value, message); err != nil {
+		n.log.WithError(err).Error("lists in the table cannot be read")
+		return
+	}
+	if err := n.Adopt(message, "table"); err != nil {
+		n.log.WithError(err).Error("lists in the table are not valid")
+	}
+}
+
+func (n *Node) noteTable(wasUp bool) {
+	isUp := n.table.Up()
+	if wasUp == isUp {
+		return
+	}
+	kind := timeline.StoreUp
+	if !isUp {
+		kind = timeline.StoreDown
+	}
+	n.ring.Add(timeline.Event{Kind: kind, Detail: "table"})
+	n.log.WithField("up", isUp).Warn("table service changed state")
+}
+
+func (n *Node) pollVMs(ctx context.Context) {
+	vms, err := n.vms.VMs(ctx)
+	if err != nil {
+		n.log.WithError(err).Debug("list of VMs not read")
+		return
+	}
+	n.roster.Update(vms)
+}
--- /dev/null
+++ b/plan/doc.go
@@ -0,0 +1,2 @@
+// Package plan holds the list of customers' plans.
+package plan
--- /dev/null
+++ b/plan/list.go
@@ -0,0 +1,108 @@
+package plan
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"regexp"
+
+	"gypsumbank/inifile"
+)
+
+const (
+	keyHashBytes = sha256.Size
+	nameAllowed  = "letters, digits, dots, dashes and underscores, at most 64"
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// Customer is one customer with its member, its plan and the hash of its key.
+type Customer struct {
+	name    string
+	member  string
+	plan    string
+	keyHash [keyHashBytes]byte
+}
+
+// Name returns the name of the customer.
+func (c Customer) Name() string { return c.name }
+
+// Member returns the name of the consortium member that the customer belongs to.
+func (c Customer) Member() string { return c.member }
+
+// Plan returns the name of the customer's plan.
+func (c Customer) Plan() string { return c.plan }
+
+// List is the list of customers' plans.
+type List struct {
+	version   uint64
+	customers map[string]Customer
+	byHash    map[[keyHashBytes]byte]string
+}
+
+// New parses the list and returns an error that wraps inifile.ErrInvalid if any part is invalid.
+func New(name string, data []byte) (*List, error) {
+	file, err := inifile.New(name, data)
+	if err != nil {
+		return nil, err
+	}
+	list := &List{customers: map[string]Customer{}, byHash: map[[keyHashBytes]byte]string{}}
+	list.version = uint64(file.Int("DEFAULT", "version", 0, 0, 1<<53))
+	for _, customer := range file.Names("customer") {
+		list.add(file, customer)
+	}
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
+// HashKey returns the hash of a caller's key as written in the list.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Version returns the version of the list that the text was written against.
+func (l *List) Version() uint64 { return l.version }
+
+// Len returns the number of customers.
+func (l *List) Len() int { return len(l.customers) }
+
+// Customers returns all customers by name.
+func (l *List) Customers() map[string]Customer { return l.customers }
+
+// Authenticate returns the customer whose key is given.
+func (l *List) Authenticate(key string) (Customer, bool) {
+	sum := sha256.Sum256([]byte(key))
+	customer, ok := l.customers[l.byHash[sum]]
+	if !ok {
+		return Customer{}, false
+	}
+	match := subtle.ConstantTimeCompare(customer.keyHash[:], sum[:]) == 1
+	return customer, match
+}
+
+func (l *List) add(file *inifile.File, name string) {
+	section := "customer " + name
+	if !namePattern.MatchString(name) {
+		file.Problem(section, "name", "is not allowed; allowed: "+nameAllowed)
+	}
+	customer := Customer{
+		name:   name,
+		member: file.Required(section, "member", "the name of a member"),
+		plan:   file.Required(section, "plan", "the name of a plan"),
+	}
+	hash, err := hex.DecodeString(file.Required(section, "key-sha256", "64 hexadecimal digits"))
+	if err != nil || len(hash) != keyHashBytes {
+		file.Problem(section, "key-sha256", "is not allowed; allowed: 64 hexadecimal digits")
+		return
+	}
+	copy(customer.keyHash[:], hash)
+	if other, taken := l.byHash[customer.keyHash]; taken {
+		file.Problem(section, "key-sha256", fmt.Sprintf("is also the key of customer %s", other))
+	}
+	l.customers[name] = customer
+	l.byHash[customer.keyHash] = name
+}
--- /dev/null
+++ b/probe/doc.go
@@ -0,0 +1,2 @@
+// Package probe serves health checks and metrics of a process.
+package probe
--- /dev/null
+++ b/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue admits requests to the slots of one target.
+package queue
--- /dev/null
+++ b/residency/doc.go
@@ -0,0 +1,2 @@
+// Package residency accounts for the memory of one accelerator.
+package residency
--- /dev/null
+++ b/roster/doc.go
@@ -0,0 +1,2 @@
+// Package roster keeps the VMs that a process knows of.
+package roster
--- /dev/null
+++ b/router/doc.go
@@ -0,0 +1,2 @@
+// Package router chooses the target of a request.
+package router
--- /dev/null
+++ b/rpcserver/doc.go
@@ -0,0 +1,2 @@
+// Package rpcserver serves drpc to processes that know the shared secret.
+package rpcserver
--- /dev/null
+++ b/service/doc.go
@@ -0,0 +1,2 @@
+// Package service is the client of a plain service.
+package service
--- /dev/null
+++ b/settings/config.go
@@ -0,0 +1,188 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"gypsumbank/inifile"
+)
+
+const (
+	mib          = 1 << 20
+	minSecretLen = 16
+	maxDuration  = 24 * time.Hour
+)
+
+// Config holds the checked settings of one process.
+type Config struct {
+	Node     Node
+	Log      Log
+	Platform Platform
+	Entry    Entry
+	Sidecar  Sidecar
+}
+
+// Node names the process and its addresses.
+type Node struct {
+	Name             string
+	AvailabilityZone string
+	Listen           string // address for other processes of the system
+	Secret           string
+}
+
+// Log sets the level and the format of logs.
+type Log struct {
+	Level  string
+	Format string
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	Table        string
+	VMList       string
+	TableTimeout time.Duration
+	Peers        []string
+	PollInterval time.Duration
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	Listen         string // address for callers
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	ReadTimeout    time.Duration
+	IdleTimeout    time.Duration
+	WriteTimeout   time.Duration
+	SilenceTimeout time.Duration
+	RequestTimeout time.Duration
+	Grace          time.Duration
+	MaxConnections int
+}
+
+// Sidecar holds the settings of a sidecar.
+type Sidecar struct {
+	Kind              string
+	Target            string
+	Service           string
+	Listen            string // address for health checks and metrics
+	MemoryBytes       uint64
+	KVReserveBytes    uint64
+	Slots             int
+	QueueLimit        int
+	ChecksFence       bool
+	OrderLifetime     time.Duration
+	OrderTimeout      time.Duration
+	Grace             time.Duration
+	CallTimeout       time.Duration
+	KeyRetention      time.Duration
+	OpaqueRetryWindow time.Duration
+}
+
+// Load reads and checks the settings in a file; errors wrap inifile.ErrInvalid or are those of the file system.
+func Load(path string) (*Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return New(path, data)
+}
+
+// New checks the settings in data, named name in errors.
+func New(name string, data []byte) (*Config, error) {
+	file, err := inifile.New(name, data)
+	if err != nil {
+		return nil, err
+	}
+	config := &Config{
+		Node:     node(file),
+		Log:      logging(file),
+		Platform: platform(file),
+	}
+	if file.Has("entry") {
+		config.Entry = entry(file)
+	}
+	if file.Has("sidecar") {
+		config.Sidecar = sidecar(file)
+	}
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return config, nil
+}
+
+func node(file *inifile.File) Node {
+	node := Node{
+		Name:             file.Required("node", "name", "a name unique among all processes"),
+		AvailabilityZone: file.Required("node", "availability-zone", "the name of the zone"),
+		Listen:           file.Address("node", "listen", ""),
+		Secret:           file.Required("node", "secret", "a shared secret of at least 16 characters"),
+	}
+	if node.Secret != "" && len(node.Secret) < minSecretLen {
+		file.Problem("node", "secret", "is too short; allowed: at least 16 characters")
+	}
+	return node
+}
+
+func logging(file *inifile.File) Log {
+	return Log{
+		Level:  file.Choice("log", "level", "info", "debug", "info", "warning", "error", "off"),
+		Format: file.Choice("log", "format", "text", "text", "json"),
+	}
+}
+
+func platform(file *inifile.File) Platform {
+	file.Required("platform", "table", "IP:PORT")
+	file.Required("platform", "vm-list", "IP:PORT")
+	return Platform{
+		Table:        file.Address("platform", "table", ""),
+		VMList:       file.Address("platform", "vm-list", ""),
+		TableTimeout: file.Duration("platform", "table-timeout", time.Second, time.Millisecond, time.Minute),
+		Peers:        file.Addresses("platform", "peers"),
+		PollInterval: file.Duration("platform", "poll-interval", time.Second, 10*time.Millisecond, time.Minute),
+	}
+}
+
+func entry(file *inifile.File) Entry {
+	file.Required("entry", "listen", "IP:PORT")
+	return Entry{
+		Listen:         file.Address("entry", "listen", ""),
+		MaxBodyBytes:   int(file.Int("entry", "max-body-bytes", 4*mib, 1024, 256*mib)),
+		MaxHeaderBytes: int(file.Int("entry", "max-header-bytes", 16<<10, 1024, mib)),
+		ReadTimeout:    file.Duration("entry", "read-timeout", 10*time.Second, 100*time.Millisecond, time.Hour),
+		IdleTimeout:    file.Duration("entry", "idle-timeout", time.Minute, 100*time.Millisecond, time.Hour),
+		WriteTimeout:   file.Duration("entry", "write-timeout", 10*time.Second, 100*time.Millisecond, time.Hour),
+		SilenceTimeout: file.Duration("entry", "silence-timeout", 1500*time.Millisecond, 100*time.Millisecond, time.Minute),
+		RequestTimeout: file.Duration("entry", "request-timeout", 10*time.Minute, time.Second, maxDuration),
+		Grace:          file.Duration("entry", "grace", 10*time.Minute, 0, maxDuration),
+		MaxConnections: int(file.Int("entry", "max-connections", 10000, 1, 1e6)),
+	}
+}
+
+func sidecar(file *inifile.File) Sidecar {
+	file.Required("sidecar", "target", "IP:PORT")
+	config := Sidecar{
+		Kind:              file.Choice("sidecar", "kind", "model", "model", "service"),
+		Target:            file.Address("sidecar", "target", ""),
+		Service:           file.String("sidecar", "service", ""),
+		Listen:            file.Address("sidecar", "listen", ""),
+		MemoryBytes:       uint64(file.Int("sidecar", "memory-mib", 0, 0, 16<<20)) * mib,
+		KVReserveBytes:    uint64(file.Int("sidecar", "kv-reserve-mib", 0, 0, 16<<20)) * mib,
+		Slots:             int(file.Int("sidecar", "slots", 16, 1, 4096)),
+		QueueLimit:        int(file.Int("sidecar", "queue-limit", 256, 1, 1e6)),
+		ChecksFence:       file.Choice("sidecar", "target-checks-fence", "no", "yes", "no") == "yes",
+		OrderLifetime:     file.Duration("sidecar", "order-lifetime", 30*time.Second, 0, time.Hour),
+		OrderTimeout:      file.Duration("sidecar", "order-timeout", 20*time.Second, 100*time.Millisecond, time.Hour),
+		Grace:             file.Duration("sidecar", "grace", 30*time.Second, 0, maxDuration),
+		CallTimeout:       file.Duration("sidecar", "call-timeout", 30*time.Second, 10*time.Millisecond, time.Hour),
+		KeyRetention:      file.Duration("sidecar", "key-retention", 24*time.Hour, time.Second, 30*24*time.Hour),
+		OpaqueRetryWindow: file.Duration("sidecar", "opaque-retry-window", 15*time.Minute, 0, maxDuration),
+	}
+	if config.Kind == "service" && config.Service == "" {
+		file.Problem("sidecar", "service", "is missing; allowed: the name of a listed service")
+	}
+	if config.Kind == "model" && config.MemoryBytes <= config.KVReserveBytes {
+		file.Problem("sidecar", "memory-mib", "is missing or not above kv-reserve-mib; allowed: the accelerator's memory in MiB")
+	}
+	return config
+}
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the settings of one process.
+package settings
--- /dev/null
+++ b/sidecar/generate.go
@@ -0,0 +1,336 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/engine"
+	"gypsumbank/loader"
+	"gypsumbank/meter"
+	"gypsumbank/queue"
+	"gypsumbank/timeline"
+	"gypsumbank/wire"
+)
+
+const (
+	heartbeatInterval = 400 * time.Millisecond
+	eventBuffer       = 64
+	crashCheckTimeout = 500 * time.Millisecond
+	queueRetryAfter   = 500 * time.Millisecond
+)
+
+var (
+	errLeaving    = errors.New("target is leaving")
+	errSuperseded = errors.New("superseded by a later attempt of the same request")
+	errMoving     = errors.New("run moves to another target")
+)
+
+// run is one attempt of a request at this target.
+type run struct {
+	attempt uint32
+	cancel  context.CancelCauseFunc
+	ended   chan struct{}
+}
+
+// Generate runs a request and streams its events; it sends a heartbeat while there is nothing else to send.
+func (s *Sidecar) Generate(request *wire.GenerateRequest, stream wire.DRPCSidecar_GenerateStream) error {
+	s.node.Ring().Observe(request.GetClock())
+	ctx, cancel := context.WithCancelCause(stream.Context())
+	defer cancel(nil)
+	if refused := s.precheck(request); refused != nil {
+		return stream.Send(refusedEvent(request, refused))
+	}
+	own, err := s.begin(ctx, request, cancel)
+	if err != nil {
+		return stream.Send(s.ending(request, err))
+	}
+	events := make(chan *wire.GenerateEvent, eventBuffer)
+	go func() {
+		defer close(events)
+		defer s.end(request, own)
+		s.produce(ctx, request, events)
+	}()
+	err = s.forward(request, stream, events)
+	cancel(err)
+	for range events {
+	}
+	return err
+}
+
+func (s *Sidecar) precheck(request *wire.GenerateRequest) *wire.Refused {
+	switch {
+	case s.loader == nil:
+		return s.refusal(wire.RefusalReason_REFUSAL_UNKNOWN_MODEL, "target is not a model engine")
+	case s.leaving.Load():
+		return s.refusal(wire.RefusalReason_REFUSAL_LEAVING, "target is leaving")
+	case s.node.Suspects().Blocked(request.GetFingerprint()):
+		return s.refusal(wire.RefusalReason_REFUSAL_SUSPECT, "content crashed targets")
+	}
+	return nil
+}
+
+// begin registers a run and ends an earlier attempt of the same request.
+func (s *Sidecar) begin(ctx context.Context, request *wire.GenerateRequest, cancel context.CancelCauseFunc) (*run, error) {
+	own := &run{attempt: request.GetAttempt(), cancel: cancel, ended: make(chan struct{})}
+	for {
+		s.mu.Lock()
+		earlier, ok := s.runs[request.GetRequestId()]
+		if !ok {
+			s.runs[request.GetRequestId()] = own
+			s.mu.Unlock()
+			return own, nil
+		}
+		s.mu.Unlock()
+		if earlier.attempt >= own.attempt {
+			return nil, errSuperseded
+		}
+		earlier.cancel(errSuperseded)
+		select {
+		case <-earlier.ended:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *Sidecar) end(request *wire.GenerateRequest, own *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.runs, request.GetRequestId())
+	close(own.ended)
+}
+
+// forward is the only sender on the stream.
+func (s *Sidecar) forward(request *wire.GenerateRequest, stream wire.DRPCSidecar_GenerateStream, events <-chan *wire.GenerateEvent) error {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	quiet := false
+	for {
+		select {
+		case event, ok := <-events:
+			if !ok {
+				return nil
+			}
+			quiet = false
+			if err := stream.Send(event); err != nil {
+				return err
+			}
+		case <-ticker.C:
+			if quiet {
+				if err := stream.Send(&wire.GenerateEvent{RequestId: request.GetRequestId(), Kind: &wire.GenerateEvent_Heartbeat{Heartbeat: &wire.Heartbeat{}}}); err != nil {
+					return err
+				}
+			}
+			quiet = true
+		}
+	}
+}
+
+// produce runs a request and always ends with a finished, refused or interrupted event.
+func (s *Sidecar) produce(ctx context.Context, request *wire.GenerateRequest, events chan<- *wire.GenerateEvent) {
+	status := &wire.NodeStatus{}
+	s.describe(status)
+	events <- &wire.GenerateEvent{RequestId: request.GetRequestId(), Kind: &wire.GenerateEvent_Accepted{Accepted: &wire.Accepted{Hint: status.GetHint()}}}
+	finished, err := s.execute(ctx, request, events)
+	if err != nil {
+		events <- s.ending(request, err)
+		return
+	}
+	s.record(timeline.RequestFinished, request, finished.GetReason())
+	events <- &wire.GenerateEvent{RequestId: request.GetRequestId(), Kind: &wire.GenerateEvent_Finished{Finished: finished}}
+}
+
+func (s *Sidecar) execute(ctx context.Context, request *wire.GenerateRequest, events chan<- *wire.GenerateEvent) (*wire.Finished, error) {
+	lease, err := s.loader.Acquire(ctx, request.GetModel(), request.GetAdapter(), request.GetMayLoad())
+	if err != nil {
+		return nil, err
+	}
+	defer s.loader.Release(lease)
+	ticket := queue.Ticket{Member: request.GetMember(), Priority: int(request.GetPriority()), Exclusive: request.GetKnownCrashes() > 0}
+	if err := s.queue.Acquire(ctx, ticket); err != nil {
+		return nil, err
+	}
+	defer s.queue.Release(ticket)
+	return s.stream(ctx, request, lease, events)
+}
+
+// stream runs a request on the engine, checks the order of its tokens and meters them.
+func (s *Sidecar) stream(ctx context.Context, request *wire.GenerateRequest, lease loader.Lease, events chan<- *wire.GenerateEvent) (*wire.Finished, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go s.watchMove(ctx, cancel)
+	incarnation := s.loader.View().Incarnation
+	next := len(request.GetPrefix())
+	last := time.Now()
+	finished := &wire.Finished{}
+	err := s.engine.Generate(ctx, s.engineRequest(request, lease), func(chunk engine.Chunk) error {
+		if chunk.Done {
+			finished.Reason = chunk.Reason
+			finished.PromptTokens = uint32(chunk.PromptTokens)
+			finished.CompletionTokens = uint32(next)
+			return nil
+		}
+		if chunk.Index != next {
+			return fmt.Errorf("%w: token %d came in place of %d", engine.ErrCut, chunk.Index, next)
+		}
+		next++
+		now := time.Now()
+		s.charge(request, 1, now.Sub(last))
+		last = now
+		return s.emit(ctx, events, &wire.GenerateEvent{RequestId: request.GetRequestId(), Kind: &wire.GenerateEvent_Token{Token: &wire.Token{Index: uint32(chunk.Index), Text: chunk.Token}}})
+	})
+	if err != nil {
+		return nil, s.causeOf(ctx, request, incarnation, err)
+	}
+	s.node.Meter().Add(request.GetMember(), meter.Use{PromptTokens: uint64(finished.GetPromptTokens()), Requests: 1})
+	if request.GetKnownCrashes() > 0 {
+		s.node.Suspects().Clear(request.GetFingerprint())
+	}
+	return finished, nil
+}
+
+// watchMove cancels a run that outlives the grace of a drain.
+func (s *Sidecar) watchMove(ctx context.Context, cancel context.CancelCauseFunc) {
+	select {
+	case <-s.moving:
+		cancel(errMoving)
+	case <-ctx.Done():
+	}
+}
+
+func (s *Sidecar) emit(ctx context.Context, events chan<- *wire.GenerateEvent, event *wire.GenerateEvent) error {
+	select {
+	case events <- event:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Sidecar) charge(request *wire.GenerateRequest, tokens int, elapsed time.Duration) {
+	share := elapsed / time.Duration(max(1, s.queue.Running()))
+	s.node.Meter().Add(request.GetMember(), meter.Use{CompletionTokens: uint64(tokens), Accelerator: share})
+	s.queue.Charge(request.GetMember(), float64(tokens))
+}
+
+// causeOf turns the end of a stream into its cause: cancelled, moved, cut, or cut by a crash of the target.
+func (s *Sidecar) causeOf(ctx context.Context, request *wire.GenerateRequest, incarnation uint64, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	if errors.Is(err, engine.ErrUnreachable) || errors.Is(err, engine.ErrNotResident) || !errors.Is(err, engine.ErrCut) {
+		return err
+	}
+	if !s.crashed(incarnation) {
+		return err
+	}
+	crashes := request.GetKnownCrashes() + 1
+	s.node.Suspects().Raise(request.GetFingerprint(), crashes)
+	s.record(timeline.SuspectSeen, request, fmt.Sprintf("%d crashes", crashes))
+	return &crashError{crashes: crashes}
+}
+
+// crashed reports whether the engine is away or is no longer the given incarnation.
+func (s *Sidecar) crashed(incarnation uint64) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	state, err := s.engine.State(ctx)
+	return err != nil || state.Incarnation != incarnation
+}
+
+type crashError struct{ crashes uint32 }
+
+func (e *crashError) Error() string { return fmt.Sprintf("target crashed, %d times so far", e.crashes) }
+
+// ending turns an error into the last event of a run.
+func (s *Sidecar) ending(request *wire.GenerateRequest, err error) *wire.GenerateEvent {
+	var crash *crashError
+	switch {
+	case errors.As(err, &crash):
+		return s.interrupted(request, wire.InterruptReason_INTERRUPT_TARGET_CRASHED, err, crash.crashes)
+	case errors.Is(err, errMoving):
+		return s.interrupted(request, wire.InterruptReason_INTERRUPT_DRAINING, err, 0)
+	case errors.Is(err, errSuperseded), errors.Is(err, context.Canceled):
+		return s.interrupted(request, wire.InterruptReason_INTERRUPT_SUPERSEDED, err, 0)
+	case errors.Is(err, queue.ErrFull):
+		return s.refused(request, wire.RefusalReason_REFUSAL_QUEUE_FULL, err)
+	case errors.Is(err, queue.ErrClosed):
+		return s.refused(request, wire.RefusalReason_REFUSAL_LEAVING, err)
+	case errors.Is(err, loader.ErrUnknownModel):
+		return s.refused(request, wire.RefusalReason_REFUSAL_UNKNOWN_MODEL, err)
+	case errors.Is(err, loader.ErrTargetDown), errors.Is(err, engine.ErrUnreachable):
+		return s.refused(request, wire.RefusalReason_REFUSAL_TARGET_DOWN, err)
+	case errors.Is(err, loader.ErrNotResident), errors.Is(err, engine.ErrNotResident):
+		return s.refused(request, wire.RefusalReason_REFUSAL_NOT_RESIDENT, err)
+	}
+	return s.interrupted(request, wire.InterruptReason_INTERRUPT_TARGET_ERROR, err, 0)
+}
+
+func (s *Sidecar) refused(request *wire.GenerateRequest, reason wire.RefusalReason, err error) *wire.GenerateEvent {
+	s.record(timeline.RequestRefused, request, err.Error())
+	return refusedEvent(request, s.refusal(reason, err.Error()))
+}
+
+func (s *Sidecar) interrupted(request *wire.GenerateRequest, reason wire.InterruptReason, err error, crashes uint32) *wire.GenerateEvent {
+	s.record(timeline.RequestCancelled, request, err.Error())
+	interrupted := &wire.Interrupted{Reason: reason, Detail: err.Error(), CrashCount: crashes}
+	return &wire.GenerateEvent{
+		RequestId: request.GetRequestId(),
+		Kind:      &wire.GenerateEvent_Interrupted{Interrupted: interrupted},
+	}
+}
+
+func (s *Sidecar) refusal(reason wire.RefusalReason, detail string) *wire.Refused {
+	status := &wire.NodeStatus{}
+	s.describe(status)
+	return &wire.Refused{
+		Reason:       reason,
+		RetryAfterMs: uint32(queueRetryAfter.Milliseconds()),
+		Hint:         status.GetHint(),
+		Detail:       detail,
+	}
+}
+
+func refusedEvent(request *wire.GenerateRequest, refused *wire.Refused) *wire.GenerateEvent {
+	return &wire.GenerateEvent{
+		RequestId: request.GetRequestId(),
+		Kind:      &wire.GenerateEvent_Refused{Refused: refused},
+	}
+}
+
+func (s *Sidecar) engineRequest(request *wire.GenerateRequest, lease loader.Lease) engine.Request {
+	prepared := engine.Request{
+		ID:        fmt.Sprintf("%s-%d", request.GetRequestId(), request.GetAttempt()),
+		Model:     lease.Model.String(),
+		Prompt:    request.GetPrompt(),
+		Prefix:    request.GetPrefix(),
+		MaxTokens: int(request.GetMaxTokens()),
+		Seed:      request.GetSeed(),
+		Priority:  int(request.GetPriority()),
+	}
+	if lease.Adapter.Name != "" {
+		prepared.Adapter = lease.Adapter.String()
+	}
+	return prepared
+}
+
+func (s *Sidecar) record(kind timeline.Kind, request *wire.GenerateRequest, detail string) {
+	s.node.Ring().Add(timeline.Event{
+		Kind:      kind,
+		RequestID: request.GetRequestId(),
+		Customer:  request.GetCustomer(),
+		Target:    s.config.Node.Name,
+		Model:     request.GetModel(),
+		Detail:    detail,
+	})
+	s.log.WithFields(logrus.Fields{
+		"request-id": request.GetRequestId(),
+		"customer":   request.GetCustomer(),
+		"model":      request.GetModel(),
+		"detail":     detail,
+	}).Debug(string(kind))
+}
--- /dev/null
+++ b/snapshot/doc.go
@@ -0,0 +1,2 @@
+// Package snapshot holds the two operators' lists at one version.
+package snapshot
--- /dev/null
+++ b/standin/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is a stand-in for a model engine with continuous batching.
+package engine
--- /dev/null
+++ b/standin/engine/server.go
@@ -0,0 +1,295 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	client "gypsumbank/engine"
+	"gypsumbank/standin/fault"
+	"gypsumbank/webserver"
+)
+
+// Config describes the accelerator and the engine on it.
+type Config struct {
+	MemoryBytes      uint64
+	Slots            int           // sequences in one batch
+	StepBase         time.Duration // time of a decoding step for an empty batch
+	StepPerSequence  time.Duration // added to a step by each sequence
+	PrefillPerToken  time.Duration
+	CacheBlocks      int // prompt blocks that the prefix cache holds
+	ChecksFence      bool
+	WeightStore      string        // IP address with port; empty loads at once
+	RestartTime      time.Duration // time that the engine is away after a crash
+	ReportLag        time.Duration // age of load reports
+	EventLag         time.Duration // age of cache events
+	EventGapPerMille int           // cache events lost, in thousandths
+	Seed             uint64
+}
+
+// Server is one engine; a crash loses its state and its connections.
+type Server struct {
+	config Config
+	faults *fault.Set
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu      sync.Mutex
+	web     *webserver.Server
+	address string
+	memory  memory
+	batch   batch
+	cache   *prefixCache
+	reports []loadReport
+	crashes int
+	down    bool
+}
+
+type loadReport struct {
+	at      time.Time
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
+
+// New returns an engine that starts with Start.
+func New(config Config) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		config: config,
+		faults: fault.New(config.Seed),
+		ctx:    ctx,
+		cancel: cancel,
+		done:   make(chan struct{}),
+	}
+	s.reset()
+	return s
+}
+
+// Start serves on listener and reports the end of the batching loop on the returned channel.
+func (s *Server) Start(listener net.Listener) <-chan error {
+	s.mu.Lock()
+	s.address = listener.Addr().String()
+	s.listen(listener)
+	s.mu.Unlock()
+	ended := make(chan error, 1)
+	go func() {
+		s.run()
+		close(s.done)
+		ended <- nil
+	}()
+	return ended
+}
+
+// Close stops the engine.
+func (s *Server) Close() {
+	s.cancel()
+	s.faults.Close()
+	s.mu.Lock()
+	web := s.web
+	s.mu.Unlock()
+	web.Close()
+	<-s.done
+}
+
+// Faults returns the faults of the engine.
+func (s *Server) Faults() *fault.Set { return s.faults }
+
+// Violations returns how many orders would have overrun the memory.
+func (s *Server) Violations() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.memory.violations
+}
+
+// Crashes returns how often the engine went down.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
+
+// Running returns the number of sequences in the batch and waiting for it.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.batch.running) + len(s.batch.waiting)
+}
+
+// Crash takes the engine down for its restart time.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crash()
+}
+
+func (s *Server) reset() {
+	violations := s.memory.violations
+	s.memory = memory{size: s.config.MemoryBytes, residents: map[string]client.Resident{}, violations: violations}
+	s.memory.incarnation = uint64(time.Now().UnixNano())
+	s.batch.abandon()
+	s.batch = batch{slots: max(1, s.config.Slots), sequences: map[string]*sequence{}}
+	s.cache = newPrefixCache(s.config)
+}
+
+func (s *Server) listen(listener net.Listener) {
+	s.web = webserver.New(&fasthttp.Server{
+		Handler:            s.faults.Handle(s.handle),
+		MaxRequestBodySize: 64 << 20,
+	})
+	s.web.Start(listener)
+	s.down = false
+}
+
+func (s *Server) crash() {
+	if s.down {
+		return
+	}
+	s.down = true
+	s.crashes++
+	s.web.Close()
+	s.reset()
+	time.AfterFunc(s.config.RestartTime, s.restart)
+}
+
+func (s *Server) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return
+	}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		time.AfterFunc(100*time.Millisecond, s.restart)
+		return
+	}
+	s.listen(listener)
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/completions" && ctx.IsPost():
+		s.complete(ctx)
+	case path == "/control/state":
+		s.state(ctx)
+	case path == "/control/fence" && ctx.IsPost():
+		s.fence(ctx)
+	case path == "/control/load" && ctx.IsPost():
+		s.order(ctx, s.load)
+	case path == "/control/unload" && ctx.IsPost():
+		s.order(ctx, s.unload)
+	case path == "/load":
+		s.report(ctx)
+	case path == "/cache-events":
+		s.events(ctx)
+	case strings.HasPrefix(path, "/v1/requests/") && ctx.IsPost():
+		s.sequenceCall(ctx, strings.TrimPrefix(path, "/v1/requests/"))
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Server) complete(ctx *fasthttp.RequestCtx) {
+	var request client.Request
+	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	missing := s.memory.missing(request)
+	if missing != "" {
+		s.mu.Unlock()
+		ctx.Error(missing+" is not resident", fasthttp.StatusNotFound)
+		return
+	}
+	seq := s.batch.add(request, s.prefillTime(request))
+	s.mu.Unlock()
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { s.stream(w, seq) })
+}
+
+func (s *Server) prefillTime(request client.Request) time.Duration {
+	tokens := promptTokens(request) - s.cache.touch(request)
+	return time.Duration(max(0, tokens)+len(request.Prefix)) * s.config.PrefillPerToken
+}
+
+func (s *Server) stream(w *bufio.Writer, seq *sequence) {
+	defer s.remove(seq)
+	for chunk := range seq.out {
+		line, _ := json.Marshal(chunk)
+		if s.faults.Get().Silent {
+			s.faults.Wait(time.Hour)
+			return
+		}
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", line); err != nil {
+			return
+		}
+		if err := w.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) remove(seq *sequence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.batch.remove(seq)
+}
+
+func (s *Server) report(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var lagging loadReport
+	for _, report := range s.reports {
+		if time.Since(report.at) >= s.config.ReportLag {
+			lagging = report
+		}
+	}
+	writeJSON(ctx, lagging)
+}
+
+func (s *Server) events(ctx *fasthttp.RequestCtx) {
+	after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(ctx, s.cache.since(after))
+}
+
+func (s *Server) sequenceCall(ctx *fasthttp.RequestCtx, rest string) {
+	id, call, _ := strings.Cut(rest, "/")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seq, ok := s.batch.sequences[id]
+	switch {
+	case call == "import":
+		var request client.Request
+		if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		s.cache.touch(request)
+	case !ok:
+		ctx.Error("no such request", fasthttp.StatusNotFound)
+	case call == "cancel":
+		s.batch.remove(seq)
+	case call == "export":
+		writeJSON(ctx, seq.request)
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	body, _ := json.Marshal(value)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/standin/ledger/server.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"gypsumbank/standin/fault"
+	"gypsumbank/webserver"
+)
+
+// Server counts how often each event ran; it does not remove repeats by itself.
+type Server struct {
+	web    *webserver.Server
+	faults *fault.Set
+	counts *Counts
+}
+
+// Counts holds how often each event ran, over all replicas that share it.
+type Counts struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Event is one business event.
+type Event struct {
+	ID string `json:"id"`
+}
+
+// NewCounts returns empty counts.
+func NewCounts() *Counts { return &Counts{runs: map[string]int{}} }
+
+// Runs returns how often the event ran.
+func (c *Counts) Runs(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[id]
+}
+
+func (c *Counts) add(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[id]++
+	return c.runs[id]
+}
+
+// New returns a replica that adds to counts.
+func New(counts *Counts, seed uint64) *Server {
+	s := &Server{faults: fault.New(seed), counts: counts}
+	s.web = webserver.New(&fasthttp.Server{Handler: s.faults.Handle(s.handle)})
+	return s
+}
+
+// Start serves on listener and reports the end on the returned channel.
+func (s *Server) Start(listener net.Listener) <-chan error { return s.web.Start(listener) }
+
+// Close stops the replica.
+func (s *Server) Close() {
+	s.faults.Close()
+	s.web.Close()
+}
+
+// Faults returns the faults of the replica.
+func (s *Server) Faults() *fault.Set { return s.faults }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch {
+	case string(ctx.Path()) == "/events" && ctx.IsPost():
+		s.record(ctx)
+	case string(ctx.Path()) == "/events" && ctx.IsGet():
+		s.show(ctx)
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Server) record(ctx *fasthttp.RequestCtx) {
+	var event Event
+	if err := json.Unmarshal(ctx.PostBody(), &event); err != nil || event.ID == "" {
+		ctx.Error("an event needs an id", fasthttp.StatusBadRequest)
+		return
+	}
+	runs := s.counts.add(event.ID)
+	ctx.SetStatusCode(fasthttp.StatusCreated)
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(fmt.Sprintf(`{"id":%q,"runs":%d}`, event.ID, runs))
+}
+
+func (s *Server) show(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.QueryArgs().Peek("id"))
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(fmt.Sprintf(`{"id":%q,"runs":%d}`, id, s.counts.Runs(id)))
+}
--- /dev/null
+++ b/standin/vms/server.go
@@ -0,0 +1,111 @@
+package vms
+
+import (
+	"encoding/json"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"gypsumbank/standin/fault"
+	"gypsumbank/vmlist"
+	"gypsumbank/webserver"
+)
+
+// Server publishes each change of the list after a lag.
+type Server struct {
+	web    *webserver.Server
+	faults *fault.Set
+	lag    time.Duration
+
+	mu      sync.Mutex
+	current map[string]vmlist.VM
+	history []version
+}
+
+type version struct {
+	at  time.Time
+	vms []vmlist.VM
+}
+
+// New returns an empty list whose changes show after lag.
+func New(lag time.Duration, seed uint64) *Server {
+	s := &Server{lag: lag, faults: fault.New(seed), current: map[string]vmlist.VM{}}
+	s.web = webserver.New(&fasthttp.Server{Handler: s.faults.Handle(s.handle)})
+	return s
+}
+
+// Start serves on listener and reports the end on the returned channel.
+func (s *Server) Start(listener net.Listener) <-chan error { return s.web.Start(listener) }
+
+// Close stops the service.
+func (s *Server) Close() {
+	s.faults.Close()
+	s.web.Close()
+}
+
+// Faults returns the faults of the service.
+func (s *Server) Faults() *fault.Set { return s.faults }
+
+// Put adds or replaces a VM.
+func (s *Server) Put(vms ...vmlist.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, vm := range vms {
+		s.current[vm.Name] = vm
+	}
+	s.publish()
+}
+
+// Remove deletes a VM.
+func (s *Server) Remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.current, name)
+	s.publish()
+}
+
+func (s *Server) publish() {
+	vms := make([]vmlist.VM, 0, len(s.current))
+	for _, vm := range s.current {
+		vms = append(vms, vm)
+	}
+	sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
+	s.history = append(s.history, version{at: time.Now(), vms: vms})
+}
+
+func (s *Server) visible() []vmlist.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vms := []vmlist.VM{}
+	for _, v := range s.history {
+		if time.Since(v.at) >= s.lag {
+			vms = v.vms
+		}
+	}
+	return vms
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch {
+	case string(ctx.Path()) == "/vms" && ctx.IsGet():
+		body, _ := json.Marshal(s.visible())
+		ctx.SetContentType("application/json")
+		ctx.SetBody(body)
+	case string(ctx.Path()) == "/vms" && ctx.IsPost():
+		s.update(ctx)
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Server) update(ctx *fasthttp.RequestCtx) {
+	var vm vmlist.VM
+	if err := json.Unmarshal(ctx.PostBody(), &vm); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.Put(vm)
+}
--- /dev/null
+++ b/standin/weights/doc.go
@@ -0,0 +1,2 @@
+// Package weights is a stand-in for the rate-limited weight store.
+package weights
--- /dev/null
+++ b/standin/weights/server.go
@@ -0,0 +1,99 @@
+package weights
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"gypsumbank/standin/fault"
+	"gypsumbank/webserver"
+)
+
+// Limits describe what the store allows.
+type Limits struct {
+	LoadsPerSecond   float64       // model loads started a second
+	FullSpeedLoads   int           // model loads at once at full speed
+	LoadTime         time.Duration // time of a model load at full speed
+	AdaptersInFlight int           // adapter loads at once at full speed
+	AdapterTime      time.Duration // time of an adapter load at full speed
+}
+
+// Server delivers weights; loads beyond the limits take proportionally longer.
+type Server struct {
+	web    *webserver.Server
+	faults *fault.Set
+	limits Limits
+	starts *rate.Limiter
+
+	mu       sync.Mutex
+	models   int
+	adapters int
+	served   int
+}
+
+// New returns a store with the given limits.
+func New(limits Limits, seed uint64) *Server {
+	s := &Server{
+		limits: limits,
+		faults: fault.New(seed),
+		starts: rate.NewLimiter(rate.Limit(limits.LoadsPerSecond), limits.FullSpeedLoads),
+	}
+	s.web = webserver.New(&fasthttp.Server{Handler: s.faults.Handle(s.handle)})
+	return s
+}
+
+// Start serves on listener and reports the end on the returned channel.
+func (s *Server) Start(listener net.Listener) <-chan error { return s.web.Start(listener) }
+
+// Close stops the store.
+func (s *Server) Close() {
+	s.faults.Close()
+	s.web.Close()
+}
+
+// Faults returns the faults of the store.
+func (s *Server) Faults() *fault.Set { return s.faults }
+
+// ModelLoads returns how many models have been delivered.
+func (s *Server) ModelLoads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.QueryArgs().Peek("kind")) {
+	case "model":
+		s.deliverModel()
+	case "adapter":
+		s.deliver(&s.adapters, s.limits.AdapterTime, s.limits.AdaptersInFlight)
+	default:
+		ctx.Error("kind must be model or adapter", fasthttp.StatusBadRequest)
+	}
+}
+
+func (s *Server) deliverModel() {
+	if err := s.starts.Wait(context.Background()); err != nil {
+		return
+	}
+	s.deliver(&s.models, s.limits.LoadTime, s.limits.FullSpeedLoads)
+	s.mu.Lock()
+	s.served++
+	s.mu.Unlock()
+}
+
+func (s *Server) deliver(inFlight *int, full time.Duration, limit int) {
+	s.mu.Lock()
+	*inFlight++
+	factor := max(1, float64(*inFlight)/float64(max(1, limit)))
+	s.mu.Unlock()
+	factor *= max(1, s.faults.Get().Slowdown)
+	s.faults.Wait(time.Duration(float64(full) * factor))
+	s.mu.Lock()
+	*inFlight--
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/vmlist/doc.go
@@ -0,0 +1,2 @@
+// Package vmlist is the client of the platform's list of VMs.
+package vmlist
