--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,132 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/deployment"
+)
+
+// smallest is one entry before one model replica and one ledger replica.
+func smallest() deployment.Size {
+	size := deployment.Small()
+	size.Zones = size.Zones[:1]
+	size.Entries, size.ModelReplicas, size.LedgerReplicas = 1, 1, 1
+	size.Models, size.Adapters = 1, 1
+	return size
+}
+
+func start(t *testing.T, size deployment.Size) *deployment.Deployment {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	d, err := deployment.New(t.Context(), size, "", logrus.NewEntry(logger))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	if err := d.WaitReady(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// exchange sends raw bytes to the first entry and returns the answer's status and body.
+func exchange(t *testing.T, d *deployment.Deployment, raw string) (int, string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", d.Entries()[0].Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(15 * time.Second))
+	if _, err := io.WriteString(conn, raw); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(body)
+}
+
+func request(method, path, key, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		method, path, key, len(body), body)
+}
+
+func TestBadRequests(t *testing.T) {
+	d := start(t, smallest())
+	key := d.Size().Key(d.Size().Members[0])
+	completion := "/v1/completions"
+	tests := map[string]struct {
+		raw    string
+		status int
+		code   string
+	}{
+		"malformed JSON":   {request("POST", completion, key, `{"model":`), 400, "invalid_body"},
+		"no model":         {request("POST", completion, key, `{"prompt":"x"}`), 400, "invalid_body"},
+		"prompt of number": {request("POST", completion, key, `{"model":"blend-00","prompt":7}`), 400, "invalid_body"},
+		"no messages":      {request("POST", "/v1/chat/completions", key, `{"model":"blend-00"}`), 400, "invalid_body"},
+		"too many tokens":  {request("POST", completion, key, `{"model":"blend-00","prompt":"x","max_tokens":-1}`), 400, "invalid_body"},
+		"two answers":      {request("POST", completion, key, `{"model":"blend-00","prompt":"x","n":2}`), 400, "invalid_body"},
+		"unknown model":    {request("POST", completion, key, `{"model":"absent","prompt":"x"}`), 404, "model_not_found"},
+		"wrong key":        {request("POST", completion, "wrong", `{"model":"blend-00","prompt":"x"}`), 401, "invalid_api_key"},
+		"wrong method":     {request("GET", completion, key, ""), 405, "method_not_allowed"},
+		"wrong path":       {request("GET", "/v2/models", key, ""), 404, "not_found"},
+		"unknown service":  {request("POST", "/services/absent/x", key, ""), 404, "service_not_found"},
+		"oversized body":   {"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n", 413, "body_too_large"},
+		"oversized header": {"GET /v1/models HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 32<<10) + "\r\n\r\n", 431, "headers_too_large"},
+		"unended header":   {"GET /v1/models HTTP/1.1\r\nHost: x\r\n", 408, "request_timeout"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			status, body := exchange(t, d, test.raw)
+			if status != test.status || !strings.Contains(body, fmt.Sprintf(`"code":%q`, test.code)) {
+				t.Errorf("status %d, body %s", status, body)
+			}
+		})
+	}
+}
+
+func TestCallerThatLeavesFreesItsSlot(t *testing.T) {
+	d := start(t, smallest())
+	tests := map[string]string{
+		"while streaming": `{"model":"blend-00","stream":true,"prompt":"[[length=4000]]","max_tokens":4000}`,
+		"before the end":  `{"model":"blend-00","prompt":"[[length=4000]]","max_tokens":4000}`,
+	}
+	for name, body := range tests {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", d.Entries()[0].Listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(conn, request("POST", "/v1/completions", d.Size().Key(d.Size().Members[0]), body))
+			eventually(t, 5*time.Second, func() bool { return d.Engines()[0].Running() == 1 })
+			conn.Close()
+			eventually(t, time.Second, func() bool { return d.Engines()[0].Running() == 0 })
+		})
+	}
+}
+
+func eventually(t *testing.T, limit time.Duration, check func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !check() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s", limit)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/standin/vms/server.go
+++ b/standin/vms/server.go
@@ -96,6 +96,8 @@
 		ctx.SetBody(body)
 	case string(ctx.Path()) == "/vms" && ctx.IsPost():
 		s.update(ctx)
+	case string(ctx.Path()) == "/vms" && ctx.IsDelete():
+		s.Remove(string(ctx.QueryArgs().Peek("name")))
 	default:
 		ctx.Error("no such call", fasthttp.StatusNotFound)
 	}
