Fence off orders that the engine has not seen yet

Cause: a property test that loses, delays and repeats orders while the sidecar dies found two ways to overrun memory. A new sidecar numbered its orders from the highest number that the engine had seen, so an order of the dead one that was still on its way had a number that was not lower. And the time in which orders of a dead one may arrive ended by the clock, though the state of the engine had been read before that. Ruled out: the accounting itself, which both traces show right at the moment of each decision.

Change: fencing numbers are epochs, confirmed by the engine before the first order; the quarantine and the release of doubtful memory end only with a state that was asked for after the last moment at which an order could take effect.

--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,174 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+const bufferBytes = 32 << 10
+
+// Link is a TCP hop with faults between two processes.
+type Link struct {
+	target   string
+	listener net.Listener
+	done     chan struct{}
+
+	mu       sync.Mutex
+	delay    time.Duration
+	silent   bool
+	refusing bool
+	pairs    map[*pair]struct{}
+}
+
+type pair struct {
+	near, far net.Conn
+	silenced  bool
+	release   chan struct{}
+}
+
+// New returns a running link to target, an IP address with a port.
+func New(target string) (*Link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	l := &Link{target: target, listener: listener, done: make(chan struct{}), pairs: map[*pair]struct{}{}}
+	go l.accept()
+	return l, nil
+}
+
+// Address returns the address that stands for the target.
+func (l *Link) Address() string { return l.listener.Addr().String() }
+
+// Close stops the link and cuts its connections.
+func (l *Link) Close() {
+	l.listener.Close()
+	l.Cut()
+	<-l.done
+}
+
+// SetDelay makes each piece of data take longer, one way.
+func (l *Link) SetDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+// SetRefusing closes new connections at once.
+func (l *Link) SetRefusing(refusing bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusing = refusing
+}
+
+// SilenceOpen makes all open connections silent for good while new ones work.
+func (l *Link) SilenceOpen() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.silenced = true
+	}
+}
+
+// SetSilent makes new connections silent from their start.
+func (l *Link) SetSilent(silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = silent
+}
+
+// Cut closes all open connections.
+func (l *Link) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.close()
+	}
+	l.pairs = map[*pair]struct{}{}
+}
+
+func (l *Link) accept() {
+	defer close(l.done)
+	for {
+		near, err := l.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		go l.join(near)
+	}
+}
+
+func (l *Link) join(near net.Conn) {
+	l.mu.Lock()
+	refusing, silent := l.refusing, l.silent
+	l.mu.Unlock()
+	if refusing {
+		near.Close()
+		return
+	}
+	dialer := net.Dialer{Timeout: time.Second}
+	far, err := dialer.DialContext(context.Background(), "tcp", l.target)
+	if err != nil {
+		near.Close()
+		return
+	}
+	p := &pair{near: near, far: far, silenced: silent, release: make(chan struct{})}
+	l.mu.Lock()
+	l.pairs[p] = struct{}{}
+	l.mu.Unlock()
+	go l.copy(p, near, far)
+	l.copy(p, far, near)
+}
+
+// copy passes data on; once a pair is silent, neither data nor the end of a connection passes.
+func (l *Link) copy(p *pair, from, to net.Conn) {
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		delay, silenced := l.state(p)
+		if silenced {
+			<-p.release
+			return
+		}
+		time.Sleep(delay)
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				err = writeErr
+			}
+		}
+		if err != nil {
+			l.drop(p)
+			return
+		}
+	}
+}
+
+func (l *Link) state(p *pair) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay, p.silenced
+}
+
+func (l *Link) drop(p *pair) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.close()
+	delete(l.pairs, p)
+}
+
+func (p *pair) close() {
+	p.near.Close()
+	p.far.Close()
+	select {
+	case <-p.release:
+	default:
+		close(p.release)
+	}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -11,6 +11,7 @@
 
 	"gypsumbank/allowance"
 	"gypsumbank/engine"
+	"gypsumbank/fence"
 	"gypsumbank/placement"
 	"gypsumbank/residency"
 	"gypsumbank/settings"
@@ -60,7 +61,7 @@
 	// The fields below belong to the goroutine of Run.
 	memory      *residency.Map
 	incarnation uint64
-	fence       uint64
+	fence       fence.Number
 	waiting     []*want
 	modelOrder  bool
 	adapters    int
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -130,10 +130,10 @@
 	} else {
 		l.adapters++
 	}
-	l.fence++
+	l.fence = l.fence.Next()
 	return engine.Order{
 		ID:      fmt.Sprintf("%s-%d", l.inputs.Target, l.fence),
-		Fence:   l.fence,
+		Fence:   uint64(l.fence),
 		Kind:    key.Kind,
 		Name:    key.Name,
 		Base:    base,
--- a/loader/poll.go
+++ b/loader/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumbank/engine"
+	"gypsumbank/fence"
 	"gypsumbank/residency"
 	"gypsumbank/timeline"
 )
@@ -57,7 +58,7 @@
 		l.lose(r.err)
 	case r.state.Incarnation != l.incarnation:
 		l.meet(r, now)
-	case l.config.ChecksFence && r.state.Fence > l.fence:
+	case l.config.ChecksFence && r.state.Fence > uint64(l.fence):
 		l.stopped = ErrSuperseded
 	default:
 		l.reconcile(r, now)
@@ -89,8 +90,8 @@
 // orders and waits for the state after that.
 func (l *Loader) meet(r report, now time.Time) {
 	if l.config.ChecksFence && !r.fenced {
-		l.fence = max(l.fence, r.state.Fence) + 1
-		l.nextFence.Store(l.fence)
+		l.fence = fence.New(max(uint64(l.fence), r.state.Fence), now)
+		l.nextFence.Store(uint64(l.fence))
 		return
 	}
 	l.incarnation = r.state.Incarnation
@@ -114,8 +115,8 @@
 		return
 	}
 	if l.config.ChecksFence && l.memory.Doubtful() && !l.modelOrder && l.adapters == 0 {
-		l.fence++
-		l.nextFence.Store(l.fence)
+		l.fence = l.fence.Next()
+		l.nextFence.Store(uint64(l.fence))
 		return
 	}
 	l.nextFence.Store(0)
--- a/residency/map.go
+++ b/residency/map.go
@@ -52,7 +52,8 @@
 	size          uint64
 	checksFence   bool
 	orderLifetime time.Duration
-	quarantine    time.Time
+	quarantined   bool      // orders of an earlier incarnation may take effect unseen
+	quarantine    time.Time // a state asked for from then on shows all effects of such orders
 	items         map[Key]*item
 }
 
@@ -71,9 +72,8 @@
 func (m *Map) Adopt(residents []engine.Resident, now time.Time) {
 	previous := m.items
 	m.items = map[Key]*item{}
-	if !m.checksFence {
-		m.quarantine = now.Add(m.orderLifetime)
-	}
+	m.quarantined = !m.checksFence
+	m.quarantine = now.Add(m.orderLifetime)
 	for _, found := range residents {
 		key := Key{Kind: found.Kind, Name: found.Name, Version: found.Version}
 		adopted := &item{state: resident, bytes: found.Bytes, lastUsed: now, changed: now, until: now.Add(m.orderLifetime)}
@@ -95,7 +95,7 @@
 	for _, found := range residents {
 		key := Key{Kind: found.Kind, Name: found.Name, Version: found.Version}
 		held[key] = found
-		m.settleHeld(key, found, now)
+		m.settleHeld(key, found, asked, now)
 	}
 	var lost []Key
 	for key, it := range m.items {
@@ -105,14 +105,17 @@
 		if it.state == resident {
 			lost = append(lost, key)
 		}
-		m.settleAbsent(key, it, now)
+		m.settleAbsent(key, it, asked)
+	}
+	if !asked.Before(m.quarantine) {
+		m.quarantined = false
 	}
 	return lost
 }
 
 // Reserve commits the memory of an item before its load order is sent.
 func (m *Map) Reserve(key Key, bytes uint64, now time.Time) error {
-	if now.Before(m.quarantine) {
+	if m.quarantined {
 		return ErrQuarantine
 	}
 	if known, ok := m.items[key]; ok {
@@ -270,7 +273,7 @@
 	return keys
 }
 
-func (m *Map) settleHeld(key Key, found engine.Resident, now time.Time) {
+func (m *Map) settleHeld(key Key, found engine.Resident, asked, now time.Time) {
 	it, ok := m.items[key]
 	if !ok {
 		m.items[key] = &item{state: resident, bytes: found.Bytes, lastUsed: now, changed: now, until: now.Add(m.orderLifetime)}
@@ -278,7 +281,7 @@
 	}
 	switch it.state {
 	case doubtful, shadow:
-		if !found.Loading && (m.checksFence || !now.Before(it.until)) {
+		if !found.Loading && (m.checksFence || !asked.Before(it.until)) {
 			it.state = resident
 			it.changed = now
 		}
@@ -286,12 +289,12 @@
 	}
 }
 
-func (m *Map) settleAbsent(key Key, it *item, now time.Time) {
+func (m *Map) settleAbsent(key Key, it *item, asked time.Time) {
 	switch it.state {
 	case resident:
-		m.release(key, it, now)
+		m.release(key, it, asked)
 	case doubtful, shadow:
-		if m.certain(it, now) {
+		if m.certain(it, asked) {
 			delete(m.items, key)
 		}
 	case loading, unloading:
