Answers stay whole under silence, cuts, crashes and drains

Cause: nothing showed that a caller gets its own whole answer under faults, and a content that had run to its end after a crash stayed suspect at other processes, so a second crash had it refused though it was innocent.

--- /dev/null
+++ b/deployment/answers_test.go
@@ -0,0 +1,194 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gypsumbank/deployment"
+	client "gypsumbank/engine"
+	"gypsumbank/link"
+	"gypsumbank/standin/engine"
+	"gypsumbank/standin/fault"
+	"gypsumbank/timeline"
+)
+
+// linked lists every sidecar of a model engine behind a faulty link.
+func linked(t *testing.T, d *deployment.Deployment) []*link.Link {
+	t.Helper()
+	o, err := d.Operator()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	vms, err := o.VMs(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var links []*link.Link
+	for _, vm := range vms {
+		if vm.Role != "model" {
+			continue
+		}
+		l, err := link.New(vm.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(l.Close)
+		vm.Address = l.Address()
+		d.VMs().Put(vm)
+		links = append(links, l)
+	}
+	time.Sleep(d.Size().ListLag + 500*time.Millisecond)
+	return links
+}
+
+// want returns the whole text that the engines give for a prompt.
+func want(model, prompt string, seed uint64) string {
+	request := client.Request{Model: model + "@1", Prompt: prompt, Seed: seed, MaxTokens: 4096}
+	var text strings.Builder
+	for i := range engine.Length(request) {
+		text.WriteString(engine.Token(request, i))
+	}
+	return text.String()
+}
+
+// ask sends a completion that is not streamed and returns its status, outcome and body.
+func ask(ctx context.Context, d *deployment.Deployment, entry int, model, prompt string, seed uint64) (status int, outcome, body string) {
+	text := fmt.Sprintf(`{"model":%q,"prompt":%q,"seed":%d,"max_tokens":4096}`, model, prompt, seed)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.URL(entry)+"/v1/completions", strings.NewReader(text))
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer "+d.Size().Key(d.Size().Members[0]))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	return response.StatusCode, response.Header.Get("Gypsumbank-Outcome"), string(answer)
+}
+
+// checkWhole runs requests side by side while disturb runs and checks that each gets its own whole answer.
+func checkWhole(t *testing.T, d *deployment.Deployment, requests, tokens int, disturb func()) {
+	t.Helper()
+	var sent sync.WaitGroup
+	for i := range requests {
+		sent.Add(1)
+		go func() {
+			defer sent.Done()
+			model := deployment.ModelName(i % d.Size().Models)
+			prompt := fmt.Sprintf("question %d [[length=%d]]", i, tokens)
+			status, _, body := ask(t.Context(), d, i%len(d.Entries()), model, prompt, uint64(i))
+			if status != http.StatusOK || !strings.Contains(body, fmt.Sprintf("%q", want(model, prompt, uint64(i)))) {
+				t.Errorf("request %d: status %d, body %.300s", i, status, body)
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	disturb()
+	sent.Wait()
+}
+
+func TestAnswersAreWholeUnderFaults(t *testing.T) {
+	const requests, tokens = 24, 120
+	tests := map[string]func(d *deployment.Deployment, links []*link.Link){
+		"no fault": func(*deployment.Deployment, []*link.Link) {},
+		"open connections go silent": func(_ *deployment.Deployment, links []*link.Link) {
+			for _, l := range links {
+				l.SilenceOpen()
+			}
+		},
+		"connections are cut": func(_ *deployment.Deployment, links []*link.Link) {
+			for range 3 {
+				for _, l := range links {
+					l.Cut()
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		},
+		"a target crashes": func(d *deployment.Deployment, _ []*link.Link) { d.Engines()[0].Crash() },
+		"a sidecar drains": func(d *deployment.Deployment, _ []*link.Link) { _ = d.Sidecars()[0].Stop() },
+		"a target streams nothing for a while": func(d *deployment.Deployment, _ []*link.Link) {
+			d.Engines()[3].Faults().Put(fault.Faults{Slowdown: 50})
+			time.Sleep(time.Second)
+			d.Engines()[3].Faults().Put(fault.Faults{})
+		},
+		"the table service is silent": func(d *deployment.Deployment, _ []*link.Link) {
+			d.Table().Faults().Put(fault.Faults{Silent: true})
+		},
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := start(t, deployment.Small())
+			links := linked(t, d)
+			checkWhole(t, d, requests, tokens, func() { disturb(d, links) })
+		})
+	}
+}
+
+func TestCrashingRequestTakesDownTwoTargetsAtMost(t *testing.T) {
+	d := start(t, deployment.Small())
+	checkWhole(t, d, 12, 150, func() {
+		for i := range 6 {
+			status, outcome, body := ask(t.Context(), d, i%2, deployment.ModelName(0), "[[crash]]", 1)
+			if status != http.StatusUnprocessableEntity {
+				t.Errorf("resubmission %d: status %d, outcome %s, body %s", i, status, outcome, body)
+			}
+		}
+	})
+	crashes := 0
+	for _, e := range d.Engines() {
+		crashes += e.Crashes()
+	}
+	if crashes > 2 {
+		t.Errorf("%d targets went down", crashes)
+	}
+}
+
+// TestNeighboursOfACrashAreNotBlamedForLong crashes targets twice under the same contents, which are innocent.
+func TestNeighboursOfACrashAreNotBlamedForLong(t *testing.T) {
+	d := start(t, deployment.Small())
+	for wave := range 2 {
+		checkWhole(t, d, 12, 100, func() { d.Engines()[wave].Crash() })
+		time.Sleep(2 * time.Second)
+	}
+}
+
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	size := deployment.Small()
+	size.ListLag = 200 * time.Millisecond
+	size.Grace = 8 * time.Second
+	d := start(t, size)
+	leaving := d.Sidecars()[0]
+	go ask(t.Context(), d, 0, deployment.ModelName(0), "[[length=1000]]", 1)
+	time.Sleep(200 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- leaving.Stop() }()
+	time.Sleep(3 * time.Second)
+	late := time.Now()
+	for i := range 60 {
+		_, _, _ = ask(t.Context(), d, i%2, deployment.ModelName(i%size.Models), "[[length=3]]", 1)
+	}
+	for _, entry := range d.Entries() {
+		events, _ := entry.Node.Ring().After(0)
+		for _, event := range events {
+			if event.GetTarget() == leaving.Name && event.GetKind() == "request-routed" && timeline.Time(event.GetClock()).After(late) {
+				t.Errorf("%s sent %s to the leaving target: %v", entry.Name, event.GetRequestId(), event)
+			}
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -95,6 +95,7 @@
 		}
 		switch end := end.(type) {
 		case finished:
+			e.node.Suspects().Clear(job.fingerprint)
 			e.record(job.event(timeline.RequestFinished, choice.VM.Name, job.reason))
 			return nil
 		case refused:
--- a/standin/fault/set.go
+++ b/standin/fault/set.go
@@ -90,19 +90,20 @@
 			return
 		}
 		if faults.Silent {
-			s.drop(ctx)
+			s.drop(ctx, silence)
 			return
 		}
 		next(ctx)
 		if s.Draw(s.Get().LoseAnswer) {
-			s.drop(ctx)
+			s.drop(ctx, 0)
 		}
 	}
 }
 
-func (s *Set) drop(ctx *fasthttp.RequestCtx) {
+// drop closes the connection after a time without an answer.
+func (s *Set) drop(ctx *fasthttp.RequestCtx, after time.Duration) {
 	ctx.HijackSetNoResponse(true)
-	ctx.Hijack(func(net.Conn) { s.Wait(silence) })
+	ctx.Hijack(func(net.Conn) { s.Wait(after) })
 }
 
 func (s *Set) control(ctx *fasthttp.RequestCtx) {
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -26,6 +26,7 @@
 	entries map[uint64]entry
 }
 
+// entry holds the crashes of a content, none once it was cleared, and the time of the latest crash or clearance.
 type entry struct {
 	crashes uint32
 	last    time.Time
@@ -60,23 +61,26 @@
 	}
 }
 
-// Clear forgets a content that has run to its end apart from others.
+// Clear records that a content has run to its end apart from others, unless it is refused already.
 func (t *Table) Clear(fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.entries, fingerprint)
+	if known := t.live(fingerprint); known.crashes > 0 && known.crashes < BlockAfter {
+		t.put(fingerprint, entry{last: t.now()})
+	}
 }
 
-// Merge takes over higher counts from another process.
+// Merge takes over what another process has learnt later; a content that is refused stays so.
 func (t *Table) Merge(suspects []*wire.Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, suspect := range suspects {
-		last := time.UnixMilli(suspect.GetLastCrashUnixMs())
-		if t.now().Sub(last) > retention {
+		last := time.UnixMilli(suspect.GetLastEventUnixMs())
+		known := t.live(suspect.GetFingerprint())
+		if t.now().Sub(last) > retention || known.crashes >= BlockAfter {
 			continue
 		}
-		if suspect.GetCrashes() > t.live(suspect.GetFingerprint()).crashes {
+		if suspect.GetCrashes() >= BlockAfter || last.After(known.last) {
 			t.put(suspect.GetFingerprint(), entry{crashes: suspect.GetCrashes(), last: last})
 		}
 	}
@@ -89,10 +93,10 @@
 	var blocked, others []*wire.Suspect
 	for fingerprint := range t.entries {
 		live := t.live(fingerprint)
-		if live.crashes == 0 {
+		if live.last.IsZero() {
 			continue
 		}
-		message := &wire.Suspect{Fingerprint: fingerprint, Crashes: live.crashes, LastCrashUnixMs: live.last.UnixMilli()}
+		message := &wire.Suspect{Fingerprint: fingerprint, Crashes: live.crashes, LastEventUnixMs: live.last.UnixMilli()}
 		if live.crashes >= BlockAfter {
 			blocked = append(blocked, message)
 			continue
--- a/webserver/server.go
+++ b/webserver/server.go
@@ -25,6 +25,9 @@
 	s := &Server{http: server, conns: map[net.Conn]struct{}{}}
 	server.NoDefaultServerHeader = true
 	server.CloseOnShutdown = true
+	if server.Logger == nil {
+		server.Logger = silent{}
+	}
 	return s
 }
 
@@ -96,6 +99,11 @@
 	delete(s.conns, conn)
 }
 
+// silent drops the library's messages about connections that clients closed.
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
 type trackedListener struct {
 	net.Listener
 	server *Server
