--- a/idempotency/registry_test.go
+++ b/idempotency/registry_test.go
@@ -219,6 +219,10 @@
 	f.start("a")
 	f.tick(8)
 	f.outage(fault.Faults{Refuse: true})
+	f.tick(1)
+	if decision, ok := f.begin("a", "early").(NotReady); !ok {
+		t.Errorf("a call without a claim, before a later owner could tell from the beat: %#v", decision)
+	}
 	f.tick(int(tablelessAfter/tickInterval) + 2)
 	if _, ok := f.begin("a", "sale").(Run); !ok {
 		t.Fatal("a first call was not run while the table was down")
