--- a/process_test.go
+++ b/process_test.go
@@ -251,8 +251,6 @@
 	c.control(http.MethodPost, "vms", "/vms", body)
 }
 
-func (c *cluster) unlist(name string) { c.control(http.MethodDelete, "vms", "/vms?name="+name, nil) }
-
 // faults replaces the faults of a stand-in.
 func (c *cluster) faults(name string, faults fault.Faults) {
 	c.t.Helper()
--- a/standin/table/server.go
+++ b/standin/table/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/url"
 	"sort"
@@ -34,6 +35,7 @@
 	items   map[string]entry
 	objects map[string][]byte
 	version uint64
+	past    map[string]entry // what reads of single items see while set
 }
 
 type entry struct {
@@ -75,6 +77,8 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
+	case path == "/past" && ctx.IsPost():
+		s.freeze(ctx)
 	case path == "/transactions" && ctx.IsPost():
 		s.transact(ctx)
 	case path == "/items" && ctx.IsGet():
@@ -101,6 +105,9 @@
 	}
 	s.mu.Lock()
 	found, ok := s.lookup(key)
+	if s.past != nil {
+		found, ok = s.past[key]
+	}
 	s.mu.Unlock()
 	if !ok {
 		ctx.Error("no such item", fasthttp.StatusNotFound)
@@ -111,6 +118,23 @@
 	ctx.SetBody(body)
 }
 
+// freeze has reads of single items answer from the present state for as long as it is set.
+func (s *Server) freeze(ctx *fasthttp.RequestCtx) {
+	var request struct {
+		Freeze bool `json:"freeze"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.past = nil
+	if request.Freeze {
+		s.past = maps.Clone(s.items)
+	}
+}
+
 func (s *Server) list(ctx *fasthttp.RequestCtx) {
 	if !s.reads.Allow() {
 		ctx.Error("read rate exceeded", fasthttp.StatusTooManyRequests)
