Draw the two faults of a round on two processes

The system had no part in it. Change: the second fault is drawn until it has another victim. Conclusion: a fault of the test, mended.

--- a/faults_test.go
+++ b/faults_test.go
@@ -86,6 +86,9 @@
 			}()
 		}
 		first, second := c.drawFault(rng), c.drawFault(rng)
+		for second.victim == first.victim {
+			second = c.drawFault(rng)
+		}
 		t.Logf("round %d: %s and %s", round, first.name, second.name)
 		time.Sleep(300 * time.Millisecond)
 		first.begin()
@@ -184,9 +187,10 @@
 
 // clusterFault is a fault that begins and ends.
 type clusterFault struct {
-	name  string
-	begin func()
-	end   func()
+	name   string
+	victim string
+	begin  func()
+	end    func()
 }
 
 func (c *cluster) drawFault(rng *rand.Rand) clusterFault {
@@ -196,28 +200,32 @@
 	target := "target-" + ledger
 	faulty := func(name, what string, faults fault.Faults) clusterFault {
 		return clusterFault{
-			name:  what + " of " + name,
-			begin: func() { c.faults(name, faults) },
-			end:   func() { c.faults(name, fault.Faults{}) },
+			name:   what + " of " + name,
+			victim: name,
+			begin:  func() { c.faults(name, faults) },
+			end:    func() { c.faults(name, fault.Faults{}) },
 		}
 	}
 	frozen := func(name string, p *process) clusterFault {
 		return clusterFault{
-			name:  "freeze of " + name,
-			begin: func() { p.signal(syscall.SIGSTOP) },
-			end:   func() { p.signal(syscall.SIGCONT) },
+			name:   "freeze of " + name,
+			victim: name,
+			begin:  func() { p.signal(syscall.SIGSTOP) },
+			end:    func() { p.signal(syscall.SIGCONT) },
 		}
 	}
 	faults := []clusterFault{
 		{
-			name:  "loss of " + ledger,
-			begin: func() { c.sidecars[ledger].kill() },
-			end:   func() { c.startSidecar(ledger) },
+			name:   "loss of " + ledger,
+			victim: ledger,
+			begin:  func() { c.sidecars[ledger].kill() },
+			end:    func() { c.startSidecar(ledger) },
 		},
 		{
-			name:  "loss of " + model,
-			begin: func() { c.sidecars[model].kill() },
-			end:   func() { c.startSidecar(model) },
+			name:   "loss of " + model,
+			victim: model,
+			begin:  func() { c.sidecars[model].kill() },
+			end:    func() { c.startSidecar(model) },
 		},
 		frozen(ledger, c.sidecars[ledger]),
 		frozen(model, c.sidecars[model]),
