--- a/standin/engine/memory.go
+++ b/standin/engine/memory.go
@@ -133,6 +133,9 @@
 		delete(s.memory.residents, key(order))
 		return
 	}
+	if resident.Loading && resident.Kind == client.KindModel {
+		s.loads++
+	}
 	resident.Loading = false
 	s.memory.residents[key(order)] = resident
 }
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -51,6 +51,7 @@
 	cache   *prefixCache
 	reports []loadReport
 	crashes int
+	loads   int
 	down    bool
 }
 
@@ -110,6 +111,26 @@
 	return s.memory.violations
 }
 
+// Residents returns the names of the models and adapters that are loaded.
+func (s *Server) Residents() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for _, resident := range s.memory.residents {
+		if !resident.Loading {
+			names = append(names, resident.Name)
+		}
+	}
+	return names
+}
+
+// Loads returns how many models were loaded since the engine was made.
+func (s *Server) Loads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads
+}
+
 // Crashes returns how often the engine went down.
 func (s *Server) Crashes() int {
 	s.mu.Lock()
