Prove models reachable through edits, faulty orders and lost holders

Change: three edits in a row (a new version, a new model with an adapter, a removed model) on engines that check fencing numbers and ones that do not; every engine crashed in turn and two at once; outcomes of ledger calls against its count.

--- /dev/null
+++ b/deployment/models_test.go
@@ -0,0 +1,138 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gypsumbank/deployment"
+	"gypsumbank/operator"
+	"gypsumbank/standin/fault"
+)
+
+// reachable asks for every listed model through every entry until all answer.
+func reachable(t *testing.T, d *deployment.Deployment, names []string, limit time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	for i, name := range names {
+		for {
+			status, _, body := ask(ctx, d, i%len(d.Entries()), name, "[[length=2]]", 1)
+			if status == http.StatusOK {
+				break
+			}
+			if ctx.Err() != nil {
+				t.Errorf("%s: status %d: %s", name, status, body)
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+func noViolations(t *testing.T, d *deployment.Deployment) {
+	t.Helper()
+	for i, e := range d.Engines() {
+		if e.Violations() > 0 {
+			t.Errorf("engine %d: %d orders would have overrun its memory", i, e.Violations())
+		}
+	}
+}
+
+// TestModelsStayReachableWhileListsChange adds, removes and replaces models while orders are late and lost.
+func TestModelsStayReachableWhileListsChange(t *testing.T) {
+	tests := map[string]bool{"fences checked": true, "fences ignored": false}
+	for name, checksFence := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			size := deployment.Small()
+			size.ChecksFence = checksFence
+			d := start(t, size)
+			o, err := d.Operator()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer o.Close()
+			for _, e := range d.Engines() {
+				e.Faults().Put(fault.Faults{LateOrderMS: 50, LoseOrder: 0.02})
+			}
+			names := []string{"blend-00", "blend-01", "blend-02", "blend-03", "blend-04", "counter-00", "counter-01"}
+			first := size.Allowances()
+			second := strings.ReplaceAll(first, "[model blend-01]\nversion = 1", "[model blend-01]\nversion = 2")
+			third := second + "\n[model fresh]\nmemory-mib = 14336\n[adapter fresh-rose]\nmodel = fresh\nmemory-mib = 64\n"
+			fourth := strings.ReplaceAll(strings.ReplaceAll(third, "[model blend-05]\nversion = 1\nmemory-mib = 14336\n", ""), "[adapter counter-05]\nmodel = blend-05\nversion = 1\nmemory-mib = 64\n", "")
+			for version, text := range []string{second, third, fourth} {
+				if _, err := o.Apply(t.Context(), operator.Allowances, []byte(text), uint64(version+1)); err != nil {
+					t.Fatal(err)
+				}
+				if version > 0 {
+					names = append(names, "fresh", "fresh-rose")
+				}
+				reachable(t, d, names, 40*time.Second)
+			}
+			if status, _, _ := ask(t.Context(), d, 0, "blend-05", "x", 1); status != http.StatusNotFound {
+				t.Errorf("a removed model: status %d", status)
+			}
+			noViolations(t, d)
+		})
+	}
+}
+
+// TestModelsComeBackAfterTheLossOfTheirHolders crashes every engine in turn and then two at once.
+func TestModelsComeBackAfterTheLossOfTheirHolders(t *testing.T) {
+	d := start(t, deployment.Small())
+	var names []string
+	for i := range d.Size().Models {
+		names = append(names, deployment.ModelName(i))
+	}
+	for i := range d.Engines() {
+		d.Engines()[i].Crash()
+		reachable(t, d, names, 20*time.Second)
+	}
+	for _, i := range []int{0, 1} {
+		d.Engines()[i].Crash()
+	}
+	reachable(t, d, names, 20*time.Second)
+	noViolations(t, d)
+}
+
+// TestOutcomesAreTrue compares what callers of the ledger are told with its own count, for calls without a key too.
+func TestOutcomesAreTrue(t *testing.T) {
+	tests := map[string]struct {
+		faults  fault.Faults
+		key     bool
+		allowed map[string]int // runs by outcome
+	}{
+		"no fault":                    {fault.Faults{}, false, map[string]int{"run": 1}},
+		"answer lost without a key":   {fault.Faults{LoseAnswer: 1}, false, map[string]int{"unknown": 1}},
+		"answer lost with a key":      {fault.Faults{LoseAnswer: 1}, true, map[string]int{"unknown": 1}},
+		"service refuses with a key":  {fault.Faults{Refuse: true}, true, map[string]int{"run": 0}},
+		"service slow":                {fault.Faults{DelayMS: 700}, true, map[string]int{"run": 1}},
+		"service slow without a key":  {fault.Faults{DelayMS: 700}, false, map[string]int{"run": 1}},
+		"answer lost, half the calls": {fault.Faults{LoseAnswer: 0.5}, true, map[string]int{"run": 1, "unknown": 1}},
+	}
+	d := start(t, deployment.Small())
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, l := range d.Ledgers() {
+				l.Faults().Put(test.faults)
+			}
+			for i := range 4 {
+				id := strings.ReplaceAll(name, " ", "-") + fmt.Sprint(i)
+				headers := map[string]string{}
+				if test.key {
+					headers["Idempotency-Key"] = id
+				}
+				response, text := post(t, d, i%2, "/services/ledger/events", fmt.Sprintf(`{"id":%q}`, id), headers)
+				outcome := response.Header.Get("Gypsumbank-Outcome")
+				runs, ok := test.allowed[outcome]
+				if !ok || runs != d.Counts().Runs(id) {
+					t.Errorf("%s: outcome %q, ran %d times: %s", id, outcome, d.Counts().Runs(id), text)
+				}
+			}
+		})
+	}
+}
