Order the queue by shares and service attained, and preempt runs

Cause: slots went by plan priority, member and arrival, so short requests waited behind whole long ones, and a member that lent its idle share waited for long runs to end before it had it back.

Change: the queue gives slots by the members' shares, then to requests with the least service, with aging; runs that have had more give way, keep their tokens and go on later. First come, first served stays as a policy. Any target that keeps a copy may confirm a drop: copies are marked before the question, so a cycle of confirmations cannot form and ranks are not needed for safety.

--- a/settings/config.go
+++ b/settings/config.go
@@ -58,6 +58,8 @@
 	RequestTimeout time.Duration
 	Grace          time.Duration
 	MaxConnections int
+	Routing        string
+	AvoidSlow      bool
 }
 
 // Sidecar holds the settings of a sidecar.
@@ -70,6 +72,9 @@
 	KVReserveBytes    uint64
 	Slots             int
 	QueueLimit        int
+	MaxQueueTime      time.Duration
+	QueuePolicy       string
+	Residency         string
 	ChecksFence       bool
 	OrderLifetime     time.Duration
 	OrderTimeout      time.Duration
@@ -155,6 +160,8 @@
 		SilenceTimeout: file.Duration("entry", "silence-timeout", 1500*time.Millisecond, 100*time.Millisecond, time.Minute),
 		RequestTimeout: file.Duration("entry", "request-timeout", 10*time.Minute, time.Second, maxDuration),
 		Grace:          file.Duration("entry", "grace", 10*time.Minute, 0, maxDuration),
+		Routing:        file.Choice("entry", "routing", "cost", "cost", "round-robin", "least-in-flight"),
+		AvoidSlow:      file.Choice("entry", "avoid-slow", "yes", "yes", "no") == "yes",
 		MaxConnections: int(file.Int("entry", "max-connections", 10000, 1, 1e6)),
 	}
 }
@@ -170,6 +177,9 @@
 		KVReserveBytes:    uint64(file.Int("sidecar", "kv-reserve-mib", 0, 0, 16<<20)) * mib,
 		Slots:             int(file.Int("sidecar", "slots", 16, 1, 4096)),
 		QueueLimit:        int(file.Int("sidecar", "queue-limit", 256, 1, 1e6)),
+		MaxQueueTime:      file.Duration("sidecar", "max-queue-time", 3*time.Second, 0, time.Hour),
+		QueuePolicy:       file.Choice("sidecar", "queue-policy", "attained", "attained", "first-come"),
+		Residency:         file.Choice("sidecar", "residency", "placed", "placed", "on-demand"),
 		ChecksFence:       file.Choice("sidecar", "target-checks-fence", "no", "yes", "no") == "yes",
 		OrderLifetime:     file.Duration("sidecar", "order-lifetime", 30*time.Second, 0, time.Hour),
 		OrderTimeout:      file.Duration("sidecar", "order-timeout", 20*time.Second, 100*time.Millisecond, time.Hour),
--- a/sidecar/generate.go
+++ b/sidecar/generate.go
@@ -27,6 +27,7 @@
 	errLeaving    = errors.New("target is leaving")
 	errSuperseded = errors.New("superseded by a later attempt of the same request")
 	errMoving     = errors.New("run moves to another target")
+	errPreempted  = errors.New("run gives its slot to another")
 )
 
 // run is one attempt of a request at this target.
@@ -150,24 +151,40 @@
 		return nil, err
 	}
 	defer s.loader.Release(lease)
-	ticket := queue.Ticket{Member: request.GetMember(), Priority: int(request.GetPriority()), Exclusive: request.GetKnownCrashes() > 0}
-	if err := s.queue.Acquire(ctx, ticket); err != nil {
-		return nil, err
+	ticket := queue.Ticket{
+		Member:    request.GetMember(),
+		Priority:  int(request.GetPriority()),
+		Exclusive: request.GetKnownCrashes() > 0,
+		Attained:  len(request.GetPrefix()),
+	}
+	progress := &stint{prefix: request.GetPrefix()}
+	for {
+		slot, err := s.queue.Acquire(ctx, ticket)
+		if err != nil {
+			return nil, err
+		}
+		finished, err := s.stream(ctx, request, lease, slot, progress, events)
+		slot.Release(err == nil)
+		if !errors.Is(err, errPreempted) {
+			return finished, err
+		}
+		ticket.Attained = len(progress.prefix)
 	}
-	defer s.queue.Release(ticket)
-	return s.stream(ctx, request, lease, events)
 }
 
-// stream runs a request on the engine, checks the order of its tokens and meters them.
-func (s *Sidecar) stream(ctx context.Context, request *wire.GenerateRequest, lease loader.Lease, events chan<- *wire.GenerateEvent) (*wire.Finished, error) {
+// stint carries the tokens of a run from one slot to the next.
+type stint struct{ prefix []string }
+
+// stream runs a request on the engine until it ends or is preempted, checks the order of its tokens and meters them.
+func (s *Sidecar) stream(ctx context.Context, request *wire.GenerateRequest, lease loader.Lease, slot *queue.Slot, progress *stint, events chan<- *wire.GenerateEvent) (*wire.Finished, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go s.watchMove(ctx, cancel)
+	go s.watchStop(ctx, slot, cancel)
 	incarnation := s.loader.View().Incarnation
-	next := len(request.GetPrefix())
 	last := time.Now()
 	finished := &wire.Finished{}
-	err := s.engine.Generate(ctx, s.engineRequest(request, lease), func(chunk engine.Chunk) error {
+	err := s.engine.Generate(ctx, s.engineRequest(request, lease, progress.prefix), func(chunk engine.Chunk) error {
+		next := len(progress.prefix)
 		if chunk.Done {
 			finished.Reason = chunk.Reason
 			finished.PromptTokens = uint32(chunk.PromptTokens)
@@ -177,11 +194,14 @@
 		if chunk.Index != next {
 			return fmt.Errorf("%w: token %d came in place of %d", engine.ErrCut, chunk.Index, next)
 		}
-		next++
 		now := time.Now()
-		s.charge(request, 1, now.Sub(last))
+		s.charge(request, slot, now.Sub(last))
 		last = now
-		return s.emit(ctx, events, &wire.GenerateEvent{RequestId: request.GetRequestId(), Kind: &wire.GenerateEvent_Token{Token: &wire.Token{Index: uint32(chunk.Index), Text: chunk.Token}}})
+		if err := s.emit(ctx, events, tokenEvent(request, chunk)); err != nil {
+			return err
+		}
+		progress.prefix = append(progress.prefix, chunk.Token)
+		return nil
 	})
 	if err != nil {
 		return nil, s.causeOf(ctx, request, incarnation, err)
@@ -193,9 +213,11 @@
 	return finished, nil
 }
 
-// watchMove cancels a run that outlives the grace of a drain.
-func (s *Sidecar) watchMove(ctx context.Context, cancel context.CancelCauseFunc) {
+// watchStop cancels a run that is preempted or outlives the grace of a drain.
+func (s *Sidecar) watchStop(ctx context.Context, slot *queue.Slot, cancel context.CancelCauseFunc) {
 	select {
+	case <-slot.Preempted:
+		cancel(errPreempted)
 	case <-s.moving:
 		cancel(errMoving)
 	case <-ctx.Done():
@@ -211,10 +233,10 @@
 	}
 }
 
-func (s *Sidecar) charge(request *wire.GenerateRequest, tokens int, elapsed time.Duration) {
+func (s *Sidecar) charge(request *wire.GenerateRequest, slot *queue.Slot, elapsed time.Duration) {
 	share := elapsed / time.Duration(max(1, s.queue.Running()))
-	s.node.Meter().Add(request.GetMember(), meter.Use{CompletionTokens: uint64(tokens), Accelerator: share})
-	s.queue.Charge(request.GetMember(), float64(tokens))
+	s.node.Meter().Add(request.GetMember(), meter.Use{CompletionTokens: 1, Accelerator: share})
+	slot.Charge(1)
 }
 
 // causeOf turns the end of a stream into its cause: cancelled, moved, cut, or cut by a crash of the target.
@@ -295,6 +317,13 @@
 	}
 }
 
+func tokenEvent(request *wire.GenerateRequest, chunk engine.Chunk) *wire.GenerateEvent {
+	return &wire.GenerateEvent{
+		RequestId: request.GetRequestId(),
+		Kind:      &wire.GenerateEvent_Token{Token: &wire.Token{Index: uint32(chunk.Index), Text: chunk.Token}},
+	}
+}
+
 func refusedEvent(request *wire.GenerateRequest, refused *wire.Refused) *wire.GenerateEvent {
 	return &wire.GenerateEvent{
 		RequestId: request.GetRequestId(),
@@ -302,12 +331,12 @@
 	}
 }
 
-func (s *Sidecar) engineRequest(request *wire.GenerateRequest, lease loader.Lease) engine.Request {
+func (s *Sidecar) engineRequest(request *wire.GenerateRequest, lease loader.Lease, prefix []string) engine.Request {
 	prepared := engine.Request{
 		ID:        fmt.Sprintf("%s-%d", request.GetRequestId(), request.GetAttempt()),
 		Model:     lease.Model.String(),
 		Prompt:    request.GetPrompt(),
-		Prefix:    request.GetPrefix(),
+		Prefix:    prefix,
 		MaxTokens: int(request.GetMaxTokens()),
 		Seed:      request.GetSeed(),
 		Priority:  int(request.GetPriority()),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -29,8 +29,9 @@
 )
 
 const (
-	drainPoll   = 50 * time.Millisecond
-	handoverMax = 30 * time.Second
+	drainPoll       = 50 * time.Millisecond
+	maxHoldersAsked = 8
+	handoverMax     = 30 * time.Second
 )
 
 // Sidecar is the sole gate to one target.
@@ -59,7 +60,12 @@
 		node:   node.New(config, config.Sidecar.Kind, log),
 		server: rpcserver.New(handshake.New(config.Node.Secret), log),
 		log:    log,
-		queue:  queue.New(config.Sidecar.Slots, config.Sidecar.QueueLimit),
+		queue: queue.New(queue.Config{
+			Slots:   config.Sidecar.Slots,
+			Limit:   config.Sidecar.QueueLimit,
+			MaxWait: config.Sidecar.MaxQueueTime,
+			Policy:  queue.Policy(config.Sidecar.QueuePolicy),
+		}),
 		moving: make(chan struct{}),
 		runs:   map[string]*run{},
 	}
@@ -154,13 +160,18 @@
 	return names
 }
 
-// heldByPeer asks the targets that rank above this one for the model, so that two targets never rely on each other.
+// heldByPeer asks the targets that most likely hold the model. The own copy is marked by then, so of all targets that
+// drop a model at once, the last to be marked gets no confirmation: the targets that others relied on were marked later
+// than they.
 func (s *Sidecar) heldByPeer(ctx context.Context, model string, version uint32) (bool, error) {
 	var last error
-	for _, vm := range s.node.Roster().Models() {
-		if vm.Leaving || !placement.Higher(model, vm.Name, s.config.Node.Name) {
+	asked := 0
+	for _, name := range placement.Ranked(model, s.targets()) {
+		vm, ok := s.node.Roster().Get(name)
+		if !ok || name == s.config.Node.Name || asked == maxHoldersAsked {
 			continue
 		}
+		asked++
 		client := wire.NewDRPCSidecarClient(s.node.Dialer().Conn(ctx, vm.Address))
 		reply, err := client.Holds(ctx, &wire.HoldsRequest{Model: model, Version: version})
 		if err != nil {
