Route by measured pace and prefixes, and spread models under pressure

Cause: targets slowed by neighbours went on getting work, prompts with a common start went to any holder, and a hot model had the copies that placement gave it; requests refused for lack of room made other targets load the model.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,7 +42,8 @@
 	active  atomic.Int64
 
 	mu     sync.Mutex
-	owners map[string]string // latest known owner of each slot of a service
+	copied map[string]time.Time // when a further copy of a model was last asked for
+	owners map[string]string    // latest known owner of each slot of a service
 }
 
 // New returns an entry with the given settings.
@@ -54,8 +55,13 @@
 		limiter: limiter.New(),
 		log:     log,
 		owners:  map[string]string{},
+		copied:  map[string]time.Time{},
 	}
-	e.router = router.New(config.Node.AvailabilityZone, e.node.Roster())
+	e.router = router.New(router.Config{
+		Zone:      config.Node.AvailabilityZone,
+		Policy:    router.Policy(config.Entry.Routing),
+		AvoidSlow: config.Entry.AvoidSlow,
+	}, e.node.Roster())
 	e.probe = probe.New("", e.ready)
 	e.node.OnHint(e.observe)
 	e.web = webserver.New(&fasthttp.Server{
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 	"storj.io/drpc"
 
@@ -23,6 +24,7 @@
 	retryPause  = 100 * time.Millisecond
 	searchTime  = 15 * time.Second // time without progress after which a request is given up
 	busyRetry   = 2 * time.Second
+	prefixChars = 128
 )
 
 var (
@@ -73,7 +75,7 @@
 	progress := time.Now()
 	full := 0
 	for job.attempt < maxAttempts && time.Since(progress) < searchTime {
-		choice, err := e.router.Pick(job.caller.lists.Allowances(), job.model, job.adapter, tried)
+		choice, err := e.router.Pick(job.caller.lists.Allowances(), job.route(), tried, full > 0)
 		if err != nil {
 			clear(tried)
 			if full > 0 {
@@ -100,6 +102,7 @@
 			return nil
 		case refused:
 			tried[choice.VM.Name] = true
+			e.spread(ctx, job)
 			if failed := e.afterRefusal(job, choice, end.refusal); failed != nil {
 				return failed
 			}
@@ -130,6 +133,7 @@
 	watchdog := time.AfterFunc(e.config.Entry.SilenceTimeout, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	conn := e.node.Dialer().Conn(ctx, choice.VM.Address)
+	last := time.Time{}
 	stream, err := wire.NewDRPCSidecarClient(conn).Generate(ctx, e.message(job, choice))
 	if err != nil {
 		return broken{err: causeOr(ctx, err)}
@@ -144,6 +148,13 @@
 		if event.GetRequestId() != job.caller.requestID {
 			return broken{err: errForeign}
 		}
+		if event.GetToken() != nil {
+			now := time.Now()
+			if !last.IsZero() {
+				e.router.Token(choice.VM.Name, now.Sub(last))
+			}
+			last = now
+		}
 		if end := e.take(ctx, job, choice, event); end != nil {
 			return end
 		}
@@ -297,6 +308,13 @@
 	return outcomeNotRun
 }
 
+// route returns what the choice of a target depends on.
+func (j *job) route() router.Request {
+	start := j.request.Prompt()
+	start = start[:min(len(start), prefixChars)]
+	return router.Request{Model: j.model, Adapter: j.adapter, Prefix: xxhash.Sum64String(j.model + "\x00" + start)}
+}
+
 func (j *job) used() int { return len(j.prefix) }
 
 func (j *job) event(kind timeline.Kind, target, detail string) timeline.Event {
--- a/loader/command.go
+++ b/loader/command.go
@@ -68,6 +68,7 @@
 		l.event(timeline.ModelDropped, c.key, "")
 	case c.err == nil:
 		l.memory.Loaded(c.key, now)
+		l.loaded[c.key] = now
 		l.event(timeline.ModelLoaded, c.key, "")
 	case errors.Is(c.err, engine.ErrFenced), errors.Is(c.err, engine.ErrNoMemory):
 		l.refused(c, now)
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -35,6 +35,9 @@
 	keepInterval  = 5 * time.Second
 	adapterOrders = 4
 	commandBuffer = 256
+
+	// onDemand is the residency policy that loads and drops by requests alone; it serves as a baseline.
+	onDemand = "on-demand"
 )
 
 // Inputs are what the loader reads from the rest of the process.
@@ -66,6 +69,7 @@
 	modelOrder  bool
 	adapters    int
 	stopped     error
+	loaded      map[residency.Key]time.Time // when a copy was last loaded
 	kept        map[residency.Key]time.Time // when a copy was last found to be the only one
 	placed      *placement.Map
 	placedFor   placementKey
@@ -116,6 +120,7 @@
 		commands: make(chan command, commandBuffer),
 		ended:    make(chan struct{}),
 		kept:     map[residency.Key]time.Time{},
+		loaded:   map[residency.Key]time.Time{},
 		memory:   residency.New(config.MemoryBytes-config.KVReserveBytes, config.ChecksFence, config.OrderLifetime),
 	}
 	l.view.Store(&View{Size: l.memory.Size()})
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -208,6 +208,9 @@
 		if key == wanted || time.Since(l.kept[key]) < keepInterval || l.isWanted(key) {
 			continue
 		}
+		if l.listed(list, key) && time.Since(l.loaded[key]) < l.config.MinimumStay {
+			continue
+		}
 		if rank := l.dropRank(list, key, wanted); rank > bestRank {
 			best, bestRank = key, rank
 		}
@@ -251,7 +254,7 @@
 // loadPlaced loads the next model that is placed here and not resident.
 func (l *Loader) loadPlaced(ctx context.Context) {
 	list := l.inputs.Allowances()
-	if list == nil || l.incarnation == 0 || l.modelOrder {
+	if list == nil || l.incarnation == 0 || l.modelOrder || l.config.Residency == onDemand {
 		return
 	}
 	placed := l.place(list)
--- a/router/router.go
+++ b/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -13,10 +14,25 @@
 	"gypsumbank/wire"
 )
 
+// Policy names the way targets are chosen.
+type Policy string
+
+const (
+	// Cost weighs residency, load, availability zone, cached prefixes and measured slowness.
+	Cost Policy = "cost"
+	// RoundRobin takes the targets in turn; it serves as a baseline.
+	RoundRobin Policy = "round-robin"
+	// LeastInFlight takes the target with the least reported load; it serves as a baseline.
+	LeastInFlight Policy = "least-in-flight"
+)
+
 const (
 	downTime      = 2 * time.Second
 	refusalTime   = 300 * time.Millisecond
 	otherZoneCost = 0.15
+	noPrefixCost  = 0.1
+	slowCost      = 1.0 // for each multiple of the usual time between tokens
+	maxPrefixes   = 20000
 	noAdapterCost = 0.1
 	defaultSlots  = 16
 )
@@ -30,9 +46,23 @@
 	MayLoad bool
 }
 
+// Config describes a router.
+type Config struct {
+	Zone      string // availability zone of the entry
+	Policy    Policy
+	AvoidSlow bool
+}
+
+// Request is what the choice of a target depends on.
+type Request struct {
+	Model   string
+	Adapter string
+	Prefix  uint64 // hash of the start of the prompt
+}
+
 // Router keeps what the entry knows about the model targets.
 type Router struct {
-	zone   string
+	config Config
 	roster *roster.Roster
 	now    func() time.Time
 
@@ -40,12 +70,15 @@
 	targets map[string]*target
 	placed  *placement.Map
 	key     placementKey
+	turn    int
+	prefix  map[uint64]string // target that last got a prompt with this start
 }
 
 type target struct {
 	hint     *wire.Hint
 	inFlight int
 	avoid    time.Time
+	pace     pace
 }
 
 type placementKey struct {
@@ -54,31 +87,90 @@
 	bytes uint64
 }
 
-// New returns a router for an entry in the given availability zone.
-func New(zone string, vms *roster.Roster) *Router {
-	return &Router{zone: zone, roster: vms, now: time.Now, targets: map[string]*target{}}
+// New returns a router over the VMs of a roster.
+func New(config Config, vms *roster.Roster) *Router {
+	return &Router{
+		config:  config,
+		roster:  vms,
+		now:     time.Now,
+		targets: map[string]*target{},
+		prefix:  map[uint64]string{},
+	}
 }
 
-// Pick returns the best target for a model and adapter among those that were not tried.
-func (r *Router) Pick(list *allowance.List, model, adapter string, tried map[string]bool) (Choice, error) {
-	vms := r.roster.Models()
+// Pick returns the best target for a request among those that were not tried. With full set, holders of the model have
+// refused for lack of room, and no target is asked to load it for this request.
+func (r *Router) Pick(list *allowance.List, request Request, tried map[string]bool, full bool) (Choice, error) {
+	vms := r.usable(tried)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if vm, ok := r.best(vms, tried, model, adapter, r.holds(model)); ok {
+	if r.config.Policy != Cost {
+		return r.pickBaseline(vms)
+	}
+	if vm, ok := r.best(vms, request, r.holds(request.Model)); ok {
+		r.remember(request, vm.Name)
 		return Choice{VM: vm}, nil
 	}
-	placed := r.place(list, vms)
-	home := func(name string) bool { return placed.Home(model, name) }
-	if vm, ok := r.best(vms, tried, model, adapter, home); ok {
+	if full {
+		return Choice{}, ErrNoTarget
+	}
+	placed := r.place(list)
+	home := func(name string) bool { return placed.Home(request.Model, name) }
+	if vm, ok := r.best(vms, request, home); ok {
 		return Choice{VM: vm, MayLoad: true}, nil
 	}
 	anywhere := func(string) bool { return true }
-	if vm, ok := r.best(vms, tried, model, adapter, anywhere); ok {
+	if vm, ok := r.best(vms, request, anywhere); ok {
 		return Choice{VM: vm, MayLoad: true}, nil
 	}
 	return Choice{}, ErrNoTarget
 }
 
+// pickBaseline chooses without regard to residency, so that targets load on demand.
+func (r *Router) pickBaseline(vms []vmlist.VM) (Choice, error) {
+	if len(vms) == 0 {
+		return Choice{}, ErrNoTarget
+	}
+	r.turn++
+	best := vms[r.turn%len(vms)]
+	if r.config.Policy == RoundRobin {
+		return Choice{VM: best, MayLoad: true}, nil
+	}
+	reported := func(vm vmlist.VM) uint32 {
+		hint := r.get(vm.Name).hint
+		return hint.GetRunning() + hint.GetQueued()
+	}
+	for _, vm := range vms {
+		if reported(vm) < reported(best) {
+			best = vm
+		}
+	}
+	return Choice{VM: best, MayLoad: true}, nil
+}
+
+// Spare returns the target that should hold a further copy of a model whose holders all have more work than slots.
+func (r *Router) Spare(list *allowance.List, model string) (vmlist.VM, bool) {
+	vms := r.usable(nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	holds := r.holds(model)
+	var best vmlist.VM
+	lowest := 0.5
+	found := false
+	for _, vm := range vms {
+		if holds(vm.Name) {
+			if r.load(vm) < 1 {
+				return vmlist.VM{}, false
+			}
+			continue
+		}
+		if load := r.load(vm); load < lowest {
+			best, lowest, found = vm, load, true
+		}
+	}
+	return best, found
+}
+
 // Begin counts one more request in flight at a target.
 func (r *Router) Begin(name string) {
 	r.mu.Lock()
@@ -137,20 +229,70 @@
 	return t
 }
 
+// Token takes over the time that a target took between two tokens.
+func (r *Router) Token(name string, gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.get(name).pace.add(gap, r.now())
+}
+
+// Slowness returns how many times longer than usual among targets the time between tokens is, 1 if not known.
+func (r *Router) Slowness(name string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.slowness(r.get(name))
+}
+
+func (r *Router) slowness(t *target) float64 {
+	own, ok := t.pace.latest(r.now())
+	if !ok || !r.config.AvoidSlow {
+		return 1
+	}
+	var known []float64
+	for _, other := range r.targets {
+		if gap, ok := other.pace.latest(r.now()); ok {
+			known = append(known, gap)
+		}
+	}
+	sort.Float64s(known)
+	usual := known[(len(known)-1)/2]
+	return max(1, own/usual)
+}
+
+func (r *Router) usable(tried map[string]bool) []vmlist.VM {
+	var vms []vmlist.VM
+	for _, vm := range r.roster.Models() {
+		r.mu.Lock()
+		skip := vm.Leaving || tried[vm.Name] || r.get(vm.Name).unusable(r.now())
+		r.mu.Unlock()
+		if !skip {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+func (r *Router) remember(request Request, name string) {
+	if len(r.prefix) >= maxPrefixes {
+		clear(r.prefix)
+	}
+	r.prefix[request.Prefix] = name
+}
+
 func (r *Router) holds(model string) func(string) bool {
 	return func(name string) bool { return resident(r.get(name).hint, model) }
 }
 
-func (r *Router) best(vms []vmlist.VM, tried map[string]bool, model, adapter string, keep func(string) bool) (vmlist.VM, bool) {
+func (r *Router) best(vms []vmlist.VM, request Request, keep func(string) bool) (vmlist.VM, bool) {
 	var best vmlist.VM
 	found := false
 	lowest := 0.0
 	for _, vm := range vms {
-		if vm.Leaving || tried[vm.Name] || !keep(vm.Name) || r.get(vm.Name).unusable(r.now()) {
+		if !keep(vm.Name) {
 			continue
 		}
-		cost := r.cost(vm, adapter)
-		better := !found || cost < lowest || (cost == lowest && placement.Higher(model, vm.Name, best.Name))
+		cost := r.cost(vm, request)
+		better := !found || cost < lowest || (cost == lowest && placement.Higher(request.Model, vm.Name, best.Name))
 		if better {
 			best, lowest, found = vm, cost, true
 		}
@@ -158,27 +300,36 @@
 	return best, found
 }
 
-func (r *Router) cost(vm vmlist.VM, adapter string) float64 {
+func (r *Router) cost(vm vmlist.VM, request Request) float64 {
 	t := r.get(vm.Name)
-	slots := max(1, t.hint.GetSlots())
-	if t.hint == nil {
-		slots = defaultSlots
-	}
-	load := max(float64(t.inFlight), float64(t.hint.GetRunning()+t.hint.GetQueued()))
-	cost := load / float64(slots)
-	if vm.AvailabilityZone != r.zone {
+	slow := r.slowness(t)
+	cost := r.load(vm)*slow + slowCost*(slow-1)
+	if vm.AvailabilityZone != r.config.Zone {
 		cost += otherZoneCost
 	}
-	if adapter != "" && !resident(t.hint, adapter) {
+	if request.Adapter != "" && !resident(t.hint, request.Adapter) {
 		cost += noAdapterCost
 	}
+	if r.prefix[request.Prefix] != vm.Name {
+		cost += noPrefixCost
+	}
 	return cost
 }
 
-func (r *Router) place(list *allowance.List, vms []vmlist.VM) *placement.Map {
+// load returns the requests at a target by its slots.
+func (r *Router) load(vm vmlist.VM) float64 {
+	t := r.get(vm.Name)
+	slots := t.hint.GetSlots()
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	return max(float64(t.inFlight), float64(t.hint.GetRunning()+t.hint.GetQueued())) / float64(slots)
+}
+
+func (r *Router) place(list *allowance.List) *placement.Map {
 	var names []string
 	var bytes uint64
-	for _, vm := range vms {
+	for _, vm := range r.roster.Models() {
 		if !vm.Leaving {
 			names = append(names, vm.Name)
 			bytes = max(bytes, r.get(vm.Name).hint.GetMemoryBytes())
--- a/settings/config.go
+++ b/settings/config.go
@@ -75,6 +75,7 @@
 	MaxQueueTime      time.Duration
 	QueuePolicy       string
 	Residency         string
+	MinimumStay       time.Duration
 	ChecksFence       bool
 	OrderLifetime     time.Duration
 	OrderTimeout      time.Duration
@@ -180,6 +181,7 @@
 		MaxQueueTime:      file.Duration("sidecar", "max-queue-time", 3*time.Second, 0, time.Hour),
 		QueuePolicy:       file.Choice("sidecar", "queue-policy", "attained", "attained", "first-come"),
 		Residency:         file.Choice("sidecar", "residency", "placed", "placed", "on-demand"),
+		MinimumStay:       file.Duration("sidecar", "minimum-stay", 10*time.Second, 0, time.Hour),
 		ChecksFence:       file.Choice("sidecar", "target-checks-fence", "no", "yes", "no") == "yes",
 		OrderLifetime:     file.Duration("sidecar", "order-lifetime", 30*time.Second, 0, time.Hour),
 		OrderTimeout:      file.Duration("sidecar", "order-timeout", 20*time.Second, 100*time.Millisecond, time.Hour),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -194,6 +194,19 @@
 	return &wire.HoldsReply{Held: held}, err
 }
 
+// Prepare loads a model for requests to come.
+func (s *Sidecar) Prepare(ctx context.Context, request *wire.PrepareRequest) (*wire.PrepareReply, error) {
+	if s.loader == nil || s.leaving.Load() {
+		return nil, errLeaving
+	}
+	lease, err := s.loader.Acquire(ctx, request.GetModel(), "", true)
+	if err != nil {
+		return nil, err
+	}
+	s.loader.Release(lease)
+	return &wire.PrepareReply{}, nil
+}
+
 func (s *Sidecar) followLists(ctx context.Context) error {
 	for {
 		changed := s.node.Changed()
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -20,6 +20,7 @@
 	RequestFinished   Kind = "request-finished"
 	RequestFailed     Kind = "request-failed"
 	RequestCancelled  Kind = "request-cancelled"
+	CopyAsked         Kind = "copy-asked"
 	CallRun           Kind = "call-run"
 	CallReplayed      Kind = "call-replayed"
 	CallUnknown       Kind = "call-unknown"
