--- a/deployment/answers_test.go
+++ b/deployment/answers_test.go
@@ -41,7 +41,9 @@
 		}
 		t.Cleanup(l.Close)
 		vm.Address = l.Address()
-		d.VMs().Put(vm)
+		if err := d.List(vm); err != nil {
+			t.Fatal(err)
+		}
 		links = append(links, l)
 	}
 	time.Sleep(d.Size().ListLag + 500*time.Millisecond)
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -12,11 +12,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/entry"
+	"gypsumbank/link"
 	"gypsumbank/node"
 	"gypsumbank/operator"
 	"gypsumbank/settings"
 	"gypsumbank/sidecar"
 	"gypsumbank/standin/engine"
+	"gypsumbank/standin/fault"
 	"gypsumbank/standin/ledger"
 	"gypsumbank/standin/table"
 	"gypsumbank/standin/vms"
@@ -52,7 +54,8 @@
 	group  *errgroup.Group
 
 	table    *table.Server
-	vms      *vms.Server
+	vms      map[string]*vms.Server // what each availability zone sees
+	links    []*link.Link
 	weights  *weights.Server
 	engines  []*engine.Server
 	ledgers  []*ledger.Server
@@ -61,7 +64,7 @@
 	sidecars []*Role
 
 	tableAddress string
-	vmsAddress   string
+	vmsAddresses map[string]string // by availability zone
 }
 
 // New starts a deployment; the first entry listens for callers on listen if that is not empty.
@@ -91,7 +94,12 @@
 	if d.weights != nil {
 		d.weights.Close()
 		d.table.Close()
-		d.vms.Close()
+	}
+	for _, list := range d.vms {
+		list.Close()
+	}
+	for _, l := range d.links {
+		l.Close()
 	}
 }
 
@@ -116,8 +124,40 @@
 // Table returns the table service.
 func (d *Deployment) Table() *table.Server { return d.table }
 
-// VMs returns the list of VMs.
-func (d *Deployment) VMs() *vms.Server { return d.vms }
+// List adds or replaces a VM in the lists that all availability zones see; from other zones it is reached over a link
+// with the delay between zones.
+func (d *Deployment) List(vm vmlist.VM) error {
+	for zone, list := range d.vms {
+		seen := vm
+		if d.size.ZoneDelay > 0 && zone != vm.AvailabilityZone {
+			l, err := link.New(vm.Address)
+			if err != nil {
+				return err
+			}
+			l.SetDelay(d.size.ZoneDelay)
+			d.links = append(d.links, l)
+			seen.Address = l.Address()
+		}
+		list.Put(seen)
+	}
+	return nil
+}
+
+// Slow slows a part of the model engines by a factor; 1 ends it.
+func (d *Deployment) Slow(part, factor float64) {
+	for _, e := range d.engines[:int(part*float64(len(d.engines))+0.5)] {
+		e.Faults().Put(fault.Faults{Slowdown: factor})
+	}
+}
+
+// ModelLoads returns how many models all engines have loaded.
+func (d *Deployment) ModelLoads() int {
+	loads := 0
+	for _, e := range d.engines {
+		loads += e.Loads()
+	}
+	return loads
+}
 
 // Weights returns the weight store.
 func (d *Deployment) Weights() *weights.Server { return d.weights }
@@ -164,14 +204,20 @@
 
 func (d *Deployment) startPlatform() error {
 	d.table = table.New(readsPerSecond, writesPerSecond, d.size.Seed)
-	d.vms = vms.New(d.size.ListLag, d.size.Seed)
+	d.vms, d.vmsAddresses = map[string]*vms.Server{}, map[string]string{}
 	d.weights = weights.New(d.size.Weights, d.size.Seed)
 	var err error
 	if d.tableAddress, err = listenAnd(d.table.Start); err != nil {
 		return err
 	}
-	d.vmsAddress, err = listenAnd(d.vms.Start)
-	return err
+	for _, zone := range d.size.Zones {
+		list := vms.New(d.size.ListLag, d.size.Seed)
+		if d.vmsAddresses[zone], err = listenAnd(list.Start); err != nil {
+			return err
+		}
+		d.vms[zone] = list
+	}
+	return nil
 }
 
 func (d *Deployment) startTargets() error {
@@ -218,7 +264,7 @@
 		checks = "yes"
 	}
 	role := fmt.Sprintf("[sidecar]\nkind = model\ntarget = %s\nmemory-mib = %d\nkv-reserve-mib = %d\nslots = %d\ntarget-checks-fence = %s\norder-lifetime = %s\ngrace = %s\n",
-		target, acceleratorMiB, kvReserveMiB, d.size.Slots, checks, d.size.OrderLifetime, d.size.Grace)
+		target, acceleratorMiB, kvReserveMiB, d.size.Slots, checks, d.size.OrderLifetime, d.size.Grace) + d.size.Policy.Sidecar
 	return d.StartSidecar(fmt.Sprintf("model-%02d", number), d.size.Zone(number), vmlist.VM{Role: vmlist.Model}, role)
 }
 
@@ -249,7 +295,9 @@
 		return err
 	}
 	vm.Name, vm.Address, vm.AvailabilityZone = name, address, zone
-	d.vms.Put(vm)
+	if err := d.List(vm); err != nil {
+		return err
+	}
 	d.sidecars = append(d.sidecars, d.run(name, "", s.Node(), s.Run))
 	return nil
 }
@@ -275,7 +323,7 @@
 			return err
 		}
 	}
-	text := d.common(name, zone, peers) + fmt.Sprintf("[entry]\nlisten = %s\ngrace = %s\n", listen, d.size.Grace)
+	text := d.common(name, zone, peers) + fmt.Sprintf("[entry]\nlisten = %s\ngrace = %s\n", listen, d.size.Grace) + d.size.Policy.Entry
 	config, err := settings.New(name, []byte(text))
 	if err != nil {
 		return err
@@ -284,7 +332,9 @@
 	if err != nil {
 		return err
 	}
-	d.vms.Put(vmlist.VM{Name: name, Address: peers, AvailabilityZone: zone, Role: vmlist.Entry})
+	if err := d.List(vmlist.VM{Name: name, Address: peers, AvailabilityZone: zone, Role: vmlist.Entry}); err != nil {
+		return err
+	}
 	d.entries = append(d.entries, d.run(name, listen, e.Node(), e.Run))
 	return nil
 }
@@ -357,7 +407,7 @@
 		"secret = " + secret,
 		"[platform]",
 		"table = " + d.tableAddress,
-		"vm-list = " + d.vmsAddress,
+		"vm-list = " + d.vmsAddresses[zone],
 		"poll-interval = 250ms",
 		"",
 	}, "\n")
--- a/deployment/size.go
+++ b/deployment/size.go
@@ -36,9 +36,29 @@
 	OrderLifetime  time.Duration
 	Grace          time.Duration
 	RestartTime    time.Duration
+	ZoneDelay      time.Duration // one way between availability zones
+	Policy         Policy
 	Seed           uint64
 }
 
+// Policy is the set of settings that decide, as lines for the sections of entries and sidecars.
+type Policy struct {
+	Entry   string
+	Sidecar string
+}
+
+// Policies returns the system's own policy, as default, and the baselines by name.
+func Policies() map[string]Policy {
+	onDemand := "queue-policy = first-come\nmax-queue-time = 0s\nresidency = on-demand\nminimum-stay = 0s\n"
+	return map[string]Policy{
+		"default":         {},
+		"first-come":      {Sidecar: "queue-policy = first-come\nmax-queue-time = 0s\n"},
+		"no-avoidance":    {Entry: "avoid-slow = no\n"},
+		"round-robin":     {Entry: "routing = round-robin\n", Sidecar: onDemand},
+		"least-in-flight": {Entry: "routing = least-in-flight\n", Sidecar: onDemand},
+	}
+}
+
 // Small returns a deployment of two availability zones, four model replicas and two ledger replicas.
 func Small() Size {
 	return Size{
@@ -75,6 +95,9 @@
 	size.Entries = 4
 	size.ModelReplicas = 18
 	size.LedgerReplicas = 4
+	size.StepBase = 20 * time.Millisecond
+	size.StepPerSeq = 600 * time.Microsecond
+	size.ZoneDelay = 3500 * time.Microsecond
 	size.Models = 34
 	size.Adapters = 95
 	size.Weights = weights.Limits{
--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -16,6 +16,15 @@
 	Duration time.Duration
 	Seed     uint64
 	Traffic  []Traffic
+	Slow     *Slow
+}
+
+// Slow slows a part of the targets by a factor for a time.
+type Slow struct {
+	Part   float64
+	Factor float64
+	Start  time.Duration
+	Length time.Duration
 }
 
 // Traffic is one stream of requests of one customer.
@@ -51,6 +60,14 @@
 	for _, traffic := range file.Names("traffic") {
 		plan.Traffic = append(plan.Traffic, parseTraffic(file, traffic))
 	}
+	if file.Has("slow") {
+		plan.Slow = &Slow{
+			Part:   file.Float("slow", "part", 0.25, 0, 1),
+			Factor: file.Float("slow", "factor", 3, 1, 1000),
+			Start:  file.Duration("slow", "start", 0, 0, 24*time.Hour),
+			Length: file.Duration("slow", "length", 10*time.Second, 0, 24*time.Hour),
+		}
+	}
 	if len(plan.Traffic) == 0 {
 		file.Problem("traffic NAME", "section", "is missing; allowed: one section or more")
 	}
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -19,8 +19,11 @@
 
 // Report sums up what callers saw, by traffic and class.
 type Report struct {
-	Seed   uint64  `json:"seed"`
-	Groups []Group `json:"groups"`
+	Policy     string  `json:"policy,omitempty"`
+	Seed       uint64  `json:"seed"`
+	ModelLoads int     `json:"model-loads"` // during the run, where this program started the targets
+	Targets    int     `json:"targets,omitempty"`
+	Groups     []Group `json:"groups"`
 }
 
 // Group sums up the requests of one traffic and class; times are in milliseconds.
@@ -42,6 +45,7 @@
 
 // WriteText prints the report as a table.
 func (r *Report) WriteText(out io.Writer) error {
+	fmt.Fprintf(out, "policy %s, seed %d, %d model loads\n", r.Policy, r.Seed, r.ModelLoads)
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "TRAFFIC\tCLASS\tSENT\tWHOLE\tON TIME\tTOKENS\tFIRST P50 MS\tP95\tP99\tGAP P95\tWHOLE P50 MS\tP99\tFAILED\t")
 	for _, g := range r.Groups {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,6 +20,9 @@
 	extraTime     = 30 * time.Second // time after the last request for answers to end
 )
 
+// ErrNoTargets reports that a plan slows targets that this program did not start.
+var ErrNoTargets = errors.New("the experiment slows targets, so it needs --deployment")
+
 // result is what one caller saw.
 type result struct {
 	shot       shot
@@ -32,11 +36,17 @@
 }
 
 // Run sends the requests of a plan to the entries in turn and writes its progress; lateness in sending counts as
-// latency.
-func (p *Plan) Run(ctx context.Context, entries []string, progress io.Writer) (*Report, error) {
+// latency. It calls slow with the factor and back with 1 where the plan slows targets.
+func (p *Plan) Run(ctx context.Context, entries []string, slow func(part, factor float64), progress io.Writer) (*Report, error) {
 	shots := p.schedule()
 	ctx, cancel := context.WithTimeout(ctx, p.Duration+extraTime)
 	defer cancel()
+	if p.Slow != nil {
+		if slow == nil {
+			return nil, ErrNoTargets
+		}
+		go p.Slow.run(ctx, slow)
+	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost, DisableCompression: true}}
 	results := make(chan result, len(shots))
 	start := time.Now()
@@ -67,6 +77,16 @@
 	return p.report(all), nil
 }
 
+func (s *Slow) run(ctx context.Context, slow func(part, factor float64)) {
+	start := time.Now()
+	if !waitUntil(ctx, start.Add(s.Start)) {
+		return
+	}
+	slow(s.Part, s.Factor)
+	waitUntil(ctx, start.Add(s.Start+s.Length))
+	slow(s.Part, 1)
+}
+
 func showProgress(ctx context.Context, progress io.Writer, results chan result, total int) {
 	ticker := time.NewTicker(progressEvery)
 	defer ticker.Stop()
