Take ports below those of outgoing connections

Cause: a larger deployment ended at once in two of four starts. An address was found free and closed again, and before its role listened on it an outgoing connection of another role had its port; the role failed and took the deployment with it. Change: addresses come from ports that systems do not give to outgoing connections. Conclusion: a fault of the development deployment and the tests, mended.

--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"time"
@@ -31,6 +32,9 @@
 	readsPerSecond  = 2000
 	writesPerSecond = 500
 	readyPoll       = 50 * time.Millisecond
+	lowestPort      = 12000
+	highestPort     = 32000
+	portTries       = 100
 )
 
 // ErrNotReady reports that the deployment did not become ready in time.
@@ -282,7 +286,7 @@
 
 // StartSidecar starts a sidecar with the given section of settings and lists its VM.
 func (d *Deployment) StartSidecar(name, zone string, vm vmlist.VM, section string) error {
-	address, err := freeAddress()
+	address, err := FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -314,12 +318,12 @@
 
 func (d *Deployment) startEntry(number int, listen string) error {
 	name, zone := fmt.Sprintf("entry-%02d", number), d.size.Zone(number)
-	peers, err := freeAddress()
+	peers, err := FreeAddress()
 	if err != nil {
 		return err
 	}
 	if listen == "" {
-		if listen, err = freeAddress(); err != nil {
+		if listen, err = FreeAddress(); err != nil {
 			return err
 		}
 	}
@@ -426,11 +430,17 @@
 	return listener.Addr().String(), nil
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("deployment: %w", err)
+// FreeAddress returns a loopback address that nothing listens on, with a port below those that systems give to outgoing
+// connections, so that none of these takes it before it is used.
+func FreeAddress() (string, error) {
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		return address, nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", fmt.Errorf("%w: no free port from %d to %d", ErrNotReady, lowestPort, highestPort)
 }
--- a/process_test.go
+++ b/process_test.go
@@ -155,12 +155,11 @@
 	if known, ok := c.addresses[name]; ok {
 		return known
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := deployment.FreeAddress()
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	defer listener.Close()
-	c.addresses[name] = listener.Addr().String()
+	c.addresses[name] = address
 	return c.addresses[name]
 }
 
