--- a/cmd_load.go
+++ b/cmd_load.go
@@ -19,6 +19,7 @@
 	deployment *string
 	policies   *[]string
 	seeds      *[]uint64
+	scale      *float64
 	asJSON     *bool
 	path       *string
 }
@@ -32,6 +33,7 @@
 			deployment: clause.Flag("deployment", "Start this deployment on stand-ins for each run: small, namib or magnolia.").Enum("small", "namib", "magnolia"),
 			policies:   clause.Flag("policy", "Policy of a started deployment: default, first-come, no-avoidance, round-robin or least-in-flight; may be given more than once.").Default("default").Enums("default", "first-come", "no-avoidance", "round-robin", "least-in-flight"),
 			seeds:      clause.Flag("seed", "Seed in place of the one in the file; may be given more than once.").Uint64List(),
+			scale:      clause.Flag("scale", "Factor on all rates.").Default("1").Float64(),
 			asJSON:     clause.Flag("json", "Print a JSON object a run.").Bool(),
 			path:       clause.Arg("experiment", "File with the experiment.").Required().String(),
 		}
@@ -48,6 +50,7 @@
 	if err != nil {
 		return err
 	}
+	plan.Scale(*options.scale)
 	if (len(*options.entries) == 0) == (*options.deployment == "") {
 		return fmt.Errorf("load: give either --entry or --deployment")
 	}
--- a/experiment/plan.go
+++ b/experiment/plan.go
@@ -103,6 +103,14 @@
 	return traffic
 }
 
+// Scale multiplies all rates.
+func (p *Plan) Scale(factor float64) {
+	for i := range p.Traffic {
+		p.Traffic[i].Rate *= factor
+		p.Traffic[i].BurstRate *= factor
+	}
+}
+
 // rateAt returns the requests a second at a time since the start.
 func (t Traffic) rateAt(at time.Duration) float64 {
 	if t.BurstRate > 0 && at >= t.BurstStart && at < t.BurstStart+t.BurstLength {
