Bound what a node spends on control, whatever the number of nodes

Cause: at the planned size each node would have read the whole lists from the table every second (2,110 reads a second of some 100 KB), the whole list of VMs every second, and exchanged use with two peers a tick without a bound on its bytes; an edit was sent by its operator to every node.

Conclusion: no part of control grows with entries times targets.

--- a/jsonclient/client.go
+++ b/jsonclient/client.go
@@ -68,6 +68,30 @@
 	return nil
 }
 
+// GetIfChanged decodes the answer to a GET into out unless its tag is still tag; it returns the tag of the answer and
+// whether it was decoded.
+func (c *Client) GetIfChanged(ctx context.Context, path, tag string, out any) (string, bool, error) {
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(c.base + path)
+	request.Header.Set("If-None-Match", tag)
+	if err := c.http.DoDeadline(request, response, deadline(ctx)); err != nil {
+		return tag, false, fmt.Errorf("GET %s: %w", path, err)
+	}
+	if response.StatusCode() == fasthttp.StatusNotModified {
+		return tag, false, nil
+	}
+	if response.StatusCode() >= fasthttp.StatusBadRequest {
+		return tag, false, fmt.Errorf("GET %s: %w", path, statusError(response))
+	}
+	if err := json.Unmarshal(response.Body(), out); err != nil {
+		return tag, false, fmt.Errorf("GET %s: decode answer: %w", path, err)
+	}
+	return string(response.Header.Peek("ETag")), true, nil
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -62,14 +62,20 @@
 	}
 }
 
-// Some returns this node's counters and, in turn over calls, those of at most limit other nodes.
+// Some returns this node's counters and, in turn over calls, those of other nodes, with at most limit rows of members
+// unless a single node has more.
 func (m *Meter) Some(limit int) []*wire.NodeUsage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	own := nodeKey{m.node, m.incarnation}
 	usage := []*wire.NodeUsage{m.message(own)}
-	for range min(limit, len(m.order)) {
+	rows := len(m.known[own])
+	for range m.order {
 		key := m.order[m.next%len(m.order)]
+		rows += len(m.known[key])
+		if rows > limit {
+			break
+		}
 		m.next++
 		if key != own {
 			usage = append(usage, m.message(key))
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	peersPerTick    = 2
-	hintsPerTick    = 16
-	usagePerMessage = 8
+	peersOnAdoption = 3  // processes that a new snapshot is passed on to at once
+	hintsPerTick    = 12 // targets asked for their load at every tick
+	usagePerMessage = 24 // rows of members' use in one message
 	exchangeTimeout = time.Second
 	notifyTimeout   = 300 * time.Millisecond
 )
@@ -85,10 +85,25 @@
 	calls.Wait()
 }
 
-func (n *Node) exchangeSome(ctx context.Context) {
+// exchangeOne exchanges with one random process, so that the cost of a node does not grow with their number.
+func (n *Node) exchangeOne(ctx context.Context) { n.exchangeWithRandom(ctx, 1) }
+
+// passOn exchanges with a few processes as soon as a new snapshot is in force.
+func (n *Node) passOn(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.adopted:
+			n.exchangeWithRandom(ctx, peersOnAdoption)
+		}
+	}
+}
+
+func (n *Node) exchangeWithRandom(ctx context.Context, count int) {
 	peers := n.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, address := range peers[:min(peersPerTick, len(peers))] {
+	for _, address := range peers[:min(count, len(peers))] {
 		if err := n.exchangeWith(ctx, address); err != nil {
 			n.log.WithError(err).WithField("peer", address).Debug("exchange failed")
 		}
@@ -113,14 +128,25 @@
 	return addresses
 }
 
+// exchangeWith exchanges with one process and offers it the lists if it turns out to have older ones.
 func (n *Node) exchangeWith(ctx context.Context, address string) error {
-	_, err := n.exchange(ctx, address, &wire.ExchangeRequest{
+	reply, err := n.exchange(ctx, address, &wire.ExchangeRequest{
 		From:            n.info,
 		SnapshotVersion: n.version(),
 		Usage:           n.meter.Some(usagePerMessage),
 		Suspects:        n.suspects.Latest(maxSuspects),
 		Clock:           n.ring.Clock(),
 	})
+	if err != nil {
+		return err
+	}
+	current, err := n.Snapshot()
+	if err != nil || reply.GetSnapshotVersion() >= current.Version() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	_, err = wire.NewDRPCNodeClient(n.dialer.Conn(ctx, address)).Offer(ctx, current.Message())
 	return err
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,10 +25,16 @@
 	"gypsumbank/wire"
 )
 
-// SnapshotKey is the key of the item that holds the lists.
-const SnapshotKey = "lists/current"
+const (
+	// SnapshotKey is the key of the item that holds the lists.
+	SnapshotKey = "lists/current"
+	// VersionKey is the key of the small item that holds the version of the lists and is written along with them.
+	VersionKey = "lists/version"
 
-const maxSuspects = 64
+	maxSuspects = 64
+	// tableReadsPerSecond bounds the reads of the version by all nodes together.
+	tableReadsPerSecond = 200
+)
 
 // ErrNoSnapshot reports that the process has not received the lists yet.
 var ErrNoSnapshot = errors.New("lists not received yet")
@@ -48,6 +55,7 @@
 	mu       sync.RWMutex
 	current  *snapshot.Snapshot
 	changed  chan struct{}
+	adopted  chan struct{} // tells the exchange loop to pass a new snapshot on at once
 	describe func(*wire.NodeStatus)
 	onHint   func(vm vmlist.VM, reply *wire.ExchangeReply, err error)
 	cursor   int
@@ -73,6 +81,7 @@
 		ring:     timeline.New(0),
 		log:      log,
 		changed:  make(chan struct{}),
+		adopted:  make(chan struct{}, 1),
 		describe: func(*wire.NodeStatus) {},
 		onHint:   func(vmlist.VM, *wire.ExchangeReply, error) {},
 	}
@@ -140,6 +149,10 @@
 		return nil
 	}
 	n.current = next
+	select {
+	case n.adopted <- struct{}{}:
+	default:
+	}
 	close(n.changed)
 	n.changed = make(chan struct{})
 	n.ring.Add(timeline.Event{Kind: timeline.EditInForce, Detail: fmt.Sprintf("version %d from %s", next.Version(), source)})
@@ -150,28 +163,37 @@
 // Run keeps the lists, the roster and the use up to date until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return n.every(ctx, n.pollTable) })
-	group.Go(func() error { return n.every(ctx, n.pollVMs) })
-	group.Go(func() error { return n.every(ctx, n.exchangeSome) })
-	group.Go(func() error { return n.every(ctx, n.pollHints) })
+	group.Go(func() error { return n.every(ctx, n.tableInterval, n.pollTable) })
+	group.Go(func() error { return n.every(ctx, n.pollInterval, n.pollVMs) })
+	group.Go(func() error { return n.every(ctx, n.pollInterval, n.exchangeOne) })
+	group.Go(func() error { return n.every(ctx, n.pollInterval, n.pollHints) })
+	group.Go(func() error { return n.passOn(ctx) })
 	err := group.Wait()
 	n.dialer.Close()
 	return err
 }
 
-func (n *Node) every(ctx context.Context, do func(context.Context)) error {
-	ticker := time.NewTicker(n.config.Platform.PollInterval)
-	defer ticker.Stop()
+func (n *Node) every(ctx context.Context, interval func() time.Duration, do func(context.Context)) error {
 	for {
 		do(ctx)
+		timer := time.NewTimer(interval())
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+func (n *Node) pollInterval() time.Duration { return n.config.Platform.PollInterval }
+
+// tableInterval grows with the number of nodes, so that all together stay within the table's rate.
+func (n *Node) tableInterval() time.Duration {
+	spread := time.Duration(len(n.roster.All())) * time.Second / tableReadsPerSecond
+	return max(n.config.Platform.PollInterval, spread)
+}
+
 func (n *Node) version() uint64 {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
@@ -181,13 +203,22 @@
 	return n.current.Version()
 }
 
+// pollTable reads the version of the lists and, only if it is higher than that in force, the lists.
 func (n *Node) pollTable(ctx context.Context) {
 	wasUp := n.table.Up()
-	item, err := n.table.Get(ctx, SnapshotKey)
+	latest, err := n.table.Get(ctx, VersionKey)
 	n.noteTable(wasUp)
 	if err != nil {
 		return
 	}
+	version, err := strconv.ParseUint(string(latest.Value), 10, 64)
+	if err != nil || version <= n.version() {
+		return
+	}
+	item, err := n.table.Get(ctx, SnapshotKey)
+	if err != nil {
+		return
+	}
 	message := &wire.Snapshot{}
 	if err := proto.Unmarshal(item.Value, message); err != nil {
 		n.log.WithError(err).Error("lists in the table cannot be read")
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,10 +6,13 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"gypsumbank/dialer"
@@ -35,6 +38,9 @@
 	recheckTime  = 15 * time.Second
 	forceTime    = 15 * time.Second
 	editIDLength = 12
+	// offersPerZone bounds the nodes in a zone that one round offers a snapshot to; the others hear of it from them.
+	offersPerZone = 8
+	parallelCalls = 64
 )
 
 var (
@@ -196,8 +202,14 @@
 	if err != nil {
 		return fmt.Errorf("encode the lists: %w", err)
 	}
-	put := table.Put{Key: node.SnapshotKey, Value: value, IfVersion: itemVersion}
-	err = o.table.Write(ctx, table.Transaction{Puts: []table.Put{put}})
+	latest, err := o.table.Get(ctx, node.VersionKey)
+	if err != nil && !errors.Is(err, table.ErrNotFound) {
+		return fmt.Errorf("read the version: %w", err)
+	}
+	err = o.table.Write(ctx, table.Transaction{Puts: []table.Put{
+		{Key: node.SnapshotKey, Value: value, IfVersion: itemVersion},
+		{Key: node.VersionKey, Value: strconv.AppendUint(nil, next.GetVersion(), 10), IfVersion: latest.Version},
+	}})
 	if errors.Is(err, table.ErrConflict) {
 		return fmt.Errorf("%w: another edit came first", ErrConflict)
 	}
@@ -228,7 +240,8 @@
 	return fmt.Errorf("%w: edit %s; run show to see", ErrNotKnown, id)
 }
 
-// putInForce offers the snapshot to every node until all entries in every availability zone have taken it.
+// putInForce offers the snapshot to some entries and sidecars of every availability zone, which pass it on, and asks all
+// nodes for their version until each has taken it.
 func (o *Operator) putInForce(ctx context.Context, next *wire.Snapshot, list string) (*Applied, error) {
 	applied := &Applied{Version: next.GetVersion(), ListVersion: next.GetPlansVersion()}
 	if list == Allowances {
@@ -236,7 +249,7 @@
 	}
 	deadline := time.Now().Add(forceTime)
 	for {
-		o.offerAll(ctx, next, applied)
+		o.spread(ctx, next, applied)
 		if len(applied.Missing) == 0 {
 			return applied, nil
 		}
@@ -247,7 +260,8 @@
 	}
 }
 
-func (o *Operator) offerAll(ctx context.Context, next *wire.Snapshot, applied *Applied) {
+// spread offers the snapshot to a few nodes that lack it in each availability zone and notes who has it.
+func (o *Operator) spread(ctx context.Context, next *wire.Snapshot, applied *Applied) {
 	applied.InForce = map[string][]string{}
 	applied.Missing = map[string][]string{}
 	vms, err := o.VMs(ctx)
@@ -256,15 +270,22 @@
 		return
 	}
 	var mu sync.Mutex
-	var calls sync.WaitGroup
+	offered := map[string]int{}
+	var calls errgroup.Group
+	calls.SetLimit(parallelCalls)
 	for _, vm := range vms {
 		if vm.Leaving {
 			continue
 		}
-		calls.Add(1)
-		go func() {
-			defer calls.Done()
-			taken := o.offer(ctx, vm, next)
+		calls.Go(func() error {
+			taken := o.version(ctx, vm) >= next.GetVersion()
+			mu.Lock()
+			offer := !taken && offered[vm.AvailabilityZone] < offersPerZone
+			if offer {
+				offered[vm.AvailabilityZone]++
+			}
+			mu.Unlock()
+			taken = taken || (offer && o.offer(ctx, vm, next))
 			mu.Lock()
 			defer mu.Unlock()
 			into := applied.Missing
@@ -272,13 +293,26 @@
 				into = applied.InForce
 			}
 			into[vm.AvailabilityZone] = append(into[vm.AvailabilityZone], vm.Name)
-		}()
+			return nil
+		})
 	}
-	calls.Wait()
+	_ = calls.Wait()
 	sortNames(applied.InForce)
 	sortNames(applied.Missing)
 }
 
+// version returns the version in force at a node, 0 if it does not answer.
+func (o *Operator) version(ctx context.Context, vm vmlist.VM) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := wire.NewDRPCNodeClient(o.dialer.Conn(ctx, vm.Address))
+	reply, err := client.Exchange(ctx, &wire.ExchangeRequest{HintOnly: true, SnapshotVersion: math.MaxUint64})
+	if err != nil {
+		return 0
+	}
+	return reply.GetSnapshotVersion()
+}
+
 func (o *Operator) offer(ctx context.Context, vm vmlist.VM, next *wire.Snapshot) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/standin/vms/server.go
+++ b/standin/vms/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"sort"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"gypsumbank/standin/fault"
@@ -91,9 +93,7 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	switch {
 	case string(ctx.Path()) == "/vms" && ctx.IsGet():
-		body, _ := json.Marshal(s.visible())
-		ctx.SetContentType("application/json")
-		ctx.SetBody(body)
+		s.show(ctx)
 	case string(ctx.Path()) == "/vms" && ctx.IsPost():
 		s.update(ctx)
 	case string(ctx.Path()) == "/vms" && ctx.IsDelete():
@@ -103,6 +103,18 @@
 	}
 }
 
+func (s *Server) show(ctx *fasthttp.RequestCtx) {
+	body, _ := json.Marshal(s.visible())
+	tag := fmt.Sprintf("%016x", xxhash.Sum64(body))
+	if string(ctx.Request.Header.Peek("If-None-Match")) == tag {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
+	ctx.Response.Header.Set("ETag", tag)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
 func (s *Server) update(ctx *fasthttp.RequestCtx) {
 	var vm vmlist.VM
 	if err := json.Unmarshal(ctx.PostBody(), &vm); err != nil {
--- a/vmlist/client.go
+++ b/vmlist/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"gypsumbank/jsonclient"
@@ -28,9 +29,13 @@
 	Leaving          bool   `json:"leaving"`
 }
 
-// Client reads the list, which lags behind the machines.
+// Client reads the list, which lags behind the machines, and transfers it only when it has changed.
 type Client struct {
 	http *jsonclient.Client
+
+	mu  sync.Mutex
+	tag string
+	vms []VM
 }
 
 // New returns a client of the list at address.
@@ -40,7 +45,15 @@
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var vms []VM
-	err := c.http.Do(ctx, "GET", "/vms", nil, &vms)
-	return vms, err
+	tag, changed, err := c.http.GetIfChanged(ctx, "/vms", c.tag, &vms)
+	if err != nil {
+		return nil, err
+	}
+	if changed {
+		c.tag, c.vms = tag, vms
+	}
+	return c.vms, nil
 }
