Tell a fencing number of one's own from another sidecar's

Cause: two of seven runs of the test of last copies ended with "another sidecar has taken over the engine" though there was none. A poll carries a fencing number that was chosen 0.3 s before; an order sent in between has a higher one and may come first, and the refusal of the poll was taken for a takeover. Ruled out: numbers out of order in the engine.

Change: a refused poll decides nothing; the next state shows the highest number, and only one above all of this sidecar's own means a takeover. Placement hashes each name once.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PROTOC_RPC := storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
 SOURCES    := $(shell git ls-files '*.go' ':!wire/*.pb.go')
 
-.PHONY: help build demo test lint format tools generate bench clean
+.PHONY: help build demo test lint format tools generate bench capacity soak clean
 
 help: ## list the chores
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -44,5 +44,11 @@
 bench: ## run the benchmarks
 	go test -run '^$$' -bench . -benchmem ./...
 
+capacity: ## measure the slopes of docs/CAPACITY.md
+	go test -run '^$$' -bench Capacity -benchtime 1x . ./snapshot
+
+soak: ## draw pairs of faults for long; GYPSUMBANK_SEED and GYPSUMBANK_ROUNDS set what and how long
+	GYPSUMBANK_ROUNDS=$${GYPSUMBANK_ROUNDS:-200} go test -run TestTwoFaultsAtOnce -timeout 3h -v .
+
 clean: ## remove what was built
 	rm -rf bin gypsumbank
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -81,5 +81,5 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: %s: %w", ErrNotConnected, address, err)
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: ManagerOptions()}), nil
+	return drpcconn.NewWithOptions(Counted(conn), drpcconn.Options{Manager: ManagerOptions()}), nil
 }
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -57,6 +57,7 @@
 	}
 	return &job{
 		caller:      who,
+		started:     time.Now(),
 		request:     request,
 		model:       model,
 		adapter:     adapter,
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -37,6 +37,7 @@
 // job is one request for a completion on its way through targets.
 type job struct {
 	caller      *caller
+	started     time.Time
 	request     *completion.Request
 	model       string
 	adapter     string
@@ -188,6 +189,10 @@
 // deliver passes the next token to the caller, drops one that it already has and rejects a gap.
 func (j *job) deliver(ctx context.Context, token *wire.Token) attemptEnd {
 	j.sent = true
+	if len(j.prefix) == 0 {
+		firstToken.Update(time.Since(j.started).Seconds())
+	}
+	tokensDelivered.Inc()
 	index := int(token.GetIndex())
 	if index < len(j.prefix) {
 		return nil
--- a/entry/http.go
+++ b/entry/http.go
@@ -4,11 +4,13 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"math"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"gypsumbank/allowance"
@@ -174,6 +176,7 @@
 }
 
 func (p *problem) write(ctx *fasthttp.RequestCtx) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gypsumbank_problems_total{code=%q,outcome=%q}`, p.code, p.outcome)).Inc()
 	ctx.SetStatusCode(p.status)
 	ctx.SetContentType("application/json")
 	ctx.Response.Header.Set(outcomeHeader, p.outcome)
--- a/loader/poll.go
+++ b/loader/poll.go
@@ -53,7 +53,9 @@
 	now := time.Now()
 	switch {
 	case errors.Is(r.err, engine.ErrFenced):
-		l.outrun()
+		// A later order of this or another sidecar came first; the next state tells whose it was.
+		l.nextFence.Store(0)
+		return
 	case r.err != nil:
 		l.lose(r.err)
 	case r.state.Incarnation != l.incarnation:
@@ -67,15 +69,6 @@
 	l.noteViolations(r)
 }
 
-// outrun handles an engine that has seen a higher fencing number than the one it was sent.
-func (l *Loader) outrun() {
-	if l.incarnation != 0 {
-		l.stopped = ErrSuperseded
-		return
-	}
-	l.nextFence.Store(0)
-}
-
 // lose records that the engine does not answer; its memory stays counted until it is met again.
 func (l *Loader) lose(err error) {
 	if l.incarnation == 0 {
--- a/placement/map.go
+++ b/placement/map.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"cmp"
+	"math/bits"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,18 +43,46 @@
 
 // Ranked returns the targets in the rank order of a name, which depends on nothing but the names.
 func Ranked(name string, targets []string) []string {
-	ranked := append([]string(nil), targets...)
-	sort.Slice(ranked, func(i, j int) bool { return Higher(name, ranked[i], ranked[j]) })
+	scored := make([]scoredTarget, len(targets))
+	own := xxhash.Sum64String(name)
+	for i, target := range targets {
+		scored[i] = scoredTarget{score: mix(own, xxhash.Sum64String(target)), target: target}
+	}
+	slices.SortFunc(scored, scoredTarget.compare)
+	ranked := make([]string, len(targets))
+	for i, s := range scored {
+		ranked[i] = s.target
+	}
 	return ranked
 }
 
 // Higher reports whether target a ranks above target b for a name.
 func Higher(name, a, b string) bool {
-	scoreA, scoreB := score(name, a), score(name, b)
-	if scoreA != scoreB {
-		return scoreA > scoreB
+	own := xxhash.Sum64String(name)
+	first := scoredTarget{score: mix(own, xxhash.Sum64String(a)), target: a}
+	second := scoredTarget{score: mix(own, xxhash.Sum64String(b)), target: b}
+	return first.compare(second) < 0
+}
+
+type scoredTarget struct {
+	score  uint64
+	target string
+}
+
+// compare orders targets by falling score, then by name.
+func (s scoredTarget) compare(other scoredTarget) int {
+	if s.score != other.score {
+		return cmp.Compare(other.score, s.score)
 	}
-	return a < b
+	return cmp.Compare(s.target, other.target)
+}
+
+// mix returns a hash of two hashes.
+func mix(a, b uint64) uint64 {
+	x := a ^ bits.RotateLeft64(b, 31)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
 }
 
 func (m *Map) round(models []allowance.Model, ranks map[string][]string, free map[string]uint64) bool {
@@ -70,8 +101,6 @@
 	return placed
 }
 
-func score(name, target string) uint64 { return xxhash.Sum64String(name + "\x00" + target) }
-
 func contains(list []string, item string) bool {
 	for _, candidate := range list {
 		if candidate == item {
--- a/process_test.go
+++ b/process_test.go
@@ -71,7 +71,7 @@
 	return b.data.String()
 }
 
-func startProcess(t *testing.T, name string, args ...string) *process {
+func startProcess(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, output: &lockedBuffer{}, ended: make(chan struct{})}
 	p.cmd = exec.Command(os.Args[0], args...)
@@ -101,7 +101,7 @@
 }
 
 // stop asks a process to end and returns its error once it has.
-func (p *process) stop(t *testing.T, limit time.Duration) error {
+func (p *process) stop(t testing.TB, limit time.Duration) error {
 	t.Helper()
 	p.signal(syscall.SIGTERM)
 	select {
@@ -115,7 +115,7 @@
 
 // cluster is a deployment of which every role and stand-in is a process of its own.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	size      deployment.Size
 	table     *process
@@ -127,7 +127,7 @@
 }
 
 // startCluster starts all processes and returns once every model is resident.
-func startCluster(t *testing.T, size deployment.Size) *cluster {
+func startCluster(t testing.TB, size deployment.Size) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), size: size, sidecars: map[string]*process{}, addresses: map[string]string{}}
 	c.table = c.standin("table", "--reads=2000", "--writes=500")
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"gypsumbank/wire"
 )
 
@@ -75,6 +77,7 @@
 
 // Add records an event and returns its clock.
 func (r *Ring) Add(event Event) uint64 {
+	metrics.GetOrCreateCounter(`gypsumbank_events_total{kind="` + string(event.Kind) + `"}`).Inc()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clock := r.tick()
