Show every member's use on the entries

Cause: a member could see the use of others only with the operators' secret. Change: GET /usage on an entry, with any customer's key, as JSON with each node's part or as a page with bars. Conclusion: use is visible beside each allowance.

--- a/capacity_test.go
+++ b/capacity_test.go
@@ -20,14 +20,14 @@
 	measureTime         = 8 * time.Second
 )
 
-// usage is what a process has used so far.
-type usage struct {
+// consumption is what a process has used so far.
+type consumption struct {
 	cpuSeconds float64
 	rssBytes   float64
 	peerBytes  float64
 }
 
-func (p *process) cpuAndMemory(b *testing.B) usage {
+func (p *process) cpuAndMemory(b *testing.B) consumption {
 	b.Helper()
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
 	if err != nil {
@@ -37,12 +37,12 @@
 	user, _ := strconv.ParseFloat(fields[11], 64)
 	system, _ := strconv.ParseFloat(fields[12], 64)
 	pages, _ := strconv.ParseFloat(fields[21], 64)
-	return usage{cpuSeconds: (user + system) / clockTicksPerSecond, rssBytes: pages * float64(os.Getpagesize())}
+	return consumption{cpuSeconds: (user + system) / clockTicksPerSecond, rssBytes: pages * float64(os.Getpagesize())}
 }
 
 var peerBytes = regexp.MustCompile(`gypsumbank_peer_bytes_total\{[^}]*\} (\d+)`)
 
-func (c *cluster) entryUsage(b *testing.B) usage {
+func (c *cluster) entryUsage(b *testing.B) consumption {
 	b.Helper()
 	used := c.entries[0].cpuAndMemory(b)
 	for _, match := range peerBytes.FindAllStringSubmatch(c.get(0, "/metrics").text, -1) {
--- a/entry/http.go
+++ b/entry/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"encoding/base64"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -18,6 +19,7 @@
 	"gypsumbank/limiter"
 	"gypsumbank/plan"
 	"gypsumbank/snapshot"
+	"gypsumbank/usage"
 	"gypsumbank/wire"
 )
 
@@ -75,6 +77,8 @@
 func (e *Entry) route(ctx *fasthttp.RequestCtx, who *caller) *problem {
 	path := string(ctx.Path())
 	switch {
+	case path == "/usage" && ctx.IsGet():
+		return e.usage(ctx, who)
 	case path == "/v1/models" && ctx.IsGet():
 		e.models(ctx, who)
 		return nil
@@ -95,9 +99,10 @@
 	if err != nil {
 		return nil, unavailable("starting", err.Error(), time.Second)
 	}
-	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	key, ok := keyOf(ctx)
 	customer, known := lists.Plans().Authenticate(key)
 	if !ok || !known {
+		ctx.Response.Header.Set("WWW-Authenticate", `Basic realm="gypsumbank"`)
 		return nil, invalid(fasthttp.StatusUnauthorized, "invalid_api_key", "the bearer key is missing or not known")
 	}
 	allowed, ok := lists.Allowances().Plan(customer.Plan())
@@ -107,6 +112,24 @@
 	return &caller{customer: customer, plan: allowed, lists: lists, requestID: requestID}, nil
 }
 
+// keyOf returns the caller's key: a bearer key, or the password of basic authentication as browsers send it.
+func keyOf(ctx *fasthttp.RequestCtx) (string, bool) {
+	header := string(ctx.Request.Header.Peek("Authorization"))
+	if key, ok := strings.CutPrefix(header, "Bearer "); ok {
+		return key, true
+	}
+	encoded, ok := strings.CutPrefix(header, "Basic ")
+	if !ok {
+		return "", false
+	}
+	pair, err := base64.StdEncoding.DecodeString(encoded)
+	if err != nil {
+		return "", false
+	}
+	_, key, ok := strings.Cut(string(pair), ":")
+	return key, ok
+}
+
 // admit applies the limits of the caller's plan; the returned function ends the request with the tokens that it used.
 func (e *Entry) admit(who *caller) (func(tokens int), *problem) {
 	entries := len(e.node.Roster().Entries())
@@ -125,6 +148,22 @@
 	return func(tokens int) { e.limiter.End(who.customer.Name(), tokens) }, nil
 }
 
+// usage shows the use of every member, as a page to browsers and as JSON to others.
+func (e *Entry) usage(ctx *fasthttp.RequestCtx, who *caller) *problem {
+	counted := e.node.Meter()
+	report := usage.New(who.lists.Allowances().Members(), nil, counted.Totals(), counted.All())
+	write := report.WriteJSON
+	ctx.SetContentType("application/json")
+	if strings.Contains(string(ctx.Request.Header.Peek("Accept")), "text/html") {
+		write = report.WriteHTML
+		ctx.SetContentType("text/html; charset=utf-8")
+	}
+	if err := write(ctx); err != nil {
+		return unavailable("usage_unavailable", err.Error(), time.Second)
+	}
+	return nil
+}
+
 func (e *Entry) models(ctx *fasthttp.RequestCtx, who *caller) {
 	var names []string
 	parents := map[string]string{}
--- /dev/null
+++ b/usage/doc.go
@@ -0,0 +1,2 @@
+// Package usage compares the members' use with their allowances.
+package usage
