Move requests off slow targets and tell queued refusals as not run

And requests refused from a queue were told "unknown", since the entry took a place in a queue for a start.

Change: a stream leaves a slow target once, if another holder is not slow; slow holders count as pressure for a further copy; only an interruption, a token or a lost connection makes an outcome unknown.

--- a/entry/generate.go
+++ b/entry/generate.go
@@ -19,12 +19,13 @@
 )
 
 const (
-	tokenBuffer = 64
-	maxAttempts = 64
-	retryPause  = 100 * time.Millisecond
-	searchTime  = 15 * time.Second // time without progress after which a request is given up
-	busyRetry   = 2 * time.Second
-	prefixChars = 128
+	tokenBuffer     = 64
+	maxAttempts     = 64
+	retryPause      = 100 * time.Millisecond
+	searchTime      = 15 * time.Second // time without progress after which a request is given up
+	busyRetry       = 2 * time.Second
+	prefixChars     = 128
+	moveCheckTokens = 8
 )
 
 var (
@@ -50,11 +51,12 @@
 	prefix  []string
 	attempt uint32
 	sent    bool // a target may have started the request
+	moved   bool // the request has left a slow target
 	reason  string
 	usage   completion.Usage
 }
 
-// attemptEnd is how an attempt ended: finished, refused, interrupted or broken.
+// attemptEnd is how an attempt ended: finished, refused, interrupted, broken or moved.
 type attemptEnd interface{ attemptEnd() }
 
 type finished struct{}
@@ -65,10 +67,14 @@
 
 type broken struct{ err error }
 
+// moved ends an attempt at a slow target whose request goes on at another.
+type moved struct{}
+
 func (finished) attemptEnd()    {}
 func (refused) attemptEnd()     {}
 func (interrupted) attemptEnd() {}
 func (broken) attemptEnd()      {}
+func (moved) attemptEnd()       {}
 
 // generate runs a job to its end, over as many targets as it takes.
 func (e *Entry) generate(ctx context.Context, job *job) *problem {
@@ -87,6 +93,9 @@
 			}
 			continue
 		}
+		if e.router.Slowness(choice.VM.Name) > router.SlowFrom {
+			e.spread(ctx, job)
+		}
 		before := len(job.prefix)
 		end := e.attempt(ctx, job, choice)
 		if len(job.prefix) > before {
@@ -115,6 +124,9 @@
 			if failed := e.afterInterruption(ctx, job, choice, end.cause); failed != nil {
 				return failed
 			}
+		case moved:
+			tried[choice.VM.Name] = true
+			e.record(job.event(timeline.RequestMoved, choice.VM.Name, "target is slow"))
 		case broken:
 			tried[choice.VM.Name] = true
 			e.afterBreak(job, choice, end.err)
@@ -166,11 +178,13 @@
 func (e *Entry) take(ctx context.Context, job *job, choice router.Choice, event *wire.GenerateEvent) attemptEnd {
 	switch kind := event.GetKind().(type) {
 	case *wire.GenerateEvent_Accepted:
-		job.sent = true
 		e.router.Observe(choice.VM.Name, kind.Accepted.GetHint())
 	case *wire.GenerateEvent_Heartbeat:
 	case *wire.GenerateEvent_Token:
-		return job.deliver(ctx, kind.Token)
+		if end := job.deliver(ctx, kind.Token); end != nil {
+			return end
+		}
+		return e.moveFrom(job, choice)
 	case *wire.GenerateEvent_Finished:
 		if int(kind.Finished.GetCompletionTokens()) != len(job.prefix) {
 			return broken{err: errOrder}
@@ -186,6 +200,15 @@
 	return nil
 }
 
+// moveFrom ends an attempt at a slow target, once a request, if another target holds the model and is not slow.
+func (e *Entry) moveFrom(job *job, choice router.Choice) attemptEnd {
+	if job.moved || len(job.prefix)%moveCheckTokens != 0 || !e.router.Better(job.route(), choice.VM.Name) {
+		return nil
+	}
+	job.moved = true
+	return moved{}
+}
+
 // deliver passes the next token to the caller, drops one that it already has and rejects a gap.
 func (j *job) deliver(ctx context.Context, token *wire.Token) attemptEnd {
 	j.sent = true
@@ -246,6 +269,7 @@
 
 // afterInterruption spreads the word of a crash before anything is answered, so that a resubmission meets it.
 func (e *Entry) afterInterruption(ctx context.Context, job *job, choice router.Choice, cause *wire.Interrupted) *problem {
+	job.sent = true
 	e.record(job.event(timeline.RequestRetried, choice.VM.Name, cause.GetDetail()))
 	switch cause.GetReason() {
 	case wire.InterruptReason_INTERRUPT_DRAINING:
--- a/entry/spread.go
+++ b/entry/spread.go
@@ -14,7 +14,7 @@
 	prepareTimeout = 30 * time.Second
 )
 
-// spread asks for a further copy of a job's model if all targets that hold it have more work than slots.
+// spread asks for a further copy of a job's model if all targets that hold it are slow or have more work than slots.
 func (e *Entry) spread(ctx context.Context, job *job) {
 	e.mu.Lock()
 	recent := time.Since(e.copied[job.model]) < spreadInterval
@@ -22,14 +22,14 @@
 	if recent {
 		return
 	}
-	vm, ok := e.router.Spare(job.caller.lists.Allowances(), job.model)
+	vm, ok := e.router.Spare(job.model)
 	if !ok {
 		return
 	}
 	e.mu.Lock()
 	e.copied[job.model] = time.Now()
 	e.mu.Unlock()
-	e.record(job.event(timeline.CopyAsked, vm.Name, "all holders have more work than slots"))
+	e.record(job.event(timeline.CopyAsked, vm.Name, "all holders are slow or have more work than slots"))
 	go e.prepare(context.WithoutCancel(ctx), vm, job.model)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -26,7 +26,12 @@
 	LeastInFlight Policy = "least-in-flight"
 )
 
+// SlowFrom is the slowness from which a target's requests move to others.
+const SlowFrom = 1.7
+
 const (
+	usualUpTo     = 1.3 // slowness up to which a target takes requests from slow ones
+	spareLoad     = 0.5 // load below which a target takes a further copy
 	downTime      = 2 * time.Second
 	refusalTime   = 300 * time.Millisecond
 	otherZoneCost = 0.15
@@ -148,29 +153,51 @@
 	return Choice{VM: best, MayLoad: true}, nil
 }
 
-// Spare returns the target that should hold a further copy of a model whose holders all have more work than slots.
-func (r *Router) Spare(list *allowance.List, model string) (vmlist.VM, bool) {
+// Spare returns the target that should hold a further copy of a model whose holders are all slow or have more work than
+// slots.
+func (r *Router) Spare(model string) (vmlist.VM, bool) {
 	vms := r.usable(nil)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	holds := r.holds(model)
 	var best vmlist.VM
-	lowest := 0.5
+	lowest := spareLoad
 	found := false
 	for _, vm := range vms {
+		slow := r.slowness(r.get(vm.Name)) > SlowFrom
 		if holds(vm.Name) {
-			if r.load(vm) < 1 {
+			if r.load(vm) < 1 && !slow {
 				return vmlist.VM{}, false
 			}
 			continue
 		}
-		if load := r.load(vm); load < lowest {
+		if load := r.load(vm); load < lowest && !slow {
 			best, lowest, found = vm, load, true
 		}
 	}
 	return best, found
 }
 
+// Better reports whether a target is slow and another that holds the model is not and has free slots.
+func (r *Router) Better(request Request, name string) bool {
+	r.mu.Lock()
+	slow := r.slowness(r.get(name)) > SlowFrom
+	r.mu.Unlock()
+	if !slow {
+		return false
+	}
+	vms := r.usable(map[string]bool{name: true})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	holds := r.holds(request.Model)
+	for _, vm := range vms {
+		if holds(vm.Name) && r.load(vm) < 1 && r.slowness(r.get(vm.Name)) < usualUpTo {
+			return true
+		}
+	}
+	return false
+}
+
 // Begin counts one more request in flight at a target.
 func (r *Router) Begin(name string) {
 	r.mu.Lock()
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -19,6 +19,7 @@
 	RequestRefused    Kind = "request-refused"
 	RequestRetried    Kind = "request-retried"
 	RequestResumed    Kind = "request-resumed"
+	RequestMoved      Kind = "request-moved"
 	RequestFinished   Kind = "request-finished"
 	RequestFailed     Kind = "request-failed"
 	RequestCancelled  Kind = "request-cancelled"
