--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PROTOC_RPC := storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
 SOURCES    := $(shell git ls-files '*.go' ':!wire/*.pb.go')
 
-.PHONY: help build demo test lint format tools generate bench capacity soak clean
+.PHONY: help build demo test lint format tools generate bench capacity soak man clean
 
 help: ## list the chores
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -50,5 +50,8 @@
 soak: ## draw pairs of faults for long; GYPSUMBANK_SEED and GYPSUMBANK_ROUNDS set what and how long
 	GYPSUMBANK_ROUNDS=$${GYPSUMBANK_ROUNDS:-200} go test -run TestTwoFaultsAtOnce -timeout 3h -v .
 
+man: ## write the manual pages again
+	GYPSUMBANK_UPDATE_MAN=1 go test -run ManualPages .
+
 clean: ## remove what was built
 	rm -rf bin gypsumbank
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -28,7 +28,9 @@
 )
 
 const (
-	secret          = "a-shared-secret-for-loopback"
+	// Secret is the secret that the roles of a deployment share.
+	Secret = "a-shared-secret-for-loopback"
+
 	readsPerSecond  = 2000
 	writesPerSecond = 500
 	readyPoll       = 50 * time.Millisecond
@@ -408,7 +410,7 @@
 		"name = " + name,
 		"availability-zone = " + zone,
 		"listen = " + listen,
-		"secret = " + secret,
+		"secret = " + Secret,
 		"[platform]",
 		"table = " + d.tableAddress,
 		"vm-list = " + d.vmsAddresses[zone],
--- a/engine/client.go
+++ b/engine/client.go
@@ -69,6 +69,7 @@
 type State struct {
 	Incarnation uint64     `json:"incarnation"`
 	Fence       uint64     `json:"fence"`
+	Role        string     `json:"role,omitempty"`
 	MemoryBytes uint64     `json:"memory-bytes"`
 	Residents   []Resident `json:"residents"`
 	Violations  uint64     `json:"violations"`
--- a/faults_test.go
+++ b/faults_test.go
@@ -108,13 +108,20 @@
 	}
 }
 
-// sendEvents sends events, each three times through the entries in turn.
+// sendEvents sends events, each three times through the entries in turn, every other one without waiting for an answer.
 func (c *cluster) sendEvents(log *callLog, stop <-chan struct{}, prefix string) {
 	for i := 0; ; i++ {
 		id := fmt.Sprintf("%s-%d", prefix, i)
+		var tries sync.WaitGroup
 		for try := range 3 {
-			log.add(id, c.event((i+try)%c.size.Entries, id))
+			send := func() { log.add(id, c.event((i+try)%c.size.Entries, id)) }
+			if i%2 == 0 {
+				send()
+				continue
+			}
+			tries.Go(send)
 		}
+		tries.Wait()
 		select {
 		case <-stop:
 			return
--- a/idempotency/registry_test.go
+++ b/idempotency/registry_test.go
@@ -238,14 +238,58 @@
 	if decision, ok := f.begin("a", "sale").(Unknown); !ok {
 		t.Errorf("a call that a dead incarnation ran without a claim: %#v", decision)
 	}
-	fresh := "01f00000-0000-7000-8000-000000000000"
-	millis := f.now.Add(time.Minute).UnixMilli()
-	fresh = fmt.Sprintf("%08x-%04x", millis>>16, millis&0xffff) + fresh[13:]
-	if decision, ok := f.begin("a", fresh).(Run); !ok {
+	if decision, ok := f.begin("a", uuidAt(f.now.Add(time.Minute))).(Run); !ok {
 		t.Errorf("a key made after the loss: %#v", decision)
 	}
 }
 
+// uuidAt returns a UUID of version 7 with the given time.
+func uuidAt(at time.Time) string {
+	millis := at.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-000000000000", millis>>16, millis&0xffff)
+}
+
+func TestKeysByAge(t *testing.T) {
+	f := newFleet(t)
+	defer f.server.Close()
+	f.start("a")
+	f.tick(8)
+	tests := map[string]struct {
+		age  time.Duration
+		runs bool
+	}{
+		"just made":            {0, true},
+		"within the retention": {59 * time.Minute, true},
+		"expired":              {61 * time.Minute, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			decision := f.begin("a", uuidAt(f.now.Add(-test.age)))
+			if _, ok := decision.(Run); ok != test.runs {
+				t.Errorf("%#v", decision)
+			}
+			if _, unknown := decision.(Unknown); unknown == test.runs {
+				t.Errorf("%#v", decision)
+			}
+		})
+	}
+}
+
+func TestKeyReusedForAnotherRequest(t *testing.T) {
+	f := newFleet(t)
+	defer f.server.Close()
+	f.start("a")
+	f.tick(8)
+	if _, ok := f.begin("a", "sale").(Run); !ok {
+		t.Fatal("not run")
+	}
+	f.run("a", "sale", nil)
+	decision := f.alive["a"].registry.Begin(t.Context(), f.key("sale"), 2)
+	if _, ok := decision.(Mismatch); !ok {
+		t.Errorf("%#v", decision)
+	}
+}
+
 func TestReplicasShareAndHandOverSlots(t *testing.T) {
 	f := newFleet(t)
 	defer f.server.Close()
--- a/standin/engine/memory.go
+++ b/standin/engine/memory.go
@@ -17,6 +17,7 @@
 	incarnation uint64
 	size        uint64
 	fence       uint64
+	role        string
 	residents   map[string]client.Resident
 	violations  uint64
 }
@@ -47,6 +48,7 @@
 	state := client.State{
 		Incarnation: s.memory.incarnation,
 		Fence:       s.memory.fence,
+		Role:        s.memory.role,
 		MemoryBytes: s.memory.size,
 		Violations:  s.memory.violations,
 	}
@@ -151,6 +153,18 @@
 	ctx.SetBodyString("{}")
 }
 
+// setRole takes the name of an order as the engine's role.
+func (s *Server) setRole(ctx *fasthttp.RequestCtx, order client.Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.admit(order) {
+		ctx.Error("old fencing number", fasthttp.StatusPreconditionFailed)
+		return
+	}
+	s.memory.role = order.Name
+	ctx.SetBodyString("{}")
+}
+
 func (s *Server) fetch(order client.Order) error {
 	if s.config.WeightStore == "" {
 		return nil
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -208,6 +208,8 @@
 		s.order(ctx, s.load)
 	case path == "/control/unload" && ctx.IsPost():
 		s.order(ctx, s.unload)
+	case path == "/control/role" && ctx.IsPost():
+		s.order(ctx, s.setRole)
 	case path == "/load":
 		s.report(ctx)
 	case path == "/cache-events":
