Split the search for a target into its steps

Change: search, step, attempt and afterAttempt; the stand-in's calls are tables. Conclusion: each part reads by itself.

--- a/entry/generate.go
+++ b/entry/generate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,180 +75,75 @@
 func (broken) attemptEnd()      {}
 func (moved) attemptEnd()       {}
 
+// search is what a job has learnt on its way through targets.
+type search struct {
+	tried    map[string]bool // targets that did not serve the job since its last token
+	progress time.Time       // when the last token came
+	full     bool            // a holder of the model had no room
+}
+
 // generate runs a job to its end, over as many targets as it takes.
 func (e *Entry) generate(ctx context.Context, job *job) *problem {
-	tried := map[string]bool{}
-	progress := time.Now()
-	full := 0
-	for job.attempt < maxAttempts && time.Since(progress) < searchTime {
-		choice, err := e.router.Pick(job.caller.lists.Allowances(), job.route(), tried, full > 0)
-		if err != nil {
-			clear(tried)
-			if full > 0 {
-				return e.giveUp(job, "all targets are busy", busyRetry)
-			}
-			if !pause(ctx, retryPause) {
-				return e.stopped(ctx, job)
-			}
-			continue
-		}
-		if e.router.Slowness(choice.VM.Name) > router.SlowFrom {
-			e.spread(ctx, job)
-		}
-		before := len(job.prefix)
-		end := e.attempt(ctx, job, choice)
-		if len(job.prefix) > before {
-			progress = time.Now()
-			clear(tried)
-		}
+	s := &search{tried: map[string]bool{}, progress: time.Now()}
+	for job.attempt < maxAttempts && time.Since(s.progress) < searchTime {
+		done, failed := e.step(ctx, job, s)
 		if ctx.Err() != nil {
 			return e.stopped(ctx, job)
 		}
-		switch end := end.(type) {
-		case finished:
-			e.node.Suspects().Clear(job.fingerprint)
-			e.record(job.event(timeline.RequestFinished, choice.VM.Name, job.reason))
-			return nil
-		case refused:
-			tried[choice.VM.Name] = true
-			e.spread(ctx, job)
-			if failed := e.afterRefusal(job, choice, end.refusal); failed != nil {
-				return failed
-			}
-			if end.refusal.GetReason() == wire.RefusalReason_REFUSAL_QUEUE_FULL {
-				full++
-			}
-		case interrupted:
-			tried[choice.VM.Name] = true
-			if failed := e.afterInterruption(ctx, job, choice, end.cause); failed != nil {
-				return failed
-			}
-		case moved:
-			tried[choice.VM.Name] = true
-			e.record(job.event(timeline.RequestMoved, choice.VM.Name, "target is slow"))
-		case broken:
-			tried[choice.VM.Name] = true
-			e.afterBreak(job, choice, end.err)
+		if done {
+			return failed
 		}
 	}
 	return e.giveUp(job, "no target could serve the request", busyRetry)
 }
 
-// attempt sends a job to one target and passes its tokens on.
-func (e *Entry) attempt(ctx context.Context, job *job, choice router.Choice) attemptEnd {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	job.attempt++
-	e.router.Begin(choice.VM.Name)
-	defer e.router.End(choice.VM.Name)
-	e.record(job.event(routeKind(job), choice.VM.Name, fmt.Sprintf("attempt %d, token %d", job.attempt, len(job.prefix))))
-	watchdog := time.AfterFunc(e.config.Entry.SilenceTimeout, func() { cancel(errSilent) })
-	defer watchdog.Stop()
-	conn := e.node.Dialer().Conn(ctx, choice.VM.Address)
-	last := time.Time{}
-	stream, err := wire.NewDRPCSidecarClient(conn).Generate(ctx, e.message(job, choice))
+// step makes the next attempt of a job and reports whether the job is done with.
+func (e *Entry) step(ctx context.Context, job *job, s *search) (bool, *problem) {
+	choice, err := e.router.Pick(job.caller.lists.Allowances(), job.route(), s.tried, s.full)
 	if err != nil {
-		return broken{err: causeOr(ctx, err)}
-	}
-	defer closeStream(stream)
-	for {
-		event, err := stream.Recv()
-		if err != nil {
-			return broken{err: causeOr(ctx, err)}
-		}
-		watchdog.Reset(e.config.Entry.SilenceTimeout)
-		if event.GetRequestId() != job.caller.requestID {
-			return broken{err: errForeign}
-		}
-		if event.GetToken() != nil {
-			now := time.Now()
-			if !last.IsZero() {
-				e.router.Token(choice.VM.Name, now.Sub(last))
-			}
-			last = now
-		}
-		if end := e.take(ctx, job, choice, event); end != nil {
-			return end
+		clear(s.tried)
+		if s.full {
+			return true, e.giveUp(job, "all targets are busy", busyRetry)
 		}
+		pause(ctx, retryPause)
+		return false, nil
 	}
-}
-
-// take handles one event and returns how the attempt ended, or nil if it goes on.
-func (e *Entry) take(ctx context.Context, job *job, choice router.Choice, event *wire.GenerateEvent) attemptEnd {
-	switch kind := event.GetKind().(type) {
-	case *wire.GenerateEvent_Accepted:
-		e.router.Observe(choice.VM.Name, kind.Accepted.GetHint())
-	case *wire.GenerateEvent_Heartbeat:
-	case *wire.GenerateEvent_Token:
-		if end := job.deliver(ctx, kind.Token); end != nil {
-			return end
-		}
-		return e.moveFrom(job, choice)
-	case *wire.GenerateEvent_Finished:
-		if int(kind.Finished.GetCompletionTokens()) != len(job.prefix) {
-			return broken{err: errOrder}
-		}
-		job.reason = kind.Finished.GetReason()
-		job.usage = completion.NewUsage(int(kind.Finished.GetPromptTokens()), len(job.prefix))
-		return finished{}
-	case *wire.GenerateEvent_Refused:
-		return refused{refusal: kind.Refused}
-	case *wire.GenerateEvent_Interrupted:
-		return interrupted{cause: kind.Interrupted}
+	if e.router.Slowness(choice.VM.Name) > router.SlowFrom {
+		e.spread(ctx, job)
 	}
-	return nil
-}
-
-// moveFrom ends an attempt at a slow target, once a request, if another target holds the model and is not slow.
-func (e *Entry) moveFrom(job *job, choice router.Choice) attemptEnd {
-	if job.moved || len(job.prefix)%moveCheckTokens != 0 || !e.router.Better(job.route(), choice.VM.Name) {
-		return nil
+	before := len(job.prefix)
+	end := e.attempt(ctx, job, choice)
+	if len(job.prefix) > before {
+		s.progress = time.Now()
+		clear(s.tried)
 	}
-	job.moved = true
-	return moved{}
-}
-
-// deliver passes the next token to the caller, drops one that it already has and rejects a gap.
-func (j *job) deliver(ctx context.Context, token *wire.Token) attemptEnd {
-	j.sent = true
-	if len(j.prefix) == 0 {
-		firstToken.Update(time.Since(j.started).Seconds())
-	}
-	tokensDelivered.Inc()
-	index := int(token.GetIndex())
-	if index < len(j.prefix) {
-		return nil
-	}
-	if index > len(j.prefix) {
-		return broken{err: errOrder}
-	}
-	select {
-	case j.tokens <- token.GetText():
-		j.prefix = append(j.prefix, token.GetText())
-		return nil
-	case <-ctx.Done():
-		return broken{err: context.Cause(ctx)}
+	s.tried[choice.VM.Name] = true
+	if ctx.Err() != nil {
+		return false, nil
 	}
+	return e.afterAttempt(ctx, job, choice, end, s)
 }
 
-func (e *Entry) message(job *job, choice router.Choice) *wire.GenerateRequest {
-	return &wire.GenerateRequest{
-		RequestId:    job.caller.requestID,
-		Attempt:      job.attempt,
-		Customer:     job.caller.customer.Name(),
-		Member:       job.caller.customer.Member(),
-		Model:        job.model,
-		Adapter:      job.adapter,
-		Prompt:       job.request.Prompt(),
-		MaxTokens:    uint32(job.request.MaxTokens()),
-		Seed:         job.seed,
-		Priority:     int32(job.caller.plan.Priority),
-		Prefix:       job.prefix,
-		Fingerprint:  job.fingerprint,
-		KnownCrashes: e.node.Suspects().Crashes(job.fingerprint),
-		MayLoad:      choice.MayLoad,
-		Clock:        e.node.Ring().Clock(),
+// afterAttempt draws the conclusions from an attempt and reports whether the job is done with.
+func (e *Entry) afterAttempt(ctx context.Context, job *job, choice router.Choice, end attemptEnd, s *search) (bool, *problem) {
+	var failed *problem
+	switch end := end.(type) {
+	case finished:
+		e.node.Suspects().Clear(job.fingerprint)
+		e.record(job.event(timeline.RequestFinished, choice.VM.Name, job.reason))
+		return true, nil
+	case refused:
+		e.spread(ctx, job)
+		s.full = s.full || end.refusal.GetReason() == wire.RefusalReason_REFUSAL_QUEUE_FULL
+		failed = e.afterRefusal(job, choice, end.refusal)
+	case interrupted:
+		failed = e.afterInterruption(ctx, job, choice, end.cause)
+	case moved:
+		e.record(job.event(timeline.RequestMoved, choice.VM.Name, "target is slow"))
+	case broken:
+		e.afterBreak(job, choice, end.err)
 	}
+	return failed != nil, failed
 }
 
 func (e *Entry) afterRefusal(job *job, choice router.Choice, refusal *wire.Refused) *problem {
@@ -364,14 +258,12 @@
 	return timeline.RequestRouted
 }
 
-func pause(ctx context.Context, duration time.Duration) bool {
+func pause(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
 	case <-ctx.Done():
-		return false
 	}
 }
 
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -196,26 +196,29 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	posts := map[string]fasthttp.RequestHandler{
+		"/v1/completions": s.complete,
+		"/control/fence":  s.fence,
+		"/control/load":   func(ctx *fasthttp.RequestCtx) { s.order(ctx, s.load) },
+		"/control/unload": func(ctx *fasthttp.RequestCtx) { s.order(ctx, s.unload) },
+		"/control/role":   func(ctx *fasthttp.RequestCtx) { s.order(ctx, s.setRole) },
+	}
+	gets := map[string]fasthttp.RequestHandler{
+		"/control/state": s.state,
+		"/load":          s.report,
+		"/cache-events":  s.events,
+	}
 	path := string(ctx.Path())
+	handler := gets[path]
+	if ctx.IsPost() {
+		handler = posts[path]
+	}
+	rest, ofRequest := strings.CutPrefix(path, "/v1/requests/")
 	switch {
-	case path == "/v1/completions" && ctx.IsPost():
-		s.complete(ctx)
-	case path == "/control/state":
-		s.state(ctx)
-	case path == "/control/fence" && ctx.IsPost():
-		s.fence(ctx)
-	case path == "/control/load" && ctx.IsPost():
-		s.order(ctx, s.load)
-	case path == "/control/unload" && ctx.IsPost():
-		s.order(ctx, s.unload)
-	case path == "/control/role" && ctx.IsPost():
-		s.order(ctx, s.setRole)
-	case path == "/load":
-		s.report(ctx)
-	case path == "/cache-events":
-		s.events(ctx)
-	case strings.HasPrefix(path, "/v1/requests/") && ctx.IsPost():
-		s.sequenceCall(ctx, strings.TrimPrefix(path, "/v1/requests/"))
+	case handler != nil:
+		handler(ctx)
+	case ofRequest && ctx.IsPost():
+		s.sequenceCall(ctx, rest)
 	default:
 		ctx.Error("no such call", fasthttp.StatusNotFound)
 	}
