--- a/engine/client.go
+++ b/engine/client.go
@@ -145,6 +145,15 @@
 	return orderError(c.orders.Do(ctx, http.MethodPost, "/control/unload", order, nil))
 }
 
+// Cancel ends a request and returns once its place in the batch is free; one that has ended already is no error.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	err := orderError(c.orders.Do(ctx, http.MethodPost, "/v1/requests/"+id+"/cancel", nil, nil))
+	if errors.Is(err, ErrNotResident) {
+		return nil
+	}
+	return err
+}
+
 // Generate runs a request and passes each chunk to emit until the last; it stops early if emit fails or ctx ends.
 func (c *Client) Generate(ctx context.Context, request Request, emit func(Chunk) error) error {
 	response, err := c.start(ctx, request)
--- a/router/pace.go
+++ b/router/pace.go
@@ -7,7 +7,7 @@
 
 const (
 	paceHalfLife = 400 * time.Millisecond // time after which an earlier measurement counts half
-	paceMemory   = 3 * time.Second        // age from which a measurement no longer counts
+	paceMemory   = 8 * time.Second        // age from which a measurement no longer counts
 	paceMinimum  = 8                      // tokens before a measurement counts
 )
 
--- a/sidecar/generate.go
+++ b/sidecar/generate.go
@@ -20,6 +20,7 @@
 	heartbeatInterval = 400 * time.Millisecond
 	eventBuffer       = 64
 	crashCheckTimeout = 500 * time.Millisecond
+	cancelTimeout     = 200 * time.Millisecond
 	queueRetryAfter   = 500 * time.Millisecond
 )
 
@@ -183,7 +184,8 @@
 	incarnation := s.loader.View().Incarnation
 	last := time.Now()
 	finished := &wire.Finished{}
-	err := s.engine.Generate(ctx, s.engineRequest(request, lease, progress.prefix), func(chunk engine.Chunk) error {
+	prepared := s.engineRequest(request, lease, progress.prefix)
+	err := s.engine.Generate(ctx, prepared, func(chunk engine.Chunk) error {
 		next := len(progress.prefix)
 		if chunk.Done {
 			finished.Reason = chunk.Reason
@@ -203,6 +205,9 @@
 		progress.prefix = append(progress.prefix, chunk.Token)
 		return nil
 	})
+	if err != nil && ctx.Err() != nil {
+		s.cancelOnEngine(prepared.ID)
+	}
 	if err != nil {
 		return nil, s.causeOf(ctx, request, incarnation, err)
 	}
@@ -213,6 +218,15 @@
 	return finished, nil
 }
 
+// cancelOnEngine frees the place of a run in the batch, which the engine would else notice only at its next tokens.
+func (s *Sidecar) cancelOnEngine(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if err := s.engine.Cancel(ctx, id); err != nil {
+		s.log.WithError(err).WithField("run", id).Debug("run not cancelled on the engine")
+	}
+}
+
 // watchStop cancels a run that is preempted or outlives the grace of a drain.
 func (s *Sidecar) watchStop(ctx context.Context, slot *queue.Slot, cancel context.CancelCauseFunc) {
 	select {
