Measure capacity at the default interval of polls

Cause: the benchmark ran with the tests' interval of 250 ms, so an entry's bytes were four times those of a deployment. Change: the interval is part of a deployment's size; lines of the page of use do not break. Conclusion: the figures will be those of the default settings.

--- a/capacity_test.go
+++ b/capacity_test.go
@@ -17,7 +17,7 @@
 const (
 	clockTicksPerSecond = 100
 	settleTime          = 3 * time.Second
-	measureTime         = 8 * time.Second
+	measureTime         = 15 * time.Second
 )
 
 // consumption is what a process has used so far.
@@ -57,6 +57,7 @@
 	for _, targets := range []int{4, 8, 16, 32} {
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
 			size := deployment.Small()
+			size.PollInterval = time.Second
 			size.ModelReplicas = targets
 			size.LedgerReplicas = 1
 			size.Models = 2 * targets
@@ -82,6 +83,7 @@
 		b.Run(fmt.Sprintf("streams=%d", callers), func(b *testing.B) {
 			size := deployment.Small()
 			size.Entries, size.ModelReplicas, size.LedgerReplicas, size.Models = 1, 2, 1, 2
+			size.PollInterval = time.Second
 			c := startCluster(b, size)
 			stop := make(chan struct{})
 			tokens := make(chan int, callers)
@@ -146,7 +148,7 @@
 	for _, targets := range []int{4, 8, 16, 32} {
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
 			size := deployment.Small()
-			size.ModelReplicas, size.LedgerReplicas, size.Models = targets, 1, 4
+			size.PollInterval, size.ModelReplicas, size.LedgerReplicas, size.Models = time.Second, targets, 1, 4
 			c := startCluster(b, size)
 			start := time.Now()
 			const edits = 4
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -414,7 +414,7 @@
 		"[platform]",
 		"table = " + d.tableAddress,
 		"vm-list = " + d.vmsAddresses[zone],
-		"poll-interval = 250ms",
+		"poll-interval = " + d.size.PollInterval.String(),
 		"",
 	}, "\n")
 }
--- a/deployment/size.go
+++ b/deployment/size.go
@@ -28,6 +28,7 @@
 	Weights        weights.Limits
 	Members        []string
 	ListLag        time.Duration
+	PollInterval   time.Duration
 	ReportLag      time.Duration
 	StepBase       time.Duration
 	StepPerSeq     time.Duration
@@ -75,6 +76,7 @@
 		},
 		Members:       []string{"refill-namib", "magnolia-mat"},
 		ListLag:       200 * time.Millisecond,
+		PollInterval:  250 * time.Millisecond,
 		ReportLag:     time.Second,
 		StepBase:      8 * time.Millisecond,
 		StepPerSeq:    400 * time.Microsecond,
--- a/process_test.go
+++ b/process_test.go
@@ -230,8 +230,8 @@
 
 func (c *cluster) settings(name, zone, listen, section string) string {
 	c.t.Helper()
-	text := fmt.Sprintf("[node]\nname = %s\navailability-zone = %s\nlisten = %s\nsecret = %s\n[log]\nlevel = info\n[platform]\ntable = %s\nvm-list = %s\npoll-interval = 250ms\n%s",
-		name, zone, listen, testSecret, c.address("table"), c.address("vms"), section)
+	text := fmt.Sprintf("[node]\nname = %s\navailability-zone = %s\nlisten = %s\nsecret = %s\n[log]\nlevel = info\n[platform]\ntable = %s\nvm-list = %s\npoll-interval = %s\n%s",
+		name, zone, listen, testSecret, c.address("table"), c.address("vms"), c.size.PollInterval, section)
 	return c.write(name+".ini", text)
 }
 
--- a/usage/page.go
+++ b/usage/page.go
@@ -19,7 +19,7 @@
 <style>
 body { font: 16px/1.5 sans-serif; margin: 2em; color: #222; }
 table { border-collapse: collapse; }
-th, td { padding: 0.3em 1em 0.3em 0; text-align: right; }
+th, td { padding: 0.3em 1em 0.3em 0; text-align: right; white-space: nowrap; }
 th:first-child, td:first-child { text-align: left; }
 thead th { border-bottom: 1px solid #888; }
 </style>
