Give restarted targets work again

Cause: a target that had said that it was leaving stayed so for an entry until its VM left the list, so after a rolling restart under the same names an entry could come to know no target. Ruled out: the list of VMs, which never said so. Change: a node's own word counts for 3 s unless repeated, and is taken back by its next answer; clocks of peers more than a minute ahead are ignored by the time line.

--- a/deployment/answers_test.go
+++ b/deployment/answers_test.go
@@ -194,3 +194,54 @@
 		t.Error(err)
 	}
 }
+
+// TestRestartedTargetsGetWorkAgain stops every sidecar and starts it under the same name.
+func TestRestartedTargetsGetWorkAgain(t *testing.T) {
+	size := deployment.Small()
+	size.ModelReplicas, size.Models = 2, 2
+	d := start(t, size)
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 4 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				_, _, _ = ask(t.Context(), d, i%2, deployment.ModelName(i%2), "[[length=100]]", 1)
+				post(t, d, i%2, "/services/ledger/events", fmt.Sprintf(`{"id":"during-%d-%d"}`, i, n), nil)
+			}
+		})
+	}
+	for i, role := range d.Sidecars() {
+		if err := role.Stop(); err != nil {
+			t.Fatal(err)
+		}
+		if err := d.Restart(i); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	close(stop)
+	callers.Wait()
+	time.Sleep(4 * time.Second)
+	for _, entry := range d.Entries() {
+		for _, vm := range entry.Node.Roster().All() {
+			if vm.Leaving {
+				t.Errorf("%s still takes %s for leaving", entry.Name, vm.Name)
+			}
+		}
+	}
+	for i := range 4 {
+		status, _, body := ask(t.Context(), d, i%2, deployment.ModelName(i%2), "[[length=2]]", 1)
+		if status != http.StatusOK {
+			t.Errorf("completion: status %d: %s", status, body)
+		}
+		response, text := post(t, d, i%2, "/services/ledger/events", fmt.Sprintf(`{"id":"after-%d"}`, i), nil)
+		if response.StatusCode != http.StatusCreated {
+			t.Errorf("event without a key: status %d: %s", response.StatusCode, text)
+		}
+	}
+}
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -47,6 +47,7 @@
 	Name   string
 	Listen string
 	Node   *node.Node
+	config *settings.Config
 	cancel context.CancelFunc
 	ended  chan error
 }
@@ -296,18 +297,38 @@
 	if err != nil {
 		return err
 	}
-	s, err := sidecar.New(config, d.logFor(name, zone))
+	vm.Name, vm.Address, vm.AvailabilityZone = name, address, zone
+	if err := d.List(vm); err != nil {
+		return err
+	}
+	role, err := d.runSidecar(config)
 	if err != nil {
 		return err
 	}
-	vm.Name, vm.Address, vm.AvailabilityZone = name, address, zone
-	if err := d.List(vm); err != nil {
+	d.sidecars = append(d.sidecars, role)
+	return nil
+}
+
+// Restart starts a sidecar that was stopped as a new incarnation under the same name.
+func (d *Deployment) Restart(number int) error {
+	role, err := d.runSidecar(d.sidecars[number].config)
+	if err != nil {
 		return err
 	}
-	d.sidecars = append(d.sidecars, d.run(name, "", s.Node(), s.Run))
+	d.sidecars[number] = role
 	return nil
 }
 
+func (d *Deployment) runSidecar(config *settings.Config) (*Role, error) {
+	s, err := sidecar.New(config, d.logFor(config.Node.Name, config.Node.AvailabilityZone))
+	if err != nil {
+		return nil, err
+	}
+	role := d.run(config.Node.Name, "", s.Node(), s.Run)
+	role.config = config
+	return role, nil
+}
+
 func (d *Deployment) startEntries(listen string) error {
 	for i := range d.size.Entries {
 		if err := d.startEntry(i, listen); err != nil {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -200,8 +200,12 @@
 		Clock:           n.ring.Clock(),
 	})
 	n.onHint(vm, reply, err)
-	if err == nil && reply.GetHint().GetLeaving() && !vm.Leaving {
-		n.roster.MarkLeaving(vm.Name, true)
+	if err != nil {
+		return
+	}
+	leaving := reply.GetHint().GetLeaving()
+	n.roster.MarkLeaving(vm.Name, leaving)
+	if leaving && !vm.Leaving {
 		n.ring.Add(timeline.Event{Kind: timeline.TargetLeaving, Target: vm.Name})
 	}
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,23 +3,26 @@
 import (
 	"sort"
 	"sync"
+	"time"
 
 	"gypsumbank/vmlist"
 )
 
+// leavingTime bounds how long a node that was restarted under its name goes without work.
+const leavingTime = 3 * time.Second
+
 // Roster holds the last list of VMs and what the process itself has learnt about them since.
 type Roster struct {
 	mu      sync.RWMutex
 	vms     map[string]vmlist.VM
-	leaving map[string]bool
-	changes uint64
+	leaving map[string]time.Time // until when a node's own word that it is leaving counts
 }
 
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
 		vms:     map[string]vmlist.VM{},
-		leaving: map[string]bool{},
+		leaving: map[string]time.Time{},
 	}
 }
 
@@ -31,9 +34,6 @@
 	for _, vm := range vms {
 		next[vm.Name] = vm
 	}
-	if !same(r.vms, next) {
-		r.changes++
-	}
 	for name := range r.vms {
 		if _, ok := next[name]; !ok {
 			delete(r.leaving, name)
@@ -42,30 +42,24 @@
 	r.vms = next
 }
 
-// MarkLeaving records that a node has said itself that it is leaving.
+// MarkLeaving records what a node has said itself: that it is leaving, which counts for a time unless it is said again, or
+// that it is not.
 func (r *Roster) MarkLeaving(name string, leaving bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if leaving {
-		r.leaving[name] = true
+		r.leaving[name] = time.Now().Add(leavingTime)
 		return
 	}
 	delete(r.leaving, name)
 }
 
-// Changes returns a number that grows with each change of the list.
-func (r *Roster) Changes() uint64 {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.changes
-}
-
 // Get returns the VM of that name.
 func (r *Roster) Get(name string) (vmlist.VM, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	vm, ok := r.vms[name]
-	vm.Leaving = vm.Leaving || r.leaving[name]
+	vm.Leaving = vm.Leaving || time.Now().Before(r.leaving[name])
 	return vm, ok
 }
 
@@ -92,7 +86,7 @@
 	defer r.mu.RUnlock()
 	var vms []vmlist.VM
 	for name, vm := range r.vms {
-		vm.Leaving = vm.Leaving || r.leaving[name]
+		vm.Leaving = vm.Leaving || time.Now().Before(r.leaving[name])
 		if keep(vm) {
 			vms = append(vms, vm)
 		}
@@ -100,15 +94,3 @@
 	sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
 	return vms
 }
-
-func same(a, b map[string]vmlist.VM) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name, vm := range a {
-		if b[name] != vm {
-			return false
-		}
-	}
-	return true
-}
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -45,6 +45,7 @@
 	ProcessStarted    Kind = "process-started"
 	ProcessStopping   Kind = "process-stopping"
 	counterBits            = 12
+	maxDrift               = time.Minute
 	defaultRingLength      = 8192
 )
 
@@ -103,11 +104,13 @@
 	return r.tick()
 }
 
-// Observe moves the clock past that of a received message.
+// Observe moves the clock past that of a received message, unless that is further ahead than clocks may differ.
 func (r *Ring) Observe(clock uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.clock = max(r.clock, clock)
+	if clock <= ClockOf(r.now().Add(maxDrift)) {
+		r.clock = max(r.clock, clock)
+	}
 }
 
 // After returns the events with a higher sequence number and how many of those were overwritten.
