Merge what stood twice and split what had grown

Cause: entry and sidecar each had their own way to run, drain and end their parts, five stand-ins their own server, and four files had more than one matter. Change: lifecycle.Process and host.Host; the order of the queue, the cost of targets, the endings of runs, the answers of problems and the start of deployments have files of their own.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,9 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/handshake"
+	"gypsumbank/lifecycle"
 	"gypsumbank/limiter"
 	"gypsumbank/node"
 	"gypsumbank/probe"
@@ -97,21 +97,17 @@
 		return fmt.Errorf("entry: %w", err)
 	}
 	e.node.Ring().Add(timeline.Event{Kind: timeline.ProcessStarted, Target: e.config.Node.Name})
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	return lifecycle.New(e.drain,
+		func(ctx context.Context) error { return e.server.Run(ctx, peers) },
+		func(ctx context.Context) error { return e.serveCallers(ctx, callers) },
+		e.node.Run,
+	).Run(ctx)
+}
+
+func (e *Entry) serveCallers(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, e.web.Close)
 	defer stop()
-	group, serving := errgroup.WithContext(serving)
-	group.Go(func() error { return e.server.Run(serving, peers) })
-	group.Go(func() error { return e.node.Run(serving) })
-	ended := e.web.Start(callers)
-	group.Go(func() error { return <-ended })
-	select {
-	case <-ctx.Done():
-		e.drain()
-	case <-serving.Done():
-		e.web.Close()
-	}
-	stop()
-	return group.Wait()
+	return <-e.web.Start(listener)
 }
 
 func (e *Entry) drain() {
--- a/sidecar/generate.go
+++ b/sidecar/generate.go
@@ -253,84 +253,6 @@
 	slot.Charge(1)
 }
 
-// causeOf turns the end of a stream into its cause: cancelled, moved, cut, or cut by a crash of the target.
-func (s *Sidecar) causeOf(ctx context.Context, request *wire.GenerateRequest, incarnation uint64, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	if errors.Is(err, engine.ErrUnreachable) || errors.Is(err, engine.ErrNotResident) || !errors.Is(err, engine.ErrCut) {
-		return err
-	}
-	if !s.crashed(incarnation) {
-		return err
-	}
-	crashes := request.GetKnownCrashes() + 1
-	s.node.Suspects().Raise(request.GetFingerprint(), crashes)
-	s.record(timeline.SuspectSeen, request, fmt.Sprintf("%d crashes", crashes))
-	return &crashError{crashes: crashes}
-}
-
-// crashed reports whether the engine is away or is no longer the given incarnation.
-func (s *Sidecar) crashed(incarnation uint64) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	state, err := s.engine.State(ctx)
-	return err != nil || state.Incarnation != incarnation
-}
-
-type crashError struct{ crashes uint32 }
-
-func (e *crashError) Error() string { return fmt.Sprintf("target crashed, %d times so far", e.crashes) }
-
-// ending turns an error into the last event of a run.
-func (s *Sidecar) ending(request *wire.GenerateRequest, err error) *wire.GenerateEvent {
-	var crash *crashError
-	switch {
-	case errors.As(err, &crash):
-		return s.interrupted(request, wire.InterruptReason_INTERRUPT_TARGET_CRASHED, err, crash.crashes)
-	case errors.Is(err, errMoving):
-		return s.interrupted(request, wire.InterruptReason_INTERRUPT_DRAINING, err, 0)
-	case errors.Is(err, errSuperseded), errors.Is(err, context.Canceled):
-		return s.interrupted(request, wire.InterruptReason_INTERRUPT_SUPERSEDED, err, 0)
-	case errors.Is(err, queue.ErrFull):
-		return s.refused(request, wire.RefusalReason_REFUSAL_QUEUE_FULL, err)
-	case errors.Is(err, queue.ErrClosed):
-		return s.refused(request, wire.RefusalReason_REFUSAL_LEAVING, err)
-	case errors.Is(err, loader.ErrUnknownModel):
-		return s.refused(request, wire.RefusalReason_REFUSAL_UNKNOWN_MODEL, err)
-	case errors.Is(err, loader.ErrTargetDown), errors.Is(err, engine.ErrUnreachable):
-		return s.refused(request, wire.RefusalReason_REFUSAL_TARGET_DOWN, err)
-	case errors.Is(err, loader.ErrNotResident), errors.Is(err, engine.ErrNotResident):
-		return s.refused(request, wire.RefusalReason_REFUSAL_NOT_RESIDENT, err)
-	}
-	return s.interrupted(request, wire.InterruptReason_INTERRUPT_TARGET_ERROR, err, 0)
-}
-
-func (s *Sidecar) refused(request *wire.GenerateRequest, reason wire.RefusalReason, err error) *wire.GenerateEvent {
-	s.record(timeline.RequestRefused, request, err.Error())
-	return refusedEvent(request, s.refusal(reason, err.Error()))
-}
-
-func (s *Sidecar) interrupted(request *wire.GenerateRequest, reason wire.InterruptReason, err error, crashes uint32) *wire.GenerateEvent {
-	s.record(timeline.RequestCancelled, request, err.Error())
-	interrupted := &wire.Interrupted{Reason: reason, Detail: err.Error(), CrashCount: crashes}
-	return &wire.GenerateEvent{
-		RequestId: request.GetRequestId(),
-		Kind:      &wire.GenerateEvent_Interrupted{Interrupted: interrupted},
-	}
-}
-
-func (s *Sidecar) refusal(reason wire.RefusalReason, detail string) *wire.Refused {
-	status := &wire.NodeStatus{}
-	s.describe(status)
-	return &wire.Refused{
-		Reason:       reason,
-		RetryAfterMs: uint32(queueRetryAfter.Milliseconds()),
-		Hint:         status.GetHint(),
-		Detail:       detail,
-	}
-}
-
 func tokenEvent(request *wire.GenerateRequest, chunk engine.Chunk) *wire.GenerateEvent {
 	return &wire.GenerateEvent{
 		RequestId: request.GetRequestId(),
@@ -338,13 +260,6 @@
 	}
 }
 
-func refusedEvent(request *wire.GenerateRequest, refused *wire.Refused) *wire.GenerateEvent {
-	return &wire.GenerateEvent{
-		RequestId: request.GetRequestId(),
-		Kind:      &wire.GenerateEvent_Refused{Refused: refused},
-	}
-}
-
 func (s *Sidecar) engineRequest(request *wire.GenerateRequest, lease loader.Lease, prefix []string) engine.Request {
 	prepared := engine.Request{
 		ID:        fmt.Sprintf("%s-%d", request.GetRequestId(), request.GetAttempt()),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/allowance"
 	"gypsumbank/engine"
 	"gypsumbank/handshake"
 	"gypsumbank/idempotency"
+	"gypsumbank/lifecycle"
 	"gypsumbank/loader"
 	"gypsumbank/node"
 	"gypsumbank/placement"
@@ -95,26 +95,19 @@
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	s.node.Ring().Add(timeline.Event{Kind: timeline.ProcessStarted, Target: s.config.Node.Name})
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, serving := errgroup.WithContext(serving)
-	group.Go(func() error { return s.server.Run(serving, listener) })
-	group.Go(func() error { return s.node.Run(serving) })
-	group.Go(func() error { return s.followLists(serving) })
-	group.Go(func() error { return probe.New(s.config.Sidecar.Listen, s.ready).Run(serving) })
+	parts := []lifecycle.Part{
+		func(ctx context.Context) error { return s.server.Run(ctx, listener) },
+		s.node.Run,
+		s.followLists,
+		probe.New(s.config.Sidecar.Listen, s.ready).Run,
+	}
 	if s.loader != nil {
-		group.Go(func() error { return s.loader.Run(serving) })
+		parts = append(parts, s.loader.Run)
 	}
 	if s.registry != nil {
-		group.Go(func() error { return s.registry.Run(serving) })
-	}
-	select {
-	case <-ctx.Done():
-		s.drain()
-		stop()
-	case <-serving.Done():
+		parts = append(parts, s.registry.Run)
 	}
-	return group.Wait()
+	return lifecycle.New(s.drain, parts...).Run(ctx)
 }
 
 func (s *Sidecar) buildModel() {
--- a/standin/ledger/server.go
+++ b/standin/ledger/server.go
@@ -3,19 +3,16 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"sync"
 
 	"github.com/valyala/fasthttp"
 
-	"gypsumbank/standin/fault"
-	"gypsumbank/webserver"
+	"gypsumbank/standin/host"
 )
 
 // Server counts how often each event ran; it does not remove repeats by itself.
 type Server struct {
-	web    *webserver.Server
-	faults *fault.Set
+	*host.Host
 	counts *Counts
 }
 
@@ -49,23 +46,11 @@
 
 // New returns a replica that adds to counts.
 func New(counts *Counts, seed uint64) *Server {
-	s := &Server{faults: fault.New(seed), counts: counts}
-	s.web = webserver.New(&fasthttp.Server{Handler: s.faults.Handle(s.handle)})
+	s := &Server{counts: counts}
+	s.Host = host.New(s.handle, seed)
 	return s
 }
 
-// Start serves on listener and reports the end on the returned channel.
-func (s *Server) Start(listener net.Listener) <-chan error { return s.web.Start(listener) }
-
-// Close stops the replica.
-func (s *Server) Close() {
-	s.faults.Close()
-	s.web.Close()
-}
-
-// Faults returns the faults of the replica.
-func (s *Server) Faults() *fault.Set { return s.faults }
-
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	switch {
 	case string(ctx.Path()) == "/events" && ctx.IsPost():
--- a/standin/table/server.go
+++ b/standin/table/server.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"maps"
-	"net"
 	"net/url"
 	"sort"
 	"strings"
@@ -14,17 +13,13 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
-	"gypsumbank/standin/fault"
+	"gypsumbank/standin/host"
 	client "gypsumbank/table"
-	"gypsumbank/webserver"
 )
 
-const maxBodyBytes = 16 << 20
-
 // Server keeps items and objects in memory and limits reads and writes a second.
 type Server struct {
-	web    *webserver.Server
-	faults *fault.Set
+	*host.Host
 	reads  *rate.Limiter
 	writes *rate.Limiter
 
@@ -46,31 +41,15 @@
 // New returns a service that allows the given reads and writes a second.
 func New(readsPerSecond, writesPerSecond int, seed uint64) *Server {
 	s := &Server{
-		faults:  fault.New(seed),
 		reads:   rate.NewLimiter(rate.Limit(readsPerSecond), readsPerSecond),
 		writes:  rate.NewLimiter(rate.Limit(writesPerSecond), writesPerSecond),
 		items:   map[string]entry{},
 		objects: map[string][]byte{},
 	}
-	s.web = webserver.New(&fasthttp.Server{
-		Handler:            s.faults.Handle(s.handle),
-		MaxRequestBodySize: maxBodyBytes,
-	})
+	s.Host = host.New(s.handle, seed)
 	return s
 }
 
-// Start serves on listener and reports the end on the returned channel.
-func (s *Server) Start(listener net.Listener) <-chan error { return s.web.Start(listener) }
-
-// Close stops the service.
-func (s *Server) Close() {
-	s.faults.Close()
-	s.web.Close()
-}
-
-// Faults returns the faults of the service.
-func (s *Server) Faults() *fault.Set { return s.faults }
-
 // Counts returns the reads and writes that the service has answered.
 func (s *Server) Counts() (reads, writes uint64) { return s.readCount.Load(), s.writeCount.Load() }
 
--- a/standin/vms/server.go
+++ b/standin/vms/server.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"sort"
 	"sync"
 	"time"
@@ -11,16 +10,14 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"gypsumbank/standin/fault"
+	"gypsumbank/standin/host"
 	"gypsumbank/vmlist"
-	"gypsumbank/webserver"
 )
 
 // Server publishes each change of the list after a lag.
 type Server struct {
-	web    *webserver.Server
-	faults *fault.Set
-	lag    time.Duration
+	*host.Host
+	lag time.Duration
 
 	mu      sync.Mutex
 	current map[string]vmlist.VM
@@ -34,23 +31,11 @@
 
 // New returns an empty list whose changes show after lag.
 func New(lag time.Duration, seed uint64) *Server {
-	s := &Server{lag: lag, faults: fault.New(seed), current: map[string]vmlist.VM{}}
-	s.web = webserver.New(&fasthttp.Server{Handler: s.faults.Handle(s.handle)})
+	s := &Server{lag: lag, current: map[string]vmlist.VM{}}
+	s.Host = host.New(s.handle, seed)
 	return s
 }
 
-// Start serves on listener and reports the end on the returned channel.
-func (s *Server) Start(listener net.Listener) <-chan error { return s.web.Start(listener) }
-
-// Close stops the service.
-func (s *Server) Close() {
-	s.faults.Close()
-	s.web.Close()
-}
-
-// Faults returns the faults of the service.
-func (s *Server) Faults() *fault.Set { return s.faults }
-
 // Put adds or replaces a VM.
 func (s *Server) Put(vms ...vmlist.VM) {
 	s.mu.Lock()
--- a/standin/weights/server.go
+++ b/standin/weights/server.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
-	"gypsumbank/standin/fault"
-	"gypsumbank/webserver"
+	"gypsumbank/standin/host"
 )
 
 // Limits describe what the store allows.
@@ -24,8 +22,7 @@
 
 // Server delivers weights; loads beyond the limits take proportionally longer.
 type Server struct {
-	web    *webserver.Server
-	faults *fault.Set
+	*host.Host
 	limits Limits
 	starts *rate.Limiter
 
@@ -39,25 +36,12 @@
 func New(limits Limits, seed uint64) *Server {
 	s := &Server{
 		limits: limits,
-		faults: fault.New(seed),
 		starts: rate.NewLimiter(rate.Limit(limits.LoadsPerSecond), limits.FullSpeedLoads),
 	}
-	s.web = webserver.New(&fasthttp.Server{Handler: s.faults.Handle(s.handle)})
+	s.Host = host.New(s.handle, seed)
 	return s
 }
 
-// Start serves on listener and reports the end on the returned channel.
-func (s *Server) Start(listener net.Listener) <-chan error { return s.web.Start(listener) }
-
-// Close stops the store.
-func (s *Server) Close() {
-	s.faults.Close()
-	s.web.Close()
-}
-
-// Faults returns the faults of the store.
-func (s *Server) Faults() *fault.Set { return s.faults }
-
 // ModelLoads returns how many models have been delivered.
 func (s *Server) ModelLoads() int {
 	s.mu.Lock()
@@ -91,8 +75,8 @@
 	*inFlight++
 	factor := max(1, float64(*inFlight)/float64(max(1, limit)))
 	s.mu.Unlock()
-	factor *= max(1, s.faults.Get().Slowdown)
-	s.faults.Wait(time.Duration(float64(full) * factor))
+	factor *= max(1, s.Faults().Get().Slowdown)
+	s.Faults().Wait(time.Duration(float64(full) * factor))
 	s.mu.Lock()
 	*inFlight--
 	s.mu.Unlock()
