Bound what a node tells of others' use and what a choice of target costs

Cause: an entry's bytes went on growing from 16 targets (3994 B/s) to 32 (5507 B/s) though exchanges and hints are bounded in number: nodes without use counted as no row, so every message named all of them. And a choice of target sorted the roster and the paces of all targets each time, and a question for a spare target did so once for each target. Change: nodes without use are left out; the roster is kept sorted; the usual pace is computed ten times a second at most.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 	go test -run '^$$' -bench . -benchmem ./...
 
 capacity: ## measure the slopes of docs/CAPACITY.md
-	go test -run '^$$' -bench Capacity -benchtime 1x . ./snapshot
+	go test -run '^$$' -bench Capacity -benchtime 1x .
+	go test -run '^$$' -bench Capacity ./snapshot ./router
 
 soak: ## draw pairs of faults for long; GYPSUMBANK_SEED and GYPSUMBANK_ROUNDS set what and how long
 	GYPSUMBANK_ROUNDS=$${GYPSUMBANK_ROUNDS:-200} go test -run TestTwoFaultsAtOnce -timeout 3h -v .
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -72,14 +72,15 @@
 	rows := len(m.known[own])
 	for range m.order {
 		key := m.order[m.next%len(m.order)]
+		m.next++
+		if key == own || len(m.known[key]) == 0 {
+			continue
+		}
 		rows += len(m.known[key])
 		if rows > limit {
 			break
 		}
-		m.next++
-		if key != own {
-			usage = append(usage, m.message(key))
-		}
+		usage = append(usage, m.message(key))
 	}
 	return usage
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,7 +1,9 @@
 package roster
 
 import (
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +17,7 @@
 type Roster struct {
 	mu      sync.RWMutex
 	vms     map[string]vmlist.VM
+	sorted  []vmlist.VM          // by name
 	leaving map[string]time.Time // until when a node's own word that it is leaving counts
 }
 
@@ -40,6 +43,7 @@
 		}
 	}
 	r.vms = next
+	r.sorted = slices.SortedFunc(maps.Values(next), func(a, b vmlist.VM) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // MarkLeaving records what a node has said itself: that it is leaving, which counts for a time unless it is said again, or
@@ -85,12 +89,12 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var vms []vmlist.VM
-	for name, vm := range r.vms {
-		vm.Leaving = vm.Leaving || time.Now().Before(r.leaving[name])
+	now := time.Now()
+	for _, vm := range r.sorted {
+		vm.Leaving = vm.Leaving || now.Before(r.leaving[vm.Name])
 		if keep(vm) {
 			vms = append(vms, vm)
 		}
 	}
-	sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
 	return vms
 }
--- a/router/cost.go
+++ b/router/cost.go
@@ -22,15 +22,28 @@
 	if !ok || !r.config.AvoidSlow {
 		return 1
 	}
-	var known []float64
+	return max(1, own/r.usualPace(own))
+}
+
+// usualPace returns the median time between tokens over the targets, not older than paceRefresh; own is that of a target
+// which has one.
+func (r *Router) usualPace(own float64) float64 {
+	now := r.now()
+	if now.Sub(r.usualAt) < paceRefresh {
+		return r.usual
+	}
+	known := []float64{}
 	for _, other := range r.targets {
-		if gap, ok := other.pace.latest(r.now()); ok {
+		if gap, ok := other.pace.latest(now); ok {
 			known = append(known, gap)
 		}
 	}
+	if len(known) == 0 {
+		return own
+	}
 	sort.Float64s(known)
-	usual := known[(len(known)-1)/2]
-	return max(1, own/usual)
+	r.usual, r.usualAt = known[(len(known)-1)/2], now
+	return r.usual
 }
 
 func (r *Router) remember(request Request, name string) {
--- a/router/pace.go
+++ b/router/pace.go
@@ -8,6 +8,7 @@
 const (
 	paceHalfLife = 400 * time.Millisecond // time after which an earlier measurement counts half
 	paceMemory   = 8 * time.Second        // age from which a measurement no longer counts
+	paceRefresh  = 100 * time.Millisecond // age from which the usual pace is computed again
 	paceMinimum  = 8                      // tokens before a measurement counts
 )
 
--- a/router/router.go
+++ b/router/router.go
@@ -74,6 +74,8 @@
 	placed  *placement.Map
 	key     placementKey
 	turn    int
+	usual   float64 // median time between tokens over the targets, in seconds
+	usualAt time.Time
 	prefix  map[uint64]string // target that last got a prompt with this start
 }
 
@@ -263,12 +265,13 @@
 }
 
 func (r *Router) usable(tried map[string]bool) []vmlist.VM {
-	var vms []vmlist.VM
-	for _, vm := range r.roster.Models() {
-		r.mu.Lock()
-		skip := vm.Leaving || tried[vm.Name] || r.get(vm.Name).unusable(r.now())
-		r.mu.Unlock()
-		if !skip {
+	listed := r.roster.Models()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	vms := listed[:0]
+	for _, vm := range listed {
+		if !vm.Leaving && !tried[vm.Name] && !r.get(vm.Name).unusable(now) {
 			vms = append(vms, vm)
 		}
 	}
