--- a/sidecar/generate.go
+++ b/sidecar/generate.go
@@ -123,7 +123,7 @@
 			}
 		case <-ticker.C:
 			if quiet {
-				if err := stream.Send(&wire.GenerateEvent{RequestId: request.GetRequestId(), Kind: &wire.GenerateEvent_Heartbeat{Heartbeat: &wire.Heartbeat{}}}); err != nil {
+				if err := stream.Send(heartbeatEvent(request)); err != nil {
 					return err
 				}
 			}
@@ -253,6 +253,13 @@
 	slot.Charge(1)
 }
 
+func heartbeatEvent(request *wire.GenerateRequest) *wire.GenerateEvent {
+	return &wire.GenerateEvent{
+		RequestId: request.GetRequestId(),
+		Kind:      &wire.GenerateEvent_Heartbeat{Heartbeat: &wire.Heartbeat{}},
+	}
+}
+
 func tokenEvent(request *wire.GenerateRequest, chunk engine.Chunk) *wire.GenerateEvent {
 	return &wire.GenerateEvent{
 		RequestId: request.GetRequestId(),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -34,7 +34,7 @@
 	handoverMax     = 30 * time.Second
 )
 
-// Sidecar is the sole gate to one target.
+// Sidecar serves all requests to one target.
 type Sidecar struct {
 	config   *settings.Config
 	node     *node.Node
