Carry the clock of events on answers

Cause: a sidecar's clock reached an entry only by exchanges, so with skewed clocks the end of a run could sort after the entry's own end of the request.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -33,6 +33,7 @@
 			return broken{err: causeOr(ctx, err)}
 		}
 		watchdog.Reset(e.config.Entry.SilenceTimeout)
+		e.node.Ring().Observe(event.GetClock())
 		if event.GetRequestId() != job.caller.requestID {
 			return broken{err: errForeign}
 		}
--- a/entry/call.go
+++ b/entry/call.go
@@ -191,7 +191,9 @@
 		return nil, err
 	}
 	defer conn.Close()
-	return wire.NewDRPCSidecarClient(conn).Call(ctx, c.message)
+	reply, err := wire.NewDRPCSidecarClient(conn).Call(ctx, c.message)
+	e.node.Ring().Observe(reply.GetClock())
+	return reply, err
 }
 
 // connect opens a new connection for a call that may be sent only once, since an idle one may have been closed.
--- a/idempotency/registry_test.go
+++ b/idempotency/registry_test.go
@@ -62,7 +62,7 @@
 	logger.SetOutput(io.Discard)
 	f.next++
 	config := settings.Sidecar{Service: "ledger", KeyRetention: time.Hour, OpaqueRetryWindow: 15 * time.Minute}
-	r := New(table.New(f.address, tableTimeout), config, name, f.next, f.vms, timeline.New(16), logrus.NewEntry(logger))
+	r := New(table.New(f.address, tableTimeout), config, name, f.next, f.vms, timeline.New(16, time.Now), logrus.NewEntry(logger))
 	r.now = func() time.Time { return f.now }
 	f.alive[name] = &replica{registry: r, held: map[string]Run{}}
 	f.listed[name] = true
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -75,7 +75,7 @@
 			return p.heldAbove(ctx, name, model, version)
 		},
 	}
-	l := loader.New(config, inputs, client.New(listener.Addr().String()), timeline.New(0), logrus.NewEntry(logger))
+	l := loader.New(config, inputs, client.New(listener.Addr().String()), timeline.New(0, time.Now), logrus.NewEntry(logger))
 	p.loaders[name], p.engines[name] = l, server
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/node/node.go
+++ b/node/node.go
@@ -78,7 +78,7 @@
 		roster:   roster.New(),
 		meter:    meter.New(config.Node.Name, incarnation),
 		suspects: suspect.New(time.Now),
-		ring:     timeline.New(0),
+		ring:     timeline.New(0, time.Now),
 		log:      log,
 		changed:  make(chan struct{}),
 		adopted:  make(chan struct{}, 1),
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -16,18 +16,24 @@
 // Call runs one call of the plain service, or answers from the run that the same key had before.
 func (s *Sidecar) Call(ctx context.Context, request *wire.CallRequest) (*wire.CallReply, error) {
 	s.node.Ring().Observe(request.GetClock())
+	reply := s.call(ctx, request)
+	reply.Clock = s.node.Ring().Clock()
+	return reply, nil
+}
+
+func (s *Sidecar) call(ctx context.Context, request *wire.CallRequest) *wire.CallReply {
 	if s.registry == nil || request.GetService() != s.config.Sidecar.Service {
-		return s.callRefused(wire.RefusalReason_REFUSAL_UNKNOWN_MODEL, "target is not a replica of the service"), nil
+		return s.callRefused(wire.RefusalReason_REFUSAL_UNKNOWN_MODEL, "target is not a replica of the service")
 	}
 	if s.leaving.Load() {
-		return s.callRefused(wire.RefusalReason_REFUSAL_LEAVING, errLeaving.Error()), nil
+		return s.callRefused(wire.RefusalReason_REFUSAL_LEAVING, errLeaving.Error())
 	}
 	if request.GetIdempotencyKey() == "" {
 		answer, err := s.callTarget(ctx, request)
-		return s.reply(answer, err), nil
+		return s.reply(answer, err)
 	}
 	key := idempotency.NewKey(request.GetCustomer(), request.GetIdempotencyKey())
-	return s.decide(ctx, request, s.registry.Begin(ctx, key, digest(request))), nil
+	return s.decide(ctx, request, s.registry.Begin(ctx, key, digest(request)))
 }
 
 func (s *Sidecar) decide(ctx context.Context, request *wire.CallRequest, decision idempotency.Decision) *wire.CallReply {
--- a/sidecar/generate.go
+++ b/sidecar/generate.go
@@ -118,6 +118,9 @@
 				return nil
 			}
 			quiet = false
+			if event.GetToken() == nil {
+				event.Clock = s.node.Ring().Clock()
+			}
 			if err := stream.Send(event); err != nil {
 				return err
 			}
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -69,12 +69,12 @@
 	now      func() time.Time
 }
 
-// New returns a ring for the given number of events, or a default if length is zero.
-func New(length int) *Ring {
+// New returns a ring for the given number of events, or a default if length is zero, that reads the time from now.
+func New(length int, now func() time.Time) *Ring {
 	if length <= 0 {
 		length = defaultRingLength
 	}
-	return &Ring{events: make([]*wire.Event, length), capacity: uint64(length), now: time.Now}
+	return &Ring{events: make([]*wire.Event, length), capacity: uint64(length), now: now}
 }
 
 // Add records an event and returns its clock.
