--- a/settings/config.go
+++ b/settings/config.go
@@ -178,7 +178,7 @@
 		KVReserveBytes:    uint64(file.Int("sidecar", "kv-reserve-mib", 0, 0, 16<<20)) * mib,
 		Slots:             int(file.Int("sidecar", "slots", 16, 1, 4096)),
 		QueueLimit:        int(file.Int("sidecar", "queue-limit", 256, 1, 1e6)),
-		MaxQueueTime:      file.Duration("sidecar", "max-queue-time", time.Second, 0, time.Hour),
+		MaxQueueTime:      file.Duration("sidecar", "max-queue-time", 2*time.Second, 0, time.Hour),
 		QueuePolicy:       file.Choice("sidecar", "queue-policy", "attained", "attained", "first-come"),
 		Residency:         file.Choice("sidecar", "residency", "placed", "placed", "on-demand"),
 		MinimumStay:       file.Duration("sidecar", "minimum-stay", 10*time.Second, 0, time.Hour),
