Try the owner of a key again after it was away

A call that met its owner in the second of its restart marked it as tried; the other replica then went on naming the owner, which was never asked again, until the ten seconds of search were over. Ruled out: ownership itself, which was back within a second, and the table. Change: a replica that names an owner clears its mark, with a pause if it had one.

--- a/deployment/answers_test.go
+++ b/deployment/answers_test.go
@@ -245,3 +245,31 @@
 		}
 	}
 }
+
+// TestCallsWaitForTheRestartOfTheirOwner sends calls while the owner of their keys is away for a moment.
+func TestCallsWaitForTheRestartOfTheirOwner(t *testing.T) {
+	size := deployment.Small()
+	size.ModelReplicas, size.Models, size.Adapters = 1, 1, 1
+	d := start(t, size)
+	time.Sleep(5 * time.Second)
+	ledger := size.ModelReplicas
+	if err := d.Sidecars()[ledger].Stop(); err != nil {
+		t.Fatal(err)
+	}
+	var callers sync.WaitGroup
+	for i := range 12 {
+		callers.Go(func() {
+			id := fmt.Sprintf("waits-%d", i)
+			headers := map[string]string{"Idempotency-Key": id}
+			response, text := post(t, d, i%2, "/services/ledger/events", fmt.Sprintf(`{"id":%q}`, id), headers)
+			if response.StatusCode != http.StatusCreated || d.Counts().Runs(id) != 1 {
+				t.Errorf("%s: status %d, ran %d times: %s", id, response.StatusCode, d.Counts().Runs(id), text)
+			}
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if err := d.Restart(ledger); err != nil {
+		t.Fatal(err)
+	}
+	callers.Wait()
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -140,10 +140,12 @@
 		tried[vm.Name] = true
 		e.forgetOwner(c)
 	case wire.RefusalReason_REFUSAL_NOT_HOME:
-		e.setOwner(c, reply.GetOwner())
-		if reply.GetOwner() == "" || reply.GetOwner() == vm.Name {
+		owner := reply.GetOwner()
+		e.setOwner(c, owner)
+		if owner == "" || owner == vm.Name || tried[owner] {
 			pause(ctx, callPause)
 		}
+		delete(tried, owner)
 	case wire.RefusalReason_REFUSAL_BUSY:
 		pause(ctx, callPause)
 	default:
