Use the field's terms for heartbeats, tombstones and scaling out

Cause: read as a newcomer would, beat, doubt, shadow, want, kept and spread needed explaining. Change: names and comments only. Conclusion: reads with the field's terms.

--- a/entry/generate.go
+++ b/entry/generate.go
@@ -109,7 +109,7 @@
 		return false, nil
 	}
 	if e.router.Slowness(choice.VM.Name) > router.SlowFrom {
-		e.spread(ctx, job)
+		e.scaleOut(ctx, job)
 	}
 	before := len(job.prefix)
 	end := e.attempt(ctx, job, choice)
@@ -133,7 +133,7 @@
 		e.record(job.event(timeline.RequestFinished, choice.VM.Name, job.reason))
 		return true, nil
 	case refused:
-		e.spread(ctx, job)
+		e.scaleOut(ctx, job)
 		s.full = s.full || end.refusal.GetReason() == wire.RefusalReason_REFUSAL_QUEUE_FULL
 		failed = e.afterRefusal(job, choice, end.refusal)
 	case interrupted:
@@ -161,7 +161,7 @@
 	return nil
 }
 
-// afterInterruption spreads the word of a crash before anything is answered, so that a resubmission meets it.
+// afterInterruption reports a crash to the other entries before anything is answered, so that a resubmission is recognized.
 func (e *Entry) afterInterruption(ctx context.Context, job *job, choice router.Choice, cause *wire.Interrupted) *problem {
 	job.sent = true
 	e.record(job.event(timeline.RequestRetried, choice.VM.Name, cause.GetDetail()))
--- a/entry/spread.go
+++ b/entry/scale_out.go
@@ -10,19 +10,19 @@
 )
 
 const (
-	spreadInterval = 5 * time.Second // time between two further copies of one model
-	prepareTimeout = 30 * time.Second
+	scaleOutInterval = 5 * time.Second // time between two further copies of one model
+	prepareTimeout   = 30 * time.Second
 )
 
-// spread asks for a further copy of a job's model if all targets that hold it are slow or have more work than slots.
-func (e *Entry) spread(ctx context.Context, job *job) {
+// scaleOut asks for a further copy of a job's model if all targets that hold it are slow or have more work than slots.
+func (e *Entry) scaleOut(ctx context.Context, job *job) {
 	e.mu.Lock()
-	recent := time.Since(e.copied[job.model]) < spreadInterval
+	recent := time.Since(e.copied[job.model]) < scaleOutInterval
 	e.mu.Unlock()
 	if recent {
 		return
 	}
-	vm, ok := e.router.Spare(job.model)
+	vm, ok := e.router.ScaleOutTarget(job.model)
 	if !ok {
 		return
 	}
--- a/idempotency/control.go
+++ b/idempotency/control.go
@@ -22,14 +22,14 @@
 
 // control is the state of the control loop; only that loop uses it.
 type control struct {
-	beatVersion uint64
-	lastBeat    time.Time
-	beatKnown   bool // the predecessor's beat has been read
-	beatDoubt   bool // a write failed, so a read must succeed before the next
-	predecessor *beat
-	lastExpire  time.Time
-	firstSeen   map[string]time.Time
-	missing     map[string]time.Time
+	heartbeatVersion   uint64
+	lastHeartbeat      time.Time
+	heartbeatKnown     bool // the predecessor's heartbeat has been read
+	heartbeatUncertain bool // a write failed, so a read must succeed before the next
+	predecessor        *heartbeat
+	lastExpire         time.Time
+	firstSeen          map[string]time.Time
+	missing            map[string]time.Time
 }
 
 func newControl() control {
@@ -47,7 +47,7 @@
 	UncleanMS   int64  `json:"unclean-ms,omitempty"` // time of the last takeover that may have lost records
 }
 
-type beat struct {
+type heartbeat struct {
 	Incarnation uint64 `json:"incarnation"`
 	AtMS        int64  `json:"at-ms"`
 }
@@ -134,42 +134,42 @@
 	}
 }
 
-// renew writes the beat from which a later owner tells until when calls ran only with claims.
+// renew writes the heartbeat from which a later owner tells until when calls ran only with claims.
 func (r *Registry) renew(ctx context.Context) {
-	if r.now().Sub(r.control.lastBeat) < renewInterval {
+	if r.now().Sub(r.control.lastHeartbeat) < renewInterval {
 		return
 	}
-	if (!r.control.beatKnown || r.control.beatDoubt) && !r.readBeat(ctx) {
+	if (!r.control.heartbeatKnown || r.control.heartbeatUncertain) && !r.readHeartbeat(ctx) {
 		return
 	}
 	sent := r.now()
 	r.mu.Lock()
 	r.renewed = sent
 	r.mu.Unlock()
-	value, _ := json.Marshal(beat{Incarnation: r.incarnation, AtMS: sent.UnixMilli()})
-	put := table.Put{Key: r.beatKey(r.target), Value: value, IfVersion: r.control.beatVersion}
+	value, _ := json.Marshal(heartbeat{Incarnation: r.incarnation, AtMS: sent.UnixMilli()})
+	put := table.Put{Key: r.heartbeatKey(r.target), Value: value, IfVersion: r.control.heartbeatVersion}
 	if err := r.table.Write(ctx, table.Transaction{Puts: []table.Put{put}}); err != nil {
-		r.control.beatDoubt = true
+		r.control.heartbeatUncertain = true
 		return
 	}
-	r.control.beatDoubt = !r.readBeat(ctx)
-	r.control.lastBeat = sent
+	r.control.heartbeatUncertain = !r.readHeartbeat(ctx)
+	r.control.lastHeartbeat = sent
 }
 
-func (r *Registry) readBeat(ctx context.Context) bool {
-	item, err := r.table.Get(ctx, r.beatKey(r.target))
+func (r *Registry) readHeartbeat(ctx context.Context) bool {
+	item, err := r.table.Get(ctx, r.heartbeatKey(r.target))
 	if err != nil && !errors.Is(err, table.ErrNotFound) {
 		return false
 	}
-	r.control.beatVersion = item.Version
-	if !r.control.beatKnown && err == nil {
-		var last beat
+	r.control.heartbeatVersion = item.Version
+	if !r.control.heartbeatKnown && err == nil {
+		var last heartbeat
 		if err := json.Unmarshal(item.Value, &last); err != nil {
-			r.log.WithError(err).Error("beat cannot be read")
+			r.log.WithError(err).Error("heartbeat cannot be read")
 		}
 		r.control.predecessor = &last
 	}
-	r.control.beatKnown = true
+	r.control.heartbeatKnown = true
 	return true
 }
 
--- a/idempotency/registry.go
+++ b/idempotency/registry.go
@@ -42,7 +42,7 @@
 	owners   [Slots]string
 	records  map[string]*record
 	pending  map[string]*record
-	renewed  time.Time // when the latest beat that may stand in the table was sent
+	renewed  time.Time // when the latest heartbeat that may stand in the table was sent
 	attempts uint64
 	draining bool
 
--- a/idempotency/registry_test.go
+++ b/idempotency/registry_test.go
@@ -221,7 +221,7 @@
 	f.outage(fault.Faults{Refuse: true})
 	f.tick(1)
 	if decision, ok := f.begin("a", "early").(NotReady); !ok {
-		t.Errorf("a call without a claim, before a later owner could tell from the beat: %#v", decision)
+		t.Errorf("a call without a claim, before a later owner could tell from the heartbeat: %#v", decision)
 	}
 	f.tick(int(tablelessAfter/tickInterval) + 2)
 	if _, ok := f.begin("a", "sale").(Run); !ok {
--- a/idempotency/slots.go
+++ b/idempotency/slots.go
@@ -19,7 +19,7 @@
 		return
 	}
 	next := current
-	if !r.control.beatKnown {
+	if !r.control.heartbeatKnown {
 		return
 	}
 	taken := r.takeFree(ctx, &next)
@@ -74,7 +74,7 @@
 	now := r.now()
 	last := r.control.predecessor
 	if target != r.target {
-		last = r.beatOf(ctx, target)
+		last = r.heartbeatOf(ctx, target)
 	}
 	if last == nil || now.Sub(time.UnixMilli(last.AtMS)) >= tablelessAfter-clockSkew {
 		return now.UnixMilli()
@@ -82,12 +82,12 @@
 	return before
 }
 
-func (r *Registry) beatOf(ctx context.Context, target string) *beat {
-	item, err := r.table.Get(ctx, r.beatKey(target))
+func (r *Registry) heartbeatOf(ctx context.Context, target string) *heartbeat {
+	item, err := r.table.Get(ctx, r.heartbeatKey(target))
 	if err != nil {
 		return nil
 	}
-	var last beat
+	var last heartbeat
 	if err := json.Unmarshal(item.Value, &last); err != nil {
 		return nil
 	}
@@ -290,6 +290,6 @@
 
 func (r *Registry) slotsKey() string { return "slots/" + r.config.Service }
 
-func (r *Registry) beatKey(target string) string {
+func (r *Registry) heartbeatKey(target string) string {
 	return fmt.Sprintf("owners/%s/%s", r.config.Service, target)
 }
--- a/loader/command.go
+++ b/loader/command.go
@@ -10,7 +10,7 @@
 	"gypsumbank/timeline"
 )
 
-// command is a message to the goroutine of Run: *want, released, holdsQuestion, orderEnded or dropDecided.
+// command is a message to the goroutine of Run: *leaseRequest, released, holdsQuestion, orderEnded or dropDecided.
 type command interface{ command() }
 
 type released struct{ lease Lease }
@@ -33,7 +33,7 @@
 	detail  string
 }
 
-func (*want) command()         {}
+func (*leaseRequest) command() {}
 func (released) command()      {}
 func (holdsQuestion) command() {}
 func (orderEnded) command()    {}
@@ -42,7 +42,7 @@
 func (l *Loader) handle(ctx context.Context, c command) {
 	now := time.Now()
 	switch c := c.(type) {
-	case *want:
+	case *leaseRequest:
 		l.waiting = append(l.waiting, c)
 	case released:
 		l.memory.Done(c.lease.Model, now)
@@ -73,7 +73,7 @@
 	case errors.Is(c.err, engine.ErrFenced), errors.Is(c.err, engine.ErrNoMemory):
 		l.refused(c, now)
 	default:
-		l.memory.Doubt(c.key, now)
+		l.memory.MarkUnknown(c.key, now)
 		l.event(timeline.OrderLost, c.key, c.err.Error())
 	}
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -65,12 +65,12 @@
 	memory      *residency.Map
 	incarnation uint64
 	fence       fence.Number
-	waiting     []*want
+	waiting     []*leaseRequest
 	modelOrder  bool
 	adapters    int
 	stopped     error
 	loaded      map[residency.Key]time.Time // when a copy was last loaded
-	kept        map[residency.Key]time.Time // when a copy was last found to be the only one
+	lastCopies  map[residency.Key]time.Time // when a copy was last found to be the only one
 	placed      *placement.Map
 	placedFor   placementKey
 }
@@ -90,7 +90,7 @@
 	targets string
 }
 
-type want struct {
+type leaseRequest struct {
 	ctx     context.Context
 	model   string
 	adapter string
@@ -112,16 +112,16 @@
 // New returns a loader that sends orders to client once Run is called.
 func New(config settings.Sidecar, inputs Inputs, client *engine.Client, ring *timeline.Ring, log *logrus.Entry) *Loader {
 	l := &Loader{
-		config:   config,
-		inputs:   inputs,
-		engine:   client,
-		ring:     ring,
-		log:      log,
-		commands: make(chan command, commandBuffer),
-		ended:    make(chan struct{}),
-		kept:     map[residency.Key]time.Time{},
-		loaded:   map[residency.Key]time.Time{},
-		memory:   residency.New(config.MemoryBytes-config.KVReserveBytes, config.ChecksFence, config.OrderLifetime),
+		config:     config,
+		inputs:     inputs,
+		engine:     client,
+		ring:       ring,
+		log:        log,
+		commands:   make(chan command, commandBuffer),
+		ended:      make(chan struct{}),
+		lastCopies: map[residency.Key]time.Time{},
+		loaded:     map[residency.Key]time.Time{},
+		memory:     residency.New(config.MemoryBytes-config.KVReserveBytes, config.ChecksFence, config.OrderLifetime),
 	}
 	l.view.Store(&View{Size: l.memory.Size()})
 	return l
@@ -133,7 +133,7 @@
 // Acquire returns a lease on a model and adapter, waiting for loads if mayLoad is set or one is under way; the error
 // is one of this package's or that of ctx.
 func (l *Loader) Acquire(ctx context.Context, model, adapter string, mayLoad bool) (Lease, error) {
-	w := &want{ctx: ctx, model: model, adapter: adapter, mayLoad: mayLoad, granted: make(chan grant, 1)}
+	w := &leaseRequest{ctx: ctx, model: model, adapter: adapter, mayLoad: mayLoad, granted: make(chan grant, 1)}
 	if err := l.send(ctx, w); err != nil {
 		return Lease{}, err
 	}
@@ -211,7 +211,7 @@
 }
 
 // abandon releases a lease that was granted after its caller had gone.
-func (l *Loader) abandon(w *want) {
+func (l *Loader) abandon(w *leaseRequest) {
 	select {
 	case granted := <-w.granted:
 		if granted.err == nil {
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -29,8 +29,8 @@
 	l.waiting = kept
 }
 
-// serve answers a want and reports whether it is done with.
-func (l *Loader) serve(ctx context.Context, list *allowance.List, w *want) bool {
+// serve answers a request and reports whether it is done with.
+func (l *Loader) serve(ctx context.Context, list *allowance.List, w *leaseRequest) bool {
 	if w.ctx.Err() != nil {
 		w.granted <- grant{err: w.ctx.Err()}
 		return true
@@ -194,7 +194,7 @@
 	l.modelOrder = false
 	if !decided.allowed {
 		l.memory.Keep(decided.key)
-		l.kept[decided.key] = time.Now()
+		l.lastCopies[decided.key] = time.Now()
 		return
 	}
 	l.sendUnload(ctx, decided.key)
@@ -205,7 +205,7 @@
 func (l *Loader) victim(list *allowance.List, wanted residency.Key) (residency.Key, bool) {
 	best, bestRank := residency.Key{}, 0
 	for _, key := range l.memory.Idle() {
-		if key == wanted || time.Since(l.kept[key]) < keepInterval || l.isWanted(key) {
+		if key == wanted || time.Since(l.lastCopies[key]) < keepInterval || l.isWanted(key) {
 			continue
 		}
 		if l.listed(list, key) && time.Since(l.loaded[key]) < l.config.MinimumStay {
--- a/loader/poll.go
+++ b/loader/poll.go
@@ -107,7 +107,7 @@
 	if l.incarnation == 0 {
 		return
 	}
-	if l.config.ChecksFence && l.memory.Doubtful() && !l.modelOrder && l.adapters == 0 {
+	if l.config.ChecksFence && l.memory.HasUnknown() && !l.modelOrder && l.adapters == 0 {
 		l.fence = l.fence.Next()
 		l.nextFence.Store(uint64(l.fence))
 		return
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -38,7 +38,7 @@
 	recheckTime  = 15 * time.Second
 	forceTime    = 15 * time.Second
 	editIDLength = 12
-	// offersPerZone bounds the nodes in a zone that one round offers a snapshot to; the others hear of it from them.
+	// offersPerZone bounds the nodes in a zone that one round offers a snapshot to; the others receive it from them.
 	offersPerZone = 8
 	parallelCalls = 64
 )
@@ -249,7 +249,7 @@
 	}
 	deadline := time.Now().Add(forceTime)
 	for {
-		o.spread(ctx, next, applied)
+		o.distribute(ctx, next, applied)
 		if len(applied.Missing) == 0 {
 			return applied, nil
 		}
@@ -260,8 +260,8 @@
 	}
 }
 
-// spread offers the snapshot to a few nodes that lack it in each availability zone and notes who has it.
-func (o *Operator) spread(ctx context.Context, next *wire.Snapshot, applied *Applied) {
+// distribute offers the snapshot to a few nodes that lack it in each availability zone and notes who has it.
+func (o *Operator) distribute(ctx context.Context, next *wire.Snapshot, applied *Applied) {
 	applied.InForce = map[string][]string{}
 	applied.Missing = map[string][]string{}
 	vms, err := o.VMs(ctx)
--- a/residency/map.go
+++ b/residency/map.go
@@ -34,8 +34,8 @@
 	loading   state = iota // load sent, no answer yet
 	resident               // load confirmed
 	unloading              // unload sent, no answer yet
-	doubtful               // an order's fate is not known
-	shadow                 // unloaded, but a repeated load may still arrive
+	unknown                // an order's fate is not known
+	tombstone              // unloaded, but a repeated load may still arrive
 )
 
 type item struct {
@@ -78,7 +78,7 @@
 		key := Key{Kind: found.Kind, Name: found.Name, Version: found.Version}
 		adopted := &item{state: resident, bytes: found.Bytes, lastUsed: now, changed: now, until: now.Add(m.orderLifetime)}
 		if found.Loading {
-			adopted.state = doubtful
+			adopted.state = unknown
 		}
 		if known, ok := previous[key]; ok {
 			adopted.users = known.users
@@ -89,7 +89,7 @@
 }
 
 // Reconcile compares the map with the engine's state as asked for at the time asked: it counts items that it did not
-// know, settles doubtful ones and returns the keys that the engine has lost.
+// know, settles unknown ones and returns the keys that the engine has lost.
 func (m *Map) Reconcile(residents []engine.Resident, asked, now time.Time) []Key {
 	held := map[Key]engine.Resident{}
 	for _, found := range residents {
@@ -119,7 +119,7 @@
 		return ErrQuarantine
 	}
 	if known, ok := m.items[key]; ok {
-		if known.state != shadow {
+		if known.state != tombstone {
 			return ErrBusy
 		}
 		if bytes > known.bytes && m.Committed()-known.bytes+bytes > m.size {
@@ -150,17 +150,17 @@
 // Fenced records that the engine refuses all orders sent so far that it has not taken.
 func (m *Map) Fenced(now time.Time) {
 	for _, it := range m.items {
-		if it.state == doubtful {
+		if it.state == unknown {
 			it.until = now
 			it.changed = now
 		}
 	}
 }
 
-// Doubtful reports whether the fate of any order is not known.
-func (m *Map) Doubtful() bool {
+// HasUnknown reports whether the fate of any order is not known.
+func (m *Map) HasUnknown() bool {
 	for _, it := range m.items {
-		if it.state == doubtful {
+		if it.state == unknown {
 			return true
 		}
 	}
@@ -174,10 +174,10 @@
 	}
 }
 
-// Doubt records that the answer to an order did not come.
-func (m *Map) Doubt(key Key, now time.Time) {
+// MarkUnknown records that the answer to an order did not come.
+func (m *Map) MarkUnknown(key Key, now time.Time) {
 	if it, ok := m.items[key]; ok {
-		it.state = doubtful
+		it.state = unknown
 		it.changed = now
 		it.until = now.Add(m.orderLifetime)
 	}
@@ -235,7 +235,7 @@
 // Pending reports whether an order for the item is on its way or of unknown fate.
 func (m *Map) Pending(key Key) bool {
 	it, ok := m.items[key]
-	return ok && it.state != resident && it.state != shadow
+	return ok && it.state != resident && it.state != tombstone
 }
 
 // Committed returns the bytes that are loaded or may come to be.
@@ -280,7 +280,7 @@
 		return
 	}
 	switch it.state {
-	case doubtful, shadow:
+	case unknown, tombstone:
 		if !found.Loading && (m.checksFence || !asked.Before(it.until)) {
 			it.state = resident
 			it.changed = now
@@ -293,7 +293,7 @@
 	switch it.state {
 	case resident:
 		m.release(key, it, asked)
-	case doubtful, shadow:
+	case unknown, tombstone:
 		if m.certain(it, asked) {
 			delete(m.items, key)
 		}
@@ -306,13 +306,13 @@
 		delete(m.items, key)
 		return
 	}
-	it.state = shadow
+	it.state = tombstone
 	it.changed = now
 }
 
 // certain reports whether no order for the item can take effect any more.
 func (m *Map) certain(it *item, now time.Time) bool {
-	if m.checksFence && it.state != doubtful {
+	if m.checksFence && it.state != unknown {
 		return true
 	}
 	return !now.Before(it.until)
--- a/residency/map_test.go
+++ b/residency/map_test.go
@@ -112,7 +112,7 @@
 	}
 	if lost {
 		o.answer = func(error) {}
-		memory.Doubt(o.key, m.now)
+		memory.MarkUnknown(o.key, m.now)
 	}
 	m.way = append(m.way, o)
 	if twice {
@@ -167,7 +167,7 @@
 			},
 			"wait": func(t *rapid.T) { m.advance(time.Duration(rapid.IntRange(1, 12000).Draw(t, "ms")) * time.Millisecond) },
 			"poll": func(*rapid.T) {
-				if m.target.checks && m.memory.Doubtful() {
+				if m.target.checks && m.memory.HasUnknown() {
 					m.fence = m.fence.Next()
 					m.target.fence = uint64(m.fence)
 					m.memory.Fenced(m.now)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -18,7 +18,7 @@
 	mu      sync.RWMutex
 	vms     map[string]vmlist.VM
 	sorted  []vmlist.VM          // by name
-	leaving map[string]time.Time // until when a node's own word that it is leaving counts
+	leaving map[string]time.Time // when a node's own report that it is leaving expires
 }
 
 // New returns an empty roster.
@@ -46,7 +46,7 @@
 	r.sorted = slices.SortedFunc(maps.Values(next), func(a, b vmlist.VM) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// MarkLeaving records what a node has said itself: that it is leaving, which counts for a time unless it is said again, or
+// MarkLeaving records what a node reports about itself: that it is leaving, which expires unless it is reported again, or
 // that it is not.
 func (r *Roster) MarkLeaving(name string, leaving bool) {
 	r.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -147,9 +147,9 @@
 	return Choice{VM: best, MayLoad: true}, nil
 }
 
-// Spare returns the target that should hold a further copy of a model whose holders are all slow or have more work than
+// ScaleOutTarget returns the target that should hold a further copy of a model whose holders are all slow or have more work than
 // slots.
-func (r *Router) Spare(model string) (vmlist.VM, bool) {
+func (r *Router) ScaleOutTarget(model string) (vmlist.VM, bool) {
 	vms := r.usable(nil)
 	r.mu.Lock()
 	defer r.mu.Unlock()
