--- a/deployment/deployment_test.go
+++ b/deployment/deployment_test.go
@@ -76,3 +76,18 @@
 		t.Errorf("the event ran %d times", runs)
 	}
 }
+
+// TestKeysBelongToACustomer has two customers use the same key; each has its own run and answer.
+func TestKeysBelongToACustomer(t *testing.T) {
+	d := start(t, deployment.Small())
+	for _, member := range d.Size().Members {
+		headers := map[string]string{"Idempotency-Key": "shared", "Authorization": "Bearer " + d.Size().Key(member)}
+		response, text := post(t, d, 0, "/services/ledger/events", `{"id":"of-`+member+`"}`, headers)
+		if response.StatusCode != http.StatusCreated || !strings.Contains(text, member) {
+			t.Errorf("%s: status %d: %s", member, response.StatusCode, text)
+		}
+		if runs := d.Counts().Runs("of-" + member); runs != 1 {
+			t.Errorf("%s: ran %d times", member, runs)
+		}
+	}
+}
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -40,6 +40,7 @@
 	running   []*sequence
 	waiting   []*sequence
 	sequences map[string]*sequence
+	imported  map[string]int // tokens in the KV cache imported for a request that is to come
 }
 
 // Token returns the token at an index of the answer to a request; it depends on nothing else.
@@ -142,6 +143,16 @@
 	}
 }
 
+// export returns the request with all tokens that its KV cache stands for.
+func (s *sequence) export() client.Request {
+	exported := s.request
+	exported.Prefix = nil
+	for i := range s.next {
+		exported.Prefix = append(exported.Prefix, Token(s.request, i))
+	}
+	return exported
+}
+
 func (s *sequence) close() {
 	if !s.closed {
 		s.closed = true
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -157,7 +157,7 @@
 	s.memory = memory{size: s.config.MemoryBytes, residents: map[string]client.Resident{}, violations: violations}
 	s.memory.incarnation = uint64(time.Now().UnixNano())
 	s.batch.abandon()
-	s.batch = batch{slots: max(1, s.config.Slots), sequences: map[string]*sequence{}}
+	s.batch = batch{slots: max(1, s.config.Slots), sequences: map[string]*sequence{}, imported: map[string]int{}}
 	s.cache = newPrefixCache(s.config)
 }
 
@@ -244,8 +244,10 @@
 }
 
 func (s *Server) prefillTime(request client.Request) time.Duration {
-	tokens := promptTokens(request) - s.cache.touch(request)
-	return time.Duration(max(0, tokens)+len(request.Prefix)) * s.config.PrefillPerToken
+	held := max(s.batch.imported[request.ID], s.cache.touch(request))
+	delete(s.batch.imported, request.ID)
+	tokens := promptTokens(request) + len(request.Prefix) - held
+	return time.Duration(max(0, tokens)) * s.config.PrefillPerToken
 }
 
 func (s *Server) stream(w *bufio.Writer, seq *sequence) {
@@ -297,23 +299,28 @@
 	seq, ok := s.batch.sequences[id]
 	switch {
 	case call == "import":
-		var request client.Request
-		if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-			return
-		}
-		s.cache.touch(request)
+		s.importKV(ctx, id)
 	case !ok:
 		ctx.Error("no such request", fasthttp.StatusNotFound)
 	case call == "cancel":
 		s.batch.remove(seq)
 	case call == "export":
-		writeJSON(ctx, seq.request)
+		writeJSON(ctx, seq.export())
 	default:
 		ctx.Error("no such call", fasthttp.StatusNotFound)
 	}
 }
 
+// importKV takes over the KV cache of a request that another engine exported; the request then needs no prefill here.
+func (s *Server) importKV(ctx *fasthttp.RequestCtx, id string) {
+	var request client.Request
+	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.batch.imported[id] = promptTokens(request) + len(request.Prefix)
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
 	body, _ := json.Marshal(value)
 	ctx.SetContentType("application/json")
