Prove that a replaced sidecar stops when it wakes

Cause: no run had a paused sidecar wake after another had taken over its engine. Change: a test over processes. Conclusion: the old one ends with an error and sends no order.

--- a/faults_test.go
+++ b/faults_test.go
@@ -14,6 +14,7 @@
 
 	"gypsumbank/deployment"
 	"gypsumbank/standin/fault"
+	"gypsumbank/vmlist"
 )
 
 const (
@@ -339,3 +340,36 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestReplacedSidecarStopsWhenItWakes freezes a sidecar, has another take over its engine and wakes it.
+func TestReplacedSidecarStopsWhenItWakes(t *testing.T) {
+	size := twoTargets()
+	size.LedgerReplicas = 1
+	c := startCluster(t, size)
+	frozen := c.sidecars["model-00"]
+	frozen.signal(syscall.SIGSTOP)
+	section := fmt.Sprintf("[sidecar]\nkind = model\ntarget = %s\nmemory-mib = 65536\nkv-reserve-mib = 16384\ntarget-checks-fence = yes\n", c.address("engine-00"))
+	c.addSidecar("replacement", c.size.Zone(0), vmlist.VM{Role: vmlist.Model}, section)
+	c.list(vmlist.VM{Name: "model-00", Address: c.address("replacement"), AvailabilityZone: c.size.Zone(0), Role: vmlist.Model})
+	c.eventually(10*time.Second, "the replacement has met the engine", func() error {
+		if !strings.Contains(c.sidecars["replacement"].output.String(), "target answers") {
+			return fmt.Errorf("not yet: %s", c.sidecars["replacement"].output)
+		}
+		return nil
+	})
+	frozen.signal(syscall.SIGCONT)
+	select {
+	case <-frozen.ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the replaced sidecar goes on")
+	}
+	if frozen.err == nil || !strings.Contains(frozen.output.String(), "another sidecar has taken over the engine") {
+		t.Errorf("ended with %v: %s", frozen.err, frozen.output)
+	}
+	if violations := c.violations(0); violations > 0 {
+		t.Errorf("%d orders would have overrun the memory", violations)
+	}
+	if got := c.ask(0, http.MethodPost, "/v1/completions", `{"model":"blend-00","prompt":"[[length=5]]"}`, ""); got.status != http.StatusOK {
+		t.Errorf("after the replacement: %+v", got)
+	}
+}
