Run on the users' platform: a gateway on the entry VMs and an agent beside each engine

Gateways read routes and targets from the platform's store and send requests straight to targets; agents observe their engine, are its only holder of orders and load adapters and models on demand.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,172 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"gypsumbank/connpool"
+	"gypsumbank/holder"
+	"gypsumbank/occupancy"
+	"gypsumbank/platform"
+	"gypsumbank/probe"
+	"gypsumbank/route"
+	"gypsumbank/rpcserver"
+	"gypsumbank/sender"
+	"gypsumbank/settings"
+	"gypsumbank/target"
+	"gypsumbank/weightstore"
+	"gypsumbank/wire"
+)
+
+const (
+	// restInterval is the pause between reports while no order is in progress.
+	restInterval = 100 * time.Millisecond
+	// orderInterval is the pause while one is; an adapter takes about 5 ms.
+	orderInterval = 5 * time.Millisecond
+	// loadInterval is the pause while only a model is being loaded or unloaded.
+	loadInterval  = 25 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	orderTimeout  = 700 * time.Millisecond
+	storeTimeout  = 700 * time.Millisecond
+	routesWait    = 20 * time.Second
+	routesPause   = 500 * time.Millisecond
+	budgetPause   = 250 * time.Millisecond
+	wantBuffer    = 256
+)
+
+// Agent is the process beside one engine.
+type Agent struct {
+	config  *settings.Config
+	store   *platform.Store
+	engine  *platform.Replica
+	log     *logrus.Entry
+	watches *watches
+	wants   chan *occupancy.Want
+	tables  chan *route.Table
+	fences  chan int64
+	run     int64
+
+	// The fields below belong to the goroutine of control.
+	occupancy  *occupancy.Occupancy
+	table      *route.Table
+	budget     *weightstore.Budget
+	service    string
+	targetID   string
+	report     target.Report
+	reportAt   time.Time
+	down       bool
+	fence      int64
+	unanswered *platform.Order
+	budgetAt   time.Time // when the budget of loads may be asked again
+}
+
+// New returns an agent for the engine named in config.
+func New(config *settings.Config, log *logrus.Entry) *Agent {
+	return &Agent{
+		config:    config,
+		store:     platform.NewStore(config.Store.Address),
+		engine:    platform.NewReplica(sender.New(connpool.New())),
+		log:       log,
+		watches:   newWatches(),
+		wants:     make(chan *occupancy.Want, wantBuffer),
+		tables:    make(chan *route.Table, 1),
+		fences:    make(chan int64, 1),
+		run:       time.Now().UnixNano(),
+		occupancy: occupancy.New(),
+		service:   config.Agent.Service,
+		budget:    weightstore.New(platform.NewStore(config.Store.Address), config.Agent.Service),
+	}
+}
+
+// Run observes and orders until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", a.config.Agent.Listen)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	server := rpcserver.New(nil, a.log)
+	if err := wire.DRPCRegisterAgent(server.Mux(), &service{agent: a}); err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	a.log.WithFields(logrus.Fields{"target": a.config.Agent.Target, "listen": a.config.Agent.Listen}).Info("agent starts")
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return server.Run(ctx, listener) })
+	group.Go(func() error { return a.acquireFence(ctx) })
+	group.Go(func() error { return a.followRoutes(ctx) })
+	group.Go(func() error { return a.control(ctx) })
+	group.Go(func() error { return probe.New(a.config.Agent.Metrics, func() error { return nil }).Run(ctx) })
+	err = group.Wait()
+	a.log.WithError(err).Info("agent stops")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (a *Agent) acquireFence(ctx context.Context) error {
+	fence, err := holder.New(a.store, a.config.Agent.Target, a.config.Node.Name, a.run, a.log).Acquire(ctx)
+	if err != nil {
+		return err
+	}
+	a.fences <- fence
+	return nil
+}
+
+// followRoutes hands each new routing table to control; sizes of models change rarely.
+func (a *Agent) followRoutes(ctx context.Context) error {
+	version := int64(0)
+	for ctx.Err() == nil {
+		table, next, err := a.nextRoutes(ctx, version)
+		if err != nil || next == 0 {
+			a.log.WithError(err).Debug("no routes")
+			version = 0
+			if err := sleep(ctx, routesPause); err != nil {
+				return err
+			}
+			continue
+		}
+		version = next
+		if table == nil {
+			if err := sleep(ctx, routesPause); err != nil {
+				return err
+			}
+			continue
+		}
+		a.log.WithField("version", table.Version()).Info("routes in force")
+		select {
+		case a.tables <- table:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+func (a *Agent) nextRoutes(ctx context.Context, version int64) (*route.Table, int64, error) {
+	if version == 0 {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		table, next, err := a.store.Routes(call)
+		if table == nil {
+			next = 0
+		}
+		return table, next, err
+	}
+	call, cancel := context.WithTimeout(ctx, routesWait+storeTimeout)
+	defer cancel()
+	return a.store.RoutesAfter(call, version, routesWait)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
--- /dev/null
+++ b/agent/control.go
@@ -0,0 +1,191 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/occupancy"
+	"gypsumbank/platform"
+	"gypsumbank/route"
+	"gypsumbank/weightstore"
+)
+
+// control runs all decisions of the agent.
+func (a *Agent) control(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case fence := <-a.fences:
+			a.fence = fence
+		case table := <-a.tables:
+			a.adopt(table)
+		case want := <-a.wants:
+			a.occupancy.Add(want, time.Now())
+			a.order(ctx)
+		case <-timer.C:
+			a.observe(ctx)
+			a.order(ctx)
+		}
+		timer.Reset(a.pause())
+	}
+}
+
+func (a *Agent) pause() time.Duration {
+	switch {
+	case a.occupancy.Loading() != "":
+		return loadInterval
+	case a.occupancy.Waiting() > 0:
+		return orderInterval
+	}
+	return restInterval
+}
+
+func (a *Agent) adopt(table *route.Table) {
+	a.table = table
+	if s, ok := table.Service(a.service); ok {
+		a.occupancy.SetEngine(s.Engine)
+	}
+}
+
+// observe reads the engine's report and tells it to the gateways.
+func (a *Agent) observe(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, id, err := a.engine.Report(call, a.config.Agent.Target)
+	if err != nil {
+		if !a.down {
+			a.log.WithError(err).Info("engine does not answer")
+		}
+		a.down = true
+		return
+	}
+	if a.down {
+		a.log.WithField("target", id).Info("engine answers again")
+		a.down = false
+	}
+	if report.Born != a.report.Born || id != a.targetID {
+		a.log.WithFields(logrus.Fields{"target": id, "born": report.Born, "sequence": report.Sequence}).Info("engine has started")
+		a.occupancy.Reset()
+		a.unanswered = nil
+	}
+	a.report, a.targetID, a.reportAt = report, id, time.Now()
+	a.occupancy.Observe(report, a.reportAt)
+	a.watches.publish(a.state())
+}
+
+// order sends the next order, if there is one to send.
+func (a *Agent) order(ctx context.Context) {
+	for a.fence != 0 && !a.down && a.table != nil && !a.report.Draining {
+		if a.unanswered != nil {
+			if !a.send(ctx, *a.unanswered) {
+				return
+			}
+			continue
+		}
+		step, ok := a.occupancy.Next(time.Now())
+		if !ok || (step.Store && !a.mayLoad(ctx)) {
+			return
+		}
+		order := platform.Order{
+			Unload: step.Unload, Model: step.Model, Adapter: step.Adapter,
+			Sequence: a.report.Sequence, Holder: a.config.Node.Name, Fence: a.fence, TargetID: a.targetID,
+		}
+		if !a.send(ctx, order) {
+			return
+		}
+		a.occupancy.Accepted(step)
+		a.observe(ctx)
+	}
+}
+
+// send sends an order and reports whether the engine carries it out. An order without an answer is sent again until it
+// has one: with the same expected sequence it is carried out once at most.
+func (a *Agent) send(ctx context.Context, order platform.Order) bool {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	begun := time.Now()
+	result, err := a.engine.Order(call, a.config.Agent.Target, order)
+	log := a.log.WithFields(logrus.Fields{
+		"unload": order.Unload, "model": order.Model, "adapter": order.Adapter, "sequence": order.Sequence,
+		"report-age-ms": begun.Sub(a.reportAt).Milliseconds(), "took-ms": time.Since(begun).Milliseconds(),
+	})
+	a.unanswered = nil
+	switch result {
+	case platform.OrderAccepted, platform.OrderHolds:
+		log.Info("order accepted")
+		return true
+	case platform.OrderUnknown:
+		log.WithError(err).Info("order has no answer")
+		a.unanswered = &order
+		a.observe(ctx)
+		if a.report.Sequence > order.Sequence {
+			a.unanswered = nil
+		}
+	case platform.OrderBusy:
+		log.Info("engine is busy")
+	case platform.OrderRefused, platform.OrderOtherRun:
+		log.WithError(err).Warn("order refused")
+	}
+	return false
+}
+
+// mayLoad takes a load from the budget of the weight store.
+func (a *Agent) mayLoad(ctx context.Context) bool {
+	now := time.Now()
+	s, ok := a.table.Service(a.service)
+	if !ok || s.Engine == nil || now.Before(a.budgetAt) {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := a.budget.Take(call, loadLimit(s.Engine, a.config.Bounds.LoadWindow, a.config.Bounds.LoadBurst))
+	if err != nil || time.Since(now) > storeTimeout/2 {
+		a.budgetAt = now.Add(budgetPause)
+		a.log.WithError(err).WithField("rate", s.Engine.StoreLoadRate).Info("no load from the weight store now")
+		return false
+	}
+	return true
+}
+
+// loadLimit returns a limit under which no window sees more loads than the platform allows, with one load to spare.
+func loadLimit(engine *route.Engine, window time.Duration, burst float64) weightstore.Limit {
+	const fixedExtra = 2 // the platform allows 3 beyond the burst
+	beyond := engine.StoreLoadRate*window.Seconds()*(burst-1) + fixedExtra
+	return weightstore.Limit{PerSecond: engine.StoreLoadRate, Burst: max(1, beyond)}
+}
+
+// ensure hands a want to control and returns when it is met.
+func (a *Agent) ensure(ctx context.Context, model, adapter, evict string) error {
+	done := make(chan error, 1)
+	expires := time.Now().Add(wantLifetime)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(expires) {
+		expires = deadline
+	}
+	want := &occupancy.Want{Model: model, Adapter: adapter, Evict: evict, Expires: expires, Done: func(err error) { done <- err }}
+	if adapter != "" {
+		want.Expires = time.Now().Add(adapterLifetime)
+	}
+	select {
+	case a.wants <- want:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+const (
+	// wantLifetime bounds a load of a model: the runs of the model that makes way, then the load.
+	wantLifetime = 15 * time.Second
+	// adapterLifetime bounds the load of an adapter.
+	adapterLifetime = time.Second
+)
--- a/command.go
+++ b/command.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"runtime"
+	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -31,6 +33,8 @@
 	return []command{
 		cmdEntry,
 		cmdSidecar,
+		cmdGateway,
+		cmdAgent,
 		cmdPlans,
 		cmdAllowances,
 		cmdStatus,
@@ -72,9 +76,25 @@
 	if err != nil {
 		return nil, err
 	}
-	missing := (section == "entry" && config.Entry.Listen == "") || (section == "sidecar" && config.Sidecar.Target == "")
-	if missing {
+	present := map[string]bool{
+		"entry":   config.Entry.Listen != "",
+		"sidecar": config.Sidecar.Target != "",
+		"gateway": config.Gateway.Listen != "",
+		"agent":   config.Agent.Listen != "",
+	}
+	if !present[section] {
 		return nil, fmt.Errorf("%s: [%s] is missing; allowed: the section with the settings of the role", path, section)
 	}
 	return config, nil
 }
+
+// softMemoryShare is the part of the memory limit above which garbage is collected more often.
+const softMemoryShare = 0.7
+
+// tune fits the runtime to a VM with one processor and little memory.
+func tune(limits settings.Limits) {
+	runtime.GOMAXPROCS(1)
+	if limits.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(float64(limits.MemoryMiB) * softMemoryShare * (1 << 20)))
+	}
+}
--- /dev/null
+++ b/connpool/doc.go
@@ -0,0 +1,2 @@
+// Package connpool keeps idle connections to targets for reuse.
+package connpool
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -33,7 +33,7 @@
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 }
 
-// New returns a dialer that proves secret on each connection.
+// New returns a dialer that proves secret, unless it is nil, on each connection.
 func New(secret *handshake.Secret) *Dialer {
 	options := drpcpool.Options{Expiration: idleExpiration, Capacity: maxIdle, KeyCapacity: maxIdlePerPeer}
 	return &Dialer{secret: secret, pool: drpcpool.New[string, drpcpool.Conn](options)}
@@ -77,9 +77,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
 	}
-	if err := d.secret.Client(conn); err != nil {
-		conn.Close()
-		return nil, fmt.Errorf("%w: %s: %w", ErrNotConnected, address, err)
+	if d.secret != nil {
+		if err := d.secret.Client(conn); err != nil {
+			conn.Close()
+			return nil, fmt.Errorf("%w: %s: %w", ErrNotConnected, address, err)
+		}
 	}
 	return drpcconn.NewWithOptions(Counted(conn), drpcconn.Options{Manager: ManagerOptions()}), nil
 }
--- /dev/null
+++ b/fleet/assignment.go
@@ -0,0 +1,156 @@
+package fleet
+
+import (
+	"time"
+
+	"gypsumbank/request"
+	"gypsumbank/target"
+)
+
+// Result tells how a target dealt with a request.
+type Result int
+
+// The results.
+const (
+	Served    Result = iota // whole answer
+	Failed                  // broken, spoiled or an error of the target's own
+	Refused                 // not run
+	Unreached               // no connection
+	Abandoned               // ended by the caller or by a timeout
+)
+
+const (
+	// learning is the weight of a new measurement in a moving average.
+	learning = 0.15
+	// maxSlowness bounds how slow one measurement can make a target appear.
+	maxSlowness = 8
+	// firstAvoidance doubles with each failure to connect in a row up to maxAvoidance.
+	firstAvoidance = 400 * time.Millisecond
+	maxAvoidance   = 3 * time.Second
+	// refusalAvoidance is how long a plain service's target that is full is left out.
+	refusalAvoidance = 30 * time.Millisecond
+	minSampleTokens  = 500
+)
+
+// Assignment is a request at a target; it is ended once.
+type Assignment struct {
+	fleet   *Fleet
+	state   *state
+	choice  Choice
+	request *request.Request
+	sent    time.Time
+	alone   bool // no other request of this gateway waited there
+	started bool
+	ended   bool
+}
+
+// Assign records that a request is being sent to the chosen target.
+func (f *Fleet) Assign(choice Choice, req *request.Request, now time.Time) *Assignment {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.states[choice.Target.ID]
+	if s == nil {
+		s = newState(choice.Target)
+	}
+	a := &Assignment{fleet: f, state: s, choice: choice, request: req, sent: now, alone: s.unsent == 0 && s.report.Waiting == 0}
+	s.inflight++
+	s.unsent++
+	s.unread += choice.expectedUnread
+	if req.Model != "" {
+		s.models[req.Model]++
+	}
+	if req.Adapter != "" {
+		s.adapters[target.Adapter{Model: req.Model, Name: req.Adapter}]++
+	}
+	for _, hash := range req.Chain() {
+		s.kept.add(hash)
+	}
+	return a
+}
+
+// Target returns the target of the assignment.
+func (a *Assignment) Target() target.Target { return a.choice.Target }
+
+// Start records the first byte of the answer.
+func (a *Assignment) Start(now time.Time) {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	if a.started || a.ended {
+		return
+	}
+	a.read()
+	a.measure(float64(now.Sub(a.sent)) / float64(time.Millisecond))
+}
+
+// End records the result.
+func (a *Assignment) End(result Result, now time.Time) {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.read()
+	a.ended = true
+	s := a.state
+	s.inflight--
+	if a.request.Model != "" {
+		s.models[a.request.Model]--
+	}
+	if a.request.Adapter != "" {
+		s.adapters[target.Adapter{Model: a.request.Model, Name: a.request.Adapter}]--
+	}
+	a.judge(result, now)
+}
+
+func (a *Assignment) read() {
+	if a.started {
+		return
+	}
+	a.started = true
+	a.state.unsent--
+	a.state.unread -= a.choice.expectedUnread
+	if a.state.unsent == 0 {
+		a.state.unread = 0
+	}
+}
+
+// measure learns the pace of the model and the slowness of the target from the time to the first byte.
+func (a *Assignment) measure(took float64) {
+	s := a.state
+	if a.request.Model == "" {
+		s.latency = average(s.latency, took)
+		return
+	}
+	expected := max(1, float64(a.choice.Expected)/float64(time.Millisecond))
+	s.slowness = max(1, average(s.slowness, min(maxSlowness, took/expected)))
+	if a.alone && a.choice.Unread >= minSampleTokens {
+		sample := max(0, took-baseMs) / float64(a.choice.Unread)
+		a.fleet.paces[a.request.Model] = average(a.fleet.pace(a.request.Model), sample)
+	}
+}
+
+func (a *Assignment) judge(result Result, now time.Time) {
+	s := a.state
+	switch result {
+	case Served:
+		s.failures = 0
+		s.errorRate -= learning * s.errorRate
+	case Failed:
+		s.errorRate += learning * (1 - s.errorRate)
+	case Unreached:
+		s.failures++
+		s.avoid = now.Add(min(maxAvoidance, firstAvoidance<<min(s.failures-1, 4)))
+	case Refused:
+		if a.request.Model == "" {
+			s.avoid = now.Add(refusalAvoidance)
+		}
+	case Abandoned:
+	}
+}
+
+func average(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + learning*(sample-old)
+}
--- /dev/null
+++ b/fleet/choose.go
@@ -0,0 +1,222 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gypsumbank/request"
+	"gypsumbank/target"
+)
+
+const (
+	// usualPace is the prefill time in ms per token that is expected of a model before any was measured.
+	usualPace = 0.03
+	// otherZoneMs is the price of another availability zone: a round trip of about 7 ms and the billed bytes.
+	otherZoneMs = 12
+	// baseMs is the time of a request that waits for nothing.
+	baseMs = 8
+	// adapterMs is the time to have an adapter loaded by the target's agent.
+	adapterMs = 25
+	// coldMs is added for a target that is slow after its start.
+	coldMs = 100
+	// affinityMs spreads prompts that no target has over the holders, the same way at each gateway.
+	affinityMs = 20
+	// batchMs is the slowdown of a first event by each request that generates at the target.
+	batchMs = 0.6
+	// errorMs is the cost of an answer that fails for certain.
+	errorMs = 1500
+	// fullMs is the cost of a target without free memory or places.
+	fullMs = 1000
+	// memoryShare is the part of a target's memory above which requests preempt one another.
+	memoryShare = 0.92
+)
+
+// Query describes a request to choose a target for.
+type Query struct {
+	Service string
+	Request *request.Request
+	Exclude map[string]bool // targets not to choose, by id
+}
+
+// Choice is a target with what it lacks for the request and the expected time to its first byte.
+type Choice struct {
+	Target         target.Target
+	LacksModel     bool
+	LacksAdapter   bool
+	Expected       time.Duration
+	Unread         int           // tokens of the prompt that the target has to read
+	ReportAge      time.Duration // age of what the choice is based on; negative if there was no report
+	Candidates     int           // targets that were weighed
+	expectedUnread float64
+}
+
+// Choose returns the best target for a request; ok is false if the service has no usable target.
+func (f *Fleet) Choose(query Query, now time.Time) (choice Choice, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usable := f.usable(query, now)
+	if len(usable) == 0 {
+		return Choice{}, false
+	}
+	engine := f.services[query.Service].Engine
+	if engine == nil || query.Request.Model == "" {
+		return f.choosePlain(usable, now), true
+	}
+	f.want(query.Request, now)
+	holders := usable[:0:0]
+	for _, s := range usable {
+		if s.holds(query.Request.Model, "", now) {
+			holders = append(holders, s)
+		}
+	}
+	if len(holders) == 0 {
+		return Choice{LacksModel: true, Candidates: len(usable)}, true
+	}
+	return f.chooseHolder(holders, query.Request, now), true
+}
+
+// usable returns the targets that take requests; targets that fail are left out unless all do.
+func (f *Fleet) usable(query Query, now time.Time) []*state {
+	var good, poor []*state
+	for _, s := range f.byService[query.Service] {
+		switch {
+		case query.Exclude[s.ID] || s.leaving():
+		case now.Before(s.avoid):
+			poor = append(poor, s)
+		default:
+			good = append(good, s)
+		}
+	}
+	if len(good) == 0 {
+		return poor
+	}
+	return good
+}
+
+func (f *Fleet) choosePlain(usable []*state, now time.Time) Choice {
+	var best *state
+	bestCost := 0.0
+	for _, s := range usable {
+		latency := max(1, s.latency)
+		cost := latency*(1+2*float64(s.inflight)/float64(max(1, s.Slots))) + f.zoneMs(s) + s.errorRate*errorMs
+		if s.inflight >= s.Slots {
+			cost += fullMs
+		}
+		if s.Cold > 0 {
+			cost += latency
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return Choice{Target: best.Target, Expected: ms(max(1, best.latency)), ReportAge: now.Sub(f.readAt), Candidates: len(usable)}
+}
+
+func (f *Fleet) chooseHolder(holders []*state, req *request.Request, now time.Time) Choice {
+	chain := req.Chain()
+	var best Choice
+	bestCost := 0.0
+	for i, s := range holders {
+		unread := s.unreadTokens(req, chain)
+		read := float64(unread) * f.pace(req.Model)
+		wait := f.waitMs(s, now)
+		expected := (baseMs + wait + read + batchMs*float64(max(s.inflight, s.report.Running))) * s.slowness
+		lacks := req.Adapter != "" && !s.holds(req.Model, req.Adapter, now)
+		if lacks {
+			expected += adapterMs
+		}
+		cost := expected + f.zoneMs(s) + s.errorRate*errorMs + f.fullness(s, req) + affinity(chain, s.ID)
+		if s.Cold > 0 {
+			cost += coldMs
+		}
+		if i == 0 || cost < bestCost {
+			bestCost = cost
+			best = Choice{
+				Target: s.Target, LacksAdapter: lacks, Expected: ms(expected), Unread: unread, Candidates: len(holders),
+				ReportAge: s.reportAge(now), expectedUnread: read,
+			}
+		}
+	}
+	return best
+}
+
+// waitMs returns the expected ms until the target has read the prompts that wait there.
+func (f *Fleet) waitMs(s *state, now time.Time) float64 {
+	others := 0
+	if now.Sub(s.reportAt) < reportLifetime {
+		others = max(0, s.report.Waiting-s.unsent)
+	}
+	return s.unread + float64(others)*f.usualReadMs(s)
+}
+
+// usualReadMs returns the ms that the target needs to read a usual prompt.
+func (f *Fleet) usualReadMs(s *state) float64 {
+	if s.unsent > 0 {
+		return s.unread / float64(s.unsent)
+	}
+	const usualPromptMs = 60
+	return usualPromptMs
+}
+
+// fullness returns the cost of a lack of memory or places.
+func (f *Fleet) fullness(s *state, req *request.Request) float64 {
+	cost := 0.0
+	need := req.PromptTokens + req.OutputTokens/2
+	if total := s.report.KVTotal; total > 0 && float64(s.report.KVUsed+need) > memoryShare*float64(total) {
+		cost += fullMs
+	}
+	if max(s.inflight, s.report.Running+s.report.Waiting) >= s.Slots {
+		cost += fullMs
+	}
+	return cost
+}
+
+// unreadTokens returns the tokens of the prompt beyond the parts that the target is expected to keep.
+func (s *state) unreadTokens(req *request.Request, chain []uint64) int {
+	unread := req.PromptTokens
+	for i, part := range req.Parts {
+		if !s.kept.has(chain[i]) {
+			break
+		}
+		unread -= part.Tokens
+	}
+	return max(0, unread)
+}
+
+func (s *state) reportAge(now time.Time) time.Duration {
+	if s.reportAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.reportAt)
+}
+
+func (f *Fleet) zoneMs(s *state) float64 {
+	if s.AvailabilityZone == f.zone {
+		return 0
+	}
+	return otherZoneMs
+}
+
+func (f *Fleet) pace(model string) float64 {
+	if pace, ok := f.paces[model]; ok {
+		return pace
+	}
+	return usualPace
+}
+
+// affinity returns a cost that depends on the last shared part of a prompt and the target alone.
+func affinity(chain []uint64, id string) float64 {
+	if len(chain) < 2 {
+		return 0
+	}
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], chain[len(chain)-2])
+	digest := xxhash.New()
+	_, _ = digest.Write(key[:]) // writes to a hash do not fail
+	_, _ = digest.WriteString(id)
+	return affinityMs * float64(digest.Sum64()>>40) / (1 << 24)
+}
+
+func ms(value float64) time.Duration { return time.Duration(value * float64(time.Millisecond)) }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,257 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"gypsumbank/route"
+	"gypsumbank/target"
+)
+
+const (
+	// reportLifetime is the age at which a report of an agent gives way to the registry.
+	reportLifetime = 3 * time.Second
+	// absenceGrace is how long a target may be missing from the registry after the store was away.
+	absenceGrace = 2500 * time.Millisecond
+	// keptParts bounds what is remembered of the prompts sent to one target.
+	keptParts = 2048
+)
+
+// Fleet is the view of all targets; its methods may be called by several goroutines.
+type Fleet struct {
+	zone string
+
+	mu        sync.Mutex
+	services  map[string]route.Service
+	states    map[string]*state
+	byService map[string][]*state
+	paces     map[string]float64 // model to measured prefill time in ms per token
+	demand    map[string]*demand
+	readAt    time.Time // of the registry
+}
+
+// state is what is known of one run of a target.
+type state struct {
+	target.Target
+	report   target.Report
+	reportAt time.Time
+	watchers int    // gateways that watch the agent
+	loading  string // model of a load in progress
+
+	loadingSince time.Time
+
+	inflight int                    // own requests at the target
+	unread   float64                // expected ms of prefill of own requests without a first event
+	unsent   int                    // own requests among those
+	models   map[string]int         // own requests by model
+	adapters map[target.Adapter]int // own requests by adapter
+	kept     *parts
+
+	latency   float64 // ms, moving average over a plain service's answers
+	slowness  float64 // measured over expected time, moving average
+	errorRate float64
+	failures  int // failures to connect in a row
+	avoid     time.Time
+	gone      bool // another target has the address
+	missing   time.Time
+}
+
+// New returns an empty view for a gateway in the given availability zone.
+func New(zone string) *Fleet {
+	return &Fleet{
+		zone:      zone,
+		services:  map[string]route.Service{},
+		states:    map[string]*state{},
+		byService: map[string][]*state{},
+		paces:     map[string]float64{},
+		demand:    map[string]*demand{},
+	}
+}
+
+// SetServices replaces the services.
+func (f *Fleet) SetServices(services map[string]route.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services = services
+}
+
+// Change tells how an update of the registry changed the view.
+type Change struct {
+	Added   []target.Target
+	Removed []target.Target
+	Leaving []target.Target
+}
+
+// Adopt replaces the registered targets. If the store was away since the last update, targets that are missing are kept
+// for a while, since their entries may have lapsed meanwhile.
+func (f *Fleet) Adopt(targets []target.Target, storeWasAway bool, now time.Time) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var change Change
+	f.readAt = now
+	seen := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		seen[t.ID] = true
+		known := f.states[t.ID]
+		if known == nil || known.Born != t.Born {
+			f.states[t.ID] = newState(t)
+			change.Added = append(change.Added, t)
+			continue
+		}
+		if t.Draining && !known.Draining {
+			change.Leaving = append(change.Leaving, t)
+		}
+		if known.Address != t.Address {
+			known.gone, known.failures = false, 0
+		}
+		known.Target = t
+		known.missing = time.Time{}
+	}
+	for id, s := range f.states {
+		if seen[id] {
+			continue
+		}
+		if storeWasAway && s.missing.IsZero() {
+			s.missing = now.Add(absenceGrace)
+		}
+		if now.Before(s.missing) {
+			continue
+		}
+		delete(f.states, id)
+		change.Removed = append(change.Removed, s.Target)
+	}
+	f.index()
+	return change
+}
+
+func newState(t target.Target) *state {
+	return &state{
+		Target: t, slowness: 1, kept: newParts(keptParts), models: map[string]int{}, adapters: map[target.Adapter]int{},
+	}
+}
+
+func (f *Fleet) index() {
+	f.byService = make(map[string][]*state, len(f.byService))
+	for _, s := range f.states {
+		f.byService[s.Service] = append(f.byService[s.Service], s)
+	}
+}
+
+// Observe takes over an agent's report on the run of a target; one on another run is ignored.
+func (f *Fleet) Observe(id string, report target.Report, loading string, watchers int, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.states[id]
+	if s == nil || (report.Born != 0 && s.Born != 0 && report.Born != s.Born) {
+		return
+	}
+	s.report, s.reportAt, s.watchers = report, now, watchers
+	if loading != "" || now.Sub(s.loadingSince) > orderMemory || target.Holds(report.Models, s.loading, "") {
+		s.loading, s.loadingSince = loading, now
+	}
+}
+
+// Targets returns the known targets of all services.
+func (f *Fleet) Targets() []target.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make([]target.Target, 0, len(f.states))
+	for _, s := range f.states {
+		all = append(all, s.Target)
+	}
+	return all
+}
+
+// Gateways returns how many gateways share the targets, at least 1, as far as agents have told.
+func (f *Fleet) Gateways() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gateways()
+}
+
+// MarkHeld records that a target now holds a model and adapter.
+func (f *Fleet) MarkHeld(id, model, adapter string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.states[id]
+	if s == nil || s.holds(model, adapter, time.Time{}) {
+		return
+	}
+	s.report.Models = withHeld(s.report.Models, model, adapter)
+	s.Models = withHeld(s.Models, model, adapter)
+}
+
+// MarkMissing records that a target does not hold an adapter, or a model if adapter is empty.
+func (f *Fleet) MarkMissing(id, model, adapter string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.states[id]; s != nil {
+		s.report.Models = withoutHeld(s.report.Models, model, adapter)
+		s.Models = withoutHeld(s.Models, model, adapter)
+	}
+}
+
+// MarkGone records that another target has the address of the one with the given id.
+func (f *Fleet) MarkGone(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.states[id]; s != nil {
+		s.gone = true
+	}
+}
+
+// held returns the models that the target holds by the newest source.
+func (s *state) held(now time.Time) []target.Model {
+	if !s.reportAt.IsZero() && now.Sub(s.reportAt) < reportLifetime {
+		return s.report.Models
+	}
+	return s.Models
+}
+
+func (s *state) holds(model, adapter string, now time.Time) bool {
+	return target.Holds(s.held(now), model, adapter)
+}
+
+func (s *state) leaving() bool { return s.Draining || s.report.Draining || s.gone }
+
+func withHeld(models []target.Model, model, adapter string) []target.Model {
+	out := make([]target.Model, 0, len(models)+1)
+	found := false
+	for _, m := range models {
+		if m.Name == model {
+			found = true
+			if adapter != "" {
+				m.Adapters = append(append([]string(nil), m.Adapters...), adapter)
+			}
+		}
+		out = append(out, m)
+	}
+	if !found {
+		m := target.Model{Name: model}
+		if adapter != "" {
+			m.Adapters = []string{adapter}
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func withoutHeld(models []target.Model, model, adapter string) []target.Model {
+	out := make([]target.Model, 0, len(models))
+	for _, m := range models {
+		if m.Name == model {
+			if adapter == "" {
+				continue
+			}
+			kept := make([]string, 0, len(m.Adapters))
+			for _, a := range m.Adapters {
+				if a != adapter {
+					kept = append(kept, a)
+				}
+			}
+			m.Adapters = kept
+		}
+		out = append(out, m)
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/platform"
+	"gypsumbank/route"
+)
+
+const (
+	storeTimeout = 600 * time.Millisecond
+	// routesWait bounds a wait for changes, so that a connection that went silent delays a change by about a second.
+	routesWait = time.Second
+	// targetsInterval leaves half of the platform's drain time for requests on their way to a leaving target.
+	targetsInterval = 800 * time.Millisecond
+	storePause      = 200 * time.Millisecond
+)
+
+// followRoutes keeps the newest routing table in force.
+func (g *Gateway) followRoutes(ctx context.Context) error {
+	version := int64(0)
+	lost := false
+	for ctx.Err() == nil {
+		begun := time.Now()
+		table, next, err := g.nextRoutes(ctx, version)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case errors.Is(err, platform.ErrHistoryLost):
+			g.log.Info("history of the store is lost, reading all routes")
+			version = 0
+			continue
+		case err != nil:
+			if !lost {
+				g.log.WithError(err).Warn("store lost while following routes")
+			}
+			lost = true
+			sleep(ctx, storePause)
+			continue
+		}
+		if lost {
+			g.log.Info("store regained while following routes")
+			lost = false
+		}
+		g.adopt(table)
+		if version == 0 && g.table.Load() == nil {
+			sleep(ctx, storePause)
+			continue
+		}
+		version = next
+		if time.Since(begun) < storePause {
+			sleep(ctx, storePause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (g *Gateway) nextRoutes(ctx context.Context, version int64) (*route.Table, int64, error) {
+	if version == 0 {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		return g.store.Routes(call)
+	}
+	call, cancel := context.WithTimeout(ctx, routesWait+storeTimeout/2)
+	defer cancel()
+	return g.store.RoutesAfter(call, version, routesWait)
+}
+
+// adopt puts a table in force unless a newer one is.
+func (g *Gateway) adopt(table *route.Table) {
+	current := g.table.Load()
+	if table == nil || (current != nil && table.Version() <= current.Version()) {
+		return
+	}
+	g.table.Store(table)
+	g.fleet.SetServices(table.Services())
+	g.log.WithFields(logrus.Fields{"version": table.Version(), "routes": table.Len()}).Info("routes in force")
+}
+
+// followTargets keeps the view of the registered targets fresh.
+func (g *Gateway) followTargets(ctx context.Context) error {
+	lost := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		targets, foreign, err := g.store.Targets(call)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			if !lost {
+				g.log.WithError(err).Warn("store lost while following targets")
+			}
+			lost = true
+			sleep(ctx, storePause)
+			continue
+		}
+		now := time.Now()
+		change := g.fleet.Adopt(targets, lost, now)
+		if lost {
+			g.log.WithField("targets", len(targets)).Info("store regained while following targets")
+			lost = false
+		}
+		for _, t := range change.Added {
+			g.log.WithFields(logrus.Fields{"target": t.ID, "address": t.Address, "service": t.Service, "zone": t.AvailabilityZone}).Info("target added")
+		}
+		for _, t := range change.Leaving {
+			g.log.WithFields(logrus.Fields{"target": t.ID, "remaining-ms": t.Remaining.Milliseconds()}).Info("target leaves")
+		}
+		for _, t := range change.Removed {
+			g.log.WithField("target", t.ID).Info("target removed")
+		}
+		if len(foreign) > 0 {
+			g.log.WithField("entries", foreign).Debug("entries that describe no target")
+		}
+		g.fleetKnown.Store(true)
+		g.followAgents()
+		sleep(ctx, targetsInterval)
+	}
+	return ctx.Err()
+}
+
+// followAgents watches the agents beside the engines.
+func (g *Gateway) followAgents() {
+	table := g.table.Load()
+	if table == nil {
+		return
+	}
+	addresses := map[string]bool{}
+	for _, t := range g.fleet.Targets() {
+		if s, ok := table.Service(t.Service); ok && s.Engine != nil {
+			addresses[g.agents.address(t.Address)] = true
+		}
+	}
+	g.agents.follow(addresses)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/occupancy/occupancy.go
@@ -0,0 +1,226 @@
+package occupancy
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"gypsumbank/route"
+	"gypsumbank/target"
+)
+
+var (
+	// ErrUnknownModel reports a model or adapter that the routes do not list.
+	ErrUnknownModel = errors.New("model or adapter is not listed")
+	// ErrNoRoom reports that nothing may be dropped to make room.
+	ErrNoRoom = errors.New("no room")
+	// ErrExpired reports that a model or adapter was not held in time.
+	ErrExpired = errors.New("not held in time")
+)
+
+// Want is a model, and an adapter on it, that the engine is asked to hold.
+type Want struct {
+	Model   string
+	Adapter string // empty for the model alone
+	Evict   string // model that may be dropped to make room; empty for none
+	Expires time.Time
+	Done    func(error) // called once, with nil when the engine holds it
+}
+
+// Step is an order to send next.
+type Step struct {
+	Unload  bool
+	Model   string
+	Adapter string
+	Store   bool // loads from the weight store, whose rate is limited
+}
+
+// Occupancy holds the wants and what the engine was last known to hold; it is used by one goroutine.
+type Occupancy struct {
+	engine  *route.Engine
+	report  target.Report
+	wants   []*Want
+	used    map[target.Adapter]time.Time // when an adapter was last asked for
+	loading string                       // model that the engine is loading by an order of this process
+	leaving string                       // model that it is unloading
+}
+
+// New returns an occupancy without wants.
+func New() *Occupancy { return &Occupancy{used: map[target.Adapter]time.Time{}} }
+
+// SetEngine replaces the sizes of models and of the engine.
+func (o *Occupancy) SetEngine(engine *route.Engine) { o.engine = engine }
+
+// Add adds a want; at most one order at a time serves it.
+func (o *Occupancy) Add(want *Want, now time.Time) {
+	if o.engine == nil {
+		want.Done(ErrExpired)
+		return
+	}
+	if _, ok := o.engine.Models[want.Model]; !ok {
+		want.Done(ErrUnknownModel)
+		return
+	}
+	if want.Adapter != "" {
+		o.used[target.Adapter{Model: want.Model, Name: want.Adapter}] = now
+	}
+	o.wants = append(o.wants, want)
+	o.settle(now)
+}
+
+// Reset forgets what an earlier run of the engine was doing.
+func (o *Occupancy) Reset() {
+	o.loading, o.leaving = "", ""
+	o.used = map[target.Adapter]time.Time{}
+}
+
+// Observe takes over a fresh report and ends the wants that it meets.
+func (o *Occupancy) Observe(report target.Report, now time.Time) {
+	o.report = report
+	if o.loading != "" && !report.Busy {
+		o.loading = ""
+	}
+	if o.leaving != "" && (!report.Busy || !target.Holds(report.Models, o.leaving, "")) {
+		o.leaving = ""
+	}
+	o.settle(now)
+}
+
+// Accepted records that the engine carries out a step.
+func (o *Occupancy) Accepted(step Step) {
+	switch {
+	case step.Adapter != "":
+	case step.Unload:
+		o.leaving = step.Model
+	default:
+		o.loading = step.Model
+	}
+}
+
+// Loading returns the model that is being loaded, or "".
+func (o *Occupancy) Loading() string { return o.loading }
+
+// Models returns what the engine holds and is not about to drop.
+func (o *Occupancy) Models() []target.Model {
+	if o.leaving == "" {
+		return o.report.Models
+	}
+	return slices.DeleteFunc(slices.Clone(o.report.Models), func(m target.Model) bool { return m.Name == o.leaving })
+}
+
+// Waiting returns how many wants are not met.
+func (o *Occupancy) Waiting() int { return len(o.wants) }
+
+// settle ends the wants that are met or have expired.
+func (o *Occupancy) settle(now time.Time) {
+	o.wants = slices.DeleteFunc(o.wants, func(w *Want) bool {
+		switch {
+		case w.Model != o.leaving && target.Holds(o.report.Models, w.Model, w.Adapter):
+			w.Done(nil)
+		case now.After(w.Expires):
+			w.Done(ErrExpired)
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+// Next returns the order that serves the oldest want that can be served now.
+func (o *Occupancy) Next(now time.Time) (Step, bool) {
+	o.settle(now)
+	for i := 0; i < len(o.wants); i++ {
+		step, ok, err := o.step(o.wants[i])
+		if err != nil {
+			o.wants[i].Done(err)
+			o.wants = slices.Delete(o.wants, i, i+1)
+			i--
+			continue
+		}
+		if ok {
+			return step, true
+		}
+	}
+	return Step{}, false
+}
+
+func (o *Occupancy) step(w *Want) (Step, bool, error) {
+	if target.Holds(o.report.Models, w.Model, "") && w.Model != o.leaving {
+		return o.adapterStep(w)
+	}
+	if w.Adapter != "" {
+		return Step{}, false, ErrNoRoom
+	}
+	return o.modelStep(w)
+}
+
+func (o *Occupancy) modelStep(w *Want) (Step, bool, error) {
+	if o.report.Busy || o.loading != "" || o.leaving != "" {
+		return Step{}, false, nil
+	}
+	need := o.engine.Models[w.Model].WeightMB
+	if o.free() >= need {
+		atHand := slices.Contains(o.report.InMemory, w.Model) || slices.Contains(o.report.OnDisk, w.Model)
+		return Step{Model: w.Model, Store: !atHand}, true, nil
+	}
+	if w.Evict == "" || w.Evict == w.Model || !target.Holds(o.report.Models, w.Evict, "") {
+		return Step{}, false, ErrNoRoom
+	}
+	return Step{Unload: true, Model: w.Evict}, true, nil
+}
+
+func (o *Occupancy) adapterStep(w *Want) (Step, bool, error) {
+	coming := target.Adapter{Model: w.Model, Name: w.Adapter}
+	if slices.Contains(o.report.Coming, coming) || len(o.report.Coming) >= maxComing {
+		return Step{}, false, nil
+	}
+	held := target.AdapterCount(o.report.Models) + len(o.report.Coming)
+	if held < o.engine.AdapterSlots && o.free() >= o.engine.Models[w.Model].AdapterMB {
+		return Step{Model: w.Model, Adapter: w.Adapter}, true, nil
+	}
+	victim, ok := o.idlest()
+	if !ok {
+		return Step{}, false, ErrNoRoom
+	}
+	return Step{Unload: true, Model: victim.Model, Adapter: victim.Name}, true, nil
+}
+
+// maxComing is how many adapters may be on their way to an engine at the same time.
+const maxComing = 4
+
+// idlest returns the adapter that was not asked for for the longest time.
+func (o *Occupancy) idlest() (victim target.Adapter, ok bool) {
+	var oldest time.Time
+	for _, m := range o.report.Models {
+		for _, name := range m.Adapters {
+			a := target.Adapter{Model: m.Name, Name: name}
+			if o.wanted(a) {
+				continue
+			}
+			if used := o.used[a]; !ok || used.Before(oldest) {
+				victim, oldest, ok = a, used, true
+			}
+		}
+	}
+	return victim, ok
+}
+
+func (o *Occupancy) wanted(a target.Adapter) bool {
+	return slices.ContainsFunc(o.wants, func(w *Want) bool { return w.Model == a.Model && w.Adapter == a.Name })
+}
+
+// free returns the memory in MB that is neither held nor promised to an order in progress.
+func (o *Occupancy) free() float64 {
+	free := o.engine.WeightMB
+	for _, m := range o.report.Models {
+		known := o.engine.Models[m.Name]
+		free -= known.WeightMB + known.AdapterMB*float64(len(m.Adapters))
+	}
+	for _, a := range o.report.Coming {
+		free -= o.engine.Models[a.Model].AdapterMB
+	}
+	if o.loading != "" && !target.Holds(o.report.Models, o.loading, "") {
+		free -= o.engine.Models[o.loading].WeightMB
+	}
+	return free
+}
--- /dev/null
+++ b/reply/doc.go
@@ -0,0 +1,2 @@
+// Package reply tells what became of a request that was sent to a target.
+package reply
--- /dev/null
+++ b/retrybudget/doc.go
@@ -0,0 +1,2 @@
+// Package retrybudget bounds how many requests a gateway sends to a service more than once.
+package retrybudget
--- a/rpcserver/server.go
+++ b/rpcserver/server.go
@@ -23,7 +23,7 @@
 	conns  sync.WaitGroup
 }
 
-// New returns a server without services.
+// New returns a server without services; without a secret any process may call it.
 func New(secret *handshake.Secret, log *logrus.Entry) *Server {
 	return &Server{secret: secret, mux: drpcmux.New(), log: log}
 }
@@ -53,7 +53,7 @@
 func (s *Server) serve(ctx context.Context, server *drpcserver.Server, conn net.Conn) {
 	defer s.conns.Done()
 	defer conn.Close()
-	if err := s.secret.Server(conn); err != nil {
+	if err := s.prove(conn); err != nil {
 		s.log.WithError(err).WithField("peer", conn.RemoteAddr()).Warn("rejected connection")
 		return
 	}
@@ -61,3 +61,10 @@
 		s.log.WithError(err).WithField("peer", conn.RemoteAddr()).Debug("connection ended")
 	}
 }
+
+func (s *Server) prove(conn net.Conn) error {
+	if s.secret == nil {
+		return nil
+	}
+	return s.secret.Server(conn)
+}
--- a/settings/config.go
+++ b/settings/config.go
@@ -21,6 +21,13 @@
 	Platform Platform
 	Entry    Entry
 	Sidecar  Sidecar
+
+	// The settings below are those of a process on the users' platform.
+	Gateway Gateway
+	Agent   Agent
+	Store   Store
+	Bounds  Bounds
+	Limits  Limits
 }
 
 // Node names the process and its addresses.
@@ -100,16 +107,11 @@
 	if err != nil {
 		return nil, err
 	}
-	config := &Config{
-		Node:     node(file),
-		Log:      logging(file),
-		Platform: platform(file),
-	}
-	if file.Has("entry") {
-		config.Entry = entry(file)
-	}
-	if file.Has("sidecar") {
-		config.Sidecar = sidecar(file)
+	config := &Config{Log: logging(file)}
+	if isSite(file) {
+		config.readSite(file)
+	} else {
+		config.readDeployment(file)
 	}
 	if err := file.Err(); err != nil {
 		return nil, err
@@ -117,6 +119,17 @@
 	return config, nil
 }
 
+func (c *Config) readDeployment(file *inifile.File) {
+	c.Node = node(file)
+	c.Platform = platform(file)
+	if file.Has("entry") {
+		c.Entry = entry(file)
+	}
+	if file.Has("sidecar") {
+		c.Sidecar = sidecar(file)
+	}
+}
+
 func node(file *inifile.File) Node {
 	node := Node{
 		Name:             file.Required("node", "name", "a name unique among all processes"),
