Tell agents their engine's id and tell a left-out holder from a missing model

Cause: reports of engines do not carry their id, so gateways dropped every report, no load could begin, and requests for a model whose only holder was left out polled for it until their deadline; the polling took the gateways' processor time (stacks of stalled gateways showed fleet.catalog).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,6 +37,7 @@
 	routesWait    = 20 * time.Second
 	routesPause   = 500 * time.Millisecond
 	budgetPause   = 250 * time.Millisecond
+	identifyPause = 300 * time.Millisecond
 	wantBuffer    = 256
 )
 
@@ -57,7 +58,8 @@
 	table      *route.Table
 	budget     *weightstore.Budget
 	service    string
-	targetID   string
+	targetID   string    // of the engine's present run; empty until known
+	identifyAt time.Time // when the engine may be asked for its id again
 	report     target.Report
 	reportAt   time.Time
 	down       bool
--- a/agent/control.go
+++ b/agent/control.go
@@ -56,7 +56,7 @@
 func (a *Agent) observe(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, id, err := a.engine.Report(call, a.config.Agent.Target)
+	report, err := a.engine.Report(call, a.config.Agent.Target)
 	if err != nil {
 		if !a.down {
 			a.log.WithError(err).Info("engine does not answer")
@@ -65,22 +65,46 @@
 		return
 	}
 	if a.down {
-		a.log.WithField("target", id).Info("engine answers again")
+		a.log.Info("engine answers again")
 		a.down = false
 	}
-	if report.Born != a.report.Born || id != a.targetID {
-		a.log.WithFields(logrus.Fields{"target": id, "born": report.Born, "sequence": report.Sequence}).Info("engine has started")
+	if report.Born != a.report.Born {
+		a.log.WithFields(logrus.Fields{"born": report.Born, "sequence": report.Sequence}).Info("engine has started")
 		a.occupancy.Reset()
-		a.unanswered = nil
+		a.unanswered, a.targetID = nil, ""
 	}
-	a.report, a.targetID, a.reportAt = report, id, time.Now()
+	a.report, a.reportAt = report, time.Now()
+	a.identify(ctx)
 	a.occupancy.Observe(report, a.reportAt)
-	a.watches.publish(a.state())
+	if a.targetID != "" {
+		a.watches.publish(a.state())
+	}
+}
+
+// identify asks a run of the engine for its id once.
+func (a *Agent) identify(ctx context.Context) {
+	if a.targetID != "" || a.table == nil || time.Now().Before(a.identifyAt) {
+		return
+	}
+	s, ok := a.table.Service(a.service)
+	if !ok {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	id, err := a.engine.TargetID(call, a.config.Agent.Target, s.HealthPath)
+	if err != nil {
+		a.identifyAt = time.Now().Add(identifyPause)
+		a.log.WithError(err).Info("engine not identified")
+		return
+	}
+	a.targetID = id
+	a.log.WithField("target", id).Info("engine identified")
 }
 
 // order sends the next order, if there is one to send.
 func (a *Agent) order(ctx context.Context) {
-	for a.fence != 0 && !a.down && a.table != nil && !a.report.Draining {
+	for a.fence != 0 && !a.down && a.targetID != "" && !a.report.Draining {
 		if a.unanswered != nil {
 			if !a.send(ctx, *a.unanswered) {
 				return
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -76,7 +76,7 @@
 	// loadTimeout bounds a load, which takes a few seconds after the runs of the model that makes way.
 	loadTimeout = 15 * time.Second
 	// modelPoll is the pause before another look at which targets hold a model.
-	modelPoll = 25 * time.Millisecond
+	modelPoll = 40 * time.Millisecond
 )
 
 // Begin returns the dispatch of a request on a route to a service, which must be closed; ctx ends when the caller leaves.
@@ -86,6 +86,7 @@
 		wait = req.Deadline
 	}
 	d.budget.Request(service, d.now())
+	d.fleet.Want(req, d.now())
 	deadline := req.Arrived.Add(wait)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-settleTime))
 	return &Dispatch{
@@ -190,11 +191,13 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	begun := d.now()
-	err := d.residency.Ensure(ctx, p.Target, cause, p.Model, "", p.Evict)
 	log := d.log.WithFields(logrus.Fields{
 		"request": cause, "target": p.Target.ID, "model": p.Model, "evict": p.Evict, "copies": p.Copies,
-		"work-ms-per-s": int(p.Work), "expected-ms": p.Eta.Milliseconds(), "took-ms": d.now().Sub(begun).Milliseconds(),
+		"work-ms-per-s": int(p.Work), "expected-ms": p.Eta.Milliseconds(),
 	})
+	log.Info("model load begins")
+	err := d.residency.Ensure(ctx, p.Target, cause, p.Model, "", p.Evict)
+	log = log.WithField("took-ms", d.now().Sub(begun).Milliseconds())
 	if err != nil {
 		log.WithError(err).Info("model not loaded")
 		d.fleet.EndLoad(p.Target.ID, p.Model)
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,33 +57,35 @@
 func (f *Fleet) Choose(query Query, now time.Time) (choice Choice, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usable := f.usable(query, now)
+	usable := f.usable(query.Service, now)
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
 	engine := f.services[query.Service].Engine
-	if engine == nil || query.Request.Model == "" {
-		return f.choosePlain(usable, now), true
-	}
-	f.want(query.Request, now)
-	holders := usable[:0:0]
-	for _, s := range usable {
-		if s.holds(query.Request.Model, "", now) {
-			holders = append(holders, s)
+	if engine != nil && query.Request.Model != "" {
+		all := len(usable)
+		usable = slices.DeleteFunc(usable, func(s *state) bool { return !s.holds(query.Request.Model, "", now) })
+		if len(usable) == 0 {
+			return Choice{LacksModel: true, Candidates: all}, true
 		}
 	}
-	if len(holders) == 0 {
-		return Choice{LacksModel: true, Candidates: len(usable)}, true
+	usable = slices.DeleteFunc(usable, func(s *state) bool { return query.Exclude[s.ID] })
+	switch {
+	case len(usable) == 0:
+		return Choice{}, false
+	case engine == nil || query.Request.Model == "":
+		return f.choosePlain(usable, now), true
 	}
-	return f.chooseHolder(holders, query.Request, now), true
+	return f.chooseHolder(usable, query.Request, now), true
 }
 
 // usable returns the targets that take requests; targets that fail are left out unless all do.
-func (f *Fleet) usable(query Query, now time.Time) []*state {
-	var good, poor []*state
-	for _, s := range f.byService[query.Service] {
+func (f *Fleet) usable(service string, now time.Time) []*state {
+	good := make([]*state, 0, len(f.byService[service]))
+	var poor []*state
+	for _, s := range f.byService[service] {
 		switch {
-		case query.Exclude[s.ID] || s.leaving():
+		case s.leaving():
 		case now.Before(s.avoid):
 			poor = append(poor, s)
 		default:
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -20,8 +20,13 @@
 	return d.rate * math.Exp(-float64(at.Sub(d.at))/float64(demandMemory))
 }
 
-// want counts a request in the demand for its model.
-func (f *Fleet) want(req *request.Request, now time.Time) {
+// Want counts a request in the demand for its model; it is called once for each request.
+func (f *Fleet) Want(req *request.Request, now time.Time) {
+	if req.Model == "" {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	d := f.demand[req.Model]
 	if d == nil {
 		d = &demand{at: now}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -93,6 +93,9 @@
 	for _, t := range targets {
 		seen[t.ID] = true
 		known := f.states[t.ID]
+		if known != nil && known.Born > t.Born {
+			continue // an agent has told of a later run that the registry does not show yet
+		}
 		if known == nil || known.Born != t.Born {
 			f.states[t.ID] = newState(t)
 			change.Added = append(change.Added, t)
@@ -137,14 +140,20 @@
 	}
 }
 
-// Observe takes over an agent's report on the run of a target; one on another run is ignored.
+// Observe takes over an agent's report on the run of a target; one on an earlier run is ignored.
 func (f *Fleet) Observe(id string, report target.Report, loading string, watchers int, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.states[id]
-	if s == nil || (report.Born != 0 && s.Born != 0 && report.Born != s.Born) {
+	if s == nil || report.Born < s.Born {
 		return
 	}
+	if report.Born > s.Born {
+		s = newState(s.Target)
+		s.Born, s.Draining = report.Born, false
+		f.states[id] = s
+		f.index()
+	}
 	s.report, s.reportAt, s.watchers = report, now, watchers
 	if loading != "" || now.Sub(s.loadingSince) > orderMemory || target.Holds(report.Models, s.loading, "") {
 		s.loading, s.loadingSince = loading, now
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -123,8 +123,9 @@
 		}
 	}
 	sort.Slice(c.targets, func(i, j int) bool { return c.targets[i].ID < c.targets[j].ID })
+	gateways := float64(f.gateways())
 	for model, d := range f.demand {
-		c.work[model] = d.level(now) * float64(f.gateways())
+		c.work[model] = d.level(now) * gateways
 	}
 	return c
 }
