--- a/agent/control.go
+++ b/agent/control.go
@@ -37,7 +37,7 @@
 
 func (a *Agent) pause() time.Duration {
 	switch {
-	case a.occupancy.Loading() != "":
+	case a.report.Busy || a.occupancy.Loading() != "":
 		return loadInterval
 	case a.occupancy.Waiting() > 0:
 		return orderInterval
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -20,6 +20,8 @@
 	baseMs = 8
 	// adapterMs is the time to have an adapter loaded by the target's agent.
 	adapterMs = 25
+	// busyMs is the usual time until an engine that loads or unloads a model takes an order for an adapter.
+	busyMs = 700
 	// coldMs is added for a target that is slow after its start.
 	coldMs = 100
 	// affinityMs spreads prompts that no target has over the holders, the same way at each gateway.
@@ -130,6 +132,9 @@
 		if lacks {
 			expected += adapterMs
 		}
+		if lacks && (s.report.Busy || s.loading != "") {
+			expected += busyMs
+		}
 		cost := expected + f.zoneMs(s) + s.errorRate*errorMs + f.fullness(s, req) + affinity(chain, s.ID)
 		if s.Cold > 0 {
 			cost += coldMs
--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -171,6 +171,9 @@
 
 func (o *Occupancy) adapterStep(w *Want) (Step, bool, error) {
 	coming := target.Adapter{Model: w.Model, Name: w.Adapter}
+	if o.report.Busy || o.loading != "" || o.leaving != "" {
+		return Step{}, false, nil // the engine takes no order before the one for a model has ended
+	}
 	if slices.Contains(o.report.Coming, coming) || len(o.report.Coming) >= maxComing {
 		return Step{}, false, nil
 	}
