Look once for a place per model, tell of load at most each 100 ms and collect garbage less often

The trace shows the cause elsewhere: each gateway places models by its own view, so four of them race for the same engines, engines stay busy with queued loads, and most models keep one copy while demand moves.

--- a/agent/service.go
+++ b/agent/service.go
@@ -103,8 +103,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	state.Watchers = uint32(len(w.channels))
-	if w.last != nil && time.Since(w.sentAt) < heartbeat && same(w.last, state) {
-		return
+	if w.last != nil && sameHoldings(w.last, state) {
+		since := time.Since(w.sentAt)
+		if since < loadPause || (since < heartbeat && sameLoad(w.last, state)) {
+			return
+		}
 	}
 	w.last, w.sentAt = state, time.Now()
 	for updates := range w.channels {
@@ -116,13 +119,21 @@
 	}
 }
 
-// same reports whether two states differ in nothing that a gateway decides by.
-func same(a, b *wire.TargetState) bool {
-	return a.GetTargetId() == b.GetTargetId() && a.GetBorn() == b.GetBorn() && a.GetSequence() == b.GetSequence() &&
-		a.GetWaiting() == b.GetWaiting() && a.GetRunning()/runningStep == b.GetRunning()/runningStep &&
-		a.GetDraining() == b.GetDraining() && a.GetBusy() == b.GetBusy() && a.GetLoading() == b.GetLoading() &&
-		a.GetWatchers() == b.GetWatchers() && len(a.GetModels()) == len(b.GetModels())
+// sameHoldings reports whether two states agree on what gateways must learn at once.
+func sameHoldings(a, b *wire.TargetState) bool {
+	return a.GetTargetId() == b.GetTargetId() && a.GetBorn() == b.GetBorn() && a.GetDraining() == b.GetDraining() &&
+		a.GetBusy() == b.GetBusy() && a.GetLoading() == b.GetLoading() && len(a.GetModels()) == len(b.GetModels())
+}
+
+// sameLoad reports whether two states differ in no other thing that a gateway decides by.
+func sameLoad(a, b *wire.TargetState) bool {
+	return a.GetSequence() == b.GetSequence() && a.GetWaiting() == b.GetWaiting() &&
+		a.GetRunning()/runningStep == b.GetRunning()/runningStep && a.GetWatchers() == b.GetWatchers()
 }
 
-// runningStep is by how many running requests a state must differ to be told at once.
-const runningStep = 4
+const (
+	// loadPause is the least time between two states that differ in load only.
+	loadPause = 100 * time.Millisecond
+	// runningStep is by how many running requests a state must differ to be told before the next heartbeat.
+	runningStep = 4
+)
--- a/command.go
+++ b/command.go
@@ -88,12 +88,17 @@
 	return config, nil
 }
 
-// softMemoryShare is the part of the memory limit above which garbage is collected more often.
-const softMemoryShare = 0.7
+const (
+	// softMemoryShare is the part of the memory limit above which garbage is collected more often.
+	softMemoryShare = 0.6
+	// garbagePercent is the growth of the heap between collections; the live heap is a few MB.
+	garbagePercent = 400
+)
 
 // tune fits the runtime to a VM with one processor and little memory.
 func tune(limits settings.Limits) {
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(garbagePercent)
 	if limits.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(float64(limits.MemoryMiB) * softMemoryShare * (1 << 20)))
 	}
--- /dev/null
+++ b/fleet/bench_test.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gypsumbank/request"
+	"gypsumbank/route"
+	"gypsumbank/target"
+)
+
+// benchFleet returns a view of the given numbers of engines and models, each model on some engines.
+func benchFleet(engines, models int) (*Fleet, time.Time) {
+	f := New("a")
+	engine := &route.Engine{Models: map[string]route.Model{}, WeightMB: 230000, AdapterSlots: 8, Slots: 64}
+	for i := range models {
+		name := fmt.Sprint("m", i)
+		engine.Models[name] = route.Model{Name: name, WeightMB: 72700, AdapterMB: 66, Adapters: 40}
+	}
+	f.SetServices(map[string]route.Service{"llm": {Name: "llm", Engine: engine}})
+	now := time.Unix(1000, 0)
+	var targets []target.Target
+	for i := range engines {
+		t := target.Target{ID: fmt.Sprint("t", i), Service: "llm", Address: "10.0.0.1:80", AvailabilityZone: "a", Slots: 64}
+		for j := range 3 {
+			t.Models = append(t.Models, target.Model{Name: fmt.Sprint("m", (i*3+j)%models), Adapters: []string{"a1", "a2"}})
+		}
+		targets = append(targets, t)
+	}
+	f.Adopt(targets, false, now)
+	for _, t := range targets {
+		f.Observe(t.ID, target.Report{Models: t.Models, KVTotal: 270000}, "", 4, now)
+	}
+	for i := range models {
+		f.Want(benchRequest(i), now)
+	}
+	return f, now
+}
+
+func benchRequest(i int) *request.Request {
+	return &request.Request{
+		ID: "r", Model: fmt.Sprint("m", i), Adapter: "a1", PromptTokens: 9000, OutputTokens: 100,
+		Parts: []request.Part{{ID: "aa", Tokens: 2500}, {ID: "bb", Tokens: 3700}, {ID: fmt.Sprint(i), Tokens: 2800}},
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	f, now := benchFleet(18, 34)
+	query := Query{Service: "llm", Request: benchRequest(1)}
+	for b.Loop() {
+		f.Choose(query, now)
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	f, now := benchFleet(18, 34)
+	for b.Loop() {
+		f.Plan("llm", now)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,7 @@
 	byService map[string][]*state
 	paces     map[string]float64 // model to measured prefill time in ms per token
 	demand    map[string]*demand
+	placed    map[string]placed
 	readAt    time.Time // of the registry
 }
 
@@ -65,6 +66,7 @@
 		byService: map[string][]*state{},
 		paces:     map[string]float64{},
 		demand:    map[string]*demand{},
+		placed:    map[string]placed{},
 	}
 }
 
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -30,6 +30,8 @@
 	unloadTime = 800 * time.Millisecond
 	// orderMemory is how long a load that was asked for counts as in progress without a report of it.
 	orderMemory = 1500 * time.Millisecond
+	// placePause is the least time between two looks for a target to load a model.
+	placePause = 100 * time.Millisecond
 	// lastCopy is the cost, in ms of work a second, of dropping the only copy of a model.
 	lastCopy = 1e6
 )
@@ -47,6 +49,23 @@
 func (f *Fleet) Place(service, model string, now time.Time) Placement {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if last, ok := f.placed[model]; ok && now.Sub(last.at) < placePause {
+		return last.Placement
+	}
+	placement := f.place(service, model, now)
+	waiting := placement
+	waiting.Start = false
+	f.placed[model] = placed{Placement: waiting, at: now}
+	return placement
+}
+
+// placed is the latest answer to requests for a model that no target holds.
+type placed struct {
+	Placement
+	at time.Time
+}
+
+func (f *Fleet) place(service, model string, now time.Time) Placement {
 	c := f.catalog(service, now)
 	if c == nil {
 		return Placement{Model: model, Eta: math.MaxInt64}
