Have one gateway plan the models of all engines by the demand of all gateways

Cause: four gateways placed models each by its own view and raced for the same engines. Gateways now tell their demand to three agents; each agent names the gateway with the least name among those that it hears as planner and sends it the sum; only the planner starts loads.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,15 +43,15 @@
 
 // Agent is the process beside one engine.
 type Agent struct {
-	config  *settings.Config
-	store   *platform.Store
-	engine  *platform.Replica
-	log     *logrus.Entry
-	watches *watches
-	wants   chan *occupancy.Want
-	tables  chan *route.Table
-	fences  chan int64
-	run     int64
+	config   *settings.Config
+	store    *platform.Store
+	engine   *platform.Replica
+	log      *logrus.Entry
+	watchers *watchers
+	wants    chan *occupancy.Want
+	tables   chan *route.Table
+	fences   chan int64
+	run      int64
 
 	// The fields below belong to the goroutine of control.
 	occupancy  *occupancy.Occupancy
@@ -75,7 +75,7 @@
 		store:     platform.NewStore(config.Store.Address),
 		engine:    platform.NewReplica(sender.New(connpool.New())),
 		log:       log,
-		watches:   newWatches(),
+		watchers:  newWatchers(time.Now),
 		wants:     make(chan *occupancy.Want, wantBuffer),
 		tables:    make(chan *route.Table, 1),
 		fences:    make(chan int64, 1),
--- a/agent/control.go
+++ b/agent/control.go
@@ -77,7 +77,7 @@
 	a.identify(ctx)
 	a.occupancy.Observe(report, a.reportAt)
 	if a.targetID != "" {
-		a.watches.publish(a.state())
+		a.watchers.publish(a.state())
 	}
 }
 
--- /dev/null
+++ b/agent/watchers.go
@@ -0,0 +1,172 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"gypsumbank/wire"
+)
+
+const (
+	// heartbeat is the longest pause between two states that a gateway is sent.
+	heartbeat = 500 * time.Millisecond
+	// watcherLifetime is the age of a gateway's last heartbeat, which comes each second, at which it counts as gone.
+	watcherLifetime = 2500 * time.Millisecond
+	// demandPause is the least time between two messages with the demand.
+	demandPause = 250 * time.Millisecond
+	// loadPause is the least time between two states that differ in load only.
+	loadPause = 100 * time.Millisecond
+	// runningStep is by how many running requests a state must differ to be told before the next heartbeat.
+	runningStep = 4
+)
+
+// watchers hands the newest state to all gateways that watch, and the demand of all to the one that plans.
+type watchers struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	all      map[*watcher]struct{}
+	last     *wire.TargetState
+	sentAt   time.Time
+	demandAt time.Time
+}
+
+// watcher is a gateway with its latest demand.
+type watcher struct {
+	node    string
+	seen    time.Time
+	demand  []*wire.ModelDemand
+	updates chan *wire.TargetState
+}
+
+func newWatchers(now func() time.Time) *watchers {
+	return &watchers{now: now, all: map[*watcher]struct{}{}}
+}
+
+func (w *watchers) add() *watcher {
+	added := &watcher{updates: make(chan *wire.TargetState, 1)}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.all[added] = struct{}{}
+	if w.last != nil {
+		added.updates <- w.last
+	}
+	return added
+}
+
+func (w *watchers) remove(gone *watcher) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.all, gone)
+}
+
+// heard takes over a heartbeat of a gateway.
+func (w *watchers) heard(from *watcher, update *wire.WatcherUpdate) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	from.node, from.seen = update.GetNode(), w.now()
+	if update.GetHasDemand() {
+		from.demand = update.GetDemand()
+		w.tellDemand()
+	}
+}
+
+// publish sends a state that differs from the last one, or is due as a heartbeat; a gateway that lags gets the newest.
+func (w *watchers) publish(state *wire.TargetState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	live := w.live()
+	state.Watchers = uint32(len(live))
+	if planner := planner(live); planner != nil {
+		state.Planner = planner.node
+	}
+	if w.last != nil && sameHoldings(w.last, state) {
+		since := w.now().Sub(w.sentAt)
+		if since < loadPause || (since < heartbeat && sameLoad(w.last, state)) {
+			return
+		}
+	}
+	w.last, w.sentAt = state, w.now()
+	for each := range w.all {
+		each.send(state)
+	}
+	w.tellDemand()
+}
+
+// tellDemand sends the demand of all gateways to the one that plans; the caller holds the lock.
+func (w *watchers) tellDemand() {
+	live := w.live()
+	to := planner(live)
+	if to == nil || w.last == nil || w.now().Sub(w.demandAt) < demandPause {
+		return
+	}
+	total := sumDemand(live)
+	if len(total) == 0 {
+		return
+	}
+	state := proto.Clone(w.last).(*wire.TargetState)
+	state.Demand, state.HasDemand = total, true
+	w.demandAt = w.now()
+	to.send(state)
+}
+
+func (w *watcher) send(state *wire.TargetState) {
+	select {
+	case <-w.updates:
+	default:
+	}
+	w.updates <- state
+}
+
+func (w *watchers) live() []*watcher {
+	live := make([]*watcher, 0, len(w.all))
+	for each := range w.all {
+		if w.now().Sub(each.seen) < watcherLifetime {
+			live = append(live, each)
+		}
+	}
+	return live
+}
+
+// planner returns the gateway with the least name, which all agents with the same gateways agree on.
+func planner(live []*watcher) *watcher {
+	var first *watcher
+	for _, each := range live {
+		if first == nil || each.node < first.node {
+			first = each
+		}
+	}
+	return first
+}
+
+func sumDemand(live []*watcher) []*wire.ModelDemand {
+	type key struct{ service, model string }
+	totals := map[key]*wire.ModelDemand{}
+	var all []*wire.ModelDemand
+	for _, each := range live {
+		for _, d := range each.demand {
+			k := key{d.GetService(), d.GetModel()}
+			if totals[k] == nil {
+				totals[k] = &wire.ModelDemand{Service: d.GetService(), Model: d.GetModel()}
+				all = append(all, totals[k])
+			}
+			totals[k].Work += d.GetWork()
+		}
+	}
+	return all
+}
+
+// sameHoldings reports whether two states agree on what gateways must learn at once.
+func sameHoldings(a, b *wire.TargetState) bool {
+	return a.GetTargetId() == b.GetTargetId() && a.GetBorn() == b.GetBorn() && a.GetDraining() == b.GetDraining() &&
+		a.GetBusy() == b.GetBusy() && a.GetLoading() == b.GetLoading() && len(a.GetModels()) == len(b.GetModels()) &&
+		a.GetPlanner() == b.GetPlanner()
+}
+
+// sameLoad reports whether two states differ in no other thing that a gateway decides by.
+func sameLoad(a, b *wire.TargetState) bool {
+	return a.GetSequence() == b.GetSequence() && a.GetWaiting() == b.GetWaiting() &&
+		a.GetRunning()/runningStep == b.GetRunning()/runningStep && a.GetWatchers() == b.GetWatchers()
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -28,6 +28,8 @@
 // Residency has targets hold models and adapters; errors wrap ErrNotHeld.
 type Residency interface {
 	Ensure(ctx context.Context, to target.Target, requestID, model, adapter, evict string) error
+	// TellDemand has the demand told at once to the gateway that plans.
+	TellDemand()
 }
 
 // Dispatcher holds what the dispatches of a gateway share.
@@ -86,14 +88,16 @@
 		wait = req.Deadline
 	}
 	d.budget.Request(service, d.now())
-	d.fleet.Want(req, d.now())
+	if d.fleet.Want(service, req, d.now()) {
+		d.residency.TellDemand()
+	}
 	deadline := req.Arrived.Add(wait)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-settleTime))
 	return &Dispatch{
 		Dispatcher: d, request: req, route: r, service: service,
 		ctx: ctx, cancel: cancel, deadline: deadline,
-		exclude:  map[string]bool{},
-		log:      d.log.WithFields(logrus.Fields{"request": req.ID, "route": r.Name, "kind": r.Kind.String(), "service": service}),
+		exclude: map[string]bool{},
+		log:     d.log.WithFields(logrus.Fields{"request": req.ID, "route": r.Name, "kind": r.Kind.String(), "service": service}),
 	}
 }
 
@@ -139,7 +143,7 @@
 		case !ok:
 			return choice, &Refused{Reason: NoTarget, RetryAfter: usualRetryAfter}
 		case choice.LacksModel:
-			if refused := d.load(left); refused != nil {
+			if refused := d.awaitModel(left); refused != nil {
 				return choice, refused
 			}
 			continue
@@ -170,14 +174,11 @@
 	return err
 }
 
-// load has a target load the model, or waits for a load in progress.
-func (d *Dispatch) load(left time.Duration) *Refused {
-	placement := d.fleet.Place(d.service, d.request.Model, d.now())
-	if placement.Eta > left {
-		return &Refused{Reason: NoModel, RetryAfter: min(placement.Eta, left/3)}
-	}
-	if placement.Start {
-		go d.Load(context.WithoutCancel(d.ctx), d.request.ID, placement)
+// awaitModel waits a little for a target to hold the model, or tells why that would be in vain.
+func (d *Dispatch) awaitModel(left time.Duration) *Refused {
+	eta, known := d.fleet.LoadEta(d.service, d.request.Model, d.now())
+	if !known || eta+minRun > left {
+		return &Refused{Reason: NoModel, RetryAfter: max(usualRetryAfter, min(eta, left/3))}
 	}
 	select {
 	case <-d.ctx.Done():
@@ -186,26 +187,26 @@
 	return nil
 }
 
-// Load has a target load a model; cause is the id of the request that needs it, or empty.
-func (d *Dispatcher) Load(ctx context.Context, cause string, p fleet.Placement) {
+// Load has a target load a model.
+func (d *Dispatcher) Load(ctx context.Context, p fleet.Placement) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	begun := d.now()
 	log := d.log.WithFields(logrus.Fields{
-		"request": cause, "target": p.Target.ID, "model": p.Model, "evict": p.Evict, "copies": p.Copies,
+		"target": p.Target.ID, "model": p.Model, "evict": p.Evict, "copies": p.Copies,
 		"work-ms-per-s": int(p.Work), "expected-ms": p.Eta.Milliseconds(),
 	})
 	log.Info("model load begins")
-	err := d.residency.Ensure(ctx, p.Target, cause, p.Model, "", p.Evict)
+	err := d.residency.Ensure(ctx, p.Target, "", p.Model, "", p.Evict)
 	log = log.WithField("took-ms", d.now().Sub(begun).Milliseconds())
 	if err != nil {
 		log.WithError(err).Info("model not loaded")
-		d.fleet.EndLoad(p.Target.ID, p.Model)
+		d.fleet.EndLoad(p.Target.ID, p.Model, d.now())
 		return
 	}
 	log.Info("model loaded")
 	d.fleet.MarkHeld(p.Target.ID, p.Model, "")
-	d.fleet.EndLoad(p.Target.ID, p.Model)
+	d.fleet.EndLoad(p.Target.ID, p.Model, d.now())
 }
 
 // attempt sends the request to the chosen target and reports whether to go on with another.
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -30,10 +30,10 @@
 	}
 	f.Adopt(targets, false, now)
 	for _, t := range targets {
-		f.Observe(t.ID, target.Report{Models: t.Models, KVTotal: 270000}, "", 4, now)
+		f.Observe(t.ID, Observation{Report: target.Report{Models: t.Models, KVTotal: 270000}, Watchers: 4, Planned: true}, now)
 	}
 	for i := range models {
-		f.Want(benchRequest(i), now)
+		f.Want("llm", benchRequest(i), now)
 	}
 	return f, now
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,9 +25,11 @@
 	services  map[string]route.Service
 	states    map[string]*state
 	byService map[string][]*state
-	paces     map[string]float64 // model to measured prefill time in ms per token
-	demand    map[string]*demand
-	placed    map[string]placed
+	paces     map[string]float64  // model to measured prefill time in ms per token
+	demand    map[demandKey]*rate // at this gateway
+	total     map[demandKey]float64
+	totalFrom int // gateways in total
+	totalAt   time.Time
 	readAt    time.Time // of the registry
 }
 
@@ -38,8 +40,10 @@
 	reportAt time.Time
 	watchers int    // gateways that watch the agent
 	loading  string // model of a load in progress
+	planned  bool   // this gateway decides which models it holds
 
 	loadingSince time.Time
+	loadedAt     map[string]time.Time // when a model was last loaded
 
 	inflight int                    // own requests at the target
 	unread   float64                // expected ms of prefill of own requests without a first event
@@ -65,8 +69,7 @@
 		states:    map[string]*state{},
 		byService: map[string][]*state{},
 		paces:     map[string]float64{},
-		demand:    map[string]*demand{},
-		placed:    map[string]placed{},
+		demand:    map[demandKey]*rate{},
 	}
 }
 
@@ -131,7 +134,7 @@
 
 func newState(t target.Target) *state {
 	return &state{
-		Target: t, slowness: 1, kept: newParts(keptParts), models: map[string]int{}, adapters: map[target.Adapter]int{},
+		Target: t, slowness: 1, kept: newParts(keptParts), models: map[string]int{}, loadedAt: map[string]time.Time{}, adapters: map[target.Adapter]int{},
 	}
 }
 
@@ -142,8 +145,17 @@
 	}
 }
 
+// Observation is what an agent tells of its target.
+type Observation struct {
+	Report   target.Report
+	Loading  string // model of a load in progress
+	Watchers int    // gateways that watch the agent
+	Planned  bool   // the gateway that is told decides which models the target holds
+}
+
 // Observe takes over an agent's report on the run of a target; one on an earlier run is ignored.
-func (f *Fleet) Observe(id string, report target.Report, loading string, watchers int, now time.Time) {
+func (f *Fleet) Observe(id string, seen Observation, now time.Time) {
+	report := seen.Report
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.states[id]
@@ -156,9 +168,12 @@
 		f.states[id] = s
 		f.index()
 	}
-	s.report, s.reportAt, s.watchers = report, now, watchers
-	if loading != "" || now.Sub(s.loadingSince) > orderMemory || target.Holds(report.Models, s.loading, "") {
-		s.loading, s.loadingSince = loading, now
+	s.report, s.reportAt, s.watchers, s.planned = report, now, seen.Watchers, seen.Planned
+	if seen.Loading != "" || now.Sub(s.loadingSince) > orderMemory || target.Holds(report.Models, s.loading, "") {
+		if s.loading != seen.Loading {
+			s.loadingSince = now
+		}
+		s.loading = seen.Loading
 	}
 }
 
@@ -180,6 +195,15 @@
 	return f.gateways()
 }
 
+// gateways returns how many gateways share the targets; the caller holds the lock.
+func (f *Fleet) gateways() int {
+	most := 1
+	for _, s := range f.states {
+		most = max(most, s.watchers)
+	}
+	return most
+}
+
 // MarkHeld records that a target now holds a model and adapter.
 func (f *Fleet) MarkHeld(id, model, adapter string) {
 	f.mu.Lock()
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net"
+	"sort"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/dialer"
@@ -21,6 +23,12 @@
 	// silenceTimeout is above the agents' heartbeat of 500 ms by two lost packets.
 	silenceTimeout = 1500 * time.Millisecond
 	reconnectPause = 300 * time.Millisecond
+	// beatInterval lets an agent notice a lost gateway within a few seconds.
+	beatInterval = time.Second
+	// urgentPause collects the requests for missing models that arrive together.
+	urgentPause = 20 * time.Millisecond
+	// boardCount agents are told the demand, so that the loss of one or two costs nothing.
+	boardCount = 3
 )
 
 // agents is the client of the agents beside the engines.
@@ -33,11 +41,13 @@
 
 	mu      sync.Mutex
 	watched map[string]context.CancelFunc
+	boards  map[string]bool // agents that are told the demand
+	urgent  chan struct{}   // replaced and closed when the demand is to be told at once
 	ended   sync.WaitGroup
 }
 
 func newAgents(name string, port int, d *dialer.Dialer, f *fleet.Fleet, log *logrus.Entry) *agents {
-	return &agents{name: name, port: strconv.Itoa(port), dialer: d, fleet: f, log: log, watched: map[string]context.CancelFunc{}}
+	return &agents{name: name, port: strconv.Itoa(port), dialer: d, fleet: f, log: log, watched: map[string]context.CancelFunc{}, urgent: make(chan struct{})}
 }
 
 // address returns the address of the agent beside the target at an address.
@@ -53,6 +63,7 @@
 func (a *agents) follow(addresses map[string]bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.boards = chooseBoards(addresses)
 	for address, stop := range a.watched {
 		if !addresses[address] {
 			stop()
@@ -73,6 +84,60 @@
 	}
 }
 
+// chooseBoards returns the agents that are told the demand, the same ones at each gateway.
+func chooseBoards(addresses map[string]bool) map[string]bool {
+	ranked := make([]string, 0, len(addresses))
+	for address := range addresses {
+		ranked = append(ranked, address)
+	}
+	sort.Slice(ranked, func(i, j int) bool { return xxhash.Sum64String(ranked[i]) < xxhash.Sum64String(ranked[j]) })
+	boards := map[string]bool{}
+	for _, address := range ranked[:min(boardCount, len(ranked))] {
+		boards[address] = true
+	}
+	return boards
+}
+
+// TellDemand has the demand told to the agents at once.
+func (a *agents) TellDemand() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.urgent)
+	a.urgent = make(chan struct{})
+}
+
+func (a *agents) tell(address string) (board bool, urgent <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.boards[address], a.urgent
+}
+
+// beat sends heartbeats, to some agents with the demand, until ctx ends or the stream breaks.
+func (a *agents) beat(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
+	for {
+		board, urgent := a.tell(address)
+		update := &wire.WatcherUpdate{Node: a.name, HasDemand: board}
+		if board {
+			for _, d := range a.fleet.Demand(time.Now()) {
+				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.Work)})
+			}
+		}
+		if err := stream.Send(update); err != nil {
+			return
+		}
+		if !board {
+			urgent = nil
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-urgent:
+			sleep(ctx, urgentPause)
+		case <-time.After(beatInterval):
+		}
+	}
+}
+
 func (a *agents) close() {
 	a.follow(nil)
 	a.ended.Wait()
@@ -106,10 +171,20 @@
 	defer conn.Close()
 	silence := time.AfterFunc(silenceTimeout, func() { conn.Close() })
 	defer silence.Stop()
-	stream, err := wire.NewDRPCAgentClient(conn).Watch(ctx, &wire.WatchRequest{Node: a.name})
+	stream, err := wire.NewDRPCAgentClient(conn).Watch(ctx)
 	if err != nil {
 		return err
 	}
+	beats := make(chan struct{})
+	go func() {
+		defer close(beats)
+		a.beat(ctx, address, stream)
+	}()
+	defer func() {
+		cancel()
+		conn.Close()
+		<-beats
+	}()
 	for {
 		state, err := stream.Recv()
 		if err != nil {
@@ -131,7 +206,17 @@
 	for _, m := range state.GetModels() {
 		report.Models = append(report.Models, target.Model{Name: m.GetName(), Adapters: m.GetAdapters()})
 	}
-	a.fleet.Observe(state.GetTargetId(), report, state.GetLoading(), int(state.GetWatchers()), time.Now())
+	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
+		Report: report, Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), Planned: state.GetPlanner() == a.name,
+	}, time.Now())
+	if !state.GetHasDemand() {
+		return
+	}
+	demand := make([]fleet.Demand, 0, len(state.GetDemand()))
+	for _, d := range state.GetDemand() {
+		demand = append(demand, fleet.Demand{Service: d.GetService(), Model: d.GetModel(), Work: float64(d.GetWork())})
+	}
+	a.fleet.SetTotalDemand(demand, int(state.GetWatchers()), time.Now())
 }
 
 // Ensure has the agent beside a target make it hold a model and adapter; errors wrap dispatch.ErrNotHeld.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,7 @@
 const (
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
-	planInterval   = 200 * time.Millisecond
+	planInterval   = 100 * time.Millisecond
 	// drainNotice is how long new connections are still served after the signal to stop: the platform takes a VM out
 	// after two failed checks, one a second.
 	drainNotice = 2500 * time.Millisecond
@@ -154,7 +154,7 @@
 				continue
 			}
 			if placement, ok := g.fleet.Plan(name, time.Now()); ok {
-				go g.dispatcher.Load(ctx, "", placement)
+				go g.dispatcher.Load(ctx, placement)
 			}
 		}
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -91,7 +91,7 @@
 	route    *route.Route
 	dispatch *dispatch.Dispatch
 	caller   context.Context // ends when the caller leaves
-	begun    bool // the head of the answer has been written
+	begun    bool            // the head of the answer has been written
 }
 
 func (e *exchange) run() {
--- a/settings/site.go
+++ b/settings/site.go
@@ -8,19 +8,19 @@
 
 // Gateway holds the settings of a gateway.
 type Gateway struct {
-	Listen      string // address for callers
-	Ready       string // address for readiness checks of the platform
-	AgentPort   int    // port of the agents
-	Metrics     string // address for metrics; empty for none
-	Grace       time.Duration // from the signal to stop until the process must be gone
+	Listen    string        // address for callers
+	Ready     string        // address for readiness checks of the platform
+	AgentPort int           // port of the agents
+	Metrics   string        // address for metrics; empty for none
+	Grace     time.Duration // from the signal to stop until the process must be gone
 }
 
 // Agent holds the settings of an agent.
 type Agent struct {
-	Listen      string // address for gateways
-	Target      string // address of the engine beside the agent
-	Service     string // name of the engine's service
-	Metrics     string // address for metrics; empty for none
+	Listen  string // address for gateways
+	Target  string // address of the engine beside the agent
+	Service string // name of the engine's service
+	Metrics string // address for metrics; empty for none
 }
 
 // Store holds the address of the platform's store.
@@ -72,11 +72,11 @@
 	file.Required("gateway", "listen", "IP:PORT")
 	file.Required("gateway", "ready", "IP:PORT")
 	return Gateway{
-		Listen:      file.Address("gateway", "listen", ""),
-		Ready:       file.Address("gateway", "ready", ""),
-		AgentPort:   int(file.Int("gateway", "agent-port", 0, 1, 65535)),
-		Metrics:     file.Address("gateway", "metrics", ""),
-		Grace:       file.Duration("gateway", "grace", 8*time.Second, time.Second, time.Hour),
+		Listen:    file.Address("gateway", "listen", ""),
+		Ready:     file.Address("gateway", "ready", ""),
+		AgentPort: int(file.Int("gateway", "agent-port", 0, 1, 65535)),
+		Metrics:   file.Address("gateway", "metrics", ""),
+		Grace:     file.Duration("gateway", "grace", 8*time.Second, time.Second, time.Hour),
 	}
 }
 
@@ -85,9 +85,9 @@
 	file.Required("agent", "target", "IP:PORT")
 	file.Required("agent", "service", "the name of the target's service")
 	return Agent{
-		Listen:      file.Address("agent", "listen", ""),
-		Target:      file.Address("agent", "target", ""),
-		Service:     file.String("agent", "service", ""),
-		Metrics:     file.Address("agent", "metrics", ""),
+		Listen:  file.Address("agent", "listen", ""),
+		Target:  file.Address("agent", "target", ""),
+		Service: file.String("agent", "service", ""),
+		Metrics: file.Address("agent", "metrics", ""),
 	}
 }
