--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,11 +15,11 @@
 	"gypsumbank/occupancy"
 	"gypsumbank/platform"
 	"gypsumbank/probe"
+	"gypsumbank/registry"
 	"gypsumbank/route"
 	"gypsumbank/rpcserver"
 	"gypsumbank/sender"
 	"gypsumbank/settings"
-	"gypsumbank/target"
 	"gypsumbank/weightstore"
 	"gypsumbank/wire"
 )
@@ -60,7 +60,7 @@
 	service    string
 	targetID   string    // of the engine's present run; empty until known
 	identifyAt time.Time // when the engine may be asked for its id again
-	report     target.Report
+	report     registry.Report
 	reportAt   time.Time
 	down       bool
 	fence      int64
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -8,26 +8,24 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/fleet"
+	"gypsumbank/registry"
 	"gypsumbank/reply"
 	"gypsumbank/request"
 	"gypsumbank/retrybudget"
 	"gypsumbank/route"
-	"gypsumbank/target"
 )
 
-var (
-	// ErrNotHeld reports that a target can't be made to hold a model or adapter now.
-	ErrNotHeld = errors.New("target can not hold it now")
-)
+// ErrNotHeld reports that a target can't be made to hold a model or adapter now.
+var ErrNotHeld = errors.New("target can not hold it now")
 
 // Targets sends requests to targets.
 type Targets interface {
-	Send(ctx context.Context, to target.Target, req *request.Request, left time.Duration, unique bool) reply.Reply
+	Send(ctx context.Context, to registry.Target, req *request.Request, left time.Duration, unique bool) reply.Reply
 }
 
 // Residency has targets hold models and adapters; errors wrap ErrNotHeld.
 type Residency interface {
-	Ensure(ctx context.Context, to target.Target, requestID, model, adapter, evict string) error
+	Ensure(ctx context.Context, to registry.Target, requestID, model, adapter, evict string) error
 	// TellDemand has the demand told at once to the gateway that plans.
 	TellDemand()
 }
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"gypsumbank/registry"
 	"gypsumbank/request"
-	"gypsumbank/target"
 )
 
 // Result tells how a target dealt with a request.
@@ -60,7 +60,7 @@
 		s.models[req.Model]++
 	}
 	if req.Adapter != "" {
-		s.adapters[target.Adapter{Model: req.Model, Name: req.Adapter}]++
+		s.adapters[registry.Adapter{Model: req.Model, Name: req.Adapter}]++
 	}
 	for _, hash := range req.Chain() {
 		s.kept.add(hash)
@@ -69,7 +69,7 @@
 }
 
 // Target returns the target of the assignment.
-func (a *Assignment) Target() target.Target { return a.choice.Target }
+func (a *Assignment) Target() registry.Target { return a.choice.Target }
 
 // Start records the first byte of the answer.
 func (a *Assignment) Start(now time.Time) {
@@ -97,7 +97,7 @@
 		s.models[a.request.Model]--
 	}
 	if a.request.Adapter != "" {
-		s.adapters[target.Adapter{Model: a.request.Model, Name: a.request.Adapter}]--
+		s.adapters[registry.Adapter{Model: a.request.Model, Name: a.request.Adapter}]--
 	}
 	a.judge(result, now)
 }
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"gypsumbank/registry"
 	"gypsumbank/request"
 	"gypsumbank/route"
-	"gypsumbank/target"
 )
 
 // benchFleet returns a view of the given numbers of engines and models, each model on some engines.
@@ -20,17 +20,17 @@
 	}
 	f.SetServices(map[string]route.Service{"llm": {Name: "llm", Engine: engine}})
 	now := time.Unix(1000, 0)
-	var targets []target.Target
+	var targets []registry.Target
 	for i := range engines {
-		t := target.Target{ID: fmt.Sprint("t", i), Service: "llm", Address: "10.0.0.1:80", AvailabilityZone: "a", Slots: 64}
+		t := registry.Target{ID: fmt.Sprint("t", i), Service: "llm", Address: "10.0.0.1:80", AvailabilityZone: "a", Slots: 64}
 		for j := range 3 {
-			t.Models = append(t.Models, target.Model{Name: fmt.Sprint("m", (i*3+j)%models), Adapters: []string{"a1", "a2"}})
+			t.Models = append(t.Models, registry.Model{Name: fmt.Sprint("m", (i*3+j)%models), Adapters: []string{"a1", "a2"}})
 		}
 		targets = append(targets, t)
 	}
 	f.Adopt(targets, false, now)
 	for _, t := range targets {
-		f.Observe(t.ID, Observation{Report: target.Report{Models: t.Models, KVTotal: 270000}, Watchers: 4, Planned: true}, now)
+		f.Observe(t.ID, Observation{Report: registry.Report{Models: t.Models, KVTotal: 270000}, Watchers: 4, Planned: true}, now)
 	}
 	for i := range models {
 		f.Want("llm", benchRequest(i), now)
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -7,8 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gypsumbank/registry"
 	"gypsumbank/request"
-	"gypsumbank/target"
 )
 
 const (
@@ -45,7 +45,7 @@
 
 // Choice is a target with what it lacks for the request and the expected time to its first byte.
 type Choice struct {
-	Target         target.Target
+	Target         registry.Target
 	LacksModel     bool
 	LacksAdapter   bool
 	Expected       time.Duration
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
+	"gypsumbank/registry"
 	"gypsumbank/route"
-	"gypsumbank/target"
 )
 
 const (
@@ -35,8 +35,8 @@
 
 // state is what is known of one run of a target.
 type state struct {
-	target.Target
-	report   target.Report
+	registry.Target
+	report   registry.Report
 	reportAt time.Time
 	watchers int    // gateways that watch the agent
 	loading  string // model of a load in progress
@@ -45,11 +45,11 @@
 	loadingSince time.Time
 	loadedAt     map[string]time.Time // when a model was last loaded
 
-	inflight int                    // own requests at the target
-	unread   float64                // expected ms of prefill of own requests without a first event
-	unsent   int                    // own requests among those
-	models   map[string]int         // own requests by model
-	adapters map[target.Adapter]int // own requests by adapter
+	inflight int                      // own requests at the target
+	unread   float64                  // expected ms of prefill of own requests without a first event
+	unsent   int                      // own requests among those
+	models   map[string]int           // own requests by model
+	adapters map[registry.Adapter]int // own requests by adapter
 	kept     *parts
 
 	latency   float64 // ms, moving average over a plain service's answers
@@ -82,14 +82,14 @@
 
 // Change tells how an update of the registry changed the view.
 type Change struct {
-	Added   []target.Target
-	Removed []target.Target
-	Leaving []target.Target
+	Added   []registry.Target
+	Removed []registry.Target
+	Leaving []registry.Target
 }
 
 // Adopt replaces the registered targets. If the store was away since the last update, targets that are missing are kept
 // for a while, since their entries may have lapsed meanwhile.
-func (f *Fleet) Adopt(targets []target.Target, storeWasAway bool, now time.Time) Change {
+func (f *Fleet) Adopt(targets []registry.Target, storeWasAway bool, now time.Time) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var change Change
@@ -132,9 +132,9 @@
 	return change
 }
 
-func newState(t target.Target) *state {
+func newState(t registry.Target) *state {
 	return &state{
-		Target: t, slowness: 1, kept: newParts(keptParts), models: map[string]int{}, loadedAt: map[string]time.Time{}, adapters: map[target.Adapter]int{},
+		Target: t, slowness: 1, kept: newParts(keptParts), models: map[string]int{}, loadedAt: map[string]time.Time{}, adapters: map[registry.Adapter]int{},
 	}
 }
 
@@ -147,7 +147,7 @@
 
 // Observation is what an agent tells of its target.
 type Observation struct {
-	Report   target.Report
+	Report   registry.Report
 	Loading  string // model of a load in progress
 	Watchers int    // gateways that watch the agent
 	Planned  bool   // the gateway that is told decides which models the target holds
@@ -169,7 +169,7 @@
 		f.index()
 	}
 	s.report, s.reportAt, s.watchers, s.planned = report, now, seen.Watchers, seen.Planned
-	if seen.Loading != "" || now.Sub(s.loadingSince) > orderMemory || target.Holds(report.Models, s.loading, "") {
+	if seen.Loading != "" || now.Sub(s.loadingSince) > orderMemory || registry.Holds(report.Models, s.loading, "") {
 		if s.loading != seen.Loading {
 			s.loadingSince = now
 		}
@@ -178,10 +178,10 @@
 }
 
 // Targets returns the known targets of all services.
-func (f *Fleet) Targets() []target.Target {
+func (f *Fleet) Targets() []registry.Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all := make([]target.Target, 0, len(f.states))
+	all := make([]registry.Target, 0, len(f.states))
 	for _, s := range f.states {
 		all = append(all, s.Target)
 	}
@@ -236,7 +236,7 @@
 }
 
 // held returns the models that the target holds by the newest source.
-func (s *state) held(now time.Time) []target.Model {
+func (s *state) held(now time.Time) []registry.Model {
 	if !s.reportAt.IsZero() && now.Sub(s.reportAt) < reportLifetime {
 		return s.report.Models
 	}
@@ -244,13 +244,13 @@
 }
 
 func (s *state) holds(model, adapter string, now time.Time) bool {
-	return target.Holds(s.held(now), model, adapter)
+	return registry.Holds(s.held(now), model, adapter)
 }
 
 func (s *state) leaving() bool { return s.Draining || s.report.Draining || s.gone }
 
-func withHeld(models []target.Model, model, adapter string) []target.Model {
-	out := make([]target.Model, 0, len(models)+1)
+func withHeld(models []registry.Model, model, adapter string) []registry.Model {
+	out := make([]registry.Model, 0, len(models)+1)
 	found := false
 	for _, m := range models {
 		if m.Name == model {
@@ -262,7 +262,7 @@
 		out = append(out, m)
 	}
 	if !found {
-		m := target.Model{Name: model}
+		m := registry.Model{Name: model}
 		if adapter != "" {
 			m.Adapters = []string{adapter}
 		}
@@ -271,8 +271,8 @@
 	return out
 }
 
-func withoutHeld(models []target.Model, model, adapter string) []target.Model {
-	out := make([]target.Model, 0, len(models))
+func withoutHeld(models []registry.Model, model, adapter string) []registry.Model {
+	out := make([]registry.Model, 0, len(models))
 	for _, m := range models {
 		if m.Name == model {
 			if adapter == "" {
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -6,13 +6,13 @@
 	"sort"
 	"time"
 
+	"gypsumbank/registry"
 	"gypsumbank/route"
-	"gypsumbank/target"
 )
 
 // Placement is a load of a model on a target.
 type Placement struct {
-	Target target.Target
+	Target registry.Target
 	Model  string
 	Evict  string        // the model to unload for it, or empty
 	Eta    time.Duration // expected time until the target holds the model
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -15,7 +15,7 @@
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
 	"gypsumbank/fleet"
-	"gypsumbank/target"
+	"gypsumbank/registry"
 	"gypsumbank/wire"
 )
 
@@ -197,14 +197,14 @@
 }
 
 func (a *agents) observe(state *wire.TargetState) {
-	report := target.Report{
+	report := registry.Report{
 		Born: state.GetBorn(), Busy: state.GetBusy(), Sequence: state.GetSequence(),
 		Waiting: int(state.GetWaiting()), Running: int(state.GetRunning()), KVUsed: int(state.GetKvUsed()), KVTotal: int(state.GetKvTotal()),
 		Draining: state.GetDraining(), Remaining: time.Duration(state.GetRemainingMs()) * time.Millisecond,
 		InMemory: state.GetInMemory(), OnDisk: state.GetOnDisk(),
 	}
 	for _, m := range state.GetModels() {
-		report.Models = append(report.Models, target.Model{Name: m.GetName(), Adapters: m.GetAdapters()})
+		report.Models = append(report.Models, registry.Model{Name: m.GetName(), Adapters: m.GetAdapters()})
 	}
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
 		Report: report, Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), Planned: state.GetPlanner() == a.name,
@@ -220,7 +220,7 @@
 }
 
 // Ensure has the agent beside a target make it hold a model and adapter; errors wrap dispatch.ErrNotHeld.
-func (a *agents) Ensure(ctx context.Context, to target.Target, requestID, model, adapter, evict string) error {
+func (a *agents) Ensure(ctx context.Context, to registry.Target, requestID, model, adapter, evict string) error {
 	address := a.address(to.Address)
 	conn := a.dialer.Conn(ctx, address)
 	defer conn.Close()
--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"gypsumbank/registry"
 	"gypsumbank/route"
-	"gypsumbank/target"
 )
 
 var (
@@ -38,15 +38,15 @@
 // Occupancy holds the wants and what the engine was last known to hold; it is used by one goroutine.
 type Occupancy struct {
 	engine  *route.Engine
-	report  target.Report
+	report  registry.Report
 	wants   []*Want
-	used    map[target.Adapter]time.Time // when an adapter was last asked for
-	loading string                       // model that the engine is loading by an order of this process
-	leaving string                       // model that it is unloading
+	used    map[registry.Adapter]time.Time // when an adapter was last asked for
+	loading string                         // model that the engine is loading by an order of this process
+	leaving string                         // model that it is unloading
 }
 
 // New returns an occupancy without wants.
-func New() *Occupancy { return &Occupancy{used: map[target.Adapter]time.Time{}} }
+func New() *Occupancy { return &Occupancy{used: map[registry.Adapter]time.Time{}} }
 
 // SetEngine replaces the sizes of models and of the engine.
 func (o *Occupancy) SetEngine(engine *route.Engine) { o.engine = engine }
@@ -62,7 +62,7 @@
 		return
 	}
 	if want.Adapter != "" {
-		o.used[target.Adapter{Model: want.Model, Name: want.Adapter}] = now
+		o.used[registry.Adapter{Model: want.Model, Name: want.Adapter}] = now
 	}
 	o.wants = append(o.wants, want)
 	o.settle(now)
@@ -71,16 +71,16 @@
 // Reset forgets what an earlier run of the engine was doing.
 func (o *Occupancy) Reset() {
 	o.loading, o.leaving = "", ""
-	o.used = map[target.Adapter]time.Time{}
+	o.used = map[registry.Adapter]time.Time{}
 }
 
 // Observe takes over a fresh report and ends the wants that it meets.
-func (o *Occupancy) Observe(report target.Report, now time.Time) {
+func (o *Occupancy) Observe(report registry.Report, now time.Time) {
 	o.report = report
 	if o.loading != "" && !report.Busy {
 		o.loading = ""
 	}
-	if o.leaving != "" && (!report.Busy || !target.Holds(report.Models, o.leaving, "")) {
+	if o.leaving != "" && (!report.Busy || !registry.Holds(report.Models, o.leaving, "")) {
 		o.leaving = ""
 	}
 	o.settle(now)
@@ -101,11 +101,11 @@
 func (o *Occupancy) Loading() string { return o.loading }
 
 // Models returns what the engine holds and is not about to drop.
-func (o *Occupancy) Models() []target.Model {
+func (o *Occupancy) Models() []registry.Model {
 	if o.leaving == "" {
 		return o.report.Models
 	}
-	return slices.DeleteFunc(slices.Clone(o.report.Models), func(m target.Model) bool { return m.Name == o.leaving })
+	return slices.DeleteFunc(slices.Clone(o.report.Models), func(m registry.Model) bool { return m.Name == o.leaving })
 }
 
 // Waiting returns how many wants are not met.
@@ -115,7 +115,7 @@
 func (o *Occupancy) settle(now time.Time) {
 	o.wants = slices.DeleteFunc(o.wants, func(w *Want) bool {
 		switch {
-		case w.Model != o.leaving && target.Holds(o.report.Models, w.Model, w.Adapter):
+		case w.Model != o.leaving && registry.Holds(o.report.Models, w.Model, w.Adapter):
 			w.Done(nil)
 		case now.After(w.Expires):
 			w.Done(ErrExpired)
@@ -145,7 +145,7 @@
 }
 
 func (o *Occupancy) step(w *Want) (Step, bool, error) {
-	if target.Holds(o.report.Models, w.Model, "") && w.Model != o.leaving {
+	if registry.Holds(o.report.Models, w.Model, "") && w.Model != o.leaving {
 		return o.adapterStep(w)
 	}
 	if w.Adapter != "" {
@@ -163,21 +163,21 @@
 		atHand := slices.Contains(o.report.InMemory, w.Model) || slices.Contains(o.report.OnDisk, w.Model)
 		return Step{Model: w.Model, Store: !atHand}, true, nil
 	}
-	if w.Evict == "" || w.Evict == w.Model || !target.Holds(o.report.Models, w.Evict, "") {
+	if w.Evict == "" || w.Evict == w.Model || !registry.Holds(o.report.Models, w.Evict, "") {
 		return Step{}, false, ErrNoRoom
 	}
 	return Step{Unload: true, Model: w.Evict}, true, nil
 }
 
 func (o *Occupancy) adapterStep(w *Want) (Step, bool, error) {
-	coming := target.Adapter{Model: w.Model, Name: w.Adapter}
+	coming := registry.Adapter{Model: w.Model, Name: w.Adapter}
 	if o.report.Busy || o.loading != "" || o.leaving != "" {
 		return Step{}, false, nil // the engine takes no order before the one for a model has ended
 	}
 	if slices.Contains(o.report.Coming, coming) || len(o.report.Coming) >= maxComing {
 		return Step{}, false, nil
 	}
-	held := target.AdapterCount(o.report.Models) + len(o.report.Coming)
+	held := registry.AdapterCount(o.report.Models) + len(o.report.Coming)
 	if held < o.engine.AdapterSlots && o.free() >= o.engine.Models[w.Model].AdapterMB {
 		return Step{Model: w.Model, Adapter: w.Adapter}, true, nil
 	}
@@ -192,11 +192,11 @@
 const maxComing = 4
 
 // idlest returns the adapter that was not asked for for the longest time.
-func (o *Occupancy) idlest() (victim target.Adapter, ok bool) {
+func (o *Occupancy) idlest() (victim registry.Adapter, ok bool) {
 	var oldest time.Time
 	for _, m := range o.report.Models {
 		for _, name := range m.Adapters {
-			a := target.Adapter{Model: m.Name, Name: name}
+			a := registry.Adapter{Model: m.Name, Name: name}
 			if o.wanted(a) {
 				continue
 			}
@@ -208,7 +208,7 @@
 	return victim, ok
 }
 
-func (o *Occupancy) wanted(a target.Adapter) bool {
+func (o *Occupancy) wanted(a registry.Adapter) bool {
 	return slices.ContainsFunc(o.wants, func(w *Want) bool { return w.Model == a.Model && w.Adapter == a.Name })
 }
 
@@ -222,7 +222,7 @@
 	for _, a := range o.report.Coming {
 		free -= o.engine.Models[a.Model].AdapterMB
 	}
-	if o.loading != "" && !target.Holds(o.report.Models, o.loading, "") {
+	if o.loading != "" && !registry.Holds(o.report.Models, o.loading, "") {
 		free -= o.engine.Models[o.loading].WeightMB
 	}
 	return free
--- /dev/null
+++ b/registry/doc.go
@@ -0,0 +1,2 @@
+// Package registry describes a target and what it reports about itself.
+package registry
--- /dev/null
+++ b/registry/target.go
@@ -0,0 +1,68 @@
+package registry
+
+import (
+	"slices"
+	"time"
+)
+
+// Target is what the platform's registry says of a target.
+type Target struct {
+	ID               string // new at most starts
+	Born             int64  // Unix time in ms of the start; tells starts under one id apart
+	Service          string
+	Address          string // IP:PORT
+	AvailabilityZone string
+	Slots            int
+	Draining         bool
+	Remaining        time.Duration // until the target is taken away; 0 if not known
+	Cold             time.Duration // how much longer it is slow after its start
+	Models           []Model
+}
+
+// Model is a model that a target holds, with the adapters held on it.
+type Model struct {
+	Name     string
+	Version  int
+	Adapters []string
+}
+
+// Report is what an engine says of its present state.
+type Report struct {
+	Born      int64
+	Models    []Model
+	Coming    []Adapter // adapters on their way to the target
+	Busy      bool      // an order for a model is in progress
+	Sequence  int64     // orders accepted since the start
+	Waiting   int
+	Running   int
+	KVUsed    int // tokens of memory that cannot be evicted
+	KVTotal   int
+	Draining  bool
+	Remaining time.Duration
+	InMemory  []string // models with a copy in host memory
+	OnDisk    []string // models with a copy on disk
+}
+
+// Adapter names an adapter of a model.
+type Adapter struct {
+	Model string
+	Name  string
+}
+
+// Holds reports whether models contain the model and, unless it is empty, the adapter on it.
+func Holds(models []Model, model, adapter string) bool {
+	i := slices.IndexFunc(models, func(m Model) bool { return m.Name == model })
+	if i < 0 {
+		return false
+	}
+	return adapter == "" || slices.Contains(models[i].Adapters, adapter)
+}
+
+// AdapterCount returns how many adapters models hold.
+func AdapterCount(models []Model) int {
+	n := 0
+	for _, m := range models {
+		n += len(m.Adapters)
+	}
+	return n
+}
