Unload no adapter that is in use

Gateways now tell each agent which adapters their requests use, agents unload only others, and gateways prefer holders with a free place.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,7 +32,8 @@
 	// loadInterval is the pause while only a model is being loaded or unloaded.
 	loadInterval  = 25 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
-	orderTimeout  = 700 * time.Millisecond
+	// orderTimeout is short, as the engine is on the same VM and an order may be sent again.
+	orderTimeout  = 150 * time.Millisecond
 	storeTimeout  = 700 * time.Millisecond
 	routesWait    = 20 * time.Second
 	routesPause   = 500 * time.Millisecond
--- a/agent/control.go
+++ b/agent/control.go
@@ -75,6 +75,7 @@
 	}
 	a.report, a.reportAt = report, time.Now()
 	a.identify(ctx)
+	a.occupancy.SetUses(a.watchers.uses(), a.reportAt)
 	a.occupancy.Observe(report, a.reportAt)
 	if a.targetID != "" {
 		a.watchers.publish(a.state())
@@ -104,6 +105,7 @@
 
 // order sends the next order, if there is one to send.
 func (a *Agent) order(ctx context.Context) {
+	a.occupancy.SetUses(a.watchers.uses(), time.Now())
 	for a.fence != 0 && !a.down && a.targetID != "" && !a.report.Draining {
 		if a.unanswered != nil {
 			if !a.send(ctx, *a.unanswered) {
--- a/agent/service.go
+++ b/agent/service.go
@@ -70,7 +70,8 @@
 		Waiting: uint32(r.Waiting), Running: uint32(r.Running), KvUsed: uint32(r.KVUsed), KvTotal: uint32(r.KVTotal),
 		Draining: r.Draining, RemainingMs: uint32(r.Remaining.Milliseconds()), Busy: r.Busy,
 		InMemory: r.InMemory, OnDisk: r.OnDisk, Loading: a.occupancy.Loading(),
-		AgeMs: uint32(time.Since(a.reportAt).Milliseconds()),
+		AgeMs:       uint32(time.Since(a.reportAt).Milliseconds()),
+		AdapterRoom: uint32(a.occupancy.AdapterRoom(time.Now())),
 	}
 	for _, m := range a.occupancy.Models() {
 		state.Models = append(state.Models, &wire.HeldModel{Name: m.Name, Adapters: m.Adapters})
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"gypsumbank/registry"
 	"gypsumbank/wire"
 )
 
@@ -38,6 +39,7 @@
 	node    string
 	seen    time.Time
 	demand  []*wire.ModelDemand
+	uses    []*wire.AdapterUse
 	updates chan *wire.TargetState
 }
 
@@ -66,7 +68,7 @@
 func (w *watchers) heard(from *watcher, update *wire.WatcherUpdate) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	from.node, from.seen = update.GetNode(), w.now()
+	from.node, from.seen, from.uses = update.GetNode(), w.now(), update.GetUses()
 	if update.GetHasDemand() {
 		from.demand = update.GetDemand()
 		w.tellDemand()
@@ -120,6 +122,19 @@
 	w.updates <- state
 }
 
+// uses returns the requests of all gateways by adapter.
+func (w *watchers) uses() map[registry.Adapter]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	uses := map[registry.Adapter]int{}
+	for _, each := range w.live() {
+		for _, use := range each.uses {
+			uses[registry.Adapter{Model: use.GetModel(), Name: use.GetAdapter()}] += int(use.GetRequests())
+		}
+	}
+	return uses
+}
+
 func (w *watchers) live() []*watcher {
 	live := make([]*watcher, 0, len(w.all))
 	for each := range w.all {
@@ -168,5 +183,6 @@
 // sameLoad reports whether two states differ in no other thing that a gateway decides by.
 func sameLoad(a, b *wire.TargetState) bool {
 	return a.GetSequence() == b.GetSequence() && a.GetWaiting() == b.GetWaiting() &&
-		a.GetRunning()/runningStep == b.GetRunning()/runningStep && a.GetWatchers() == b.GetWatchers()
+		a.GetRunning()/runningStep == b.GetRunning()/runningStep && a.GetWatchers() == b.GetWatchers() &&
+		(a.GetAdapterRoom() == 0) == (b.GetAdapterRoom() == 0)
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -28,6 +28,8 @@
 	Ensure(ctx context.Context, to registry.Target, requestID, model, adapter, evict string) error
 	// TellDemand has the demand told at once to the gateway that plans.
 	TellDemand()
+	// TellUse has the uses of a target's adapters told to its agent.
+	TellUse(of registry.Target)
 }
 
 // Dispatcher holds what the dispatches of a gateway share.
@@ -214,6 +216,10 @@
 		return d.unanswered(Refused{Reason: NoRetryBudget, RetryAfter: usualRetryAfter}), false
 	}
 	assignment := d.fleet.Assign(choice, d.request, now)
+	if d.request.Adapter != "" {
+		d.residency.TellUse(choice.Target)
+		assignment.OnEnd(func() { d.residency.TellUse(choice.Target) })
+	}
 	result := d.targets.Send(d.ctx, choice.Target, d.request, d.deadline.Sub(now), !d.route.Repeatable())
 	took := d.now().Sub(now)
 	log := d.log.WithFields(logrus.Fields{
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -42,8 +42,12 @@
 	alone   bool // no other request of this gateway waited there
 	started bool
 	ended   bool
+	onEnd   func()
 }
 
+// OnEnd has a function called when the assignment ends.
+func (a *Assignment) OnEnd(call func()) { a.onEnd = call }
+
 // Assign records that a request is being sent to the chosen target.
 func (f *Fleet) Assign(choice Choice, req *request.Request, now time.Time) *Assignment {
 	f.mu.Lock()
@@ -84,10 +88,16 @@
 
 // End records the result.
 func (a *Assignment) End(result Result, now time.Time) {
+	if a.end(result, now) && a.onEnd != nil {
+		a.onEnd()
+	}
+}
+
+func (a *Assignment) end(result Result, now time.Time) bool {
 	a.fleet.mu.Lock()
 	defer a.fleet.mu.Unlock()
 	if a.ended {
-		return
+		return false
 	}
 	a.read()
 	a.ended = true
@@ -97,9 +107,13 @@
 		s.models[a.request.Model]--
 	}
 	if a.request.Adapter != "" {
-		s.adapters[registry.Adapter{Model: a.request.Model, Name: a.request.Adapter}]--
+		used := registry.Adapter{Model: a.request.Model, Name: a.request.Adapter}
+		if s.adapters[used]--; s.adapters[used] <= 0 {
+			delete(s.adapters, used)
+		}
 	}
 	a.judge(result, now)
+	return true
 }
 
 func (a *Assignment) read() {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -20,7 +20,7 @@
 	baseMs = 8
 	// adapterMs is the time to have an adapter loaded by the target's agent.
 	adapterMs = 25
-	// busyMs is the usual time until an engine that loads or unloads a model takes an order for an adapter.
+	// busyMs is the usual time until an engine that is busy with a model, or has no place for adapters, takes one.
 	busyMs = 700
 	// coldMs is added for a target that is slow after its start.
 	coldMs = 100
@@ -132,7 +132,7 @@
 		if lacks {
 			expected += adapterMs
 		}
-		if lacks && (s.report.Busy || s.loading != "") {
+		if lacks && (s.report.Busy || s.loading != "" || (s.room == 0 && !s.reportAt.IsZero())) {
 			expected += busyMs
 		}
 		cost := expected + f.zoneMs(s) + s.errorRate*errorMs + f.fullness(s, req) + affinity(chain, s.ID)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,7 @@
 	reportAt time.Time
 	watchers int    // gateways that watch the agent
 	loading  string // model of a load in progress
+	room     int    // places for adapters that are free or can be freed
 	planned  bool   // this gateway decides which models it holds
 
 	loadingSince time.Time
@@ -151,6 +152,8 @@
 	Loading  string // model of a load in progress
 	Watchers int    // gateways that watch the agent
 	Planned  bool   // the gateway that is told decides which models the target holds
+	// AdapterRoom is the number of places for adapters that are free or can be freed.
+	AdapterRoom int
 }
 
 // Observe takes over an agent's report on the run of a target; one on an earlier run is ignored.
@@ -168,7 +171,7 @@
 		f.states[id] = s
 		f.index()
 	}
-	s.report, s.reportAt, s.watchers, s.planned = report, now, seen.Watchers, seen.Planned
+	s.report, s.reportAt, s.watchers, s.planned, s.room = report, now, seen.Watchers, seen.Planned, seen.AdapterRoom
 	if seen.Loading != "" || now.Sub(s.loadingSince) > orderMemory || registry.Holds(report.Models, s.loading, "") {
 		if s.loading != seen.Loading {
 			s.loadingSince = now
@@ -188,6 +191,29 @@
 	return all
 }
 
+// AdapterUse is an adapter with the requests of this gateway that use it.
+type AdapterUse struct {
+	registry.Adapter
+	Requests int
+}
+
+// AdapterUses returns the use of adapters on the first target that matches.
+func (f *Fleet) AdapterUses(matches func(registry.Target) bool) []AdapterUse {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.states {
+		if len(s.adapters) == 0 || !matches(s.Target) {
+			continue
+		}
+		uses := make([]AdapterUse, 0, len(s.adapters))
+		for a, n := range s.adapters {
+			uses = append(uses, AdapterUse{Adapter: a, Requests: n})
+		}
+		return uses
+	}
+	return nil
+}
+
 // Gateways returns how many gateways share the targets, at least 1, as far as agents have told.
 func (f *Fleet) Gateways() int {
 	f.mu.Lock()
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -27,6 +27,8 @@
 	beatInterval = time.Second
 	// urgentPause collects the requests for missing models that arrive together.
 	urgentPause = 20 * time.Millisecond
+	// usePause collects changes of use; it is well below the time for which an agent waits for them.
+	usePause = 10 * time.Millisecond
 	// boardCount agents are told the demand, so that the loss of one or two costs nothing.
 	boardCount = 3
 )
@@ -41,13 +43,14 @@
 
 	mu      sync.Mutex
 	watched map[string]context.CancelFunc
-	boards  map[string]bool // agents that are told the demand
-	urgent  chan struct{}   // replaced and closed when the demand is to be told at once
+	boards  map[string]bool          // agents that are told the demand
+	urgent  chan struct{}            // replaced and closed when the demand is to be told at once
+	uses    map[string]chan struct{} // by agent, filled when the uses of its target's adapters have changed
 	ended   sync.WaitGroup
 }
 
 func newAgents(name string, port int, d *dialer.Dialer, f *fleet.Fleet, log *logrus.Entry) *agents {
-	return &agents{name: name, port: strconv.Itoa(port), dialer: d, fleet: f, log: log, watched: map[string]context.CancelFunc{}, urgent: make(chan struct{})}
+	return &agents{name: name, port: strconv.Itoa(port), dialer: d, fleet: f, log: log, watched: map[string]context.CancelFunc{}, urgent: make(chan struct{}), uses: map[string]chan struct{}{}}
 }
 
 // address returns the address of the agent beside the target at an address.
@@ -106,6 +109,23 @@
 	a.urgent = make(chan struct{})
 }
 
+// TellUse has the uses of a target's adapters told to its agent.
+func (a *agents) TellUse(of registry.Target) {
+	select {
+	case a.usesOf(a.address(of.Address)) <- struct{}{}:
+	default:
+	}
+}
+
+func (a *agents) usesOf(address string) chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.uses[address] == nil {
+		a.uses[address] = make(chan struct{}, 1)
+	}
+	return a.uses[address]
+}
+
 func (a *agents) tell(address string) (board bool, urgent <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -114,6 +134,7 @@
 
 // beat sends heartbeats, to some agents with the demand, until ctx ends or the stream breaks.
 func (a *agents) beat(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
+	changed := a.usesOf(address)
 	for {
 		board, urgent := a.tell(address)
 		update := &wire.WatcherUpdate{Node: a.name, HasDemand: board}
@@ -122,6 +143,9 @@
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.Work)})
 			}
 		}
+		for _, use := range a.fleet.AdapterUses(func(t registry.Target) bool { return a.address(t.Address) == address }) {
+			update.Uses = append(update.Uses, &wire.AdapterUse{Model: use.Model, Adapter: use.Name, Requests: uint32(use.Requests)})
+		}
 		if err := stream.Send(update); err != nil {
 			return
 		}
@@ -133,6 +157,8 @@
 			return
 		case <-urgent:
 			sleep(ctx, urgentPause)
+		case <-changed:
+			sleep(ctx, usePause)
 		case <-time.After(beatInterval):
 		}
 	}
@@ -208,6 +234,7 @@
 	}
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
 		Report: report, Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), Planned: state.GetPlanner() == a.name,
+		AdapterRoom: int(state.GetAdapterRoom()),
 	}, time.Now())
 	if !state.GetHasDemand() {
 		return
--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -41,6 +41,7 @@
 	report  registry.Report
 	wants   []*Want
 	used    map[registry.Adapter]time.Time // when an adapter was last asked for
+	inUse   map[registry.Adapter]int       // requests by adapter, as gateways tell
 	loading string                         // model that the engine is loading by an order of this process
 	leaving string                         // model that it is unloading
 }
@@ -74,6 +75,37 @@
 	o.used = map[registry.Adapter]time.Time{}
 }
 
+// SetUses replaces what is known of the requests by adapter.
+func (o *Occupancy) SetUses(inUse map[registry.Adapter]int, now time.Time) {
+	for a := range o.inUse {
+		if inUse[a] == 0 {
+			o.used[a] = now
+		}
+	}
+	o.inUse = inUse
+}
+
+// AdapterRoom returns the number of places for adapters that are free or held by an adapter that no request uses.
+func (o *Occupancy) AdapterRoom(now time.Time) int {
+	if o.engine == nil {
+		return 0
+	}
+	room := o.engine.AdapterSlots - len(o.report.Coming)
+	for _, m := range o.report.Models {
+		for _, name := range m.Adapters {
+			if o.busy(registry.Adapter{Model: m.Name, Name: name}, now) {
+				room--
+			}
+		}
+	}
+	return max(0, room)
+}
+
+// busy reports whether an adapter is in use, or was asked for so recently that its request may be on its way.
+func (o *Occupancy) busy(a registry.Adapter, now time.Time) bool {
+	return o.inUse[a] > 0 || o.wanted(a) || now.Sub(o.used[a]) < useNotice
+}
+
 // Observe takes over a fresh report and ends the wants that it meets.
 func (o *Occupancy) Observe(report registry.Report, now time.Time) {
 	o.report = report
@@ -130,7 +162,7 @@
 func (o *Occupancy) Next(now time.Time) (Step, bool) {
 	o.settle(now)
 	for i := 0; i < len(o.wants); i++ {
-		step, ok, err := o.step(o.wants[i])
+		step, ok, err := o.step(o.wants[i], now)
 		if err != nil {
 			o.wants[i].Done(err)
 			o.wants = slices.Delete(o.wants, i, i+1)
@@ -144,9 +176,9 @@
 	return Step{}, false
 }
 
-func (o *Occupancy) step(w *Want) (Step, bool, error) {
+func (o *Occupancy) step(w *Want, now time.Time) (Step, bool, error) {
 	if registry.Holds(o.report.Models, w.Model, "") && w.Model != o.leaving {
-		return o.adapterStep(w)
+		return o.adapterStep(w, now)
 	}
 	if w.Adapter != "" {
 		return Step{}, false, ErrNoRoom
@@ -169,7 +201,7 @@
 	return Step{Unload: true, Model: w.Evict}, true, nil
 }
 
-func (o *Occupancy) adapterStep(w *Want) (Step, bool, error) {
+func (o *Occupancy) adapterStep(w *Want, now time.Time) (Step, bool, error) {
 	coming := registry.Adapter{Model: w.Model, Name: w.Adapter}
 	if o.report.Busy || o.loading != "" || o.leaving != "" {
 		return Step{}, false, nil // the engine takes no order before the one for a model has ended
@@ -181,23 +213,27 @@
 	if held < o.engine.AdapterSlots && o.free() >= o.engine.Models[w.Model].AdapterMB {
 		return Step{Model: w.Model, Adapter: w.Adapter}, true, nil
 	}
-	victim, ok := o.idlest()
+	victim, ok := o.idlest(now)
 	if !ok {
-		return Step{}, false, ErrNoRoom
+		return Step{}, false, nil // an adapter in use would hold up all orders until its requests have ended
 	}
 	return Step{Unload: true, Model: victim.Model, Adapter: victim.Name}, true, nil
 }
 
-// maxComing is how many adapters may be on their way to an engine at the same time.
-const maxComing = 4
+const (
+	// maxComing is how many adapters may be on their way to an engine at the same time.
+	maxComing = 4
+	// useNotice is the time within which a gateway tells that a request uses an adapter it asked for.
+	useNotice = 150 * time.Millisecond
+)
 
-// idlest returns the adapter that was not asked for for the longest time.
-func (o *Occupancy) idlest() (victim registry.Adapter, ok bool) {
+// idlest returns the adapter out of use that was not asked for for the longest time.
+func (o *Occupancy) idlest(now time.Time) (victim registry.Adapter, ok bool) {
 	var oldest time.Time
 	for _, m := range o.report.Models {
 		for _, name := range m.Adapters {
 			a := registry.Adapter{Model: m.Name, Name: name}
-			if o.wanted(a) {
+			if o.busy(a, now) {
 				continue
 			}
 			if used := o.used[a]; !ok || used.Before(oldest) {
