--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -92,6 +92,8 @@
 	dispatch *dispatch.Dispatch
 	caller   context.Context // ends when the caller leaves
 	begun    bool            // the head of the answer has been written
+
+	longestGap time.Duration // between two pieces of the answer
 }
 
 func (e *exchange) run() {
@@ -145,6 +147,10 @@
 	e.writeHead(o)
 	stream := &events{lastID: e.request.LastEventID}
 	err := e.copy(o, stream)
+	e.log().WithFields(logrus.Fields{
+		"target": o.Assignment.Target().ID, "status": o.Answer.Status, "longest-gap-ms": e.longestGap.Milliseconds(),
+		"priority": e.route.Priority, "whole": err == nil,
+	}).Info("answer ends")
 	switch {
 	case err == nil:
 		o.Assignment.End(fleet.Served, time.Now())
@@ -188,8 +194,12 @@
 	flusher := http.NewResponseController(e.writer)
 	whole := e.route.Kind == route.Streaming && e.route.Resumable && o.Answer.Status < 300
 	buffer := make([]byte, copyBuffer)
+	last := time.Now()
 	for {
 		n, err := o.Answer.Body.Read(buffer)
+		now := time.Now()
+		e.longestGap = max(e.longestGap, now.Sub(last))
+		last = now
 		piece := buffer[:n]
 		if whole {
 			piece = stream.take(piece)
