--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"gypsumbank/connpool"
 	"gypsumbank/holder"
+	"gypsumbank/logs"
 	"gypsumbank/occupancy"
 	"gypsumbank/platform"
 	"gypsumbank/probe"
@@ -87,6 +88,9 @@
 	}
 }
 
+// Apply puts a changed level of logs in force; the other settings need a restart.
+func (a *Agent) Apply(config *settings.Config) { logs.SetLevel(a.log, config.Log) }
+
 // Run observes and orders until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", a.config.Agent.Listen)
--- a/cmd_agent.go
+++ b/cmd_agent.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/alecthomas/kingpin/v2"
+	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/agent"
 	"gypsumbank/logs"
+	"gypsumbank/reload"
 )
 
 var cmdAgent = command{
@@ -20,7 +23,19 @@
 				return err
 			}
 			tune(config.Limits)
-			return agent.New(config, logs.New(config.Log, config.Node, env.Out)).Run(ctx)
+			log := logs.New(config.Log, config.Node, env.Out)
+			process := agent.New(config, log)
+			watcher, err := reload.New(*path, process.Apply, log)
+			if err != nil {
+				return err
+			}
+			watching, stop := context.WithCancel(ctx)
+			defer stop()
+			group, watching := errgroup.WithContext(watching)
+			group.Go(func() error { return watcher.Run(watching) })
+			err = process.Run(ctx)
+			stop()
+			return errors.Join(err, group.Wait())
 		}
 	},
 }
--- a/cmd_gateway.go
+++ b/cmd_gateway.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/alecthomas/kingpin/v2"
+	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/gateway"
 	"gypsumbank/logs"
+	"gypsumbank/reload"
 )
 
 var cmdGateway = command{
@@ -20,7 +23,19 @@
 				return err
 			}
 			tune(config.Limits)
-			return gateway.New(config, logs.New(config.Log, config.Node, env.Out)).Run(ctx)
+			log := logs.New(config.Log, config.Node, env.Out)
+			process := gateway.New(config, log)
+			watcher, err := reload.New(*path, process.Apply, log)
+			if err != nil {
+				return err
+			}
+			watching, stop := context.WithCancel(ctx)
+			defer stop()
+			group, watching := errgroup.WithContext(watching)
+			group.Go(func() error { return watcher.Run(watching) })
+			err = process.Run(ctx)
+			stop()
+			return errors.Join(err, group.Wait())
 		}
 	},
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -88,6 +88,7 @@
 		wait = req.Deadline
 	}
 	d.budget.Request(service, d.now())
+	req.Priority = r.Priority
 	if d.fleet.Want(service, req, d.now()) {
 		d.residency.TellDemand()
 	}
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -10,13 +10,19 @@
 	"time"
 )
 
-const sweepInterval = 500 * time.Millisecond
+const (
+	sweepInterval = 500 * time.Millisecond
+	drainInterval = 50 * time.Millisecond
+	// drainIdle is how long a connection must be idle to be closed while draining; callers send again at once or not at all.
+	drainIdle = 300 * time.Millisecond
+)
 
 // connections closes callers' connections that have been idle for longer than the limit in force, which operators change
 // while the server runs.
 type connections struct {
 	mu   sync.Mutex
 	idle map[net.Conn]time.Time
+	open int
 }
 
 func newConnections() *connections { return &connections{idle: map[net.Conn]time.Time{}} }
@@ -24,11 +30,33 @@
 func (c *connections) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateIdle {
+	delete(c.idle, conn)
+	switch state {
+	case http.StateNew:
+		c.open++
+	case http.StateIdle:
 		c.idle[conn] = time.Now()
-		return
+	case http.StateClosed, http.StateHijacked:
+		c.open--
+	case http.StateActive:
+	}
+}
+
+// drain closes connections as they become idle, until none is open or ctx ends. Unlike the shutdown of the server it
+// answers a request that arrives on a connection whose answer in progress did not announce the end.
+func (c *connections) drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		if c.closeIdle(time.Now().Add(-drainIdle)) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
 	}
-	delete(c.idle, conn)
 }
 
 // sweep closes idle connections until ctx ends; a limit of 0 closes none.
@@ -47,7 +75,8 @@
 	}
 }
 
-func (c *connections) closeIdle(before time.Time) {
+// closeIdle closes the connections that have been idle since before a time and returns how many are open.
+func (c *connections) closeIdle(before time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, since := range c.idle {
@@ -56,6 +85,7 @@
 			delete(c.idle, conn)
 		}
 	}
+	return c.open
 }
 
 // quietLog drops the server's lines about connections that callers closed.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
 	"gypsumbank/fleet"
+	"gypsumbank/logs"
 	"gypsumbank/platform"
 	"gypsumbank/probe"
 	"gypsumbank/retrybudget"
@@ -42,6 +43,7 @@
 	store      *platform.Store
 	fleet      *fleet.Fleet
 	dispatcher *dispatch.Dispatcher
+	budget     *retrybudget.Budget
 	agents     *agents
 	dialer     *dialer.Dialer
 	conns      *connections
@@ -55,9 +57,7 @@
 	f := fleet.New(config.Node.AvailabilityZone)
 	d := dialer.New(nil)
 	a := newAgents(config.Node.Name, config.Gateway.AgentPort, d, f, log)
-	budget := retrybudget.New(retrybudget.Limits{
-		Ratio: config.Bounds.RetryRatio, Extra: config.Bounds.RetryExtra, Window: config.Bounds.RetryWindow,
-	})
+	budget := retrybudget.New(retryLimits(config.Bounds))
 	replicas := platform.NewReplica(sender.New(connpool.New()))
 	return &Gateway{
 		config:     config,
@@ -65,12 +65,23 @@
 		store:      platform.NewStore(config.Store.Address),
 		fleet:      f,
 		dispatcher: dispatch.New(f, replicas, a, budget, log, time.Now),
+		budget:     budget,
 		agents:     a,
 		dialer:     d,
 		conns:      newConnections(),
 	}
 }
 
+// Apply puts changed settings in force: the level of logs and the bounds of retries; the others need a restart.
+func (g *Gateway) Apply(config *settings.Config) {
+	logs.SetLevel(g.log, config.Log)
+	g.budget.SetLimits(retryLimits(config.Bounds))
+}
+
+func retryLimits(bounds settings.Bounds) retrybudget.Limits {
+	return retrybudget.Limits{Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow}
+}
+
 // Run serves until ctx ends and all requests in progress are answered or the grace is over.
 func (g *Gateway) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", g.config.Gateway.Listen)
@@ -99,7 +110,7 @@
 	group.Go(func() error { return g.conns.sweep(serving, g.idleTimeout) })
 	select {
 	case <-ctx.Done():
-		g.drain(callers)
+		g.drain()
 	case <-serving.Done():
 	}
 	stop()
@@ -116,14 +127,14 @@
 }
 
 // drain tells the platform to send no more callers and returns when the requests in progress are answered.
-func (g *Gateway) drain(callers *http.Server) {
+func (g *Gateway) drain() {
 	begun := time.Now()
 	g.draining.Store(true)
 	g.log.Info("gateway drains")
 	time.Sleep(drainNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.config.Gateway.Grace-drainMargin))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := g.conns.drain(ctx); err != nil {
 		g.log.WithError(err).Warn("requests are cut off at the end of the grace")
 	}
 }
--- a/logs/logger.go
+++ b/logs/logger.go
@@ -25,3 +25,12 @@
 	logger.SetLevel(level)
 	return logger.WithFields(logrus.Fields{"node": node.Name, "availability-zone": node.AvailabilityZone})
 }
+
+// SetLevel changes the level of a logger that New has returned.
+func SetLevel(log *logrus.Entry, config settings.Log) {
+	level, err := logrus.ParseLevel(config.Level)
+	if err != nil {
+		level = logrus.PanicLevel
+	}
+	log.Logger.SetLevel(level)
+}
--- /dev/null
+++ b/reload/doc.go
@@ -0,0 +1,2 @@
+// Package reload puts changed settings in force while a process runs.
+package reload
--- a/request/request.go
+++ b/request/request.go
@@ -33,6 +33,7 @@
 	LengthHint   int    // the caller's estimate of the tokens generated; 0 if absent
 	Parts        []Part // prompt from its start; the last part is the request's own
 	LastEventID  string
+	Priority     int // rank of the route, 0 is the most urgent
 }
 
 // Weights returns the key under which an engine keeps parts of the prompt: the model and its adapter.
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -19,9 +19,8 @@
 
 // Budget counts the requests and retries of one gateway by service.
 type Budget struct {
-	limits Limits
-
 	mu       sync.Mutex
+	limits   Limits
 	services map[string]*counts
 }
 
@@ -33,6 +32,16 @@
 // New returns a budget with nothing counted.
 func New(limits Limits) *Budget { return &Budget{limits: limits, services: map[string]*counts{}} }
 
+// SetLimits replaces the limits; the counts stay unless the window changes.
+func (b *Budget) SetLimits(limits Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limits.Window != b.limits.Window {
+		b.services = map[string]*counts{}
+	}
+	b.limits = limits
+}
+
 // Request counts a request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
