--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -137,6 +137,9 @@
 // choose returns a target that holds what the request needs, or why there is none.
 func (d *Dispatch) choose() (fleet.Choice, *Refused) {
 	for {
+		if d.ctx.Err() != nil {
+			return fleet.Choice{}, nil
+		}
 		now := d.now()
 		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.exclude}, now)
 		left := d.deadline.Sub(now)
