--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -50,6 +50,7 @@
 	AnswerLost     Reason = "answer-lost"
 	TimeoutNotRun  Reason = "timeout-not-run"
 	TimeoutMayRun  Reason = "timeout-may-run"
+	Stopping       Reason = "gateway-stops"
 	NoRoutes       Reason = "no-routes-known"
 	NoRoute        Reason = "no-such-route"
 	BodyTooLarge   Reason = "body-too-large"
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -22,10 +22,33 @@
 type connections struct {
 	mu   sync.Mutex
 	idle map[net.Conn]time.Time
+	shut map[net.Conn]bool // closed here while idle
 	open int
 }
 
-func newConnections() *connections { return &connections{idle: map[net.Conn]time.Time{}} }
+func newConnections() *connections {
+	return &connections{idle: map[net.Conn]time.Time{}, shut: map[net.Conn]bool{}}
+}
+
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// withConn returns the context of the requests on a connection.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// crossed reports whether the connection of a request was closed as the request arrived; such a request must not be
+// passed on, since its caller gets no answer and may send it again.
+func (c *connections) crossed(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shut[conn]
+}
 
 func (c *connections) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
@@ -38,6 +61,7 @@
 		c.idle[conn] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		c.open--
+		delete(c.shut, conn)
 	case http.StateActive:
 	}
 }
@@ -81,6 +105,7 @@
 	defer c.mu.Unlock()
 	for conn, since := range c.idle {
 		if since.Before(before) {
+			c.shut[conn] = true
 			conn.Close()
 			delete(c.idle, conn)
 		}
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -64,3 +64,23 @@
 		t.Errorf("drain = %v", err)
 	}
 }
+
+// TestRequestThatCrossesTheCloseIsNotPassedOn has a request arrive on a connection that was idle as it is closed.
+func TestRequestThatCrossesTheCloseIsNotPassedOn(t *testing.T) {
+	conns := newConnections()
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	conns.track(ours, http.StateNew)
+	conns.track(ours, http.StateIdle)
+	if open := conns.closeIdle(time.Now().Add(time.Second)); open != 1 {
+		t.Errorf("%d connections open, want 1 until the server has noticed", open)
+	}
+	conns.track(ours, http.StateActive)
+	if !conns.crossed(withConn(context.Background(), ours)) {
+		t.Error("the request would be passed on")
+	}
+	conns.track(ours, http.StateClosed)
+	if conns.crossed(withConn(context.Background(), ours)) || conns.open != 0 {
+		t.Error("the connection is not forgotten")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,7 +49,8 @@
 	conns      *connections
 	table      atomic.Pointer[route.Table]
 	fleetKnown atomic.Bool
-	draining   atomic.Bool
+	draining   atomic.Bool // takes no new callers
+	refusing   atomic.Bool // takes no new requests
 }
 
 // New returns a gateway with the given settings.
@@ -94,7 +95,7 @@
 	}
 	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address}).Info("gateway starts")
 	callers := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.track,
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.track, ConnContext: withConn,
 		ErrorLog: quietLog(),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: quietLog()}
@@ -132,6 +133,7 @@
 	g.draining.Store(true)
 	g.log.Info("gateway drains")
 	time.Sleep(drainNotice)
+	g.refusing.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.config.Gateway.Grace-drainMargin))
 	defer cancel()
 	if err := g.conns.drain(ctx); err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -21,14 +21,23 @@
 const (
 	defaultBodyBytes = 4 << 20
 	copyBuffer       = 16 << 10
+	// stoppingRetryAfter is short, as another gateway can serve the request at once.
+	stoppingRetryAfter = 20 * time.Millisecond
 )
 
 // serve answers one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if g.conns.crossed(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if g.refusing.Load() {
+		g.refuse(w, r, dispatch.Stopping, http.StatusServiceUnavailable, stoppingRetryAfter)
+		return
+	}
 	table := g.table.Load()
 	if table == nil {
 		g.refuse(w, r, dispatch.NoRoutes, http.StatusServiceUnavailable, time.Second)
