Learn the pace of models from faster samples, count a load from the moment that room is made, keep long prompts apart

Measured paces included waits behind other gateways' requests, so demand was overrated and one model came to 12 of 18 engines; engines that made room counted as free.

--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -22,6 +22,9 @@
 const (
 	// learning is the weight of a new measurement in a moving average.
 	learning = 0.15
+	// fasterLearning and slowerLearning are those weights for the pace of a model.
+	fasterLearning = 0.3
+	slowerLearning = 0.02
 	// maxSlowness bounds how slow one measurement can make a target appear.
 	maxSlowness = 8
 	// firstAvoidance doubles with each failure to connect in a row up to maxAvoidance.
@@ -138,11 +141,21 @@
 	expected := max(1, float64(a.choice.Expected)/float64(time.Millisecond))
 	s.slowness = max(1, average(s.slowness, min(maxSlowness, took/expected)))
 	if a.alone && a.choice.Unread >= minSampleTokens {
-		sample := max(0, took-baseMs) / float64(a.choice.Unread)
-		a.fleet.paces[a.request.Model] = average(a.fleet.pace(a.request.Model), sample)
+		a.fleet.learnPace(a.request.Model, max(0, took-baseMs)/float64(a.choice.Unread))
 	}
 }
 
+// learnPace moves the pace of a model quickly towards faster samples and slowly towards slower ones, since most samples
+// include a wait behind requests of other gateways.
+func (f *Fleet) learnPace(model string, sample float64) {
+	pace := f.pace(model)
+	weight := slowerLearning
+	if sample < pace {
+		weight = fasterLearning
+	}
+	f.paces[model] = pace + weight*(sample-pace)
+}
+
 func (a *Assignment) judge(result Result, now time.Time) {
 	s := a.state
 	switch result {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -26,6 +27,10 @@
 	coldMs = 100
 	// affinityMs spreads prompts that no target has over the holders, the same way at each gateway.
 	affinityMs = 20
+	// longPrompt is the prompt in tokens from which reading takes several steps of a batch.
+	longPrompt = 3000
+	// mixingTokens is the detour, in tokens to read, that a request takes to stay among its like.
+	mixingTokens = 4000
 	// batchMs is the slowdown of a first event by each request that generates at the target.
 	batchMs = 0.6
 	// errorMs is the cost of an answer that fails for certain.
@@ -121,6 +126,7 @@
 
 func (f *Fleet) chooseHolder(holders []*state, req *request.Request, now time.Time) Choice {
 	chain := req.Chain()
+	places := places(holders, req.Model)
 	var best Choice
 	bestCost := 0.0
 	for i, s := range holders {
@@ -135,7 +141,8 @@
 		if lacks && (s.report.Busy || s.loading != "" || (s.room == 0 && !s.reportAt.IsZero())) {
 			expected += busyMs
 		}
-		cost := expected + f.zoneMs(s) + s.errorRate*errorMs + f.fullness(s, req) + affinity(chain, s.ID)
+		cost := expected + f.zoneMs(s) + s.errorRate*errorMs + f.fullness(s, req) + affinity(chain, s.ID) +
+			f.mixing(req, places[s.ID])
 		if s.Cold > 0 {
 			cost += coldMs
 		}
@@ -150,6 +157,33 @@
 	return best
 }
 
+// places returns where each holder of a model stands between 0 and 1, the same way at each gateway.
+func places(holders []*state, model string) map[string]float64 {
+	places := make(map[string]float64, len(holders))
+	if len(holders) < 2 {
+		return places
+	}
+	ids := make([]string, 0, len(holders))
+	for _, s := range holders {
+		ids = append(ids, s.ID)
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(model+a), xxhash.Sum64String(model+b)) })
+	for i, id := range ids {
+		places[id] = float64(i) / float64(len(ids)-1)
+	}
+	return places
+}
+
+// mixing returns the cost of a holder that keeps long prompts and streams of short ones apart: an engine reads prompts
+// between the tokens that it generates, so that long ones cause pauses in the streams of others.
+func (f *Fleet) mixing(req *request.Request, place float64) float64 {
+	weight := mixingTokens * f.pace(req.Model)
+	if req.PromptTokens > longPrompt {
+		return weight * (1 - place)
+	}
+	return weight * place
+}
+
 // waitMs returns the expected ms until the target has read the prompts that wait there.
 func (f *Fleet) waitMs(s *state, now time.Time) float64 {
 	others := 0
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -22,7 +22,7 @@
 
 const (
 	// crowded is the work for each copy of a model, in ms a second, above which it gets a further copy.
-	crowded = 150
+	crowded = 60
 	// gain is by how much the work of a crowded model must exceed that of the model that makes way.
 	gain = 2
 	// unloadTime is the usual time until the runs of a model that makes way have ended.
--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -129,8 +129,18 @@
 	}
 }
 
-// Loading returns the model that is being loaded, or "".
-func (o *Occupancy) Loading() string { return o.loading }
+// Loading returns the model that is being loaded or that room is being made for, or "".
+func (o *Occupancy) Loading() string {
+	if o.loading != "" {
+		return o.loading
+	}
+	for _, w := range o.wants {
+		if w.Adapter == "" {
+			return w.Model
+		}
+	}
+	return ""
+}
 
 // Models returns what the engine holds and is not about to drop.
 func (o *Occupancy) Models() []registry.Model {
