--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -227,7 +227,7 @@
 	result := d.targets.Send(d.ctx, choice.Target, d.request, d.deadline.Sub(now), !d.route.Repeatable())
 	took := d.now().Sub(now)
 	log := d.log.WithFields(logrus.Fields{
-		"target": choice.Target.ID, "expected-ms": choice.Expected.Milliseconds(), "took-ms": took.Milliseconds(),
+		"target": choice.Target.ID, "waited-ms": now.Sub(d.request.Arrived).Milliseconds(), "expected-ms": choice.Expected.Milliseconds(), "took-ms": took.Milliseconds(),
 		"unread": choice.Unread, "report-age-ms": choice.ReportAge.Milliseconds(), "candidates": choice.Candidates, "send": d.sends + 1,
 	})
 	switch result := result.(type) {
