Have gateways share what waits at engines and which prompts they have read

Cause: each gateway knew its own requests only, so it sent prompts to engines where those of three others waited, and read shared parts again that another gateway had just had read there. Gateways now tell each agent the expected reading time of what they have waiting and the hashes of the prompt parts they send; agents pass both on.

--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -21,6 +21,9 @@
 	loadPause = 100 * time.Millisecond
 	// runningStep is by how many running requests a state must differ to be told before the next heartbeat.
 	runningStep = 4
+	// unreadStepMs is the same for the time to read the prompts that wait.
+	unreadStepMs   = 25
+	maxQueuedParts = 1024
 )
 
 // watchers hands the newest state to all gateways that watch, and the demand of all to the one that plans.
@@ -40,6 +43,8 @@
 	seen    time.Time
 	demand  []*wire.ModelDemand
 	uses    []*wire.AdapterUse
+	unread  float32
+	parts   []*wire.PromptPart // from other gateways, not yet sent to this one
 	updates chan *wire.TargetState
 }
 
@@ -68,7 +73,12 @@
 func (w *watchers) heard(from *watcher, update *wire.WatcherUpdate) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	from.node, from.seen, from.uses = update.GetNode(), w.now(), update.GetUses()
+	from.node, from.seen, from.uses, from.unread = update.GetNode(), w.now(), update.GetUses(), update.GetUnreadMs()
+	for each := range w.all {
+		if each != from {
+			each.learn(update.GetParts())
+		}
+	}
 	if update.GetHasDemand() {
 		from.demand = update.GetDemand()
 		w.tellDemand()
@@ -81,6 +91,9 @@
 	defer w.mu.Unlock()
 	live := w.live()
 	state.Watchers = uint32(len(live))
+	for _, each := range live {
+		state.UnreadMs += each.unread
+	}
 	if planner := planner(live); planner != nil {
 		state.Planner = planner.node
 	}
@@ -114,6 +127,26 @@
 	to.send(state)
 }
 
+// learn queues prompt parts for a gateway; one that lags misses the oldest.
+func (w *watcher) learn(parts []*wire.PromptPart) {
+	w.parts = append(w.parts, parts...)
+	if excess := len(w.parts) - maxQueuedParts; excess > 0 {
+		w.parts = w.parts[excess:]
+	}
+}
+
+// withParts returns the state with the prompt parts that are queued for a gateway.
+func (w *watchers) withParts(state *wire.TargetState, to *watcher) *wire.TargetState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(to.parts) == 0 {
+		return state
+	}
+	own := proto.Clone(state).(*wire.TargetState)
+	own.Parts, to.parts = to.parts, nil
+	return own
+}
+
 func (w *watcher) send(state *wire.TargetState) {
 	select {
 	case <-w.updates:
@@ -182,7 +215,7 @@
 
 // sameLoad reports whether two states differ in no other thing that a gateway decides by.
 func sameLoad(a, b *wire.TargetState) bool {
-	return a.GetSequence() == b.GetSequence() && a.GetWaiting() == b.GetWaiting() &&
+	return a.GetSequence() == b.GetSequence() && int(a.GetUnreadMs()/unreadStepMs) == int(b.GetUnreadMs()/unreadStepMs) && a.GetWaiting() == b.GetWaiting() &&
 		a.GetRunning()/runningStep == b.GetRunning()/runningStep && a.GetWatchers() == b.GetWatchers() &&
 		(a.GetAdapterRoom() == 0) == (b.GetAdapterRoom() == 0)
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -220,7 +220,7 @@
 		return d.unanswered(Refused{Reason: NoRetryBudget, RetryAfter: usualRetryAfter}), false
 	}
 	assignment := d.fleet.Assign(choice, d.request, now)
-	if d.request.Adapter != "" {
+	if d.request.Model != "" {
 		d.residency.TellUse(choice.Target)
 		assignment.OnEnd(func() { d.residency.TellUse(choice.Target) })
 	}
@@ -256,6 +256,9 @@
 
 func (d *Dispatch) answered(result reply.Answered, assignment *fleet.Assignment, log *logrus.Entry) (Outcome, bool) {
 	assignment.Start(d.now())
+	if d.request.Model != "" {
+		d.residency.TellUse(assignment.Target())
+	}
 	if result.Answer.Status >= 500 && d.mayRunAgain() {
 		assignment.End(fleet.Failed, d.now())
 		result.Answer.Body.Close()
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -69,8 +69,12 @@
 	if req.Adapter != "" {
 		s.adapters[registry.Adapter{Model: req.Model, Name: req.Adapter}]++
 	}
-	for _, hash := range req.Chain() {
-		s.kept.add(hash)
+	for i, hash := range req.Chain() {
+		part := Part{Hash: hash, Tokens: req.Parts[i].Tokens}
+		s.kept.add(part)
+		if len(s.outbox) < maxOutbox {
+			s.outbox = append(s.outbox, part)
+		}
 	}
 	return a
 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -186,20 +186,10 @@
 
 // waitMs returns the expected ms until the target has read the prompts that wait there.
 func (f *Fleet) waitMs(s *state, now time.Time) float64 {
-	others := 0
 	if now.Sub(s.reportAt) < reportLifetime {
-		others = max(0, s.report.Waiting-s.unsent)
+		return s.unread + s.others
 	}
-	return s.unread + float64(others)*f.usualReadMs(s)
-}
-
-// usualReadMs returns the ms that the target needs to read a usual prompt.
-func (f *Fleet) usualReadMs(s *state) float64 {
-	if s.unsent > 0 {
-		return s.unread / float64(s.unsent)
-	}
-	const usualPromptMs = 60
-	return usualPromptMs
+	return s.unread
 }
 
 // fullness returns the cost of a lack of memory or places.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,8 +13,12 @@
 	reportLifetime = 3 * time.Second
 	// absenceGrace is how long a target may be missing from the registry after the store was away.
 	absenceGrace = 2500 * time.Millisecond
-	// keptParts bounds what is remembered of the prompts sent to one target.
-	keptParts = 2048
+	// usualMemory is the memory of a target in tokens where it is not known.
+	usualMemory = 100000
+	// keptShare is the part of a target's memory that prompts which have been read are expected to keep.
+	keptShare = 0.7
+	// maxOutbox bounds the prompt parts that wait to be told to an agent.
+	maxOutbox = 1024
 )
 
 // Fleet is the view of all targets; its methods may be called by several goroutines.
@@ -47,6 +51,8 @@
 	loadedAt     map[string]time.Time // when a model was last loaded
 
 	inflight int                      // own requests at the target
+	others   float64                  // expected ms of prefill of other gateways' requests
+	outbox   []Part                   // sent there and not yet told to its agent
 	unread   float64                  // expected ms of prefill of own requests without a first event
 	unsent   int                      // own requests among those
 	models   map[string]int           // own requests by model
@@ -135,7 +141,7 @@
 
 func newState(t registry.Target) *state {
 	return &state{
-		Target: t, slowness: 1, kept: newParts(keptParts), models: map[string]int{}, loadedAt: map[string]time.Time{}, adapters: map[registry.Adapter]int{},
+		Target: t, slowness: 1, kept: newParts(usualMemory), models: map[string]int{}, loadedAt: map[string]time.Time{}, adapters: map[registry.Adapter]int{},
 	}
 }
 
@@ -154,6 +160,10 @@
 	Planned  bool   // the gateway that is told decides which models the target holds
 	// AdapterRoom is the number of places for adapters that are free or can be freed.
 	AdapterRoom int
+	// UnreadMs is the expected time to read the prompts that all gateways have waiting there.
+	UnreadMs float64
+	// Parts holds prompt parts that other gateways have sent there.
+	Parts []Part
 }
 
 // Observe takes over an agent's report on the run of a target; one on an earlier run is ignored.
@@ -172,6 +182,13 @@
 		f.index()
 	}
 	s.report, s.reportAt, s.watchers, s.planned, s.room = report, now, seen.Watchers, seen.Planned, seen.AdapterRoom
+	s.others = max(0, seen.UnreadMs-s.unread)
+	if report.KVTotal > 0 {
+		s.kept.limit = int(keptShare * float64(report.KVTotal))
+	}
+	for _, part := range seen.Parts {
+		s.kept.add(part)
+	}
 	if seen.Loading != "" || now.Sub(s.loadingSince) > orderMemory || registry.Holds(report.Models, s.loading, "") {
 		if s.loading != seen.Loading {
 			s.loadingSince = now
@@ -197,21 +214,29 @@
 	Requests int
 }
 
-// AdapterUses returns the use of adapters on the first target that matches.
-func (f *Fleet) AdapterUses(matches func(registry.Target) bool) []AdapterUse {
+// Share is what a gateway tells an agent of its requests at the target.
+type Share struct {
+	Uses     []AdapterUse
+	UnreadMs float64
+	Parts    []Part // sent since the last share
+}
+
+// Share returns what to tell the agent of the first target that matches.
+func (f *Fleet) Share(matches func(registry.Target) bool) Share {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.states {
-		if len(s.adapters) == 0 || !matches(s.Target) {
+		if !matches(s.Target) {
 			continue
 		}
-		uses := make([]AdapterUse, 0, len(s.adapters))
+		share := Share{UnreadMs: s.unread, Parts: s.outbox}
+		s.outbox = nil
 		for a, n := range s.adapters {
-			uses = append(uses, AdapterUse{Adapter: a, Requests: n})
+			share.Uses = append(share.Uses, AdapterUse{Adapter: a, Requests: n})
 		}
-		return uses
+		return share
 	}
-	return nil
+	return Share{}
 }
 
 // Gateways returns how many gateways share the targets, at least 1, as far as agents have told.
--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -2,11 +2,18 @@
 
 import "container/list"
 
+// Part is a prompt part with all parts before it, for certain weights.
+type Part struct {
+	Hash   uint64
+	Tokens int
+}
+
 // parts remembers the prompt parts last sent to a target, least recently sent first out.
 type parts struct {
-	limit int
-	order *list.List
-	index map[uint64]*list.Element
+	limit  int // tokens
+	tokens int
+	order  *list.List
+	index  map[uint64]*list.Element
 }
 
 func newParts(limit int) *parts {
@@ -18,15 +25,18 @@
 	return ok
 }
 
-func (p *parts) add(hash uint64) {
-	if element, ok := p.index[hash]; ok {
+func (p *parts) add(part Part) {
+	if element, ok := p.index[part.Hash]; ok {
 		p.order.MoveToFront(element)
 		return
 	}
-	p.index[hash] = p.order.PushFront(hash)
-	if p.order.Len() > p.limit {
+	p.index[part.Hash] = p.order.PushFront(part)
+	p.tokens += part.Tokens
+	for p.tokens > p.limit && p.order.Len() > 1 {
 		oldest := p.order.Back()
 		p.order.Remove(oldest)
-		delete(p.index, oldest.Value.(uint64))
+		gone := oldest.Value.(Part)
+		p.tokens -= gone.Tokens
+		delete(p.index, gone.Hash)
 	}
 }
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -143,9 +143,14 @@
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.Work)})
 			}
 		}
-		for _, use := range a.fleet.AdapterUses(func(t registry.Target) bool { return a.address(t.Address) == address }) {
+		share := a.fleet.Share(func(t registry.Target) bool { return a.address(t.Address) == address })
+		update.UnreadMs = float32(share.UnreadMs)
+		for _, use := range share.Uses {
 			update.Uses = append(update.Uses, &wire.AdapterUse{Model: use.Model, Adapter: use.Name, Requests: uint32(use.Requests)})
 		}
+		for _, part := range share.Parts {
+			update.Parts = append(update.Parts, &wire.PromptPart{Hash: part.Hash, Tokens: uint32(part.Tokens)})
+		}
 		if err := stream.Send(update); err != nil {
 			return
 		}
@@ -234,7 +239,7 @@
 	}
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
 		Report: report, Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), Planned: state.GetPlanner() == a.name,
-		AdapterRoom: int(state.GetAdapterRoom()),
+		AdapterRoom: int(state.GetAdapterRoom()), UnreadMs: float64(state.GetUnreadMs()), Parts: partsOf(state),
 	}, time.Now())
 	if !state.GetHasDemand() {
 		return
@@ -246,6 +251,14 @@
 	a.fleet.SetTotalDemand(demand, int(state.GetWatchers()), time.Now())
 }
 
+func partsOf(state *wire.TargetState) []fleet.Part {
+	parts := make([]fleet.Part, 0, len(state.GetParts()))
+	for _, p := range state.GetParts() {
+		parts = append(parts, fleet.Part{Hash: p.GetHash(), Tokens: int(p.GetTokens())})
+	}
+	return parts
+}
+
 // Ensure has the agent beside a target make it hold a model and adapter; errors wrap dispatch.ErrNotHeld.
 func (a *agents) Ensure(ctx context.Context, to registry.Target, requestID, model, adapter, evict string) error {
 	address := a.address(to.Address)
