--- /dev/null
+++ b/standin/site/target.go
@@ -0,0 +1,274 @@
+package site
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Seen is a request as a target has received it.
+type Seen struct {
+	Line   string // request line
+	Header http.Header
+	Body   []byte
+	Left   bool // the connection was closed before the answer was complete
+}
+
+// Script writes the answer to a request on its connection and reports whether the connection stays open.
+type Script func(conn net.Conn, seen *Seen) bool
+
+// Target stands in for a target; it reads requests itself, so that it sees each byte.
+type Target struct {
+	id       string
+	listener net.Listener
+
+	mu      sync.Mutex
+	script  Script
+	seen    []*Seen
+	models  map[string][]string
+	orders  []Order
+	lose    int // orders that get no answer
+	reports int
+	conns   map[net.Conn]struct{}
+}
+
+// Order is an order that a target has received.
+type Order struct {
+	Op       string `json:"op"`
+	Model    string `json:"model"`
+	Adapter  string `json:"adapter"`
+	Expected int64  `json:"expected"`
+	Holder   string `json:"holder"`
+	Fence    int64  `json:"fence"`
+	Taken    bool   `json:"-"`
+}
+
+// NewTarget returns a running target with the given id that answers by script.
+func NewTarget(id string, script Script) *Target {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	t := &Target{id: id, listener: listener, script: script, models: map[string][]string{}, conns: map[net.Conn]struct{}{}}
+	go t.accept()
+	return t
+}
+
+// Address returns the address of the target.
+func (t *Target) Address() string { return t.listener.Addr().String() }
+
+// Close ends the target and its connections.
+func (t *Target) Close() {
+	t.listener.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for conn := range t.conns {
+		conn.Close()
+	}
+}
+
+// SetScript replaces the script.
+func (t *Target) SetScript(script Script) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.script = script
+}
+
+// Load has the target hold a model with adapters.
+func (t *Target) Load(model string, adapters ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.models[model] = adapters
+}
+
+// LoseOrders leaves the next n orders without an answer, though they are carried out.
+func (t *Target) LoseOrders(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lose = n
+}
+
+// Seen returns the requests received so far.
+func (t *Target) Seen() []*Seen {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]*Seen(nil), t.seen...)
+}
+
+// Orders returns the orders received so far.
+func (t *Target) Orders() []Order {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Order(nil), t.orders...)
+}
+
+// Entry returns what the target writes to the registry about itself.
+func (t *Target) Entry(service, state string) map[string]any {
+	return map[string]any{
+		"service": service, "address": t.Address(), "zone": "zone-a", "version": "v1", "slots": 8, "state": state,
+		"coldRemainingMs": 0, "sequence": 1, "born": 1, "models": t.modelList(),
+	}
+}
+
+func (t *Target) modelList() []map[string]any {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := []map[string]any{}
+	for name, adapters := range t.models {
+		list = append(list, map[string]any{"name": name, "version": 1, "adapters": append([]string{}, adapters...)})
+	}
+	return list
+}
+
+func (t *Target) accept() {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		t.conns[conn] = struct{}{}
+		t.mu.Unlock()
+		go t.serve(conn)
+	}
+}
+
+func (t *Target) serve(conn net.Conn) {
+	defer func() {
+		conn.Close()
+		t.mu.Lock()
+		delete(t.conns, conn)
+		t.mu.Unlock()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		line, err := peekLine(reader)
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		if t.serveOwn(conn, request, body) {
+			continue
+		}
+		seen := &Seen{Line: line, Header: request.Header, Body: body}
+		t.mu.Lock()
+		t.seen = append(t.seen, seen)
+		script := t.script
+		t.mu.Unlock()
+		if !script(conn, seen) {
+			return
+		}
+	}
+}
+
+func peekLine(reader *bufio.Reader) (string, error) {
+	for n := 1; ; n++ {
+		b, err := reader.Peek(n)
+		if err != nil {
+			return "", err
+		}
+		if b[n-1] == '\n' {
+			return strings.TrimRight(string(b), "\r\n"), nil
+		}
+	}
+}
+
+// serveOwn answers calls to the target itself.
+func (t *Target) serveOwn(conn net.Conn, request *http.Request, body []byte) bool {
+	switch request.URL.Path {
+	case "/healthz":
+		writeAnswer(conn, http.StatusOK, "X-Gypsumbank-Instance-Id: "+t.id+"\r\n", "")
+	case "/-/report":
+		report, err := json.Marshal(map[string]any{
+			"models": t.modelList(), "busy": false, "sequence": t.sequence(), "waiting": 0, "running": 0, "kvUsed": 0,
+			"kvTotal": 1000000, "state": "ready", "born": 1, "coming": []string{}, "atHand": map[string]any{"inMemory": []string{}, "onDisk": []string{}},
+		})
+		if err != nil {
+			return false
+		}
+		writeAnswer(conn, http.StatusOK, "", string(report))
+	case "/-/order":
+		t.order(conn, body)
+	default:
+		return false
+	}
+	return true
+}
+
+func (t *Target) sequence() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.taken()
+}
+
+func (t *Target) taken() int64 {
+	n := int64(0)
+	for _, o := range t.orders {
+		if o.Taken {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Target) order(conn net.Conn, body []byte) {
+	var o Order
+	if err := json.Unmarshal(body, &o); err != nil {
+		writeAnswer(conn, http.StatusBadRequest, "", "")
+		return
+	}
+	t.mu.Lock()
+	o.Taken = o.Expected == t.taken()
+	if o.Taken {
+		t.carryOut(o)
+	}
+	t.orders = append(t.orders, o)
+	lost := t.lose > 0
+	if lost {
+		t.lose--
+	}
+	t.mu.Unlock()
+	switch {
+	case lost:
+		time.Sleep(time.Second)
+	case o.Taken:
+		writeAnswer(conn, http.StatusAccepted, "", "")
+	default:
+		writeAnswer(conn, http.StatusConflict, "", "")
+	}
+}
+
+func (t *Target) carryOut(o Order) {
+	switch {
+	case o.Op == "unloading" && o.Adapter == "":
+		delete(t.models, o.Model)
+	case o.Op == "unloading":
+		kept := []string{}
+		for _, a := range t.models[o.Model] {
+			if a != o.Adapter {
+				kept = append(kept, a)
+			}
+		}
+		t.models[o.Model] = kept
+	case o.Adapter == "":
+		t.models[o.Model] = nil
+	default:
+		t.models[o.Model] = append(t.models[o.Model], o.Adapter)
+	}
+}
+
+func writeAnswer(conn net.Conn, status int, headers, body string) {
+	_, _ = io.WriteString(conn, answerText(status, headers, body)) // a caller that has left is noticed by the next read
+}
