Have two agents read the store for all gateways

Two agents, three in large deployments, now read routes and targets and tell the gateways what has changed; a gateway whose agents have not read within 1.5 s reads by itself.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -106,6 +106,7 @@
 	group.Go(func() error { return server.Run(ctx, listener) })
 	group.Go(func() error { return a.acquireFence(ctx) })
 	group.Go(func() error { return a.followRoutes(ctx) })
+	group.Go(func() error { return a.followTargets(ctx) })
 	group.Go(func() error { return a.control(ctx) })
 	group.Go(func() error { return probe.New(a.config.Agent.Metrics, func() error { return nil }).Run(ctx) })
 	err = group.Wait()
@@ -127,8 +128,9 @@
 
 // followRoutes hands each new routing table to control; sizes of models change rarely.
 func (a *Agent) followRoutes(ctx context.Context) error {
-	version := int64(0)
+	version, inForce := int64(0), int64(0)
 	for ctx.Err() == nil {
+		begun := time.Now()
 		table, next, err := a.nextRoutes(ctx, version)
 		if err != nil || next == 0 {
 			a.log.WithError(err).Debug("no routes")
@@ -139,8 +141,12 @@
 			continue
 		}
 		version = next
+		if table != nil {
+			inForce = max(inForce, table.Version())
+		}
+		a.watchers.setRoutes(inForce)
 		if table == nil {
-			if err := sleep(ctx, routesPause); err != nil {
+			if err := sleep(ctx, routesPause-time.Since(begun)); err != nil {
 				return err
 			}
 			continue
@@ -164,9 +170,13 @@
 		}
 		return table, next, err
 	}
-	call, cancel := context.WithTimeout(ctx, routesWait+storeTimeout)
+	wait := routesWait
+	if a.watchers.isBoard() {
+		wait = boardRoutesWait
+	}
+	call, cancel := context.WithTimeout(ctx, wait+storeTimeout/2)
 	defer cancel()
-	return a.store.RoutesAfter(call, version, routesWait)
+	return a.store.RoutesAfter(call, version, wait)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- /dev/null
+++ b/agent/bulletin.go
@@ -0,0 +1,126 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"gypsumbank/registry"
+	"gypsumbank/wire"
+)
+
+const (
+	// boardLifetime is the age at which the request of a gateway to read the store for it lapses.
+	boardLifetime = 3 * time.Second
+	// targetsInterval leaves half of the platform's drain time for requests on their way to a leaving target.
+	targetsInterval = 700 * time.Millisecond
+	// boardHeartbeat is the longest pause between two states of an agent that reads the store for gateways.
+	boardHeartbeat = 300 * time.Millisecond
+	// boardLook is the pause between looks whether a gateway asks this agent to read the store.
+	boardLook = 200 * time.Millisecond
+	// boardRoutesWait bounds a wait for changes of routes, so that a connection that went silent is noticed.
+	boardRoutesWait = time.Second
+)
+
+// bulletin is what an agent has read in the store for the gateways.
+type bulletin struct {
+	routesVersion int64
+	routesAt      time.Time
+	targets       []*wire.RegisteredTarget
+	targetsAt     time.Time
+	revision      uint64
+	asked         time.Time // when a gateway last asked for it
+}
+
+// followTargets reads the registry while gateways ask for it.
+func (a *Agent) followTargets(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !a.watchers.isBoard() {
+			if err := sleep(ctx, boardLook); err != nil {
+				return err
+			}
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		targets, _, err := a.store.Targets(call)
+		cancel()
+		if err != nil {
+			a.log.WithError(err).Debug("targets not read")
+		} else {
+			a.watchers.setTargets(targets)
+		}
+		if err := sleep(ctx, targetsInterval); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (w *watchers) isBoard() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now().Sub(w.bulletin.asked) < boardLifetime
+}
+
+// setTargets takes over the registry as it was just read.
+func (w *watchers) setTargets(targets []registry.Target) {
+	list := make([]*wire.RegisteredTarget, 0, len(targets))
+	for _, t := range targets {
+		list = append(list, &wire.RegisteredTarget{
+			Id: t.ID, Born: t.Born, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
+			Slots: uint32(t.Slots), Draining: t.Draining, Cold: t.Cold > 0,
+		})
+	}
+	slices.SortFunc(list, func(a, b *wire.RegisteredTarget) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bulletin.targetsAt = w.now()
+	if w.bulletin.revision > 0 && slices.EqualFunc(list, w.bulletin.targets, func(a, b *wire.RegisteredTarget) bool { return proto.Equal(a, b) }) {
+		return
+	}
+	w.bulletin.targets = list
+	w.bulletin.revision++
+	w.pushLast()
+}
+
+// setRoutes takes over that the routes of a version were in force just now.
+func (w *watchers) setRoutes(version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bulletin.routesAt = w.now()
+	if version > w.bulletin.routesVersion {
+		w.bulletin.routesVersion = version
+		w.pushLast()
+	}
+}
+
+// pushLast sends the last state again, with the bulletin that has changed; the caller holds the lock.
+func (w *watchers) pushLast() {
+	if w.last == nil || w.now().Sub(w.bulletin.asked) >= boardLifetime {
+		return
+	}
+	for each := range w.all {
+		each.send(w.last)
+	}
+}
+
+// bulletinFor returns what to tell a gateway, or nil if it has not all been read; the caller holds the lock.
+func (w *watchers) bulletinFor(to *watcher) *wire.Bulletin {
+	b := &w.bulletin
+	if w.now().Sub(b.asked) >= boardLifetime || b.revision == 0 || b.routesVersion == 0 {
+		return nil
+	}
+	oldest := b.routesAt.Add(boardRoutesWait - targetsInterval) // a change of routes is told at once, not by the next read
+	if b.targetsAt.Before(oldest) {
+		oldest = b.targetsAt
+	}
+	out := &wire.Bulletin{RoutesVersion: b.routesVersion, Revision: b.revision, AgeMs: uint32(max(0, w.now().Sub(oldest)).Milliseconds())}
+	if to.revision != b.revision {
+		out.HasTargets, out.Targets = true, b.targets
+		to.revision = b.revision
+	}
+	return out
+}
--- a/agent/service.go
+++ b/agent/service.go
@@ -33,7 +33,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case state := <-watcher.updates:
-			if err := stream.Send(s.agent.watchers.withParts(state, watcher)); err != nil {
+			if err := stream.Send(s.agent.watchers.personal(state, watcher)); err != nil {
 				return err
 			}
 		}
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -35,17 +35,19 @@
 	last     *wire.TargetState
 	sentAt   time.Time
 	demandAt time.Time
+	bulletin bulletin
 }
 
 // watcher is a gateway with its latest demand.
 type watcher struct {
-	node    string
-	seen    time.Time
-	demand  []*wire.ModelDemand
-	uses    []*wire.AdapterUse
-	unread  float32
-	parts   []*wire.PromptPart // from other gateways, not yet sent to this one
-	updates chan *wire.TargetState
+	node     string
+	seen     time.Time
+	demand   []*wire.ModelDemand
+	uses     []*wire.AdapterUse
+	unread   float32
+	parts    []*wire.PromptPart // from other gateways, not yet sent to this one
+	revision uint64             // of the targets that it was last told
+	updates  chan *wire.TargetState
 }
 
 func newWatchers(now func() time.Time) *watchers {
@@ -80,6 +82,7 @@
 		}
 	}
 	if update.GetHasDemand() {
+		w.bulletin.asked = w.now()
 		from.demand = update.GetDemand()
 		w.tellDemand()
 	}
@@ -99,7 +102,11 @@
 	}
 	if w.last != nil && sameHoldings(w.last, state) {
 		since := w.now().Sub(w.sentAt)
-		if since < loadPause || (since < heartbeat && sameLoad(w.last, state)) {
+		pause := heartbeat
+		if w.now().Sub(w.bulletin.asked) < boardLifetime {
+			pause = boardHeartbeat
+		}
+		if since < loadPause || (since < pause && sameLoad(w.last, state)) {
 			return
 		}
 	}
@@ -135,15 +142,18 @@
 	}
 }
 
-// withParts returns the state with the prompt parts that are queued for a gateway.
-func (w *watchers) withParts(state *wire.TargetState, to *watcher) *wire.TargetState {
+// personal returns the state with what is meant for one gateway: the prompt parts that are queued for it and the
+// bulletin.
+func (w *watchers) personal(state *wire.TargetState, to *watcher) *wire.TargetState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(to.parts) == 0 {
+	told := w.bulletinFor(to)
+	if len(to.parts) == 0 && told == nil {
 		return state
 	}
 	own := proto.Clone(state).(*wire.TargetState)
 	own.Parts, to.parts = to.parts, nil
+	own.Bulletin = told
 	return own
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -119,6 +119,9 @@
 		if known.Address != t.Address {
 			known.gone, known.failures = false, 0
 		}
+		if t.Models == nil {
+			t.Models = known.Models // read for this gateway by an agent, which tells of its own models only
+		}
 		known.Target = t
 		known.missing = time.Time{}
 	}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -29,8 +29,10 @@
 	urgentPause = 20 * time.Millisecond
 	// usePause collects changes of use; it is well below the time for which an agent waits for them.
 	usePause = 10 * time.Millisecond
-	// boardCount agents are told the demand, so that the loss of one or two costs nothing.
-	boardCount = 3
+	// boardCount agents are told the demand and read the store, so that the loss of one costs nothing; in deployments of
+	// manyEngines one more.
+	boardCount  = 2
+	manyEngines = 20
 )
 
 // agents is the client of the agents beside the engines.
@@ -39,6 +41,7 @@
 	port   string
 	dialer *dialer.Dialer
 	fleet  *fleet.Fleet
+	board  *board
 	log    *logrus.Entry
 
 	mu      sync.Mutex
@@ -49,8 +52,8 @@
 	ended   sync.WaitGroup
 }
 
-func newAgents(name string, port int, d *dialer.Dialer, f *fleet.Fleet, log *logrus.Entry) *agents {
-	return &agents{name: name, port: strconv.Itoa(port), dialer: d, fleet: f, log: log, watched: map[string]context.CancelFunc{}, urgent: make(chan struct{}), uses: map[string]chan struct{}{}}
+func newAgents(name string, port int, d *dialer.Dialer, f *fleet.Fleet, b *board, log *logrus.Entry) *agents {
+	return &agents{name: name, port: strconv.Itoa(port), dialer: d, fleet: f, board: b, log: log, watched: map[string]context.CancelFunc{}, urgent: make(chan struct{}), uses: map[string]chan struct{}{}}
 }
 
 // address returns the address of the agent beside the target at an address.
@@ -95,7 +98,11 @@
 	}
 	sort.Slice(ranked, func(i, j int) bool { return xxhash.Sum64String(ranked[i]) < xxhash.Sum64String(ranked[j]) })
 	boards := map[string]bool{}
-	for _, address := range ranked[:min(boardCount, len(ranked))] {
+	count := boardCount
+	if len(ranked) > manyEngines {
+		count++
+	}
+	for _, address := range ranked[:min(count, len(ranked))] {
 		boards[address] = true
 	}
 	return boards
@@ -215,6 +222,7 @@
 		cancel()
 		conn.Close()
 		<-beats
+		a.board.forget(address)
 	}()
 	for {
 		state, err := stream.Recv()
@@ -223,11 +231,14 @@
 		}
 		silence.Reset(silenceTimeout)
 		received()
-		a.observe(state)
+		a.observe(address, state)
 	}
 }
 
-func (a *agents) observe(state *wire.TargetState) {
+func (a *agents) observe(address string, state *wire.TargetState) {
+	if bulletin := state.GetBulletin(); bulletin != nil {
+		a.board.take(address, bulletin, time.Now())
+	}
 	report := registry.Report{
 		Born: state.GetBorn(), Busy: state.GetBusy(), Sequence: state.GetSequence(),
 		Waiting: int(state.GetWaiting()), Running: int(state.GetRunning()), KVUsed: int(state.GetKvUsed()), KVTotal: int(state.GetKvTotal()),
--- /dev/null
+++ b/gateway/board.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"gypsumbank/registry"
+	"gypsumbank/wire"
+)
+
+// boardFresh is the age up to which a gateway relies on what agents have read in the store; their reads are at most a
+// second apart.
+const boardFresh = 1500 * time.Millisecond
+
+// board holds what agents have read in the platform's store for the gateways.
+type board struct {
+	mu      sync.Mutex
+	reads   map[string]*read // by agent
+	adopted adopted
+	changed chan struct{} // holds a value after a change
+}
+
+// read is what one agent has read.
+type read struct {
+	at            time.Time
+	routesVersion int64
+	revision      uint64
+	targets       []registry.Target
+}
+
+// adopted names the targets that were last handed on.
+type adopted struct {
+	agent    string
+	revision uint64
+}
+
+func newBoard() *board { return &board{reads: map[string]*read{}, changed: make(chan struct{}, 1)} }
+
+// take takes over the bulletin of an agent.
+func (b *board) take(agent string, bulletin *wire.Bulletin, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.reads[agent]
+	if r == nil {
+		r = &read{}
+		b.reads[agent] = r
+	}
+	if bulletin.GetHasTargets() {
+		r.targets, r.revision = targetsOf(bulletin), bulletin.GetRevision()
+	}
+	if r.revision != bulletin.GetRevision() {
+		return // a message with targets was lost
+	}
+	news := r.routesVersion != bulletin.GetRoutesVersion() || bulletin.GetHasTargets()
+	r.at, r.routesVersion = now.Add(-time.Duration(bulletin.GetAgeMs())*time.Millisecond), bulletin.GetRoutesVersion()
+	if news {
+		select {
+		case b.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// forget drops what an agent has read.
+func (b *board) forget(agent string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.reads, agent)
+}
+
+// fresh reports whether an agent has read the store so recently that the gateway need not.
+func (b *board) fresh(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, newest := b.newest()
+	return newest != nil && now.Sub(newest.at) < boardFresh
+}
+
+// targets returns the targets of the latest read, unless they were returned before.
+func (b *board) targets() (targets []registry.Target, readAt time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	agent, newest := b.newest()
+	if newest == nil || b.adopted == (adopted{agent, newest.revision}) {
+		return nil, time.Time{}, false
+	}
+	b.adopted = adopted{agent, newest.revision}
+	return newest.targets, newest.at, true
+}
+
+// routesVersion returns the highest version of routes that an agent has read.
+func (b *board) routesVersion() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	version := int64(0)
+	for _, r := range b.reads {
+		version = max(version, r.routesVersion)
+	}
+	return version
+}
+
+func (b *board) newest() (string, *read) {
+	var from string
+	var newest *read
+	for agent, r := range b.reads {
+		if newest == nil || r.at.After(newest.at) {
+			from, newest = agent, r
+		}
+	}
+	return from, newest
+}
+
+func targetsOf(bulletin *wire.Bulletin) []registry.Target {
+	targets := make([]registry.Target, 0, len(bulletin.GetTargets()))
+	for _, t := range bulletin.GetTargets() {
+		target := registry.Target{
+			ID: t.GetId(), Born: t.GetBorn(), Service: t.GetService(), Address: t.GetAddress(),
+			AvailabilityZone: t.GetAvailabilityZone(), Slots: int(t.GetSlots()), Draining: t.GetDraining(),
+		}
+		if t.GetCold() {
+			target.Cold = coldUnknown
+		}
+		targets = append(targets, target)
+	}
+	return targets
+}
+
+// coldUnknown stands for the rest of a cold start whose length was not told.
+const coldUnknown = time.Second
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/platform"
+	"gypsumbank/registry"
 	"gypsumbank/route"
 )
 
@@ -18,6 +19,8 @@
 	// targetsInterval leaves half of the platform's drain time for requests on their way to a leaving target.
 	targetsInterval = 800 * time.Millisecond
 	storePause      = 200 * time.Millisecond
+	// boardPause is the pause between looks whether the agents still read the store.
+	boardPause = 20 * time.Millisecond
 )
 
 // followRoutes keeps the newest routing table in force.
@@ -26,6 +29,10 @@
 	lost := false
 	for ctx.Err() == nil {
 		begun := time.Now()
+		if g.boardHasRoutes(begun) {
+			sleep(ctx, boardPause)
+			continue
+		}
 		table, next, err := g.nextRoutes(ctx, version)
 		switch {
 		case ctx.Err() != nil:
@@ -59,6 +66,27 @@
 	return ctx.Err()
 }
 
+// boardHasRoutes reports whether agents read the routes for this gateway and those in force are the newest.
+func (g *Gateway) boardHasRoutes(now time.Time) bool {
+	table := g.table.Load()
+	return table != nil && g.board.fresh(now) && g.board.routesVersion() <= table.Version()
+}
+
+// followBoard takes over what agents have read in the store.
+func (g *Gateway) followBoard(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-g.board.changed:
+		case <-time.After(targetsInterval):
+		}
+		if targets, readAt, ok := g.board.targets(); ok {
+			g.adoptTargets(targets, g.storeLost.Load(), readAt)
+		}
+	}
+}
+
 func (g *Gateway) nextRoutes(ctx context.Context, version int64) (*route.Table, int64, error) {
 	if version == 0 {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -83,8 +111,11 @@
 
 // followTargets keeps the view of the registered targets fresh.
 func (g *Gateway) followTargets(ctx context.Context) error {
-	lost := false
 	for ctx.Err() == nil {
+		if g.fleetKnown.Load() && g.board.fresh(time.Now()) {
+			sleep(ctx, storePause)
+			continue
+		}
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		targets, foreign, err := g.store.Targets(call)
 		cancel()
@@ -92,38 +123,41 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case err != nil:
-			if !lost {
+			if !g.storeLost.Swap(true) {
 				g.log.WithError(err).Warn("store lost while following targets")
 			}
-			lost = true
 			sleep(ctx, storePause)
 			continue
 		}
-		now := time.Now()
-		change := g.fleet.Adopt(targets, lost, now)
-		if lost {
-			g.log.WithField("targets", len(targets)).Info("store regained while following targets")
-			lost = false
-		}
-		for _, t := range change.Added {
-			g.log.WithFields(logrus.Fields{"target": t.ID, "address": t.Address, "service": t.Service, "zone": t.AvailabilityZone}).Info("target added")
-		}
-		for _, t := range change.Leaving {
-			g.log.WithFields(logrus.Fields{"target": t.ID, "remaining-ms": t.Remaining.Milliseconds()}).Info("target leaves")
-		}
-		for _, t := range change.Removed {
-			g.log.WithField("target", t.ID).Info("target removed")
-		}
 		if len(foreign) > 0 {
 			g.log.WithField("entries", foreign).Debug("entries that describe no target")
 		}
-		g.fleetKnown.Store(true)
-		g.followAgents()
+		g.adoptTargets(targets, g.storeLost.Load(), time.Now())
 		sleep(ctx, targetsInterval)
 	}
 	return ctx.Err()
 }
 
+// adoptTargets puts registered targets in force as they were read at a time.
+func (g *Gateway) adoptTargets(targets []registry.Target, storeWasAway bool, readAt time.Time) {
+	change := g.fleet.Adopt(targets, storeWasAway, time.Now())
+	if g.storeLost.Swap(false) {
+		g.log.WithField("targets", len(targets)).Info("store regained while following targets")
+	}
+	log := g.log.WithField("age-ms", time.Since(readAt).Milliseconds())
+	for _, t := range change.Added {
+		log.WithFields(logrus.Fields{"target": t.ID, "address": t.Address, "service": t.Service, "zone": t.AvailabilityZone}).Info("target added")
+	}
+	for _, t := range change.Leaving {
+		log.WithFields(logrus.Fields{"target": t.ID, "remaining-ms": t.Remaining.Milliseconds()}).Info("target leaves")
+	}
+	for _, t := range change.Removed {
+		log.WithField("target", t.ID).Info("target removed")
+	}
+	g.fleetKnown.Store(true)
+	g.followAgents()
+}
+
 // followAgents watches the agents beside the engines.
 func (g *Gateway) followAgents() {
 	table := g.table.Load()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,10 +45,12 @@
 	dispatcher *dispatch.Dispatcher
 	budget     *retrybudget.Budget
 	agents     *agents
+	board      *board
 	dialer     *dialer.Dialer
 	conns      *connections
 	table      atomic.Pointer[route.Table]
 	fleetKnown atomic.Bool
+	storeLost  atomic.Bool // targets could not be read
 	draining   atomic.Bool // takes no new callers
 	refusing   atomic.Bool // takes no new requests
 }
@@ -57,7 +59,8 @@
 func New(config *settings.Config, log *logrus.Entry) *Gateway {
 	f := fleet.New(config.Node.AvailabilityZone)
 	d := dialer.New(nil)
-	a := newAgents(config.Node.Name, config.Gateway.AgentPort, d, f, log)
+	b := newBoard()
+	a := newAgents(config.Node.Name, config.Gateway.AgentPort, d, f, b, log)
 	budget := retrybudget.New(retryLimits(config.Bounds))
 	replicas := platform.NewReplica(sender.New(connpool.New()))
 	return &Gateway{
@@ -68,6 +71,7 @@
 		dispatcher: dispatch.New(f, replicas, a, budget, log, time.Now),
 		budget:     budget,
 		agents:     a,
+		board:      b,
 		dialer:     d,
 		conns:      newConnections(),
 	}
@@ -106,6 +110,7 @@
 	group.Go(func() error { return ended(ready.Serve(checks)) })
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
+	group.Go(func() error { return g.followBoard(serving) })
 	group.Go(func() error { return g.plan(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.ready).Run(serving) })
 	group.Go(func() error { return g.conns.sweep(serving, g.idleTimeout) })
