--- a/agent/control.go
+++ b/agent/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/occupancy"
@@ -141,6 +142,7 @@
 		"report-age-ms": begun.Sub(a.reportAt).Milliseconds(), "took-ms": time.Since(begun).Milliseconds(),
 	})
 	a.unanswered = nil
+	metrics.GetOrCreateCounter(`gypsumbank_agent_orders_total{result="` + result.String() + `"}`).Inc()
 	switch result {
 	case platform.OrderAccepted, platform.OrderHolds:
 		log.Info("order accepted")
--- a/cmd_agent.go
+++ b/cmd_agent.go
@@ -23,7 +23,9 @@
 				return err
 			}
 			tune(config.Limits)
-			log := logs.New(config.Log, config.Node, env.Out)
+			out := logs.NewWriter(env.Out)
+			defer out.Close()
+			log := logs.New(config.Log, config.Node, out)
 			process := agent.New(config, log)
 			watcher, err := reload.New(*path, process.Apply, log)
 			if err != nil {
--- a/cmd_gateway.go
+++ b/cmd_gateway.go
@@ -23,7 +23,9 @@
 				return err
 			}
 			tune(config.Limits)
-			log := logs.New(config.Log, config.Node, env.Out)
+			out := logs.NewWriter(env.Out)
+			defer out.Close()
+			log := logs.New(config.Log, config.Node, out)
 			process := gateway.New(config, log)
 			watcher, err := reload.New(*path, process.Apply, log)
 			if err != nil {
--- a/completion/answer.go
+++ b/completion/answer.go
@@ -125,6 +125,11 @@
 	return encode(list)
 }
 
+// Model returns the description of one model, with the model that it is an adapter of or "".
+func Model(name, parent string) []byte {
+	return encode(model{ID: name, Object: "model", OwnedBy: "gypsumbank", Parent: parent})
+}
+
 func encode(value any) []byte {
 	body, _ := json.Marshal(value)
 	return body
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -74,20 +74,21 @@
 		status int
 		code   string
 	}{
-		"malformed JSON":   {request("POST", completion, key, `{"model":`), 400, "invalid_body"},
-		"no model":         {request("POST", completion, key, `{"prompt":"x"}`), 400, "invalid_body"},
-		"prompt of number": {request("POST", completion, key, `{"model":"blend-00","prompt":7}`), 400, "invalid_body"},
-		"no messages":      {request("POST", "/v1/chat/completions", key, `{"model":"blend-00"}`), 400, "invalid_body"},
-		"too many tokens":  {request("POST", completion, key, `{"model":"blend-00","prompt":"x","max_tokens":-1}`), 400, "invalid_body"},
-		"two answers":      {request("POST", completion, key, `{"model":"blend-00","prompt":"x","n":2}`), 400, "invalid_body"},
-		"unknown model":    {request("POST", completion, key, `{"model":"absent","prompt":"x"}`), 404, "model_not_found"},
-		"wrong key":        {request("POST", completion, "wrong", `{"model":"blend-00","prompt":"x"}`), 401, "invalid_api_key"},
-		"wrong method":     {request("GET", completion, key, ""), 405, "method_not_allowed"},
-		"wrong path":       {request("GET", "/v2/models", key, ""), 404, "not_found"},
-		"unknown service":  {request("POST", "/services/absent/x", key, ""), 404, "service_not_found"},
-		"oversized body":   {"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n", 413, "body_too_large"},
-		"oversized header": {"GET /v1/models HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 32<<10) + "\r\n\r\n", 431, "headers_too_large"},
-		"unended header":   {"GET /v1/models HTTP/1.1\r\nHost: x\r\n", 408, "request_timeout"},
+		"malformed JSON":    {request("POST", completion, key, `{"model":`), 400, "invalid_body"},
+		"no model":          {request("POST", completion, key, `{"prompt":"x"}`), 400, "invalid_body"},
+		"prompt of number":  {request("POST", completion, key, `{"model":"blend-00","prompt":7}`), 400, "invalid_body"},
+		"no messages":       {request("POST", "/v1/chat/completions", key, `{"model":"blend-00"}`), 400, "invalid_body"},
+		"too many tokens":   {request("POST", completion, key, `{"model":"blend-00","prompt":"x","max_tokens":-1}`), 400, "invalid_body"},
+		"two answers":       {request("POST", completion, key, `{"model":"blend-00","prompt":"x","n":2}`), 400, "invalid_body"},
+		"unknown model":     {request("POST", completion, key, `{"model":"absent","prompt":"x"}`), 404, "model_not_found"},
+		"wrong key":         {request("POST", completion, "wrong", `{"model":"blend-00","prompt":"x"}`), 401, "invalid_api_key"},
+		"wrong method":      {request("GET", completion, key, ""), 405, "method_not_allowed"},
+		"wrong path":        {request("GET", "/v2/models", key, ""), 404, "not_found"},
+		"model to retrieve": {request("GET", "/v1/models/absent", key, ""), 404, "model_not_found"},
+		"unknown service":   {request("POST", "/services/absent/x", key, ""), 404, "service_not_found"},
+		"oversized body":    {"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n", 413, "body_too_large"},
+		"oversized header":  {"GET /v1/models HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 32<<10) + "\r\n\r\n", 431, "headers_too_large"},
+		"unended header":    {"GET /v1/models HTTP/1.1\r\nHost: x\r\n", 408, "request_timeout"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -100,6 +101,15 @@
 	}
 }
 
+func TestRetrieveModel(t *testing.T) {
+	d := start(t, smallest())
+	key := d.Size().Key(d.Size().Members[0])
+	status, body := exchange(t, d, request("GET", "/v1/models/blend-00", key, ""))
+	if status != 200 || !strings.Contains(body, `"id":"blend-00"`) || !strings.Contains(body, `"object":"model"`) {
+		t.Errorf("status %d, body %s", status, body)
+	}
+}
+
 func TestCallerThatLeavesFreesItsSlot(t *testing.T) {
 	d := start(t, smallest())
 	tests := map[string]string{
--- a/entry/http.go
+++ b/entry/http.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +26,7 @@
 	keyHeader       = "Idempotency-Key"
 	maxKeyLength    = 255
 	servicePrefix   = "/services/"
+	modelPrefix     = "/v1/models/"
 
 	outcomeRun     = "run"
 	outcomeNotRun  = "not-run"
@@ -67,6 +69,8 @@
 	case path == "/v1/models" && ctx.IsGet():
 		e.models(ctx, who)
 		return nil
+	case strings.HasPrefix(path, modelPrefix) && ctx.IsGet():
+		return e.model(ctx, who, strings.TrimPrefix(path, modelPrefix))
 	case path == "/v1/chat/completions" && ctx.IsPost():
 		return e.complete(ctx, who, true)
 	case path == "/v1/completions" && ctx.IsPost():
@@ -150,8 +154,25 @@
 }
 
 func (e *Entry) models(ctx *fasthttp.RequestCtx, who *caller) {
-	var names []string
-	parents := map[string]string{}
+	names, parents := allowedModels(who)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(completion.Models(names, parents))
+}
+
+// model describes one model; one that the plan does not allow is answered like one that does not exist.
+func (e *Entry) model(ctx *fasthttp.RequestCtx, who *caller, name string) *problem {
+	names, parents := allowedModels(who)
+	if !slices.Contains(names, name) {
+		return invalid(fasthttp.StatusNotFound, "model_not_found", "the model does not exist or the plan does not allow it")
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(completion.Model(name, parents[name]))
+	return nil
+}
+
+// allowedModels returns the models and adapters that the caller's plan allows and the models of the adapters.
+func allowedModels(who *caller) (names []string, parents map[string]string) {
+	parents = map[string]string{}
 	for _, model := range who.lists.Allowances().Models() {
 		if who.plan.AllowsModel(model.Name) {
 			names = append(names, model.Name)
@@ -163,8 +184,7 @@
 			parents[adapter.Name] = adapter.Base
 		}
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(completion.Models(names, parents))
+	return names, parents
 }
 
 func newRequestID() string {
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -22,10 +22,10 @@
 		"query":                 {get("/safe/a?b=c&d=%20+e&&"), "GET /safe/a?b=c&d=%20+e&& HTTP/1.1", ""},
 		"dots and slashes":      {get("/safe/a/../b//c/./%2e%2E/%2f"), "GET /safe/a/../b//c/./%2e%2E/%2f HTTP/1.1", ""},
 		"empty query":           {get("/safe/a?"), "GET /safe/a? HTTP/1.1", ""},
-		"body":                  {post("/unsafe/x", "a\x00b\r\n\r\nc"), "POST /unsafe/x HTTP/1.1", "a\x00b\r\n\r\nc"},
-		"empty body":            {post("/unsafe/x", ""), "POST /unsafe/x HTTP/1.1", ""},
+		"body":                  {post("a\x00b\r\n\r\nc"), "POST /unsafe/x HTTP/1.1", "a\x00b\r\n\r\nc"},
+		"empty body":            {post(""), "POST /unsafe/x HTTP/1.1", ""},
 		"chunks":                {chunked, "POST /unsafe/x HTTP/1.1", "abcde"},
-		"request within a body": {post("/unsafe/x", get("/safe/smuggled")), "POST /unsafe/x HTTP/1.1", get("/safe/smuggled")},
+		"request within a body": {post(get("/safe/smuggled")), "POST /unsafe/x HTTP/1.1", get("/safe/smuggled")},
 	}
 	d := deploy(t)
 	for name, test := range tests {
@@ -103,7 +103,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			d.plain.SetScript(test.script)
-			response, body, err := d.ask(post("/unsafe/x", "sale"))
+			response, body, err := d.ask(post("sale"))
 			switch {
 			case test.status == 0:
 				if err == nil {
@@ -131,7 +131,7 @@
 		return site.Text(200, "extra")(conn, seen) && keep
 	})
 	for range 5 {
-		if _, body, err := d.ask(post("/unsafe/x", "a")); err != nil || body != "first" {
+		if _, body, err := d.ask(post("a")); err != nil || body != "first" {
 			t.Fatalf("answer %q, %v", body, err)
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -164,11 +164,11 @@
 	entry["address"] = listener.Addr().String()
 	d.store.Put("servers", "p1", entry)
 	time.Sleep(1200 * time.Millisecond)
-	response, _, err := d.ask(post("/unsafe/x", strings.Repeat("z", 1<<20)))
+	response, _, err := d.ask(post(strings.Repeat("z", 1<<20)))
 	if err != nil || response.StatusCode != http.StatusRequestEntityTooLarge {
 		t.Fatalf("answer %v, %v", response, err)
 	}
-	_, _, _ = d.ask(post("/unsafe/x", "next")) // may use the same connection
+	_, _, _ = d.ask(post("next")) // may use the same connection
 	rest := <-second
 	next := strings.Index(rest, "POST")
 	if body := strings.Count(rest, "z"); next >= 0 && body < 1<<20-len(head) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,8 +120,7 @@
 	case <-serving.Done():
 	}
 	stop()
-	callers.Close()
-	ready.Close()
+	closeAll(g.log, callers, ready)
 	g.agents.close()
 	g.dialer.Close()
 	err = group.Wait()
@@ -205,6 +204,14 @@
 	return nil
 }
 
+func closeAll(log *logrus.Entry, servers ...*http.Server) {
+	for _, s := range servers {
+		if err := s.Close(); err != nil {
+			log.WithError(err).Debug("server not closed")
+		}
+	}
+}
+
 func ended(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -16,7 +16,7 @@
 	time.Sleep(300 * time.Millisecond)
 	d.plain.SetScript(site.Hold(5 * time.Second))
 	begun := time.Now()
-	response, _, err := d.ask(post("/unsafe/x", "sale"))
+	response, _, err := d.ask(post("sale"))
 	if err != nil || response.StatusCode != http.StatusGatewayTimeout {
 		t.Fatalf("answer %v, %v; want 504, as the request may have run", response, err)
 	}
@@ -63,7 +63,7 @@
 		"unknown host":  {strings.Replace(get("/safe/a"), host, "other.example", 1), 404, false},
 		"unknown path":  {get("/nothing/a"), 404, false},
 		"unknown model": {get("/stream/a", "X-Gypsumbank-Model: none"), 503, true},
-		"large body":    {post("/unsafe/x", strings.Repeat("z", 1<<20+1)), 413, false},
+		"large body":    {post(strings.Repeat("z", 1<<20+1)), 413, false},
 	}
 	d := deploy(t)
 	for name, test := range tests {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
@@ -34,19 +35,20 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	id := platform.RequestID(r)
 	if g.refusing.Load() {
-		g.refuse(w, r, dispatch.Stopping, http.StatusServiceUnavailable, stoppingRetryAfter)
+		g.refuse(w, r, id, dispatch.Stopping, http.StatusServiceUnavailable, stoppingRetryAfter)
 		return
 	}
 	table := g.table.Load()
 	if table == nil {
-		g.refuse(w, r, dispatch.NoRoutes, http.StatusServiceUnavailable, time.Second)
+		g.refuse(w, r, id, dispatch.NoRoutes, http.StatusServiceUnavailable, time.Second)
 		return
 	}
 	req := platform.DecodeRequest(r, arrived)
 	matched := table.Match(req.Host, req.Path)
 	if matched == nil {
-		g.refuse(w, r, dispatch.NoRoute, http.StatusNotFound, 0)
+		g.refuse(w, r, id, dispatch.NoRoute, http.StatusNotFound, 0)
 		return
 	}
 	if !g.readBody(w, r, req, table.Limits().BodyBytes) {
@@ -68,18 +70,19 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		g.refuse(w, r, dispatch.BodyTooLarge, http.StatusRequestEntityTooLarge, 0)
+		g.refuse(w, r, req.ID, dispatch.BodyTooLarge, http.StatusRequestEntityTooLarge, 0)
 		return false
 	case err != nil:
-		g.refuse(w, r, dispatch.UnreadableBody, http.StatusBadRequest, 0)
+		g.refuse(w, r, req.ID, dispatch.UnreadableBody, http.StatusBadRequest, 0)
 		return false
 	}
 	req.Body = body
 	return true
 }
 
-func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, reason dispatch.Reason, status int, retryAfter time.Duration) {
-	g.log.WithFields(logrus.Fields{"host": r.Host, "uri": r.RequestURI, "reason": reason, "status": status}).Info("refused")
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, request string, reason dispatch.Reason, status int, retryAfter time.Duration) {
+	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(reason) + `"}`).Inc()
+	g.log.WithFields(logrus.Fields{"request": request, "host": r.Host, "uri": r.RequestURI, "reason": reason, "status": status}).Info("refused")
 	writeRefusal(w, reason, status, retryAfter)
 }
 
@@ -126,17 +129,26 @@
 			e.end(status, o.Reason, 0)
 		case dispatch.Abandoned:
 			e.log().Info("caller left")
+			e.count("caller-left")
 			panic(http.ErrAbortHandler)
 		}
 		return
 	}
 }
 
+// count counts an ended request by its route's kind and outcome.
+func (e *exchange) count(outcome string) {
+	kind := e.route.Kind.String()
+	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="` + kind + `",outcome="` + outcome + `"}`).Inc()
+	metrics.GetOrCreateHistogram(`gypsumbank_gateway_request_seconds{kind="` + kind + `"}`).UpdateDuration(e.request.Arrived)
+}
+
 // end gives the final answer, or cuts off one that has begun.
 func (e *exchange) end(status int, reason dispatch.Reason, retryAfter time.Duration) {
 	e.log().WithFields(logrus.Fields{
 		"status": status, "reason": reason, "retry-after-ms": retryAfter.Milliseconds(), "begun": e.begun,
 	}).Info("not served")
+	e.count(string(reason))
 	if e.begun {
 		panic(http.ErrAbortHandler)
 	}
@@ -163,19 +175,23 @@
 	switch {
 	case err == nil:
 		o.Assignment.End(fleet.Served, time.Now())
+		e.count("served")
 		return nil, false
 	case e.dispatch.TimedOut():
 		o.Assignment.End(fleet.Abandoned, time.Now())
 		e.log().Info("answer cut at the timeout")
+		e.count("cut-at-timeout")
 		panic(http.ErrAbortHandler)
 	case e.caller.Err() != nil:
 		o.Assignment.End(fleet.Abandoned, time.Now())
 		e.log().WithError(err).Info("caller left")
+		e.count("caller-left")
 		panic(http.ErrAbortHandler)
 	}
 	o.Assignment.End(fleet.Failed, time.Now())
 	e.log().WithError(err).WithFields(logrus.Fields{"target": o.Assignment.Target().ID, "last-event": stream.lastID}).Info("answer broken off")
 	if e.route.Kind != route.Streaming || !e.route.Resumable {
+		e.count(string(dispatch.StreamBroken))
 		panic(http.ErrAbortHandler)
 	}
 	e.dispatch.Exclude(o.Assignment.Target().ID)
@@ -188,6 +204,7 @@
 		return
 	}
 	e.begun = true
+	metrics.GetOrCreateHistogram(`gypsumbank_gateway_first_byte_seconds{kind="` + e.route.Kind.String() + `"}`).UpdateDuration(e.request.Arrived)
 	header := e.writer.Header()
 	for name, values := range platform.AnswerHeader(o.Answer) {
 		header[name] = values
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -151,8 +151,9 @@
 	return "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Gypsumbank-Request-Id: r1\r\n" + lines(headers) + "\r\n"
 }
 
-func post(path, body string, headers ...string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Gypsumbank-Request-Id: r1\r\nContent-Length: %d\r\n%s\r\n%s", path, host, len(body), lines(headers), body)
+// post returns the text of a request that may run only once.
+func post(body string) string {
+	return fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: %s\r\nX-Gypsumbank-Request-Id: r1\r\nContent-Length: %d\r\n\r\n%s", host, len(body), body)
 }
 
 func lines(headers []string) string {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -73,7 +73,7 @@
 		_, err := conn.Write(encode(message))
 		written <- err
 	}()
-	response, err := read(conn, message)
+	response, err := read(conn, message) //nolint:bodyclose // the answer's body closes it
 	if err != nil {
 		stop()
 		conn.Close()
--- a/standin/site/target.go
+++ b/standin/site/target.go
@@ -27,14 +27,13 @@
 	id       string
 	listener net.Listener
 
-	mu      sync.Mutex
-	script  Script
-	seen    []*Seen
-	models  map[string][]string
-	orders  []Order
-	lose    int // orders that get no answer
-	reports int
-	conns   map[net.Conn]struct{}
+	mu     sync.Mutex
+	script Script
+	seen   []*Seen
+	models map[string][]string
+	orders []Order
+	lose   int // orders that get no answer
+	conns  map[net.Conn]struct{}
 }
 
 // Order is an order that a target has received.
