--- a/agent/agent.go
+++ b/agent/agent.go
@@ -132,7 +132,7 @@
 	for ctx.Err() == nil {
 		begun := time.Now()
 		table, next, err := a.nextRoutes(ctx, version)
-		if err != nil || next == 0 {
+		if err != nil {
 			a.log.WithError(err).Debug("no routes")
 			version = 0
 			if err := sleep(ctx, routesPause); err != nil {
@@ -144,7 +144,9 @@
 		if table != nil {
 			inForce = max(inForce, table.Version())
 		}
-		a.watchers.setRoutes(inForce)
+		if inForce > 0 {
+			a.watchers.setRoutes(inForce)
+		}
 		if table == nil {
 			if err := sleep(ctx, routesPause-time.Since(begun)); err != nil {
 				return err
@@ -164,11 +166,7 @@
 	if version == 0 {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		table, next, err := a.store.Routes(call)
-		if table == nil {
-			next = 0
-		}
-		return table, next, err
+		return a.store.Routes(call)
 	}
 	wait := routesWait
 	if a.watchers.isBoard() {
--- a/agent/control.go
+++ b/agent/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -174,6 +176,10 @@
 	err := a.budget.Take(call, loadLimit(s.Engine, a.config.Bounds.LoadWindow, a.config.Bounds.LoadBurst))
 	if err != nil || time.Since(now) > storeTimeout/2 {
 		a.budgetAt = now.Add(budgetPause)
+		var exhausted *weightstore.ExhaustedError
+		if errors.As(err, &exhausted) {
+			a.budgetAt = now.Add(exhausted.Wait + rand.N(budgetPause))
+		}
 		a.log.WithError(err).WithField("rate", s.Engine.StoreLoadRate).Info("no load from the weight store now")
 		return false
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -54,10 +54,6 @@
 			lost = false
 		}
 		g.adopt(table)
-		if version == 0 && g.table.Load() == nil {
-			sleep(ctx, storePause)
-			continue
-		}
 		version = next
 		if time.Since(begun) < storePause {
 			sleep(ctx, storePause)
--- a/weightstore/budget.go
+++ b/weightstore/budget.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"gypsumbank/platform"
 )
@@ -12,6 +13,15 @@
 // ErrExhausted reports that no load may begin now.
 var ErrExhausted = errors.New("rate of the weight store is used up")
 
+// ExhaustedError tells when a load may begin and wraps ErrExhausted.
+type ExhaustedError struct{ Wait time.Duration }
+
+// Error returns the time to wait.
+func (e *ExhaustedError) Error() string { return fmt.Sprintf("%v for %s", ErrExhausted, e.Wait) }
+
+// Unwrap returns ErrExhausted.
+func (e *ExhaustedError) Unwrap() error { return ErrExhausted }
+
 const table = "weight-store"
 
 // Limit is the rate of loads that all agents together keep.
@@ -40,7 +50,7 @@
 // New returns the budget of a service.
 func New(store Store, service string) *Budget { return &Budget{store: store, service: service} }
 
-// Take takes one load; the error wraps ErrExhausted if the rate is used up. After another error the load may have been
+// Take takes one load; the error is an ExhaustedError if the rate is used up. After another error the load may have been
 // counted, so it must not begin.
 func (b *Budget) Take(ctx context.Context, limit Limit) error {
 	row, now, err := b.store.Row(ctx, table, b.service, "loads")
@@ -55,9 +65,9 @@
 			return fmt.Errorf("loads of %s: %w", b.service, err)
 		}
 	}
-	next, ok := known.take(float64(now), limit)
-	if !ok {
-		return ErrExhausted
+	next, wait := known.take(float64(now), limit)
+	if wait > 0 {
+		return &ExhaustedError{Wait: time.Duration(wait * float64(time.Millisecond))}
 	}
 	if row.Value, err = json.Marshal(next); err != nil {
 		return err
@@ -65,13 +75,13 @@
 	return b.store.Replace(ctx, row)
 }
 
-// take returns the record after one more load at a time in ms, or false if that would exceed the limit.
-func (r record) take(now float64, limit Limit) (record, bool) {
+// take returns the record after one more load at a time in ms, or how many ms to wait if that would exceed the limit.
+func (r record) take(now float64, limit Limit) (next record, wait float64) {
 	const msPerSecond = 1000
 	interval := msPerSecond / limit.PerSecond
 	whole := max(r.WholeMs, now) + interval
-	if whole-now > limit.Burst*interval {
-		return r, false
+	if excess := whole - now - limit.Burst*interval; excess > 0 {
+		return r, excess
 	}
-	return record{WholeMs: whole}, true
+	return record{WholeMs: whole}, 0
 }
