--- a/agent/agent.go
+++ b/agent/agent.go
@@ -174,6 +174,13 @@
 	}
 	call, cancel := context.WithTimeout(ctx, wait+storeTimeout/2)
 	defer cancel()
+	go func() { // a long wait gives way to short ones once a gateway relies on this agent
+		select {
+		case <-a.watchers.asked:
+			cancel()
+		case <-call.Done():
+		}
+	}()
 	return a.store.RoutesAfter(call, version, wait)
 }
 
--- a/agent/bulletin.go
+++ b/agent/bulletin.go
@@ -65,6 +65,17 @@
 	return w.now().Sub(w.bulletin.asked) < boardLifetime
 }
 
+// ask records that a gateway wants the store to be read for it; the caller holds the lock.
+func (w *watchers) ask() {
+	if w.now().Sub(w.bulletin.asked) >= boardLifetime {
+		select {
+		case w.asked <- struct{}{}:
+		default:
+		}
+	}
+	w.bulletin.asked = w.now()
+}
+
 // setTargets takes over the registry as it was just read.
 func (w *watchers) setTargets(targets []registry.Target) {
 	list := make([]*wire.RegisteredTarget, 0, len(targets))
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -36,6 +36,7 @@
 	sentAt   time.Time
 	demandAt time.Time
 	bulletin bulletin
+	asked    chan struct{} // holds a value after a gateway has asked for the bulletin that none asked for before
 }
 
 // watcher is a gateway with its latest demand.
@@ -51,7 +52,7 @@
 }
 
 func newWatchers(now func() time.Time) *watchers {
-	return &watchers{now: now, all: map[*watcher]struct{}{}}
+	return &watchers{now: now, all: map[*watcher]struct{}{}, asked: make(chan struct{}, 1)}
 }
 
 func (w *watchers) add() *watcher {
@@ -82,7 +83,7 @@
 		}
 	}
 	if update.GetHasDemand() {
-		w.bulletin.asked = w.now()
+		w.ask()
 		from.demand = update.GetDemand()
 		w.tellDemand()
 	}
