--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// heartbeat is the longest pause between two states that a gateway is sent.
-	heartbeat = 500 * time.Millisecond
+	// heartbeat is the longest pause between two states that each of many gateways is sent; few get them more often, so
+	// that they notice a frozen VM sooner.
+	heartbeat       = 500 * time.Millisecond
+	heartbeatForFew = 250 * time.Millisecond
+	fewWatchers     = 8
 	// watcherLifetime is the age of a gateway's last heartbeat, which comes each second, at which it counts as gone.
 	watcherLifetime = 2500 * time.Millisecond
 	// demandPause is the least time between two messages with the demand.
@@ -104,8 +107,11 @@
 	if w.last != nil && sameHoldings(w.last, state) {
 		since := w.now().Sub(w.sentAt)
 		pause := heartbeat
+		if len(live) <= fewWatchers {
+			pause = heartbeatForFew
+		}
 		if w.now().Sub(w.bulletin.asked) < boardLifetime {
-			pause = boardHeartbeat
+			pause = min(pause, boardHeartbeat)
 		}
 		if since < loadPause || (since < pause && sameLoad(w.last, state)) {
 			return
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -152,6 +152,10 @@
 			}
 			continue
 		case choice.Expected+minRun > left:
+			d.log.WithFields(logrus.Fields{
+				"target": choice.Target.ID, "expected-ms": choice.Expected.Milliseconds(), "left-ms": left.Milliseconds(),
+				"candidates": choice.Candidates, "report-age-ms": choice.ReportAge.Milliseconds(),
+			}).Info("no target answers in time")
 			return choice, &Refused{Reason: Overload, RetryAfter: choice.Expected / 2}
 		case !choice.LacksAdapter:
 			return choice, nil
@@ -182,6 +186,9 @@
 func (d *Dispatch) awaitModel(left time.Duration) *Refused {
 	eta, known := d.fleet.LoadEta(d.service, d.request.Model, d.now())
 	if !known || eta+minRun > left {
+		d.log.WithFields(logrus.Fields{
+			"model": d.request.Model, "listed": known, "expected-ms": eta.Milliseconds(), "left-ms": left.Milliseconds(),
+		}).Info("model will not be held in time")
 		return &Refused{Reason: NoModel, RetryAfter: max(usualRetryAfter, min(eta, left/3))}
 	}
 	select {
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -62,6 +62,7 @@
 	a := &Assignment{fleet: f, state: s, choice: choice, request: req, sent: now, alone: s.unsent == 0 && s.report.Waiting == 0}
 	s.inflight++
 	s.unsent++
+	s.pending[a] = struct{}{}
 	s.unread += choice.expectedUnread
 	if req.Model != "" {
 		s.models[req.Model]++
@@ -128,6 +129,7 @@
 		return
 	}
 	a.started = true
+	delete(a.state.pending, a)
 	a.state.unsent--
 	a.state.unread -= a.choice.expectedUnread
 	if a.state.unsent == 0 {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -37,6 +37,16 @@
 	errorMs = 1500
 	// fullMs is the cost of a target without free memory or places.
 	fullMs = 1000
+	// silentMs is the cost of a target that may be frozen or cut off.
+	silentMs = 400
+	// missedHeartbeat is the age of an agent's report that shows a missed one; agents send them each 500 ms, and each
+	// 250 ms to few gateways.
+	missedHeartbeat       = 900 * time.Millisecond
+	missedHeartbeatForFew = 450 * time.Millisecond
+	fewGateways           = 8
+	// stalledAfter and stalledFactor times the expected time without an answer make a target suspicious.
+	stalledAfter  = 800 * time.Millisecond
+	stalledFactor = 3
 	// memoryShare is the part of a target's memory above which requests preempt one another.
 	memoryShare = 0.92
 )
@@ -110,7 +120,7 @@
 	bestCost := 0.0
 	for _, s := range usable {
 		latency := max(1, s.latency)
-		cost := latency*(1+2*float64(s.inflight)/float64(max(1, s.Slots))) + f.zoneMs(s) + s.errorRate*errorMs
+		cost := latency*(1+2*float64(s.inflight)/float64(max(1, s.Slots))) + f.zoneMs(s) + s.errorRate*errorMs + s.suspicion(now)
 		if s.inflight >= s.Slots {
 			cost += fullMs
 		}
@@ -142,7 +152,7 @@
 			expected += busyMs
 		}
 		cost := expected + f.zoneMs(s) + s.errorRate*errorMs + f.fullness(s, req) + affinity(chain, s.ID) +
-			f.mixing(req, places[s.ID])
+			f.mixing(req, places[s.ID]) + s.suspicion(now)
 		if s.Cold > 0 {
 			cost += coldMs
 		}
@@ -184,6 +194,25 @@
 	return weight * place
 }
 
+// suspicion returns the cost of a target that may be frozen or cut off: its agent, on the same VM, has missed a heartbeat,
+// or a request there has had no answer for far longer than expected.
+func (s *state) suspicion(now time.Time) float64 {
+	cost := 0.0
+	missed := missedHeartbeat
+	if s.watchers <= fewGateways {
+		missed = missedHeartbeatForFew
+	}
+	if age := now.Sub(s.reportAt); !s.reportAt.IsZero() && age > missed && age < reportLifetime {
+		cost += silentMs
+	}
+	for a := range s.pending {
+		if now.Sub(a.sent) > a.choice.Expected*stalledFactor+stalledAfter {
+			return cost + silentMs
+		}
+	}
+	return cost
+}
+
 // waitMs returns the expected ms until the target has read the prompts that wait there.
 func (f *Fleet) waitMs(s *state, now time.Time) float64 {
 	if now.Sub(s.reportAt) < reportLifetime {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,6 +55,7 @@
 	outbox   []Part                   // sent there and not yet told to its agent
 	unread   float64                  // expected ms of prefill of own requests without a first event
 	unsent   int                      // own requests among those
+	pending  map[*Assignment]struct{} // those requests
 	models   map[string]int           // own requests by model
 	adapters map[registry.Adapter]int // own requests by adapter
 	kept     *parts
@@ -144,7 +145,7 @@
 
 func newState(t registry.Target) *state {
 	return &state{
-		Target: t, slowness: 1, kept: newParts(usualMemory), models: map[string]int{}, loadedAt: map[string]time.Time{}, adapters: map[registry.Adapter]int{},
+		Target: t, slowness: 1, kept: newParts(usualMemory), models: map[string]int{}, loadedAt: map[string]time.Time{}, pending: map[*Assignment]struct{}{}, adapters: map[registry.Adapter]int{},
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -303,3 +303,45 @@
 		t.Errorf("requests went to %v", sent)
 	}
 }
+
+// TestRequestsBesideAFrozenTarget names its load: steady requests while one engine's VM stands still.
+func TestRequestsBesideAFrozenTarget(t *testing.T) {
+	tests := map[string]struct {
+		reports bool // agents go on telling of their engines
+	}{
+		"agent on the same VM is silent": {false},
+		"only the engine is silent":      {true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := engines([]string{"hot"}, []string{"hot"}, []string{"hot"})
+			frozen := choose(t, f, ask("hot")).Target.ID
+			sent := map[string]int{}
+			now := start
+			for i := range 50 {
+				now = now.Add(100 * time.Millisecond)
+				for _, id := range []string{"e0", "e1", "e2"} {
+					if id != frozen || test.reports {
+						f.Observe(id, observation(registry.Report{Born: 1, Models: []registry.Model{{Name: "hot"}}}), now)
+					}
+				}
+				choice, ok := f.Choose(Query{Service: service, Request: ask("hot")}, now)
+				if !ok {
+					t.Fatal("no target")
+				}
+				a := f.Assign(choice, ask("hot"), now)
+				if choice.Target.ID != frozen {
+					a.End(Served, now)
+					continue
+				}
+				sent["frozen"]++
+				if i > 30 {
+					sent["late"]++
+				}
+			}
+			if sent["frozen"] > 12 || sent["late"] > 0 {
+				t.Errorf("%d of 50 requests went to the frozen engine, %d of them late", sent["frozen"], sent["late"])
+			}
+		})
+	}
+}
