Fill engines that restarted empty sooner and plan no more store loads than the rate

Cause: after a loss of power all engines are empty; the first load began 0.9 s after the gateways had started and one load a tenth of a second followed (logs of the incident inc-d783). The planner now starts up to six loads a look, gateways read the targets each 250 ms in their first 4 s, and loads from the store beyond its rate no longer occupy engines.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,7 +34,9 @@
 	total     map[demandKey]float64
 	totalFrom int // gateways in total
 	totalAt   time.Time
-	readAt    time.Time // of the registry
+
+	storeLoads []time.Time // loads from the weight store that were planned lately
+	readAt     time.Time   // of the registry
 }
 
 // state is what is known of one run of a target.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -30,7 +30,7 @@
 	for _, name := range []string{"hot", "cold", "new"} {
 		models[name] = model(name)
 	}
-	f.SetServices(map[string]route.Service{service: {Name: service, Engine: &route.Engine{Models: models, WeightMB: 230, AdapterSlots: 2, Slots: 64}}})
+	f.SetServices(map[string]route.Service{service: {Name: service, Engine: &route.Engine{Models: models, WeightMB: 230, AdapterSlots: 2, Slots: 64, StoreLoadRate: 2}}})
 	f.Adopt(targets, false, start)
 	for _, t := range targets {
 		f.Observe(t.ID, observation(registry.Report{Born: 1, Models: t.Models}), start)
@@ -345,3 +345,53 @@
 		})
 	}
 }
+
+// TestAllEnginesRestartEmpty names its load: requests for many models while every engine has just restarted empty, with
+// some copies on its disk.
+func TestAllEnginesRestartEmpty(t *testing.T) {
+	f := engines(nil, nil, nil, nil)
+	names := []string{"hot", "cold", "new"}
+	for i := range 4 {
+		f.Observe(fmt.Sprint("e", i), observation(registry.Report{Born: 1, OnDisk: names[:2]}), start)
+	}
+	for _, name := range names {
+		f.Want(service, ask(name), start)
+	}
+	loads := map[string]string{}
+	for range 4 {
+		placement, ok := f.Plan(service, start)
+		if !ok {
+			break
+		}
+		if earlier, busy := loads[placement.Target.ID]; busy {
+			t.Errorf("%s gets %s while it loads %s", placement.Target.ID, placement.Model, earlier)
+		}
+		loads[placement.Target.ID] = placement.Model
+	}
+	if len(loads) < 3 {
+		t.Errorf("loads %v, want each model on an engine at once", loads)
+	}
+}
+
+// TestWeightStoreIsUsedUp names its load: many models that no engine has at hand are asked for at once.
+func TestWeightStoreIsUsedUp(t *testing.T) {
+	f := engines(nil, nil, nil, nil, nil, nil, nil, nil, nil, nil, nil, nil)
+	models := map[string]route.Model{}
+	for i := range 12 {
+		name := fmt.Sprint("rare", i)
+		models[name] = model(name)
+	}
+	f.SetServices(map[string]route.Service{service: {Name: service, Engine: &route.Engine{Models: models, WeightMB: 230, StoreLoadRate: 1}}})
+	for name := range models {
+		f.Want(service, ask(name), start)
+	}
+	planned := 0
+	for range 12 {
+		if _, ok := f.Plan(service, start); ok {
+			planned++
+		}
+	}
+	if planned != 5 {
+		t.Errorf("%d loads from the store begin at once, want 5: 1 a second over 3 s and a burst of 2", planned)
+	}
+}
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -31,6 +31,9 @@
 	orderMemory = 1500 * time.Millisecond
 	// minimumStay is how long a target keeps a model that it has loaded.
 	minimumStay = 4 * time.Second
+	// storeWindow and storeBurst bound the loads from the weight store that are planned at a time.
+	storeWindow = 3 * time.Second
+	storeBurst  = 2
 	// lastCopy is the cost, in ms of work a second, of dropping the only copy of a model.
 	lastCopy = 1e6
 	// etaWeight is the work in ms a second that a second of loading is worth.
@@ -44,6 +47,7 @@
 	copies  map[string]int // targets that hold or load a model
 	work    map[string]float64
 	now     time.Time
+	noStore bool // the rate of the weight store is used up by what was planned
 }
 
 // Plan returns a load that serves the demand better than what the targets hold, if there is one, on a target whose
@@ -66,6 +70,9 @@
 		}
 		s := f.states[placement.Target.ID]
 		s.loading, s.loadingSince = model, now
+		if !atHand(model, s) {
+			f.storeLoads = append(f.storeLoads, now)
+		}
 		return placement, true
 	}
 	return Placement{}, false
@@ -118,7 +125,7 @@
 	if engine == nil {
 		return nil
 	}
-	c := &catalog{engine: engine, now: now, copies: map[string]int{}, work: f.workFor(service, now)}
+	c := &catalog{engine: engine, now: now, copies: map[string]int{}, work: f.workFor(service, now), noStore: f.storeExhausted(engine, now)}
 	for _, s := range f.byService[service] {
 		if s.leaving() || now.Before(s.avoid) {
 			continue
@@ -138,6 +145,17 @@
 	return c
 }
 
+// storeExhausted reports whether the loads from the weight store that were planned lately use up its rate; one more would
+// wait at its engine and keep that from loading what it has at hand.
+func (f *Fleet) storeExhausted(engine *route.Engine, now time.Time) bool {
+	f.storeLoads = slices.DeleteFunc(f.storeLoads, func(at time.Time) bool { return now.Sub(at) > storeWindow })
+	return float64(len(f.storeLoads)) >= engine.StoreLoadRate*storeWindow.Seconds()+storeBurst
+}
+
+func atHand(model string, s *state) bool {
+	return slices.Contains(s.report.InMemory, model) || slices.Contains(s.report.OnDisk, model)
+}
+
 func (c *catalog) perCopy(model string) float64 {
 	return c.work[model] / float64(max(1, c.copies[model]))
 }
@@ -179,7 +197,7 @@
 			continue
 		}
 		evict, loss, fits := c.room(s, model)
-		if !fits {
+		if !fits || (c.noStore && !atHand(model, s)) {
 			continue
 		}
 		eta := loadTime(c.engine.Models[model], s)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -19,6 +19,10 @@
 	// targetsInterval leaves half of the platform's drain time for requests on their way to a leaving target.
 	targetsInterval = 800 * time.Millisecond
 	storePause      = 200 * time.Millisecond
+	// startPhase is the time after the start in which targets, which may have started together with this process, are
+	// read each startInterval.
+	startPhase    = 4 * time.Second
+	startInterval = 250 * time.Millisecond
 	// boardPause is the pause between looks whether the agents still read the store.
 	boardPause = 20 * time.Millisecond
 )
@@ -108,7 +112,7 @@
 // followTargets keeps the view of the registered targets fresh.
 func (g *Gateway) followTargets(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if g.fleetKnown.Load() && g.board.fresh(time.Now()) {
+		if g.fleetKnown.Load() && g.board.fresh(time.Now()) && time.Since(g.started) > startPhase {
 			sleep(ctx, storePause)
 			continue
 		}
@@ -129,6 +133,10 @@
 			g.log.WithField("entries", foreign).Debug("entries that describe no target")
 		}
 		g.adoptTargets(targets, g.storeLost.Load(), time.Now())
+		if time.Since(g.started) < startPhase {
+			sleep(ctx, startInterval)
+			continue
+		}
 		sleep(ctx, targetsInterval)
 	}
 	return ctx.Err()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,8 @@
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	planInterval   = 100 * time.Millisecond
+	// plansPerLook fills engines that have all restarted empty within a second.
+	plansPerLook = 6
 	// drainNotice is how long new connections are still served after the signal to stop: the platform takes a VM out
 	// after two failed checks, one a second.
 	drainNotice = 2500 * time.Millisecond
@@ -48,6 +50,7 @@
 	board      *board
 	dialer     *dialer.Dialer
 	conns      *connections
+	started    time.Time
 	table      atomic.Pointer[route.Table]
 	fleetKnown atomic.Bool
 	storeLost  atomic.Bool // targets could not be read
@@ -74,6 +77,7 @@
 		board:      b,
 		dialer:     d,
 		conns:      newConnections(),
+		started:    time.Now(),
 	}
 }
 
@@ -170,7 +174,11 @@
 			if s.Engine == nil {
 				continue
 			}
-			if placement, ok := g.fleet.Plan(name, time.Now()); ok {
+			for range plansPerLook {
+				placement, ok := g.fleet.Plan(name, time.Now())
+				if !ok {
+					break
+				}
 				go g.dispatcher.Load(ctx, placement)
 			}
 		}
