--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -26,8 +27,10 @@
 	engine  *site.Target
 	gateway string
 	ready   string
-	stop    context.CancelFunc
-	ended   chan error
+
+	agentPort int
+	stop      context.CancelFunc
+	ended     chan error
 }
 
 const host = "callers.example"
@@ -50,7 +53,11 @@
 			map[string]any{"name": "plain", "healthPath": "/healthz", "maxConns": 100},
 			map[string]any{"name": "engine", "healthPath": "/healthz", "maxConns": 100, "engine": map[string]any{
 				"slots": 64, "kvCapacityTokens": 100000, "weightsMb": 200.0, "adapterSlots": 2, "loadsPerS": 5.0,
-				"models": []any{map[string]any{"name": "m1", "weightsMb": 100.0, "adapters": 2, "adapterMb": 1.0, "loadS": 0.1}},
+				"models": []any{
+					map[string]any{"name": "m1", "weightsMb": 50.0, "adapters": 2, "adapterMb": 1.0, "loadS": 0.1},
+					map[string]any{"name": "m2", "weightsMb": 50.0, "adapters": 0, "adapterMb": 1.0, "loadS": 0.1},
+					map[string]any{"name": "m3", "weightsMb": 50.0, "adapters": 9, "adapterMb": 1.0, "loadS": 0.1},
+				},
 			}},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -90,9 +97,13 @@
 
 func (d *deployment) start() {
 	d.gateway, d.ready = freeAddress(d.t), freeAddress(d.t)
+	if d.agentPort == 0 {
+		_, port, _ := net.SplitHostPort(freeAddress(d.t))
+		d.agentPort, _ = strconv.Atoi(port)
+	}
 	config := &settings.Config{
 		Node:    settings.Node{Name: "gateway-1", AvailabilityZone: "zone-a"},
-		Gateway: settings.Gateway{Listen: d.gateway, Ready: d.ready, AgentPort: 1, Grace: 4 * time.Second},
+		Gateway: settings.Gateway{Listen: d.gateway, Ready: d.ready, AgentPort: d.agentPort, Grace: 4 * time.Second},
 		Store:   settings.Store{Address: d.store.Address()},
 		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
 	}
