Keep one pause, one start of the platform's processes, and operators' settings without a section

The check for a missing section had refused the operators' own settings, which have none (TestAcceptedEditIsInForceThroughAnOutage failed since the gateway's settings came in). pause.For replaces four copies; gateway and agent start in one place.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,7 @@
 	"gypsumbank/holder"
 	"gypsumbank/logs"
 	"gypsumbank/occupancy"
+	"gypsumbank/pause"
 	"gypsumbank/platform"
 	"gypsumbank/probe"
 	"gypsumbank/registry"
@@ -135,7 +136,7 @@
 		if err != nil {
 			a.log.WithError(err).Debug("no routes")
 			version = 0
-			if err := sleep(ctx, routesPause); err != nil {
+			if err := pause.For(ctx, routesPause); err != nil {
 				return err
 			}
 			continue
@@ -148,7 +149,7 @@
 			a.watchers.setRoutes(inForce)
 		}
 		if table == nil {
-			if err := sleep(ctx, routesPause-time.Since(begun)); err != nil {
+			if err := pause.For(ctx, routesPause-time.Since(begun)); err != nil {
 				return err
 			}
 			continue
@@ -183,12 +184,3 @@
 	}()
 	return a.store.RoutesAfter(call, version, wait)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/agent/bulletin.go
+++ b/agent/bulletin.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"gypsumbank/pause"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
 )
@@ -39,7 +40,7 @@
 func (a *Agent) followTargets(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !a.watchers.isBoard() {
-			if err := sleep(ctx, boardLook); err != nil {
+			if err := pause.For(ctx, boardLook); err != nil {
 				return err
 			}
 			continue
@@ -52,7 +53,7 @@
 		} else {
 			a.watchers.setTargets(targets)
 		}
-		if err := sleep(ctx, targetsInterval); err != nil {
+		if err := pause.For(ctx, targetsInterval); err != nil {
 			return err
 		}
 	}
--- a/cmd_gateway.go
+++ b/cmd_gateway.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/alecthomas/kingpin/v2"
-	"golang.org/x/sync/errgroup"
+	"github.com/sirupsen/logrus"
 
 	"gypsumbank/gateway"
-	"gypsumbank/logs"
-	"gypsumbank/reload"
+	"gypsumbank/settings"
 )
 
 var cmdGateway = command{
@@ -18,26 +16,9 @@
 	setup: func(clause *kingpin.CmdClause, actions map[string]action) {
 		path := configFlag(clause)
 		actions[clause.FullCommand()] = func(ctx context.Context, env Env) error {
-			config, err := loadConfig(*path, "gateway")
-			if err != nil {
-				return err
-			}
-			tune(config.Limits)
-			out := logs.NewWriter(env.Out)
-			defer out.Close()
-			log := logs.New(config.Log, config.Node, out)
-			process := gateway.New(config, log)
-			watcher, err := reload.New(*path, process.Apply, log)
-			if err != nil {
-				return err
-			}
-			watching, stop := context.WithCancel(ctx)
-			defer stop()
-			group, watching := errgroup.WithContext(watching)
-			group.Go(func() error { return watcher.Run(watching) })
-			err = process.Run(ctx)
-			stop()
-			return errors.Join(err, group.Wait())
+			return runSite(ctx, env, *path, "gateway", func(config *settings.Config, log *logrus.Entry) siteProcess {
+				return gateway.New(config, log)
+			})
 		}
 	},
 }
--- a/command.go
+++ b/command.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"runtime"
-	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -82,24 +80,8 @@
 		"gateway": config.Gateway.Listen != "",
 		"agent":   config.Agent.Listen != "",
 	}
-	if !present[section] {
+	if section != "" && !present[section] {
 		return nil, fmt.Errorf("%s: [%s] is missing; allowed: the section with the settings of the role", path, section)
 	}
 	return config, nil
 }
-
-const (
-	// softMemoryShare is the part of the memory limit above which garbage is collected more often.
-	softMemoryShare = 0.6
-	// garbagePercent is the growth of the heap between collections; the live heap is a few MB.
-	garbagePercent = 400
-)
-
-// tune fits the runtime to a VM with one processor and little memory.
-func tune(limits settings.Limits) {
-	runtime.GOMAXPROCS(1)
-	debug.SetGCPercent(garbagePercent)
-	if limits.MemoryMiB > 0 {
-		debug.SetMemoryLimit(int64(float64(limits.MemoryMiB) * softMemoryShare * (1 << 20)))
-	}
-}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -28,8 +28,8 @@
 	Ensure(ctx context.Context, to registry.Target, requestID, model, adapter, evict string) error
 	// TellDemand has the demand told at once to the gateway that plans.
 	TellDemand()
-	// TellUse has the uses of a target's adapters told to its agent.
-	TellUse(of registry.Target)
+	// TellLoad has what this gateway has at a target told to its agent.
+	TellLoad(of registry.Target)
 }
 
 // Dispatcher holds what the dispatches of a gateway share.
@@ -228,8 +228,8 @@
 	}
 	assignment := d.fleet.Assign(choice, d.request, now)
 	if d.request.Model != "" {
-		d.residency.TellUse(choice.Target)
-		assignment.OnEnd(func() { d.residency.TellUse(choice.Target) })
+		d.residency.TellLoad(choice.Target)
+		assignment.OnEnd(func() { d.residency.TellLoad(choice.Target) })
 	}
 	result := d.targets.Send(d.ctx, choice.Target, d.request, d.deadline.Sub(now), !d.route.Repeatable())
 	took := d.now().Sub(now)
@@ -264,7 +264,7 @@
 func (d *Dispatch) answered(result reply.Answered, assignment *fleet.Assignment, log *logrus.Entry) (Outcome, bool) {
 	assignment.Start(d.now())
 	if d.request.Model != "" {
-		d.residency.TellUse(assignment.Target())
+		d.residency.TellLoad(assignment.Target())
 	}
 	if result.Answer.Status >= 500 && d.mayRunAgain() {
 		assignment.End(fleet.Failed, d.now())
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -44,8 +44,8 @@
 	return s.held
 }
 
-func (s *script) TellDemand()             {}
-func (s *script) TellUse(registry.Target) {}
+func (s *script) TellDemand()              {}
+func (s *script) TellLoad(registry.Target) {}
 
 func answer(status int) func() reply.Reply {
 	return func() reply.Reply {
--- a/entry/call.go
+++ b/entry/call.go
@@ -12,6 +12,7 @@
 
 	"gypsumbank/dialer"
 	"gypsumbank/idempotency"
+	"gypsumbank/pause"
 	"gypsumbank/timeline"
 	"gypsumbank/vmlist"
 	"gypsumbank/wire"
@@ -100,7 +101,7 @@
 		vm, ok := e.pickReplica(c, tried)
 		if !ok {
 			clear(tried)
-			pause(ctx, callPause)
+			_ = pause.For(ctx, callPause)
 			continue
 		}
 		reply, err := e.tryReplica(ctx, c, vm)
@@ -143,14 +144,14 @@
 		owner := reply.GetOwner()
 		e.setOwner(c, owner)
 		if owner == "" || owner == vm.Name || tried[owner] {
-			pause(ctx, callPause)
+			_ = pause.For(ctx, callPause)
 		}
 		delete(tried, owner)
 	case wire.RefusalReason_REFUSAL_BUSY:
-		pause(ctx, callPause)
+		_ = pause.For(ctx, callPause)
 	default:
 		tried[vm.Name] = c.key == nil
-		pause(ctx, callPause)
+		_ = pause.For(ctx, callPause)
 	}
 	return false
 }
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -11,6 +11,7 @@
 
 	"gypsumbank/completion"
 	"gypsumbank/dialer"
+	"gypsumbank/pause"
 	"gypsumbank/router"
 	"gypsumbank/suspect"
 	"gypsumbank/timeline"
@@ -105,7 +106,7 @@
 		if s.full {
 			return true, e.giveUp(job, "all targets are busy", busyRetry)
 		}
-		pause(ctx, retryPause)
+		_ = pause.For(ctx, retryPause)
 		return false, nil
 	}
 	if e.router.Slowness(choice.VM.Name) > router.SlowFrom {
@@ -258,15 +259,6 @@
 	return timeline.RequestRouted
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func causeOr(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -15,6 +15,7 @@
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
 	"gypsumbank/fleet"
+	"gypsumbank/pause"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
 )
@@ -116,8 +117,8 @@
 	a.urgent = make(chan struct{})
 }
 
-// TellUse has the uses of a target's adapters told to its agent.
-func (a *agents) TellUse(of registry.Target) {
+// TellLoad has what this gateway has at a target told to its agent.
+func (a *agents) TellLoad(of registry.Target) {
 	select {
 	case a.usesOf(a.address(of.Address)) <- struct{}{}:
 	default:
@@ -168,9 +169,9 @@
 		case <-ctx.Done():
 			return
 		case <-urgent:
-			sleep(ctx, urgentPause)
+			_ = pause.For(ctx, urgentPause)
 		case <-changed:
-			sleep(ctx, usePause)
+			_ = pause.For(ctx, usePause)
 		case <-time.After(beatInterval):
 		}
 	}
@@ -195,7 +196,7 @@
 			a.log.WithError(err).WithField("agent", address).Info("agent lost")
 		}
 		lost = true
-		sleep(ctx, reconnectPause)
+		_ = pause.For(ctx, reconnectPause)
 	}
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/pause"
 	"gypsumbank/platform"
 	"gypsumbank/registry"
 	"gypsumbank/route"
@@ -34,7 +35,7 @@
 	for ctx.Err() == nil {
 		begun := time.Now()
 		if g.boardHasRoutes(begun) {
-			sleep(ctx, boardPause)
+			_ = pause.For(ctx, boardPause)
 			continue
 		}
 		table, next, err := g.nextRoutes(ctx, version)
@@ -50,7 +51,7 @@
 				g.log.WithError(err).Warn("store lost while following routes")
 			}
 			lost = true
-			sleep(ctx, storePause)
+			_ = pause.For(ctx, storePause)
 			continue
 		}
 		if lost {
@@ -60,7 +61,7 @@
 		g.adopt(table)
 		version = next
 		if time.Since(begun) < storePause {
-			sleep(ctx, storePause)
+			_ = pause.For(ctx, storePause)
 		}
 	}
 	return ctx.Err()
@@ -113,7 +114,7 @@
 func (g *Gateway) followTargets(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if g.fleetKnown.Load() && g.board.fresh(time.Now()) && time.Since(g.started) > startPhase {
-			sleep(ctx, storePause)
+			_ = pause.For(ctx, storePause)
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -126,7 +127,7 @@
 			if !g.storeLost.Swap(true) {
 				g.log.WithError(err).Warn("store lost while following targets")
 			}
-			sleep(ctx, storePause)
+			_ = pause.For(ctx, storePause)
 			continue
 		}
 		if len(foreign) > 0 {
@@ -134,10 +135,10 @@
 		}
 		g.adoptTargets(targets, g.storeLost.Load(), time.Now())
 		if time.Since(g.started) < startPhase {
-			sleep(ctx, startInterval)
+			_ = pause.For(ctx, startInterval)
 			continue
 		}
-		sleep(ctx, targetsInterval)
+		_ = pause.For(ctx, targetsInterval)
 	}
 	return ctx.Err()
 }
@@ -176,10 +177,3 @@
 	}
 	g.agents.follow(addresses)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/pause"
 	"gypsumbank/platform"
 )
 
@@ -56,7 +57,7 @@
 			return fence, nil
 		}
 		h.log.WithError(err).Info("no fencing number yet")
-		if err := pause(ctx, retryPause); err != nil {
+		if err := pause.For(ctx, retryPause); err != nil {
 			return 0, err
 		}
 	}
@@ -89,18 +90,9 @@
 	}
 	if known.Holder != "" && known.Holder != h.name {
 		h.log.WithField("previous", known.Holder).Info("taking over the orders of a target")
-		if err := pause(ctx, takeoverPause); err != nil {
+		if err := pause.For(ctx, takeoverPause); err != nil {
 			return 0, err
 		}
 	}
 	return next.Fence, nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
