--- /dev/null
+++ b/agent/watchers_test.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gypsumbank/registry"
+	"gypsumbank/wire"
+)
+
+// fakeClock is a time that tests move.
+type fakeClock struct{ at time.Time }
+
+func (c *fakeClock) now() time.Time { return c.at }
+
+func (c *fakeClock) advance(d time.Duration) { c.at = c.at.Add(d) }
+
+func newTestWatchers() (*watchers, *fakeClock) {
+	clock := &fakeClock{at: time.Unix(1000, 0)}
+	return newWatchers(clock.now), clock
+}
+
+// received returns the state that is queued for a gateway, or nil.
+func received(w *watchers, to *watcher) *wire.TargetState {
+	select {
+	case state := <-to.updates:
+		return w.personal(state, to)
+	default:
+		return nil
+	}
+}
+
+func demand(model string, work float32) []*wire.ModelDemand {
+	return []*wire.ModelDemand{{Service: "s", Model: model, Work: work}}
+}
+
+func TestPlannerIsTheLiveGatewayWithTheLeastName(t *testing.T) {
+	w, clock := newTestWatchers()
+	first, second := w.add(), w.add()
+	w.heard(first, &wire.WatcherUpdate{Node: "g1"})
+	w.heard(second, &wire.WatcherUpdate{Node: "g2"})
+	w.publish(&wire.TargetState{TargetId: "t"})
+	if state := received(w, second); state.GetPlanner() != "g1" || state.GetWatchers() != 2 {
+		t.Errorf("planner %q of %d gateways", state.GetPlanner(), state.GetWatchers())
+	}
+	clock.advance(watcherLifetime)
+	w.heard(second, &wire.WatcherUpdate{Node: "g2"})
+	w.publish(&wire.TargetState{TargetId: "t"})
+	if state := received(w, second); state.GetPlanner() != "g2" || state.GetWatchers() != 1 {
+		t.Errorf("after g1 fell silent: planner %q of %d gateways", state.GetPlanner(), state.GetWatchers())
+	}
+}
+
+func TestDemandOfAllGoesToThePlanner(t *testing.T) {
+	w, _ := newTestWatchers()
+	first, second := w.add(), w.add()
+	w.heard(first, &wire.WatcherUpdate{Node: "g1", HasDemand: true, Demand: demand("m", 30)})
+	w.publish(&wire.TargetState{TargetId: "t"})
+	w.demandAt = time.Time{}
+	w.heard(second, &wire.WatcherUpdate{Node: "g2", HasDemand: true, Demand: demand("m", 12)})
+	state := received(w, first)
+	if len(state.GetDemand()) != 1 || state.GetDemand()[0].GetWork() != 42 {
+		t.Errorf("the planner was told %v", state.GetDemand())
+	}
+	if state := received(w, second); len(state.GetDemand()) != 0 {
+		t.Error("another gateway was told the demand")
+	}
+}
+
+func TestPartsReachTheOtherGatewaysOnce(t *testing.T) {
+	w, clock := newTestWatchers()
+	first, second := w.add(), w.add()
+	w.heard(first, &wire.WatcherUpdate{Node: "g1", Parts: []*wire.PromptPart{{Hash: 7, Tokens: 100}}, UnreadMs: 40})
+	w.heard(second, &wire.WatcherUpdate{Node: "g2", UnreadMs: 2})
+	w.publish(&wire.TargetState{TargetId: "t"})
+	if state := received(w, second); len(state.GetParts()) != 1 || state.GetUnreadMs() != 42 {
+		t.Errorf("told %v and %v ms", state.GetParts(), state.GetUnreadMs())
+	}
+	if state := received(w, first); len(state.GetParts()) != 0 {
+		t.Error("a gateway was told its own parts")
+	}
+	clock.advance(time.Second)
+	w.publish(&wire.TargetState{TargetId: "t"})
+	if state := received(w, second); len(state.GetParts()) != 0 {
+		t.Error("parts were told twice")
+	}
+}
+
+func TestStatesAreBounded(t *testing.T) {
+	w, clock := newTestWatchers()
+	to := w.add()
+	w.heard(to, &wire.WatcherUpdate{Node: "g1"})
+	sent := 0
+	for i := range 1000 {
+		clock.advance(time.Millisecond)
+		w.publish(&wire.TargetState{TargetId: "t", Waiting: uint32(i)})
+		if received(w, to) != nil {
+			sent++
+		}
+	}
+	if most := int(time.Second/loadPause) + 1; sent > most {
+		t.Errorf("%d states in a second, at most %d may differ in load only", sent, most)
+	}
+	w.publish(&wire.TargetState{TargetId: "t", Draining: true})
+	if state := received(w, to); !state.GetDraining() {
+		t.Error("a drain is not told at once")
+	}
+}
+
+func TestBulletin(t *testing.T) {
+	w, clock := newTestWatchers()
+	to := w.add()
+	targets := []registry.Target{{ID: "a", Service: "s", Address: "10.0.0.1:80"}}
+	w.setRoutes(3)
+	w.setTargets(targets)
+	w.publish(&wire.TargetState{TargetId: "t"})
+	if received(w, to).GetBulletin() != nil {
+		t.Error("a bulletin for a gateway that did not ask for it")
+	}
+	w.heard(to, &wire.WatcherUpdate{Node: "g1", HasDemand: true})
+	clock.advance(400 * time.Millisecond)
+	w.publish(&wire.TargetState{TargetId: "t"})
+	if b := received(w, to).GetBulletin(); b.GetRoutesVersion() != 3 || len(b.GetTargets()) != 1 || b.GetAgeMs() != 400 {
+		t.Errorf("bulletin %v", b)
+	}
+	w.setTargets(targets)
+	clock.advance(400 * time.Millisecond)
+	w.publish(&wire.TargetState{TargetId: "t"})
+	if b := received(w, to).GetBulletin(); b == nil || b.GetHasTargets() {
+		t.Errorf("bulletin %v, the targets are unchanged", b)
+	}
+	targets[0].Draining = true
+	w.setTargets(targets)
+	if b := received(w, to).GetBulletin(); len(b.GetTargets()) != 1 || !b.GetTargets()[0].GetDraining() {
+		t.Errorf("bulletin %v, a drain must be told at once", b)
+	}
+}
