--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -63,6 +63,8 @@
 }
 
 const (
+	// defaultWait bounds a request where neither its caller nor its route says how long it may take.
+	defaultWait = 30 * time.Second
 	// settleTime is what is left of a caller's deadline when its request gets its final answer.
 	settleTime = 20 * time.Millisecond
 	// minRun is the least time in which a target can be expected to answer.
@@ -92,6 +94,9 @@
 	if d.fleet.Want(service, req, d.now()) {
 		d.residency.TellDemand()
 	}
+	if wait <= 0 {
+		wait = defaultWait
+	}
 	deadline := req.Arrived.Add(wait)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-settleTime))
 	return &Dispatch{
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -133,6 +133,7 @@
 		"unsafe goes on after a refusal":        {route: unsafeRoute(), replies: replies(notRun, answer(200)), want: Answered{}, sends: 2},
 		"unsafe goes on if nothing was sent":    {route: unsafeRoute(), replies: replies(notSent, answer(200)), want: Answered{}, sends: 2},
 		"unsafe failure is passed on":           {route: unsafeRoute(), replies: replies(answer(500)), want: Answered{}, sends: 1},
+		"no time is given":                      {route: &route.Route{Kind: route.Unsafe, MaxAttempts: 1}, replies: replies(answer(200)), want: Answered{}, sends: 1},
 		"refused by all":                        {route: unsafeRoute(), replies: replies(notRun), want: Refused{Reason: NoTarget}, sends: 2},
 		"unreachable":                           {route: unsafeRoute(), replies: replies(notSent), want: Refused{Reason: NoTarget}, sends: 2},
 		"safe is sent again after a loss":       {route: safeRoute(), replies: replies(broken, answer(200)), want: Answered{}, sends: 2},
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -28,8 +28,8 @@
 	beatInterval = time.Second
 	// urgentPause collects the requests for missing models that arrive together.
 	urgentPause = 20 * time.Millisecond
-	// usePause collects changes of use; it is well below the time for which an agent waits for them.
-	usePause = 10 * time.Millisecond
+	// changePause collects changes; it is well below the time for which an agent waits for word of an adapter's use.
+	changePause = 10 * time.Millisecond
 	// boardCount agents are told the demand and read the store, so that the loss of one costs nothing; in deployments of
 	// manyEngines one more.
 	boardCount  = 2
@@ -49,12 +49,15 @@
 	watched map[string]context.CancelFunc
 	boards  map[string]bool          // agents that are told the demand
 	urgent  chan struct{}            // replaced and closed when the demand is to be told at once
-	uses    map[string]chan struct{} // by agent, filled when the uses of its target's adapters have changed
+	changes map[string]chan struct{} // by agent, filled when what this gateway has at its target has changed
 	ended   sync.WaitGroup
 }
 
 func newAgents(name string, port int, d *dialer.Dialer, f *fleet.Fleet, b *board, log *logrus.Entry) *agents {
-	return &agents{name: name, port: strconv.Itoa(port), dialer: d, fleet: f, board: b, log: log, watched: map[string]context.CancelFunc{}, urgent: make(chan struct{}), uses: map[string]chan struct{}{}}
+	return &agents{
+		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, board: b, log: log,
+		watched: map[string]context.CancelFunc{}, urgent: make(chan struct{}), changes: map[string]chan struct{}{},
+	}
 }
 
 // address returns the address of the agent beside the target at an address.
@@ -120,20 +123,21 @@
 // TellLoad has what this gateway has at a target told to its agent.
 func (a *agents) TellLoad(of registry.Target) {
 	select {
-	case a.usesOf(a.address(of.Address)) <- struct{}{}:
+	case a.changesOf(a.address(of.Address)) <- struct{}{}:
 	default:
 	}
 }
 
-func (a *agents) usesOf(address string) chan struct{} {
+func (a *agents) changesOf(address string) chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.uses[address] == nil {
-		a.uses[address] = make(chan struct{}, 1)
+	if a.changes[address] == nil {
+		a.changes[address] = make(chan struct{}, 1)
 	}
-	return a.uses[address]
+	return a.changes[address]
 }
 
+// tell returns whether an agent is to be told the demand, and the channel that is closed when that is urgent.
 func (a *agents) tell(address string) (board bool, urgent <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -142,7 +146,7 @@
 
 // beat sends heartbeats, to some agents with the demand, until ctx ends or the stream breaks.
 func (a *agents) beat(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
-	changed := a.usesOf(address)
+	changed := a.changesOf(address)
 	for {
 		board, urgent := a.tell(address)
 		update := &wire.WatcherUpdate{Node: a.name, HasDemand: board}
@@ -171,7 +175,7 @@
 		case <-urgent:
 			_ = pause.For(ctx, urgentPause)
 		case <-changed:
-			_ = pause.For(ctx, usePause)
+			_ = pause.For(ctx, changePause)
 		case <-time.After(beatInterval):
 		}
 	}
