--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,9 +125,9 @@
 	}
 	stop()
 	closeAll(g.log, callers, ready)
+	err = group.Wait() // ends what follows targets before the agents that it watches
 	g.agents.close()
 	g.dialer.Close()
-	err = group.Wait()
 	g.log.WithError(err).Info("gateway stops")
 	if errors.Is(err, context.Canceled) {
 		return nil
