Count a late state's phantom copy before reserving its place again

The next state finds it gone and turns it into a tombstone, whose bytes stood above the accelerator's size; a load of the same model then took the tombstone's place without a look at the size. Only engines that ignore fencing numbers have tombstones.

Reserve now compares with the size in both branches; TestLateStateDoesNotMakeRoom failed before. A failed test of a deployment now shows the deployment's log.

--- a/deployment/deployment_test.go
+++ b/deployment/deployment_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,7 +17,9 @@
 func start(t *testing.T, size deployment.Size) *deployment.Deployment {
 	t.Helper()
 	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	output := &tail{}
+	logger.SetOutput(output)
+	t.Cleanup(func() { output.show(t) })
 	d, err := deployment.New(t.Context(), size, "", logrus.NewEntry(logger))
 	if err != nil {
 		t.Fatal(err)
@@ -30,6 +33,35 @@
 	return d
 }
 
+// tailLines is how many of the last log lines a failed test shows.
+const tailLines = 4000
+
+// tail keeps the last lines that were written to it.
+type tail struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (o *tail) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lines = append(o.lines, string(p))
+	if len(o.lines) > 2*tailLines {
+		o.lines = append([]string(nil), o.lines[tailLines:]...)
+	}
+	return len(p), nil
+}
+
+// show logs the last lines if the test has failed.
+func (o *tail) show(t *testing.T) {
+	if !t.Failed() {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t.Logf("log of the deployment:\n%s", strings.Join(o.lines[max(0, len(o.lines)-tailLines):], ""))
+}
+
 func post(t *testing.T, d *deployment.Deployment, entry int, path, body string, headers map[string]string) (*http.Response, string) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, d.URL(entry)+path, strings.NewReader(body))
--- a/residency/map.go
+++ b/residency/map.go
@@ -122,7 +122,7 @@
 		if known.state != tombstone {
 			return ErrBusy
 		}
-		if bytes > known.bytes && m.Committed()-known.bytes+bytes > m.size {
+		if m.Committed()-known.bytes+max(bytes, known.bytes) > m.size {
 			return ErrNoMemory
 		}
 		known.state = loading
--- a/residency/map_test.go
+++ b/residency/map_test.go
@@ -187,3 +187,29 @@
 func delay(t *rapid.T) time.Duration {
 	return time.Duration(rapid.IntRange(1, int(lifetime.Milliseconds())-1).Draw(t, "delay ms")) * time.Millisecond
 }
+
+// TestLateStateDoesNotMakeRoom has a state from before an unload arrive after it, which counts the dropped item once more.
+func TestLateStateDoesNotMakeRoom(t *testing.T) {
+	model := func(name string) residency.Key { return residency.Key{Kind: engine.KindModel, Name: name, Version: 1} }
+	now := time.Unix(1000, 0)
+	memory := residency.New(size, false, lifetime)
+	memory.Adopt([]engine.Resident{{Kind: engine.KindModel, Name: "a", Version: 1, Bytes: 60}}, now)
+	now = now.Add(lifetime)
+	memory.Reconcile([]engine.Resident{{Kind: engine.KindModel, Name: "a", Version: 1, Bytes: 60}}, now, now)
+	asked := now.Add(time.Second)
+	now = asked.Add(time.Millisecond)
+	if err := memory.Unload(model("a")); err != nil {
+		t.Fatal(err)
+	}
+	memory.Unloaded(model("a"), now)
+	if err := memory.Reserve(model("b"), 60, now); err != nil {
+		t.Fatal(err)
+	}
+	memory.Reconcile([]engine.Resident{{Kind: engine.KindModel, Name: "a", Version: 1, Bytes: 60}}, asked, now)
+	memory.Loaded(model("b"), now)
+	now = now.Add(time.Millisecond)
+	memory.Reconcile([]engine.Resident{{Kind: engine.KindModel, Name: "b", Version: 1, Bytes: 60}}, now.Add(time.Millisecond), now)
+	if err := memory.Reserve(model("a"), 60, now); !errors.Is(err, residency.ErrNoMemory) {
+		t.Errorf("reserve beside what is loaded: %v", err)
+	}
+}
