--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -29,9 +29,6 @@
 	readsPerSecond  = 2000
 	writesPerSecond = 500
 	readyPoll       = 50 * time.Millisecond
-	lowestPort      = 12000
-	highestPort     = 32000
-	portTries       = 100
 )
 
 // ErrNotReady reports that the deployment did not become ready in time.
@@ -76,6 +73,8 @@
 	d := &Deployment{size: size, log: log, ctx: ctx, cancel: cancel, group: group, counts: ledger.NewCounts()}
 	for _, step := range []func() error{d.startPlatform, d.startTargets, func() error { return d.startEntries(listen) }, d.applyLists} {
 		if err := step(); err != nil {
+			// A role that ended with an error has cancelled the context; that error is the cause then.
+			err = errors.Join(err, context.Cause(ctx))
 			d.Close()
 			return nil, err
 		}
--- a/deployment/start.go
+++ b/deployment/start.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"strings"
 	"time"
@@ -229,18 +228,3 @@
 	start(listener)
 	return listener.Addr().String(), nil
 }
-
-// FreeAddress returns a loopback address that nothing listens on, with a port below those that systems give to outgoing
-// connections, so that none of these takes it before it is used.
-func FreeAddress() (string, error) {
-	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		listener.Close()
-		return address, nil
-	}
-	return "", fmt.Errorf("%w: no free port from %d to %d", ErrNotReady, lowestPort, highestPort)
-}
