Don't count refused attempts of a request as runs

Likely cause of the 503s of TestAnswersAreWholeUnderFaults/a sidecar drains: attempts that every target refuses at once counted towards the limit of 64 attempts, so a request for a model whose new copy had to wait for memory in use was given up after 64 quick refusals, 3.2 s with two targets and 1.6 s with four, not after the 15 s for that. The failure itself was not met again (96 copies of the case, up to 56 at once; at 100 copies the machine's memory ran out). TestRequestWaitsForMemoryInUse shows the fault and failed before with the same message. Refused attempts now pause after 16 in a row; only attempts that a target took on count.

--- a/deployment/models_test.go
+++ b/deployment/models_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -99,6 +100,43 @@
 	noViolations(t, d)
 }
 
+// TestRequestWaitsForMemoryInUse asks for a new model while long requests use every copy that could make room for it.
+func TestRequestWaitsForMemoryInUse(t *testing.T) {
+	size := deployment.Small()
+	size.ModelReplicas, size.Models, size.Adapters = 2, 3, 0
+	d := start(t, size)
+	o, err := d.Operator()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	var long sync.WaitGroup
+	for i := range size.Models * len(d.Entries()) {
+		long.Go(func() {
+			status, _, body := ask(t.Context(), d, i%2, deployment.ModelName(i/2), "[[length=900]]", 1)
+			if status != http.StatusOK {
+				t.Errorf("long request %d: status %d: %s", i, status, body)
+			}
+		})
+	}
+	text := size.Allowances() + "\n[model fresh]\nmemory-mib = 14336\n"
+	if _, err := o.Apply(t.Context(), operator.Allowances, []byte(text), 1); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		status, _, body := ask(t.Context(), d, 0, "fresh", "[[length=2]]", 1)
+		if status == http.StatusNotFound {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		if status != http.StatusOK {
+			t.Errorf("request for the new model: status %d: %s", status, body)
+		}
+		break
+	}
+	long.Wait()
+}
+
 // TestOutcomesAreTrue compares what callers of the ledger are told with its own count, for calls without a key too.
 func TestOutcomesAreTrue(t *testing.T) {
 	tests := map[string]struct {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -20,7 +20,8 @@
 
 const (
 	tokenBuffer     = 64
-	maxAttempts     = 64
+	maxRuns         = 64 // attempts that a target took on; one refused at once counts for nothing
+	refusalsAtOnce  = 16 // refused attempts after which a request pauses, so that many full targets are not asked in a burst
 	retryPause      = 100 * time.Millisecond
 	searchTime      = 15 * time.Second // time without progress after which a request is given up
 	busyRetry       = 2 * time.Second
@@ -81,12 +82,14 @@
 	tried    map[string]bool // targets that did not serve the job since its last token
 	progress time.Time       // when the last token came
 	full     bool            // a holder of the model had no room
+	runs     int             // attempts that a target took on
+	refusals int             // attempts refused since the last pause
 }
 
 // generate runs a job to its end, over as many targets as it takes.
 func (e *Entry) generate(ctx context.Context, job *job) *problem {
 	s := &search{tried: map[string]bool{}, progress: time.Now()}
-	for job.attempt < maxAttempts && time.Since(s.progress) < searchTime {
+	for s.runs < maxRuns && time.Since(s.progress) < searchTime {
 		done, failed := e.step(ctx, job, s)
 		if ctx.Err() != nil {
 			return e.stopped(ctx, job)
@@ -103,6 +106,7 @@
 	choice, err := e.router.Pick(job.caller.lists.Allowances(), job.route(), s.tried, s.full)
 	if err != nil {
 		clear(s.tried)
+		s.refusals = 0
 		if s.full {
 			return true, e.giveUp(job, "all targets are busy", busyRetry)
 		}
@@ -137,6 +141,8 @@
 		e.scaleOut(ctx, job)
 		s.full = s.full || end.refusal.GetReason() == wire.RefusalReason_REFUSAL_QUEUE_FULL
 		failed = e.afterRefusal(job, choice, end.refusal)
+		s.refused(ctx)
+		return failed != nil, failed
 	case interrupted:
 		failed = e.afterInterruption(ctx, job, choice, end.cause)
 	case moved:
@@ -144,9 +150,19 @@
 	case broken:
 		e.afterBreak(job, choice, end.err)
 	}
+	s.runs++
 	return failed != nil, failed
 }
 
+// refused counts an attempt that no target took on and pauses after a number of them.
+func (s *search) refused(ctx context.Context) {
+	s.refusals++
+	if s.refusals >= refusalsAtOnce {
+		s.refusals = 0
+		_ = pause.For(ctx, retryPause)
+	}
+}
+
 func (e *Entry) afterRefusal(job *job, choice router.Choice, refusal *wire.Refused) *problem {
 	e.router.Observe(choice.VM.Name, refusal.GetHint())
 	e.record(job.event(timeline.RequestRefused, choice.VM.Name, refusal.GetDetail()))
