Reset the connection to a target when its caller leaves

A reset tells a woken target that the request is void. TestLeftRequestIsNotReadByAFrozenTarget failed before.

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -96,6 +96,14 @@
 	delete(p.idle, address)
 }
 
+// Abort closes the connection with a reset, so that a target that was stopped learns on waking that the request is void.
+func (c *Conn) Abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 func (p *Pool) take(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -67,7 +67,7 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	stop := context.AfterFunc(ctx, conn.Abort)
 	written := make(chan error, 1)
 	go func() {
 		_, err := conn.Write(encode(message))
