Restore the models of a restarted engine from its own disk

An agent now records the models of its engine in the store and orders them from disk as soon as a new run is identified. A load without rate goes back to the planner with the time to wait.

Tests: TestRestartedTargetTakesItsModelsBack, TestEnginesLoadFromDiskWhileTheWeightStoreIsUsedUp, TestFailedLoadFreesTheEngineForTheNext, TestModelsOfTheLastProcessAreKnown.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"gypsumbank/connpool"
 	"gypsumbank/holder"
+	"gypsumbank/inventory"
 	"gypsumbank/logs"
 	"gypsumbank/occupancy"
 	"gypsumbank/pause"
@@ -51,6 +52,7 @@
 	engine   *platform.Replica
 	log      *logrus.Entry
 	watchers *watchers
+	held     *inventory.Inventory
 	wants    chan *occupancy.Want
 	tables   chan *route.Table
 	fences   chan int64
@@ -68,6 +70,8 @@
 	down       bool
 	fence      int64
 	unanswered *platform.Order
+	former     []string  // models that the engine held before its present run, until they are restored
+	recorded   []string  // models last handed to the inventory
 	budgetAt   time.Time // when the budget of loads may be asked again
 }
 
@@ -75,6 +79,7 @@
 func New(config *settings.Config, log *logrus.Entry) *Agent {
 	store := platform.NewStore(config.Store.Address)
 	return &Agent{
+		held:      inventory.New(store, config.Agent.Target, log),
 		config:    config,
 		store:     store,
 		engine:    platform.NewReplica(sender.New(connpool.New())),
@@ -109,6 +114,7 @@
 	group.Go(func() error { return a.acquireFence(ctx) })
 	group.Go(func() error { return a.followRoutes(ctx) })
 	group.Go(func() error { return a.followTargets(ctx) })
+	group.Go(func() error { return a.held.Run(ctx) })
 	group.Go(func() error { return a.control(ctx) })
 	group.Go(func() error { return probe.New(a.config.Agent.Metrics, func() error { return nil }).Run(ctx) })
 	err = group.Wait()
--- a/agent/control.go
+++ b/agent/control.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,6 +11,7 @@
 
 	"gypsumbank/occupancy"
 	"gypsumbank/platform"
+	"gypsumbank/registry"
 	"gypsumbank/route"
 	"gypsumbank/weightstore"
 )
@@ -27,6 +28,10 @@
 			a.fence = fence
 		case table := <-a.tables:
 			a.adopt(table)
+		case former := <-a.held.Former():
+			a.former = former
+			a.restore()
+			a.order(ctx)
 		case want := <-a.wants:
 			a.occupancy.Add(want, time.Now())
 			a.order(ctx)
@@ -75,11 +80,16 @@
 		a.log.WithFields(logrus.Fields{"born": report.Born, "sequence": report.Sequence}).Info("engine has started")
 		a.occupancy.Reset()
 		a.unanswered, a.targetID = nil, ""
+		if len(a.report.Models) > 0 {
+			a.former = registry.ModelNames(a.report.Models)
+		}
 	}
 	a.report, a.reportAt = report, time.Now()
 	a.identify(ctx)
 	a.occupancy.SetUses(a.watchers.uses(), a.reportAt)
 	a.occupancy.Observe(report, a.reportAt)
+	a.restore()
+	a.record()
 	if a.targetID != "" {
 		a.watchers.publish(a.state())
 	}
@@ -117,9 +127,15 @@
 			continue
 		}
 		step, ok := a.occupancy.Next(time.Now())
-		if !ok || (step.Store && !a.mayLoad(ctx)) {
+		if !ok {
 			return
 		}
+		if step.Store {
+			if err := a.takeLoad(ctx); err != nil {
+				a.occupancy.Fail(step.Model, err)
+				continue
+			}
+		}
 		order := platform.Order{
 			Unload: step.Unload, Model: step.Model, Adapter: step.Adapter,
 			Sequence: a.report.Sequence, Holder: a.config.Node.Name, Fence: a.fence, TargetID: a.targetID,
@@ -164,26 +180,40 @@
 	return false
 }
 
-// mayLoad takes a load from the budget of the weight store.
-func (a *Agent) mayLoad(ctx context.Context) bool {
+// takeLoad takes a load from the budget of the weight store; the error is a noBudgetError if none may begin now, so that
+// the engine is free for what it has at hand.
+func (a *Agent) takeLoad(ctx context.Context) error {
 	now := time.Now()
 	s, ok := a.table.Service(a.service)
-	if !ok || s.Engine == nil || now.Before(a.budgetAt) {
-		return false
+	if !ok || s.Engine == nil {
+		return &noBudgetError{wait: budgetPause}
+	}
+	if now.Before(a.budgetAt) {
+		return &noBudgetError{wait: a.budgetAt.Sub(now)}
 	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	err := a.budget.Take(call, loadLimit(s.Engine, a.config.Bounds.LoadWindow, a.config.Bounds.LoadBurst))
-	if err != nil || time.Since(now) > storeTimeout/2 {
-		a.budgetAt = now.Add(budgetPause)
-		var exhausted *weightstore.ExhaustedError
-		if errors.As(err, &exhausted) {
-			a.budgetAt = now.Add(exhausted.Wait + rand.N(budgetPause))
-		}
-		a.log.WithError(err).WithField("rate", s.Engine.StoreLoadRate).Info("no load from the weight store now")
-		return false
-	}
-	return true
+	if err == nil && time.Since(now) <= storeTimeout/2 {
+		return nil
+	}
+	wait := budgetPause
+	var exhausted *weightstore.ExhaustedError
+	if errors.As(err, &exhausted) {
+		wait = exhausted.Wait
+	}
+	a.budgetAt = time.Now().Add(wait)
+	a.log.WithError(err).WithFields(logrus.Fields{"rate": s.Engine.StoreLoadRate, "wait-ms": wait.Milliseconds()}).
+		Info("no load from the weight store now")
+	return &noBudgetError{wait: wait}
+}
+
+// noBudgetError reports that no load from the weight store may begin for a time.
+type noBudgetError struct{ wait time.Duration }
+
+// Error returns the time to wait.
+func (e *noBudgetError) Error() string {
+	return fmt.Sprintf("no load from the weight store for %s", e.wait.Round(time.Millisecond))
 }
 
 // loadLimit returns a limit under which no window sees more loads than the platform allows, with one load to spare.
--- a/agent/service.go
+++ b/agent/service.go
@@ -44,6 +44,7 @@
 func (s *service) Ensure(ctx context.Context, in *wire.EnsureRequest) (*wire.EnsureReply, error) {
 	err := s.agent.ensure(ctx, in.GetModel(), in.GetAdapter(), in.GetEvict())
 	reply := &wire.EnsureReply{}
+	var noBudget *noBudgetError
 	switch {
 	case err == nil:
 		reply.Outcome = wire.EnsureOutcome_ENSURE_HELD
@@ -51,6 +52,9 @@
 		reply.Outcome = wire.EnsureOutcome_ENSURE_UNKNOWN_MODEL
 	case errors.Is(err, occupancy.ErrNoRoom):
 		reply.Outcome = wire.EnsureOutcome_ENSURE_NO_ROOM
+	case errors.As(err, &noBudget):
+		reply.Outcome = wire.EnsureOutcome_ENSURE_NO_BUDGET
+		reply.WaitMs = uint32(noBudget.wait.Milliseconds())
 	default:
 		reply.Outcome = wire.EnsureOutcome_ENSURE_TARGET_DOWN
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,17 @@
 // ErrNotHeld reports that a target can't be made to hold a model or adapter now.
 var ErrNotHeld = errors.New("target can not hold it now")
 
+// NoBudgetError reports that no load from the weight store may begin for a time; it wraps ErrNotHeld.
+type NoBudgetError struct{ Wait time.Duration }
+
+// Error returns the time to wait.
+func (e *NoBudgetError) Error() string {
+	return fmt.Sprintf("%v: no load from the weight store for %s", ErrNotHeld, e.Wait)
+}
+
+// Unwrap returns ErrNotHeld.
+func (e *NoBudgetError) Unwrap() error { return ErrNotHeld }
+
 // Targets sends requests to targets.
 type Targets interface {
 	Send(ctx context.Context, to registry.Target, req *request.Request, left time.Duration, unique bool) reply.Reply
@@ -217,7 +229,11 @@
 	log = log.WithField("took-ms", d.now().Sub(begun).Milliseconds())
 	if err != nil {
 		log.WithError(err).Info("model not loaded")
-		d.fleet.EndLoad(p.Target.ID, p.Model, d.now())
+		var noBudget *NoBudgetError
+		if errors.As(err, &noBudget) {
+			d.fleet.StoreExhausted(p.Target.Service, d.now().Add(noBudget.Wait))
+		}
+		d.fleet.AbandonLoad(p.Target.ID, p.Model)
 		return
 	}
 	log.Info("model loaded")
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,8 +35,9 @@
 	totalFrom int // gateways in total
 	totalAt   time.Time
 
-	storeLoads []time.Time // loads from the weight store that were planned lately
-	readAt     time.Time   // of the registry
+	storeLoads []time.Time          // loads from the weight store that were planned lately
+	storeUntil map[string]time.Time // by service, when the next load from the weight store may begin
+	readAt     time.Time            // of the registry
 }
 
 // state is what is known of one run of a target.
@@ -74,12 +75,13 @@
 // New returns an empty view for a gateway in the given availability zone.
 func New(zone string) *Fleet {
 	return &Fleet{
-		zone:      zone,
-		services:  map[string]route.Service{},
-		states:    map[string]*state{},
-		byService: map[string][]*state{},
-		paces:     map[string]float64{},
-		demand:    map[demandKey]*rate{},
+		zone:       zone,
+		services:   map[string]route.Service{},
+		states:     map[string]*state{},
+		byService:  map[string][]*state{},
+		paces:      map[string]float64{},
+		demand:     map[demandKey]*rate{},
+		storeUntil: map[string]time.Time{},
 	}
 }
 
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -70,7 +70,7 @@
 		}
 		s := f.states[placement.Target.ID]
 		s.loading, s.loadingSince = model, now
-		if !atHand(model, s) {
+		if !s.report.AtHand(model) {
 			f.storeLoads = append(f.storeLoads, now)
 		}
 		return placement, true
@@ -78,7 +78,26 @@
 	return Placement{}, false
 }
 
-// EndLoad records that a load on a target is no longer in progress.
+// StoreExhausted records that a planned load from the weight store did not begin and that none may before a time.
+func (f *Fleet) StoreExhausted(service string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeUntil[service] = until
+	if n := len(f.storeLoads); n > 0 {
+		f.storeLoads = f.storeLoads[:n-1]
+	}
+}
+
+// AbandonLoad records that a load on a target has failed.
+func (f *Fleet) AbandonLoad(id, model string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.states[id]; s != nil && s.loading == model {
+		s.loading = ""
+	}
+}
+
+// EndLoad records that a target has loaded a model.
 func (f *Fleet) EndLoad(id, model string, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -125,7 +144,7 @@
 	if engine == nil {
 		return nil
 	}
-	c := &catalog{engine: engine, now: now, copies: map[string]int{}, work: f.workFor(service, now), noStore: f.storeExhausted(engine, now)}
+	c := &catalog{engine: engine, now: now, copies: map[string]int{}, work: f.workFor(service, now), noStore: now.Before(f.storeUntil[service]) || f.storeExhausted(engine, now)}
 	for _, s := range f.byService[service] {
 		if s.leaving() || now.Before(s.avoid) {
 			continue
@@ -152,10 +171,6 @@
 	return float64(len(f.storeLoads)) >= engine.StoreLoadRate*storeWindow.Seconds()+storeBurst
 }
 
-func atHand(model string, s *state) bool {
-	return slices.Contains(s.report.InMemory, model) || slices.Contains(s.report.OnDisk, model)
-}
-
 func (c *catalog) perCopy(model string) float64 {
 	return c.work[model] / float64(max(1, c.copies[model]))
 }
@@ -197,7 +212,7 @@
 			continue
 		}
 		evict, loss, fits := c.room(s, model)
-		if !fits || (c.noStore && !atHand(model, s)) {
+		if !fits || (c.noStore && !s.report.AtHand(model)) {
 			continue
 		}
 		eta := loadTime(c.engine.Models[model], s)
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -137,3 +137,41 @@
 		t.Errorf("%d loads from the store begin at once, want 5: 1 a second over 3 s and a burst of 2", planned)
 	}
 }
+
+// TestEnginesLoadFromDiskWhileTheWeightStoreIsUsedUp names its load: all engines have restarted empty, and more models are
+// asked for than the rate of the weight store allows at once.
+func TestEnginesLoadFromDiskWhileTheWeightStoreIsUsedUp(t *testing.T) {
+	f := engines(nil, nil)
+	now := start
+	for id, disk := range []string{"hot", "cold"} {
+		f.Observe(fmt.Sprint("e", id), Observation{Planned: true, Report: registry.Report{Born: 1, OnDisk: []string{disk}}}, now)
+	}
+	for range 20 {
+		f.Want(service, ask("new"), now)
+	}
+	f.Want(service, ask("hot"), now)
+	f.Want(service, ask("cold"), now)
+	first, ok := f.Plan(service, now)
+	if !ok || first.Model != "new" {
+		t.Fatalf("first placement %+v, %v", first, ok)
+	}
+	f.StoreExhausted(service, now.Add(time.Second))
+	f.AbandonLoad(first.Target.ID, first.Model)
+	planned := map[string]string{}
+	for {
+		placement, ok := f.Plan(service, now)
+		if !ok {
+			break
+		}
+		planned[placement.Model] = placement.Target.ID
+	}
+	if len(planned) != 2 || planned["hot"] != "e0" || planned["cold"] != "e1" {
+		t.Errorf("planned %v, want hot on e0 and cold on e1", planned)
+	}
+	for _, id := range planned {
+		f.AbandonLoad(id, map[string]string{"e0": "hot", "e1": "cold"}[id])
+	}
+	if again, ok := f.Plan(service, now.Add(1100*time.Millisecond)); !ok || again.Model != "new" {
+		t.Errorf("after the wait: placement %+v, %v", again, ok)
+	}
+}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -285,6 +285,9 @@
 		a.dialer.Forget(address)
 		return fmt.Errorf("%w: %w", dispatch.ErrNotHeld, err)
 	}
+	if reply.GetOutcome() == wire.EnsureOutcome_ENSURE_NO_BUDGET {
+		return &dispatch.NoBudgetError{Wait: time.Duration(reply.GetWaitMs()) * time.Millisecond}
+	}
 	if reply.GetOutcome() != wire.EnsureOutcome_ENSURE_HELD {
 		return fmt.Errorf("%w: %s", dispatch.ErrNotHeld, reply.GetDetail())
 	}
--- a/gateway/residency_test.go
+++ b/gateway/residency_test.go
@@ -17,9 +17,9 @@
 )
 
 // startAgent runs an agent beside the engine until the returned function is called.
-func (d *deployment) startAgent(name string) (stop func()) {
+func (d *deployment) startAgent() (stop func()) {
 	config := &settings.Config{
-		Node:   settings.Node{Name: name, AvailabilityZone: "zone-a"},
+		Node:   settings.Node{Name: "agent-1", AvailabilityZone: "zone-a"},
 		Agent:  settings.Agent{Listen: net.JoinHostPort("127.0.0.1", strconv.Itoa(d.agentPort)), Target: d.engine.Address(), Service: "engine"},
 		Store:  settings.Store{Address: d.store.Address()},
 		Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
@@ -58,7 +58,7 @@
 			}
 			d.engine.LoseOrders(test.lost)
 			d.store.Put("servers", "e1", d.engine.Entry("engine", "ready"))
-			defer d.startAgent("agent-1")()
+			defer d.startAgent()()
 			time.Sleep(1500 * time.Millisecond)
 			response, body, err := d.ask(get("/stream/a", "X-Gypsumbank-Model: "+test.model))
 			if err != nil || response.StatusCode != http.StatusOK {
@@ -85,18 +85,61 @@
 	}
 }
 
+// TestRestartedTargetTakesItsModelsBack restarts an engine that holds two models, with its agent or without; nobody asks
+// for either model meanwhile, and the weight store is not needed.
+func TestRestartedTargetTakesItsModelsBack(t *testing.T) {
+	tests := map[string]struct{ agentToo, newDisk bool }{
+		"engine alone":           {},
+		"engine and its agent":   {agentToo: true},
+		"engine with a new disk": {newDisk: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t)
+			d.engine.Load("m2")
+			stop := d.startAgent()
+			time.Sleep(2500 * time.Millisecond)
+			if test.agentToo {
+				stop()
+			}
+			if test.newDisk {
+				d.engine.ClearDisk()
+			}
+			d.engine.Restart()
+			if test.agentToo {
+				stop = d.startAgent()
+			}
+			defer stop()
+			time.Sleep(1500 * time.Millisecond)
+			loads := map[string]int{}
+			for _, o := range d.engine.Orders() {
+				if o.Taken && o.Op == "loading" {
+					loads[o.Model]++
+				}
+			}
+			want := 1
+			if test.newDisk {
+				want = 0
+			}
+			if loads["m1"] != want || loads["m2"] != want || len(loads) != 2*want {
+				t.Errorf("loads %v, want %d of m1 and of m2", loads, want)
+			}
+		})
+	}
+}
+
 // TestFencingNumberRises restarts the agent; its orders must bear a higher number than before, and none may be given
 // while the store that keeps the number is away.
 func TestFencingNumberRises(t *testing.T) {
 	d := deploy(t)
-	stop := d.startAgent("agent-1")
+	stop := d.startAgent()
 	time.Sleep(1500 * time.Millisecond)
 	if _, _, err := d.ask(get("/stream/a", "X-Gypsumbank-Model: m1/a1")); err != nil {
 		t.Fatal(err)
 	}
 	stop()
 	d.store.SetFault(site.Down)
-	defer d.startAgent("agent-1")()
+	defer d.startAgent()()
 	time.Sleep(time.Second)
 	if response, _, err := d.ask(get("/stream/a", "X-Gypsumbank-Model: m1/a2")); err != nil || response.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("answer %v, %v; no order may be given without a fencing number", response, err)
--- /dev/null
+++ b/inventory/inventory_test.go
@@ -0,0 +1,93 @@
+package inventory_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/inventory"
+	"gypsumbank/platform"
+	"gypsumbank/standin/site"
+)
+
+const target = "127.0.0.1:1"
+
+// run starts an inventory and returns it with the models that it has read.
+func run(t *testing.T, store *site.Store) (*inventory.Inventory, []string) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	kept := inventory.New(platform.NewStore(store.Address()), target, log.WithField("test", t.Name()))
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- kept.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+	select {
+	case former := <-kept.Former():
+		return kept, former
+	case <-time.After(5 * time.Second):
+		t.Fatal("the record was not read")
+		return nil, nil
+	}
+}
+
+func TestModelsOfTheLastProcessAreKnown(t *testing.T) {
+	tests := map[string]struct {
+		sets  [][]string
+		fault site.Fault // while the last change is written
+		want  []string
+	}{
+		"never written":      {},
+		"one change":         {sets: [][]string{{"a"}}, want: []string{"a"}},
+		"the last of many":   {sets: [][]string{{"a"}, {"a", "b"}, {"b"}}, want: []string{"b"}},
+		"answers are lost":   {sets: [][]string{{"a"}, {"b"}}, fault: site.LoseAnswers, want: []string{"b"}},
+		"store away a while": {sets: [][]string{{"a"}}, fault: site.Down, want: []string{"a"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := site.NewStore()
+			defer store.Close()
+			kept, _ := run(t, store)
+			store.SetFault(test.fault)
+			for _, models := range test.sets {
+				kept.Set(models)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			store.SetFault(site.NoFault)
+			time.Sleep(1500 * time.Millisecond)
+			if _, former := run(t, store); !slices.Equal(former, test.want) {
+				t.Errorf("the next process reads %v, want %v", former, test.want)
+			}
+		})
+	}
+}
+
+func TestUnreadableRecordIsReplaced(t *testing.T) {
+	store := site.NewStore()
+	defer store.Close()
+	row := platform.Row{Table: "inventories", Part: target, Key: "models", Value: []byte("{")}
+	if err := platform.NewStore(store.Address()).Replace(t.Context(), row); err != nil {
+		t.Fatal(err)
+	}
+	kept, former := run(t, store)
+	if len(former) > 0 {
+		t.Errorf("read %v", former)
+	}
+	kept.Set([]string{"a"})
+	time.Sleep(1500 * time.Millisecond)
+	if row, ok := store.Row("inventories", target, "models"); !ok || !strings.Contains(string(row.Value), `"a"`) {
+		t.Errorf("record %q", row.Value)
+	}
+}
--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -118,6 +118,17 @@
 	o.settle(now)
 }
 
+// Fail ends the wants for a model itself with an error.
+func (o *Occupancy) Fail(model string, err error) {
+	o.wants = slices.DeleteFunc(o.wants, func(w *Want) bool {
+		if w.Model != model || w.Adapter != "" {
+			return false
+		}
+		w.Done(err)
+		return true
+	})
+}
+
 // Accepted records that the engine carries out a step.
 func (o *Occupancy) Accepted(step Step) {
 	switch {
@@ -202,8 +213,7 @@
 	}
 	need := o.engine.Models[w.Model].WeightMB
 	if o.free() >= need {
-		atHand := slices.Contains(o.report.InMemory, w.Model) || slices.Contains(o.report.OnDisk, w.Model)
-		return Step{Model: w.Model, Store: !atHand}, true, nil
+		return Step{Model: w.Model, Store: !o.report.AtHand(w.Model)}, true, nil
 	}
 	if w.Evict == "" || w.Evict == w.Model || !registry.Holds(o.report.Models, w.Evict, "") {
 		return Step{}, false, ErrNoRoom
--- a/occupancy/occupancy_test.go
+++ b/occupancy/occupancy_test.go
@@ -231,3 +231,21 @@
 		t.Errorf("%d of 30 wants met, crashed %v", served, e.crashed)
 	}
 }
+
+func TestFailedLoadFreesTheEngineForTheNext(t *testing.T) {
+	o := newOccupancy(registry.Report{OnDisk: []string{"m2"}})
+	var failed error
+	o.Add(&Want{Model: "m1", Expires: start.Add(time.Second), Done: func(err error) { failed = err }}, start)
+	o.Add(&Want{Model: "m2", Expires: start.Add(time.Second), Done: func(err error) { t.Errorf("m2 ended: %v", err) }}, start)
+	if step, ok := o.Next(start); !ok || step.Model != "m1" || !step.Store {
+		t.Fatalf("step %+v, %v", step, ok)
+	}
+	cause := errors.New("no budget")
+	o.Fail("m1", cause)
+	if !errors.Is(failed, cause) {
+		t.Errorf("m1 ended with %v", failed)
+	}
+	if step, ok := o.Next(start); !ok || step.Model != "m2" || step.Store {
+		t.Errorf("step %+v, %v, want m2 from its disk", step, ok)
+	}
+}
--- a/registry/target.go
+++ b/registry/target.go
@@ -43,6 +43,11 @@
 	OnDisk    []string // models with a copy on disk
 }
 
+// AtHand reports whether the target has the weights of a model in its host's memory or on its disk.
+func (r *Report) AtHand(model string) bool {
+	return slices.Contains(r.InMemory, model) || slices.Contains(r.OnDisk, model)
+}
+
 // Adapter names an adapter of a model.
 type Adapter struct {
 	Model string
@@ -58,6 +63,16 @@
 	return adapter == "" || slices.Contains(models[i].Adapters, adapter)
 }
 
+// ModelNames returns the names of models in alphabetical order.
+func ModelNames(models []Model) []string {
+	names := make([]string, 0, len(models))
+	for _, m := range models {
+		names = append(names, m.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // AdapterCount returns how many adapters models hold.
 func AdapterCount(models []Model) int {
 	n := 0
--- a/standin/site/target.go
+++ b/standin/site/target.go
@@ -31,6 +31,9 @@
 	script Script
 	seen   []*Seen
 	models map[string][]string
+	onDisk map[string]bool // models that were held at some time
+	born   int64
+	before int // orders received before the present run
 	orders []Order
 	lose   int // orders that get no answer
 	conns  map[net.Conn]struct{}
@@ -53,7 +56,7 @@
 	if err != nil {
 		panic(err)
 	}
-	t := &Target{id: id, listener: listener, script: script, models: map[string][]string{}, conns: map[net.Conn]struct{}{}}
+	t := &Target{id: id, listener: listener, script: script, models: map[string][]string{}, onDisk: map[string]bool{}, born: 1, conns: map[net.Conn]struct{}{}}
 	go t.accept()
 	return t
 }
@@ -82,7 +85,23 @@
 func (t *Target) Load(model string, adapters ...string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.models[model] = adapters
+	t.models[model], t.onDisk[model] = adapters, true
+}
+
+// Restart begins a new run, which holds no models and has its disk.
+func (t *Target) Restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.born++
+	t.before = len(t.orders)
+	t.models = map[string][]string{}
+}
+
+// ClearDisk removes all weights from the target's disk.
+func (t *Target) ClearDisk() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onDisk = map[string]bool{}
 }
 
 // LoseOrders leaves the next n orders without an answer, though they are carried out.
@@ -110,7 +129,7 @@
 func (t *Target) Entry(service, state string) map[string]any {
 	return map[string]any{
 		"service": service, "address": t.Address(), "zone": "zone-a", "version": "v1", "slots": 8, "state": state,
-		"coldRemainingMs": 0, "sequence": 1, "born": 1, "models": t.modelList(),
+		"coldRemainingMs": 0, "sequence": 1, "born": t.run(), "models": t.modelList(),
 	}
 }
 
@@ -192,7 +211,7 @@
 	case "/-/report":
 		report, err := json.Marshal(map[string]any{
 			"models": t.modelList(), "busy": false, "sequence": t.sequence(), "waiting": 0, "running": 0, "kvUsed": 0,
-			"kvTotal": 1000000, "state": "ready", "born": 1, "coming": []string{}, "atHand": map[string]any{"inMemory": []string{}, "onDisk": []string{}},
+			"kvTotal": 1000000, "state": "ready", "born": t.run(), "coming": []string{}, "atHand": map[string]any{"inMemory": []string{}, "onDisk": t.disk()},
 		})
 		if err != nil {
 			return false
@@ -206,6 +225,22 @@
 	return true
 }
 
+func (t *Target) run() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.born
+}
+
+func (t *Target) disk() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := []string{}
+	for name := range t.onDisk {
+		names = append(names, name)
+	}
+	return names
+}
+
 func (t *Target) sequence() int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -214,7 +249,7 @@
 
 func (t *Target) taken() int64 {
 	n := int64(0)
-	for _, o := range t.orders {
+	for _, o := range t.orders[t.before:] {
 		if o.Taken {
 			n++
 		}
@@ -262,7 +297,7 @@
 		}
 		t.models[o.Model] = kept
 	case o.Adapter == "":
-		t.models[o.Model] = nil
+		t.models[o.Model], t.onDisk[o.Model] = nil, true
 	default:
 		t.models[o.Model] = append(t.models[o.Model], o.Adapter)
 	}
