Let the only copy of an idle model make way for models that are much asked for

An idle model's only copy now counts 150 ms/s, so that a model with 300 takes its place; a later request for the idle one waits half a second for a load from disk.

--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -34,8 +34,12 @@
 	// storeWindow and storeBurst bound the loads from the weight store that are planned at a time.
 	storeWindow = 3 * time.Second
 	storeBurst  = 2
-	// lastCopy is the cost, in ms of work a second, of dropping the only copy of a model.
+	// lastCopy is the cost, in ms of work a second, of dropping the only copy of a model that is asked for.
 	lastCopy = 1e6
+	// idleWork is the work in ms a second below which a model counts as idle, and idleLoss the cost of dropping its only
+	// copy: a later request waits about half a second for a load from the disk of the target that held it.
+	idleWork = 3
+	idleLoss = 150
 	// etaWeight is the work in ms a second that a second of loading is worth.
 	etaWeight = 100
 )
@@ -177,8 +181,11 @@
 
 // afterLoss returns the work for each copy of a model that has lost one.
 func (c *catalog) afterLoss(model string) float64 {
-	if c.copies[model] <= 1 {
-		return lastCopy + c.work[model]
+	switch work := c.work[model]; {
+	case c.copies[model] <= 1 && work >= idleWork:
+		return lastCopy + work
+	case c.copies[model] <= 1:
+		return idleLoss + work
 	}
 	return c.work[model] / float64(c.copies[model]-1)
 }
