--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -39,7 +39,7 @@
 	// idleWork is the work in ms a second below which a model counts as idle, and idleLoss the cost of dropping its only
 	// copy: a later request waits about half a second for a load from the disk of the target that held it.
 	idleWork = 3
-	idleLoss = 150
+	idleLoss = 220
 	// etaWeight is the work in ms a second that a second of loading is worth.
 	etaWeight = 100
 )
