Keep long prompts and short streams apart by one order of targets for all models

Cause: the order that spreads them over a model's holders was drawn for each model, so a target that one model's short streams preferred could read another's long prompts between their tokens.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -136,7 +136,7 @@
 
 func (f *Fleet) chooseHolder(holders []*state, req *request.Request, now time.Time) Choice {
 	chain := req.Chain()
-	places := places(holders, req.Model)
+	places := places(holders)
 	var best Choice
 	bestCost := 0.0
 	for i, s := range holders {
@@ -167,8 +167,9 @@
 	return best
 }
 
-// places returns where each holder of a model stands between 0 and 1, the same way at each gateway.
-func places(holders []*state, model string) map[string]float64 {
+// places returns where each holder of a model stands between 0 and 1, the same way at each gateway and for each model, so
+// that a target which reads the long prompts of one model does so for its others.
+func places(holders []*state) map[string]float64 {
 	places := make(map[string]float64, len(holders))
 	if len(holders) < 2 {
 		return places
@@ -177,7 +178,7 @@
 	for _, s := range holders {
 		ids = append(ids, s.ID)
 	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(model+a), xxhash.Sum64String(model+b)) })
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
 	for i, id := range ids {
 		places[id] = float64(i) / float64(len(ids)-1)
 	}
