Restore the most used models of a restarted engine first

Gateways now tell agents the requests of each model, the agent averages them over 5 s and records them with the models, and the order of the restore is drawn with chances by use.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -70,9 +70,11 @@
 	down       bool
 	fence      int64
 	unanswered *platform.Order
-	former     []string  // models that the engine held before its present run, until they are restored
-	recorded   []string  // models last handed to the inventory
-	budgetAt   time.Time // when the budget of loads may be asked again
+	former     []inventory.Model  // that the engine held before its present run, until they are restored
+	recorded   []string           // models last handed to the inventory
+	usage      map[string]float64 // requests at a time by model, averaged
+	usedAt     time.Time          // when usage was last averaged
+	budgetAt   time.Time          // when the budget of loads may be asked again
 }
 
 // New returns an agent for the engine named in config.
@@ -90,6 +92,7 @@
 		fences:    make(chan int64, 1),
 		run:       time.Now().UnixNano(),
 		occupancy: occupancy.New(),
+		usage:     map[string]float64{},
 		service:   config.Agent.Service,
 		budget:    weightstore.New(store, config.Agent.Service),
 	}
--- a/agent/control.go
+++ b/agent/control.go
@@ -11,7 +11,6 @@
 
 	"gypsumbank/occupancy"
 	"gypsumbank/platform"
-	"gypsumbank/registry"
 	"gypsumbank/route"
 	"gypsumbank/weightstore"
 )
@@ -28,6 +27,8 @@
 			a.fence = fence
 		case table := <-a.tables:
 			a.adopt(table)
+			a.observe(ctx)
+			a.order(ctx)
 		case former := <-a.held.Former():
 			a.former = former
 			a.restore()
@@ -81,12 +82,14 @@
 		a.occupancy.Reset()
 		a.unanswered, a.targetID = nil, ""
 		if len(a.report.Models) > 0 {
-			a.former = registry.ModelNames(a.report.Models)
+			a.former = a.inventory()
 		}
 	}
 	a.report, a.reportAt = report, time.Now()
 	a.identify(ctx)
-	a.occupancy.SetUses(a.watchers.uses(), a.reportAt)
+	uses := a.watchers.uses()
+	a.measureUse(uses, a.reportAt)
+	a.occupancy.SetUses(uses, a.reportAt)
 	a.occupancy.Observe(report, a.reportAt)
 	a.restore()
 	a.record()
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -47,7 +47,7 @@
 	node     string
 	seen     time.Time
 	demand   []*wire.ModelDemand
-	uses     []*wire.AdapterUse
+	uses     []*wire.ModelUse
 	unread   float32
 	parts    []*wire.PromptPart // from other gateways, not yet sent to this one
 	revision uint64             // of the targets that it was last told
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -216,15 +216,15 @@
 	return all
 }
 
-// AdapterUse is an adapter with the requests of this gateway that use it.
-type AdapterUse struct {
+// ModelUse is an adapter, or with an empty name a model, with the requests of this gateway that use it.
+type ModelUse struct {
 	registry.Adapter
 	Requests int
 }
 
 // Share is what a gateway tells an agent of its requests at the target.
 type Share struct {
-	Uses     []AdapterUse
+	Uses     []ModelUse
 	UnreadMs float64
 	Parts    []Part // sent since the last share
 }
@@ -240,7 +240,12 @@
 		share := Share{UnreadMs: s.unread, Parts: s.outbox}
 		s.outbox = nil
 		for a, n := range s.adapters {
-			share.Uses = append(share.Uses, AdapterUse{Adapter: a, Requests: n})
+			share.Uses = append(share.Uses, ModelUse{Adapter: a, Requests: n})
+		}
+		for model, n := range s.models {
+			if n > 0 {
+				share.Uses = append(share.Uses, ModelUse{Adapter: registry.Adapter{Model: model}, Requests: n})
+			}
 		}
 		return share
 	}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -158,7 +158,7 @@
 		share := a.fleet.Share(func(t registry.Target) bool { return a.address(t.Address) == address })
 		update.UnreadMs = float32(share.UnreadMs)
 		for _, use := range share.Uses {
-			update.Uses = append(update.Uses, &wire.AdapterUse{Model: use.Model, Adapter: use.Name, Requests: uint32(use.Requests)})
+			update.Uses = append(update.Uses, &wire.ModelUse{Model: use.Model, Adapter: use.Name, Requests: uint32(use.Requests)})
 		}
 		for _, part := range share.Parts {
 			update.Parts = append(update.Parts, &wire.PromptPart{Hash: part.Hash, Tokens: uint32(part.Tokens)})
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -34,26 +34,32 @@
 	store   Store
 	target  string
 	log     *logrus.Entry
-	changes chan []string
-	former  chan []string
+	changes chan []Model
+	former  chan []Model
+}
+
+// Model is a model that the target holds.
+type Model struct {
+	Name string  `json:"name"`
+	Use  float64 `json:"use"` // requests at a time, averaged
 }
 
 // record is what the store keeps.
 type record struct {
-	Models []string `json:"models"`
+	Models []Model `json:"models"`
 }
 
 // New returns the inventory of the target at an address.
 func New(store Store, target string, log *logrus.Entry) *Inventory {
-	return &Inventory{store: store, target: target, log: log, changes: make(chan []string, 1), former: make(chan []string, 1)}
+	return &Inventory{store: store, target: target, log: log, changes: make(chan []Model, 1), former: make(chan []Model, 1)}
 }
 
 // Former has one value, the models that the store recorded before this process began, once they have been read.
-func (i *Inventory) Former() <-chan []string { return i.former }
+func (i *Inventory) Former() <-chan []Model { return i.former }
 
 // Set hands over the models that the target holds now, to be written soon; it does not block and is called by one
 // goroutine.
-func (i *Inventory) Set(models []string) {
+func (i *Inventory) Set(models []Model) {
 	for {
 		select {
 		case i.changes <- models:
@@ -75,7 +81,7 @@
 	}
 	i.former <- written
 	for {
-		var models []string
+		var models []Model
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -85,7 +91,7 @@
 			return err
 		}
 		models = i.newest(models)
-		if slices.Equal(models, written) {
+		if sameNames(models, written) {
 			continue
 		}
 		if err := i.write(ctx, models); err != nil {
@@ -97,8 +103,13 @@
 	}
 }
 
+// sameNames reports whether two lists name the same models in the same order.
+func sameNames(a, b []Model) bool {
+	return slices.EqualFunc(a, b, func(x, y Model) bool { return x.Name == y.Name })
+}
+
 // newest returns the last change, which may have come after models.
-func (i *Inventory) newest(models []string) []string {
+func (i *Inventory) newest(models []Model) []Model {
 	select {
 	case models = <-i.changes:
 	default:
@@ -107,14 +118,14 @@
 }
 
 // retry puts models back unless there is a newer change.
-func (i *Inventory) retry(models []string) {
+func (i *Inventory) retry(models []Model) {
 	select {
 	case i.changes <- models:
 	default:
 	}
 }
 
-func (i *Inventory) read(ctx context.Context) ([]string, error) {
+func (i *Inventory) read(ctx context.Context) ([]Model, error) {
 	for {
 		_, known, err := i.load(ctx)
 		if err == nil {
@@ -144,7 +155,7 @@
 	return row, known, nil
 }
 
-func (i *Inventory) write(ctx context.Context, models []string) error {
+func (i *Inventory) write(ctx context.Context, models []Model) error {
 	row, _, err := i.load(ctx)
 	if err != nil {
 		return err
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -19,7 +19,7 @@
 const target = "127.0.0.1:1"
 
 // run starts an inventory and returns it with the models that it has read.
-func run(t *testing.T, store *site.Store) (*inventory.Inventory, []string) {
+func run(t *testing.T, store *site.Store) (*inventory.Inventory, []inventory.Model) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -42,6 +42,14 @@
 	}
 }
 
+func named(names []string) []inventory.Model {
+	var models []inventory.Model
+	for i, name := range names {
+		models = append(models, inventory.Model{Name: name, Use: float64(i)})
+	}
+	return models
+}
+
 func TestModelsOfTheLastProcessAreKnown(t *testing.T) {
 	tests := map[string]struct {
 		sets  [][]string
@@ -62,12 +70,12 @@
 			kept, _ := run(t, store)
 			store.SetFault(test.fault)
 			for _, models := range test.sets {
-				kept.Set(models)
+				kept.Set(named(models))
 			}
 			time.Sleep(1500 * time.Millisecond)
 			store.SetFault(site.NoFault)
 			time.Sleep(1500 * time.Millisecond)
-			if _, former := run(t, store); !slices.Equal(former, test.want) {
+			if _, former := run(t, store); !slices.Equal(former, named(test.want)) {
 				t.Errorf("the next process reads %v, want %v", former, test.want)
 			}
 		})
@@ -85,7 +93,7 @@
 	if len(former) > 0 {
 		t.Errorf("read %v", former)
 	}
-	kept.Set([]string{"a"})
+	kept.Set(named([]string{"a"}))
 	time.Sleep(1500 * time.Millisecond)
 	if row, ok := store.Row("inventories", target, "models"); !ok || !strings.Contains(string(row.Value), `"a"`) {
 		t.Errorf("record %q", row.Value)
