Fetch the kept parts of prompts from other targets

Each target now counts as able to fetch the parts that the best other holder keeps, if that saves more than its transfer and its price; a holder that may be frozen is no source.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -32,7 +32,7 @@
 
 // Targets sends requests to targets.
 type Targets interface {
-	Send(ctx context.Context, to registry.Target, req *request.Request, left time.Duration, unique bool) reply.Reply
+	Send(ctx context.Context, req *request.Request, by registry.Delivery) reply.Reply
 }
 
 // Residency has targets hold models and adapters; errors wrap ErrNotHeld.
@@ -252,11 +252,13 @@
 		d.residency.TellLoad(choice.Target)
 		assignment.OnEnd(func() { d.residency.TellLoad(choice.Target) })
 	}
-	result := d.targets.Send(d.ctx, choice.Target, d.request, d.deadline.Sub(now), !d.route.Repeatable())
+	result := d.targets.Send(d.ctx, d.request, registry.Delivery{
+		Target: choice.Target, Left: d.deadline.Sub(now), Unique: !d.route.Repeatable(), KeptAt: choice.KeptAt,
+	})
 	took := d.now().Sub(now)
 	log := d.log.WithFields(logrus.Fields{
 		"target": choice.Target.ID, "waited-ms": now.Sub(d.request.Arrived).Milliseconds(), "expected-ms": choice.Expected.Milliseconds(), "took-ms": took.Milliseconds(),
-		"unread": choice.Unread, "report-age-ms": choice.ReportAge.Milliseconds(), "candidates": choice.Candidates, "send": d.sends + 1,
+		"unread": choice.Unread, "fetched": choice.Fetched, "report-age-ms": choice.ReportAge.Milliseconds(), "candidates": choice.Candidates, "send": d.sends + 1,
 	})
 	switch result := result.(type) {
 	case reply.Answered:
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -30,10 +30,10 @@
 	held    error // result of Ensure
 }
 
-func (s *script) Send(_ context.Context, to registry.Target, _ *request.Request, _ time.Duration, _ bool) reply.Reply {
+func (s *script) Send(_ context.Context, _ *request.Request, by registry.Delivery) reply.Reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sent = append(s.sent, to)
+	s.sent = append(s.sent, by.Target)
 	return s.replies[min(len(s.sent), len(s.replies))-1]()
 }
 
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -146,7 +146,7 @@
 	}
 	expected := max(1, float64(a.choice.Expected)/float64(time.Millisecond))
 	s.slowness = max(1, average(s.slowness, min(maxSlowness, took/expected)))
-	if a.alone && a.choice.Unread >= minSampleTokens {
+	if a.alone && a.choice.Fetched == 0 && a.choice.Unread >= minSampleTokens {
 		a.fleet.learnPace(a.request.Model, max(0, took-baseMs)/float64(a.choice.Unread))
 	}
 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -47,6 +47,12 @@
 	// stalledAfter and stalledFactor times the expected time without an answer make a target suspicious.
 	stalledAfter  = 800 * time.Millisecond
 	stalledFactor = 3
+	// fetchPace is the time in ms per token in which one target fetches what another keeps of a prompt, and fetchMs the
+	// time of a transfer of nothing.
+	fetchPace = 0.003
+	fetchMs   = 5
+	// fetchPrice is the price of a transfer in ms of reading that it must save.
+	fetchPrice = 50
 	// memoryShare is the part of a target's memory above which requests preempt one another.
 	memoryShare = 0.92
 )
@@ -65,6 +71,8 @@
 	LacksAdapter   bool
 	Expected       time.Duration
 	Unread         int           // tokens of the prompt that the target has to read
+	KeptAt         string        // address of a target that keeps more of the prompt, worth fetching; or empty
+	Fetched        int           // tokens that the target fetches from there and need not read
 	ReportAge      time.Duration // age of what the choice is based on; negative if there was no report
 	Candidates     int           // targets that were weighed
 	expectedUnread float64
@@ -137,11 +145,19 @@
 func (f *Fleet) chooseHolder(holders []*state, req *request.Request, now time.Time) Choice {
 	chain := req.Chain()
 	places := places(holders)
+	source := newKeeper(holders, req, chain, now)
 	var best Choice
 	bestCost := 0.0
 	for i, s := range holders {
 		unread := s.unreadTokens(req, chain)
+		keptAt, fetched := source.worthFetching(s, unread, f.pace(req.Model))
+		unread -= fetched
 		read := float64(unread) * f.pace(req.Model)
+		price := 0.0
+		if fetched > 0 {
+			read += fetchMs + fetchPace*float64(fetched)
+			price = fetchPrice
+		}
 		wait := f.waitMs(s, now)
 		expected := (baseMs + wait + read + batchMs*float64(max(s.inflight, s.report.Running))) * s.slowness
 		lacks := req.Adapter != "" && !s.holds(req.Model, req.Adapter, now)
@@ -152,14 +168,14 @@
 			expected += busyMs
 		}
 		cost := expected + f.zoneMs(s) + s.errorRate*errorMs + f.fullness(s, req) + affinity(chain, s.ID) +
-			f.mixing(req, places[s.ID]) + s.suspicion(now)
+			f.mixing(req, places[s.ID]) + s.suspicion(now) + price
 		if s.Cold > 0 {
 			cost += coldMs
 		}
 		if i == 0 || cost < bestCost {
 			bestCost = cost
 			best = Choice{
-				Target: s.Target, LacksAdapter: lacks, Expected: ms(expected), Unread: unread, Candidates: len(holders),
+				Target: s.Target, LacksAdapter: lacks, Expected: ms(expected), Unread: unread, KeptAt: keptAt, Fetched: fetched, Candidates: len(holders),
 				ReportAge: s.reportAge(now), expectedUnread: read,
 			}
 		}
