--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -52,7 +52,7 @@
 	fetchPace = 0.003
 	fetchMs   = 5
 	// fetchPrice is the price of a transfer in ms of reading that it must save.
-	fetchPrice = 50
+	fetchPrice = 20
 	// memoryShare is the part of a target's memory above which requests preempt one another.
 	memoryShare = 0.92
 )
