--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -26,6 +26,9 @@
 	reconnectPause = 300 * time.Millisecond
 	// beatInterval lets an agent notice a lost gateway within a few seconds.
 	beatInterval = time.Second
+	// demandInterval is the same to an agent that sums the demand for the planner, while there are few gateways.
+	demandInterval = 250 * time.Millisecond
+	fewGateways    = 8
 	// urgentPause collects the requests for missing models that arrive together.
 	urgentPause = 20 * time.Millisecond
 	// changePause collects changes; it is well below the time for which an agent waits for word of an adapter's use.
@@ -166,8 +169,12 @@
 		if err := stream.Send(update); err != nil {
 			return
 		}
-		if !board {
+		interval := beatInterval
+		switch {
+		case !board:
 			urgent = nil
+		case a.fleet.Gateways() <= fewGateways:
+			interval = demandInterval
 		}
 		select {
 		case <-ctx.Done():
@@ -176,7 +183,7 @@
 			_ = pause.For(ctx, urgentPause)
 		case <-changed:
 			_ = pause.For(ctx, changePause)
-		case <-time.After(beatInterval):
+		case <-time.After(interval):
 		}
 	}
 }
