--- a/agent/agent.go
+++ b/agent/agent.go
@@ -75,7 +75,7 @@
 	fence      int64
 	unanswered *platform.Order
 	former     []inventory.Model  // that the engine held before its present run, until they are restored
-	recorded   []string           // models last handed to the inventory
+	recorded   []string           // key of the models last handed to the inventory
 	usage      map[string]float64 // requests at a time by model, averaged
 	usedAt     time.Time          // when usage was last averaged
 	budgetAt   time.Time          // when the budget of loads may be asked again
--- a/agent/restore.go
+++ b/agent/restore.go
@@ -42,12 +42,29 @@
 
 // record hands the models that the engine holds to the inventory; a run that holds none yet leaves the record as it is.
 func (a *Agent) record() {
-	names := registry.ModelNames(a.report.Models)
-	if a.targetID == "" || len(names) == 0 || slices.Equal(names, a.recorded) {
+	models := a.inventory()
+	if a.targetID == "" || len(models) == 0 {
+		return
+	}
+	key := recordKey(models)
+	if slices.Equal(key, a.recorded) {
 		return
 	}
-	a.recorded = names
-	a.held.Set(a.inventory())
+	a.recorded = key
+	a.held.Set(models)
+}
+
+// recordKey returns what a new record is written for: other models, or another one that is used most.
+func recordKey(models []inventory.Model) []string {
+	most := models[0]
+	key := make([]string, 0, len(models)+1)
+	for _, m := range models {
+		key = append(key, m.Name)
+		if m.Use > most.Use {
+			most = m
+		}
+	}
+	return append(key, most.Name)
 }
 
 // inventory returns the models that the engine last reported.
--- a/command.go
+++ b/command.go
@@ -38,6 +38,7 @@
 		cmdStatus,
 		cmdUsage,
 		cmdTimeline,
+		cmdTrace,
 		cmdDemo,
 		cmdLoad,
 		cmdStandin,
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -321,6 +321,7 @@
 func (d *Dispatch) broken(result reply.Broken, assignment *fleet.Assignment, log *logrus.Entry) (Outcome, bool) {
 	if d.ctx.Err() != nil {
 		assignment.End(fleet.Abandoned, d.now())
+		log.WithField("timed-out", d.TimedOut()).Info("target had not answered")
 		return d.ended(), false
 	}
 	assignment.End(fleet.Failed, d.now())
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -92,7 +92,7 @@
 			return err
 		}
 		models = i.newest(models)
-		if sameNames(models, written) {
+		if slices.Equal(models, written) {
 			continue
 		}
 		if err := i.write(ctx, models); err != nil {
@@ -104,11 +104,6 @@
 	}
 }
 
-// sameNames reports whether two lists name the same models in the same order.
-func sameNames(a, b []Model) bool {
-	return slices.EqualFunc(a, b, func(x, y Model) bool { return x.Name == y.Name })
-}
-
 // newest returns the last change, which may have come after models.
 func (i *Inventory) newest(models []Model) []Model {
 	select {
--- a/logs/logger.go
+++ b/logs/logger.go
@@ -8,14 +8,17 @@
 	"gypsumbank/settings"
 )
 
+// stampFormat is RFC 3339 with ms, as decisions are a few ms apart.
+const stampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes to out with the node's name and availability zone on each line.
 func New(config settings.Log, node settings.Node, out io.Writer) *logrus.Entry {
 	logger := logrus.New()
 	logger.SetOutput(out)
 	if config.Format == "json" {
-		logger.SetFormatter(&logrus.JSONFormatter{})
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: stampFormat})
 	} else {
-		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: stampFormat, DisableColors: true})
 	}
 	level, err := logrus.ParseLevel(config.Level)
 	if err != nil {
--- /dev/null
+++ b/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace tells the way of one request from the logs of all processes.
+package trace
