--- a/agent/bulletin.go
+++ b/agent/bulletin.go
@@ -20,6 +20,10 @@
 	targetsInterval = 700 * time.Millisecond
 	// boardHeartbeat is the longest pause between two states of an agent that reads the store for gateways.
 	boardHeartbeat = 300 * time.Millisecond
+	// startPhase is the time after the start in which targets, which may have started together with this process, are
+	// read each startInterval.
+	startPhase    = 4 * time.Second
+	startInterval = 250 * time.Millisecond
 	// boardLook is the pause between looks whether a gateway asks this agent to read the store.
 	boardLook = 200 * time.Millisecond
 	// boardRoutesWait bounds a wait for changes of routes, so that a connection that went silent is noticed.
@@ -38,6 +42,7 @@
 
 // followTargets reads the registry while gateways ask for it.
 func (a *Agent) followTargets(ctx context.Context) error {
+	started := time.Now()
 	for ctx.Err() == nil {
 		if !a.watchers.isBoard() {
 			if err := pause.For(ctx, boardLook); err != nil {
@@ -53,7 +58,11 @@
 		} else {
 			a.watchers.setTargets(targets)
 		}
-		if err := pause.For(ctx, targetsInterval); err != nil {
+		interval := targetsInterval
+		if time.Since(started) < startPhase {
+			interval = startInterval
+		}
+		if err := pause.For(ctx, interval); err != nil {
 			return err
 		}
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -20,10 +20,9 @@
 	// targetsInterval leaves half of the platform's drain time for requests on their way to a leaving target.
 	targetsInterval = 800 * time.Millisecond
 	storePause      = 200 * time.Millisecond
-	// startPhase is the time after the start in which targets, which may have started together with this process, are
-	// read each startInterval.
-	startPhase    = 4 * time.Second
+	// startInterval is the pause between reads until agents do them.
 	startInterval = 250 * time.Millisecond
+	startPhase    = 4 * time.Second
 	// boardPause is the pause between looks whether the agents still read the store.
 	boardPause = 20 * time.Millisecond
 )
@@ -113,7 +112,7 @@
 // followTargets keeps the view of the registered targets fresh.
 func (g *Gateway) followTargets(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if g.fleetKnown.Load() && g.board.fresh(time.Now()) && time.Since(g.started) > startPhase {
+		if g.fleetKnown.Load() && g.board.fresh(time.Now()) {
 			_ = pause.For(ctx, storePause)
 			continue
 		}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -20,7 +20,7 @@
 	storeTimeout = time.Second
 	retryPause   = 500 * time.Millisecond
 	// settleTime is waited after a change, so that a few changes in a row are written once.
-	settleTime = 3 * time.Second
+	settleTime = 6 * time.Second
 )
 
 // Store is the part of the platform's store that an inventory uses.
--- a/link/link.go
+++ b/link/link.go
@@ -19,6 +19,7 @@
 
 	mu    sync.Mutex
 	delay time.Duration
+	deaf  bool // nothing passes from the target
 	pairs map[*pair]struct{}
 }
 
@@ -29,8 +30,11 @@
 }
 
 // New returns a running link to target, an IP address with a port.
-func New(target string) (*Link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Link, error) { return Listen("127.0.0.1:0", target) }
+
+// Listen returns a running link that listens on an address.
+func Listen(address, target string) (*Link, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
@@ -65,6 +69,13 @@
 	}
 }
 
+// SetDeaf cuts the way from the target, for open and new connections, or mends it for new ones.
+func (l *Link) SetDeaf(deaf bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deaf = deaf
+}
+
 // Cut closes all open connections.
 func (l *Link) Cut() {
 	l.mu.Lock()
@@ -100,16 +111,16 @@
 	l.mu.Lock()
 	l.pairs[p] = struct{}{}
 	l.mu.Unlock()
-	go l.copy(p, near, far)
-	l.copy(p, far, near)
+	go l.copy(p, near, far, false)
+	l.copy(p, far, near, true)
 }
 
 // copy passes data on; once a pair is silent, neither data nor the end of a connection passes.
-func (l *Link) copy(p *pair, from, to net.Conn) {
+func (l *Link) copy(p *pair, from, to net.Conn, back bool) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		delay, silenced := l.state(p)
+		delay, silenced := l.state(p, back)
 		if silenced {
 			<-p.release
 			return
@@ -127,10 +138,10 @@
 	}
 }
 
-func (l *Link) state(p *pair) (time.Duration, bool) {
+func (l *Link) state(p *pair, back bool) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.delay, p.silenced
+	return l.delay, p.silenced || (back && l.deaf)
 }
 
 func (l *Link) drop(p *pair) {
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -1,7 +1,10 @@
 package site
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -31,6 +34,7 @@
 	Silent            // no call gets an answer
 	LoseAnswers       // writes are done and not answered
 	LoseHistory       // the history is gone
+	LateWrites        // writes get no answer and are done lateWrite later
 )
 
 // Store stands in for the platform's store.
@@ -142,6 +146,9 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 			panic(http.ErrAbortHandler)
+		case fault == LateWrites && r.Method == http.MethodPost:
+			s.writeLate(next, r)
+			panic(http.ErrAbortHandler)
 		case fault == LoseAnswers && r.Method == http.MethodPost:
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
@@ -151,6 +158,19 @@
 	})
 }
 
+// lateWrite is how long after its call a late write is done.
+const lateWrite = time.Second
+
+func (s *Store) writeLate(next http.Handler, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	late := r.Clone(context.WithoutCancel(r.Context()))
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(lateWrite, func() { next.ServeHTTP(httptest.NewRecorder(), late) })
+}
+
 func (s *Store) current() Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
