--- a/Makefile
+++ b/Makefile
@@ -50,8 +50,9 @@
 	go test -run '^$$' -bench Capacity -benchtime 1x .
 	go test -run '^$$' -bench Capacity ./snapshot ./router
 
-soak: ## draw pairs of faults for long; GYPSUMBANK_SEED and GYPSUMBANK_ROUNDS set what and how long
+soak: ## draw faults for long; GYPSUMBANK_SEED, GYPSUMBANK_ROUNDS, GYPSUMBANK_SOAK_SEED and GYPSUMBANK_SOAK_SECONDS set what and how long
 	GYPSUMBANK_ROUNDS=$${GYPSUMBANK_ROUNDS:-200} go test -run TestTwoFaultsAtOnce -timeout 3h -v .
+	GYPSUMBANK_SOAK_SEED=$${GYPSUMBANK_SOAK_SEED:-$$(date +%s)} GYPSUMBANK_SOAK_SECONDS=$${GYPSUMBANK_SOAK_SECONDS:-300} go test -race -run TestSoak -timeout 3h -v .
 
 man: ## write the manual pages again
 	GYPSUMBANK_UPDATE_MAN=1 go test -run ManualPages .
--- a/standin/site/target.go
+++ b/standin/site/target.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -28,16 +27,17 @@
 	id       string
 	listener net.Listener
 
-	mu     sync.Mutex
-	script Script
-	seen   []*Seen
-	models map[string][]string
-	onDisk map[string]bool // models that were held at some time
-	born   int64
-	before int // orders received before the present run
-	orders []Order
-	lose   int // orders that get no answer
-	conns  map[net.Conn]struct{}
+	mu       sync.Mutex
+	script   Script
+	seen     []*Seen
+	models   map[string][]string
+	onDisk   map[string]bool // models that were held at some time
+	born     int64
+	before   int // orders received before the present run
+	overruns int
+	orders   []Order
+	lose     int // orders that get no answer
+	conns    map[net.Conn]struct{}
 }
 
 // Order is an order that a target has received.
@@ -96,11 +96,28 @@
 	t.models[model], t.onDisk[model] = adapters, true
 }
 
-// Models returns the models that the target holds with their adapters.
-func (t *Target) Models() map[string][]string {
+// Overruns returns how many orders had the target hold more than heldModels models or heldAdapters adapters.
+func (t *Target) Overruns() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return maps.Clone(t.models)
+	return t.overruns
+}
+
+// heldModels and heldAdapters are what a target holds at most; a real one crashes beyond that.
+const (
+	heldModels   = 2
+	heldAdapters = 2
+)
+
+// countOverrun is called with the lock held.
+func (t *Target) countOverrun() {
+	adapters := 0
+	for _, names := range t.models {
+		adapters += len(names)
+	}
+	if len(t.models) > heldModels || adapters > heldAdapters {
+		t.overruns++
+	}
 }
 
 // Restart cuts all connections and begins a new run, which holds no models and has its disk.
@@ -291,6 +308,7 @@
 	o.Store = o.Taken && o.Op == "loading" && o.Adapter == "" && !t.onDisk[o.Model]
 	if o.Taken {
 		t.carryOut(o)
+		t.countOverrun()
 	}
 	t.orders = append(t.orders, o)
 	lost := t.lose > 0
