Believe an agent on the run of its engine before the registry

The first report on a run now marks the earlier runs on its VM as gone, and a run that the registry does not show yet is taken over from the agent for 3 s.

Test: TestRestartOfAllEngines.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,8 @@
 const (
 	// reportLifetime is the age at which a report of an agent gives way to the registry.
 	reportLifetime = 3 * time.Second
+	// succession is how long a run that its agent has told of may be missing from the registry.
+	succession = 3 * time.Second
 	// absenceGrace is how long a target may be missing from the registry after the store was away.
 	absenceGrace = 2500 * time.Millisecond
 	// usualMemory is the memory of a target in tokens where it is not known.
@@ -68,7 +70,8 @@
 	errorRate float64
 	failures  int // failures to connect in a row
 	avoid     time.Time
-	gone      bool // another target has the address
+	gone      bool      // another target has the address
+	toldUntil time.Time // until when the registry need not show a run that its agent has told of
 	missing   time.Time
 }
 
@@ -137,7 +140,7 @@
 		if storeWasAway && s.missing.IsZero() {
 			s.missing = now.Add(absenceGrace)
 		}
-		if now.Before(s.missing) {
+		if now.Before(s.missing) || now.Before(s.toldUntil) {
 			continue
 		}
 		delete(f.states, id)
@@ -163,6 +166,7 @@
 // Observation is what an agent tells of its target.
 type Observation struct {
 	Report   registry.Report
+	Host     string // IP address of the agent's VM, which runs no other target of the service
 	Loading  string // model of a load in progress
 	Watchers int    // gateways that watch the agent
 	Planned  bool   // the gateway that is told decides which models the target holds
@@ -180,9 +184,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.states[id]
+	if s == nil {
+		s = f.succeed(id, seen, now)
+	}
 	if s == nil || report.Born < s.Born {
 		return
 	}
+	if s.reportAt.IsZero() {
+		f.supersede(s, seen.Host)
+	}
 	if report.Born > s.Born {
 		s = newState(s.Target)
 		s.Born, s.Draining = report.Born, false
@@ -205,6 +215,35 @@
 	}
 }
 
+// succeed adds a run that the registry does not show yet to those of its VM, or returns nil if it knows none.
+func (f *Fleet) succeed(id string, seen Observation, now time.Time) *state {
+	var former *state
+	for _, s := range f.states {
+		if seen.Host != "" && registry.Host(s.Address) == seen.Host && f.services[s.Service].Engine != nil && (former == nil || s.Born > former.Born) {
+			former = s
+		}
+	}
+	if former == nil || former.Born >= seen.Report.Born {
+		return nil
+	}
+	t := former.Target
+	t.ID, t.Born, t.Draining, t.Models = id, seen.Report.Born, false, nil
+	next := newState(t)
+	next.toldUntil = now.Add(succession)
+	f.states[id] = next
+	f.index()
+	return next
+}
+
+// supersede marks the earlier runs on a target's VM as gone: they hold nothing any more, whatever the registry shows.
+func (f *Fleet) supersede(by *state, host string) {
+	for _, s := range f.byService[by.Service] {
+		if s != by && host != "" && registry.Host(s.Address) == host && s.Born < by.Born {
+			s.gone = true
+		}
+	}
+}
+
 // Targets returns the known targets of all services.
 func (f *Fleet) Targets() []registry.Target {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -284,3 +284,30 @@
 		})
 	}
 }
+
+// TestRestartOfAllEngines names its load: requests that arrive while the registry still shows what the engines held before.
+func TestRestartOfAllEngines(t *testing.T) {
+	f := engines([]string{"hot", "cold"}, []string{"hot"})
+	now := start.Add(time.Second)
+	report := registry.Report{Born: 2, Models: []registry.Model{{Name: "cold"}}}
+	seen := observation(report)
+	seen.Host = "10.0.0.1"
+	f.Observe("e0-again", seen, now)
+	if choice, ok := f.Choose(Query{Service: service, Request: ask("cold")}, now); !ok || choice.Target.ID != "e0-again" || choice.Target.Address != "10.0.0.1:80" {
+		t.Errorf("choice %+v, want the new run of the first VM", choice)
+	}
+	if choice, ok := f.Choose(Query{Service: service, Request: ask("hot")}, now); !ok || choice.Target.ID != "e1" {
+		t.Errorf("choice %+v, want the run on the second VM, of which nothing newer is known", choice)
+	}
+	old := []registry.Target{{ID: "e0", Born: 1, Service: service, Address: "10.0.0.1:80"}, {ID: "e1", Born: 1, Service: service, Address: "10.0.0.2:80"}}
+	f.Adopt(old, false, now)
+	if choice, ok := f.Choose(Query{Service: service, Request: ask("cold")}, now); !ok || choice.Target.ID != "e0-again" {
+		t.Errorf("after the registry was read: choice %+v", choice)
+	}
+	f.Adopt(old, false, now.Add(succession+time.Second))
+	for _, target := range f.Targets() {
+		if target.ID == "e0-again" {
+			t.Error("a run that the registry never showed is still known")
+		}
+	}
+}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -65,8 +65,8 @@
 
 // address returns the address of the agent beside the target at an address.
 func (a *agents) address(target string) string {
-	host, _, err := net.SplitHostPort(target)
-	if err != nil {
+	host := registry.Host(target)
+	if host == "" {
 		return ""
 	}
 	return net.JoinHostPort(host, a.port)
@@ -261,7 +261,7 @@
 		report.Models = append(report.Models, registry.Model{Name: m.GetName(), Adapters: m.GetAdapters()})
 	}
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
-		Report: report, Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), Planned: state.GetPlanner() == a.name,
+		Report: report, Host: registry.Host(address), Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), Planned: state.GetPlanner() == a.name,
 		AdapterRoom: int(state.GetAdapterRoom()), UnreadMs: float64(state.GetUnreadMs()), Parts: partsOf(state),
 	}, time.Now())
 	if !state.GetHasDemand() {
--- a/registry/target.go
+++ b/registry/target.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"net"
 	"slices"
 	"time"
 )
@@ -81,3 +82,12 @@
 	}
 	return n
 }
+
+// Host returns the IP address of an address with a port, or an empty string if it is none.
+func Host(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return host
+}
