--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -131,8 +131,16 @@
 		known.Target = t
 		known.missing = time.Time{}
 	}
+	change.Removed = f.removeMissing(seen, storeWasAway, now)
+	f.index()
+	return change
+}
+
+// removeMissing drops the targets that the registry does not show, apart from those that may yet be in it.
+func (f *Fleet) removeMissing(shown map[string]bool, storeWasAway bool, now time.Time) []registry.Target {
+	var removed []registry.Target
 	for id, s := range f.states {
-		if seen[id] {
+		if shown[id] {
 			continue
 		}
 		if storeWasAway && s.missing.IsZero() {
@@ -142,10 +150,9 @@
 			continue
 		}
 		delete(f.states, id)
-		change.Removed = append(change.Removed, s.Target)
+		removed = append(removed, s.Target)
 	}
-	f.index()
-	return change
+	return removed
 }
 
 func newState(t registry.Target) *state {
