--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -20,7 +20,7 @@
 	// targetsInterval leaves half of the platform's drain time for requests on their way to a leaving target.
 	targetsInterval = 800 * time.Millisecond
 	storePause      = 200 * time.Millisecond
-	// startInterval is the pause between reads until agents do them.
+	// startInterval is the pause between reads in the startPhase after the start, until agents do them.
 	startInterval = 250 * time.Millisecond
 	startPhase    = 4 * time.Second
 	// boardPause is the pause between looks whether the agents still read the store.
