--- a/deployment/ports.go
+++ b/deployment/ports.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -56,14 +58,25 @@
 	defer b.mu.Unlock()
 	for range blockPorts - 1 {
 		b.next = b.next%(blockPorts-1) + 1
-		address := loopback(b.first + b.next)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if port := b.first + b.next; isFree(port) {
+			return loopback(port), nil
 		}
-		return address, listener.Close()
 	}
 	return "", fmt.Errorf("%w from %d to %d", errNoPort, b.first, b.first+blockPorts)
 }
 
+// isFree reports whether nothing listens on a port. It binds a socket without listening: a process that is being started
+// keeps a copy of each socket until it has become its program, and a copy that listens would keep the port taken.
+func isFree(port int) bool {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return false
+	}
+	defer unix.Close(fd) //nolint:errcheck // nothing was sent on it
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return false
+	}
+	return unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}) == nil
+}
+
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
--- a/deployment/ports_test.go
+++ b/deployment/ports_test.go
@@ -1,6 +1,9 @@
 package deployment_test
 
 import (
+	"net"
+	"os"
+	"os/exec"
 	"sync"
 	"testing"
 
@@ -31,3 +34,40 @@
 	}
 	askers.Wait()
 }
+
+// TestAddressCanBeListenedOnWhileProcessesStart starts processes all the time: until it has become its program, a new process
+// keeps copies of this one's sockets.
+func TestAddressCanBeListenedOnWhileProcessesStart(t *testing.T) {
+	stop := make(chan struct{})
+	var starters sync.WaitGroup
+	for range 4 {
+		starters.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if err := exec.Command(os.Args[0], "-test.run=^$").Run(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	for range 1500 {
+		address, err := deployment.FreeAddress()
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		listener.Close()
+	}
+	close(stop)
+	starters.Wait()
+}
