Give requests that arrive while a gateway drains their final answers before the grace ends

TestRequestWhileDrainingGetsItsFinalAnswer failed before (unexpected EOF). Requests that arrived before the signal and have no answer at the end of the grace are still cut; their routes' timeouts are shorter than the grace on all sites.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,8 +34,9 @@
 	// drainNotice is how long new connections are still served after the signal to stop: the platform takes a VM out
 	// after two failed checks, one a second.
 	drainNotice = 2500 * time.Millisecond
-	// drainMargin is left of the grace for the process to end.
-	drainMargin = 700 * time.Millisecond
+	// drainMargin is left of the grace for the process to end, and answerMargin before that for final answers.
+	drainMargin  = 700 * time.Millisecond
+	answerMargin = 300 * time.Millisecond
 )
 
 // Gateway is the process that serves callers in front of the targets.
@@ -53,9 +54,10 @@
 	started    time.Time
 	table      atomic.Pointer[route.Table]
 	fleetKnown atomic.Bool
-	storeLost  atomic.Bool // targets could not be read
-	draining   atomic.Bool // takes no new callers
-	refusing   atomic.Bool // takes no new requests
+	storeLost  atomic.Bool  // targets could not be read
+	draining   atomic.Bool  // takes no new callers
+	answerBy   atomic.Int64 // when requests that arrive while draining get their final answers, in Unix ns; 0 if not draining
+	refusing   atomic.Bool  // takes no new requests
 }
 
 // New returns a gateway with the given settings.
@@ -138,6 +140,7 @@
 // drain tells the platform to send no more callers and returns when the requests in progress are answered.
 func (g *Gateway) drain() {
 	begun := time.Now()
+	g.answerBy.Store(begun.Add(g.config.Gateway.Grace - drainMargin - answerMargin).UnixNano())
 	g.draining.Store(true)
 	g.log.Info("gateway drains")
 	time.Sleep(drainNotice)
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -175,3 +175,34 @@
 		t.Error("the gateway still runs at the end of its grace")
 	}
 }
+
+// TestRequestWhileDrainingGetsItsFinalAnswer sends a request on a kept connection after the signal to stop, to a target that
+// does not answer within the grace, though its route would wait longer.
+func TestRequestWhileDrainingGetsItsFinalAnswer(t *testing.T) {
+	d := deploy(t)
+	d.store.Put("op", "config", manifest(2, 20000))
+	time.Sleep(1500 * time.Millisecond)
+	conn, reader := d.dial()
+	ask := func() *http.Response {
+		if _, err := io.WriteString(conn, get("/safe/a")); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("no answer: %v", err)
+		}
+		if _, err := io.ReadAll(response.Body); err != nil {
+			t.Fatal(err)
+		}
+		return response
+	}
+	if response := ask(); response.StatusCode != http.StatusOK {
+		t.Fatalf("status %d before the signal", response.StatusCode)
+	}
+	d.plain.SetScript(site.Hold(20 * time.Second))
+	d.stop()
+	time.Sleep(200 * time.Millisecond)
+	if response := ask(); response.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status %d, want a timeout", response.StatusCode)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,6 +54,7 @@
 	if !g.readBody(w, r, req, table.Limits().BodyBytes) {
 		return
 	}
+	g.limitToDrain(req)
 	service := matched.Pick(xxhash.Sum64String(req.ID))
 	d := g.dispatcher.Begin(r.Context(), req, matched, service)
 	defer d.Close()
@@ -61,6 +62,19 @@
 	exchange.run()
 }
 
+// limitToDrain has a request that arrives while the gateway drains get its final answer before the end of the grace, when
+// connections are closed.
+func (g *Gateway) limitToDrain(req *request.Request) {
+	end := g.answerBy.Load()
+	if end == 0 {
+		return
+	}
+	left := max(time.Millisecond, time.Unix(0, end).Sub(req.Arrived))
+	if req.Deadline == 0 || left < req.Deadline {
+		req.Deadline = left
+	}
+}
+
 // readBody reads the body of a request and reports whether to go on.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request.Request, limit int64) bool {
 	if limit <= 0 {
