--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"io"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/deployment"
 	"gypsumbank/dialer"
 	"gypsumbank/settings"
 	"gypsumbank/wire"
@@ -23,12 +23,11 @@
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := deployment.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func TestStopsWhileGatewaysWatch(t *testing.T) {
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	ports "gypsumbank/deployment"
 	"gypsumbank/gateway"
 	"gypsumbank/settings"
 	"gypsumbank/standin/site"
@@ -66,12 +67,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // deploy starts a gateway and waits until it is ready.
@@ -127,7 +127,13 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	d.t.Fatalf("readiness did not become %d", want)
+	select {
+	case err := <-d.ended:
+		d.ended <- err
+		d.t.Fatalf("the gateway has ended: %v", err)
+	default:
+		d.t.Fatalf("readiness did not become %d", want)
+	}
 }
 
 // dial returns a connection of a caller with its reader.
