Name the relay of store reads by its term, and count planned loads by service

Found in a last read of the whole change: - the planner's count of loads from the weight store was one for all services, while the rate, the budget row and the wait that agents tell are by service; a load of one service kept another's from being planned. Now by service; TestEachServiceHasItsOwnRate. - board and bulletin were metaphors: an agent that reads the store for gateways is a relay, what it tells are store reads; keeper is a prefix source, a link that is deaf passes one way.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -180,7 +180,7 @@
 
 // rest pauses after a change of the routes unless a gateway relies on this agent or comes to.
 func (a *Agent) rest(ctx context.Context) {
-	if a.watchers.isBoard() {
+	if a.watchers.isRelay() {
 		return
 	}
 	select {
@@ -197,8 +197,8 @@
 		return a.store.Routes(call)
 	}
 	wait := routesWait
-	if a.watchers.isBoard() {
-		wait = boardRoutesWait
+	if a.watchers.isRelay() {
+		wait = relayRoutesWait
 	}
 	call, cancel := context.WithTimeout(ctx, wait+storeTimeout/2)
 	defer cancel()
--- a/agent/bulletin.go
+++ b/agent/relay.go
@@ -14,24 +14,24 @@
 )
 
 const (
-	// boardLifetime is the age at which the request of a gateway to read the store for it lapses.
-	boardLifetime = 3 * time.Second
+	// relayLifetime is the age at which the request of a gateway to read the store for it lapses.
+	relayLifetime = 3 * time.Second
 	// targetsInterval leaves half of the platform's drain time for requests on their way to a leaving target.
 	targetsInterval = 700 * time.Millisecond
-	// boardHeartbeat is the longest pause between two states of an agent that reads the store for gateways.
-	boardHeartbeat = 300 * time.Millisecond
+	// relayHeartbeat is the longest pause between two states of an agent that reads the store for gateways.
+	relayHeartbeat = 300 * time.Millisecond
 	// startPhase is the time after the start in which targets, which may have started together with this process, are
 	// read each startInterval.
 	startPhase    = 4 * time.Second
 	startInterval = 250 * time.Millisecond
-	// boardLook is the pause between looks whether a gateway asks this agent to read the store.
-	boardLook = 200 * time.Millisecond
-	// boardRoutesWait bounds a wait for changes of routes, so that a connection that went silent is noticed.
-	boardRoutesWait = time.Second
+	// relayLook is the pause between looks whether a gateway asks this agent to read the store.
+	relayLook = 200 * time.Millisecond
+	// relayRoutesWait bounds a wait for changes of routes, so that a connection that went silent is noticed.
+	relayRoutesWait = time.Second
 )
 
-// bulletin is what an agent has read in the store for the gateways.
-type bulletin struct {
+// storeReads is what an agent has read in the store for the gateways.
+type storeReads struct {
 	routesVersion int64
 	routesAt      time.Time
 	targets       []*wire.RegisteredTarget
@@ -44,8 +44,8 @@
 func (a *Agent) followTargets(ctx context.Context) error {
 	started := time.Now()
 	for ctx.Err() == nil {
-		if !a.watchers.isBoard() {
-			if err := pause.For(ctx, boardLook); err != nil {
+		if !a.watchers.isRelay() {
+			if err := pause.For(ctx, relayLook); err != nil {
 				return err
 			}
 			continue
@@ -69,21 +69,21 @@
 	return ctx.Err()
 }
 
-func (w *watchers) isBoard() bool {
+func (w *watchers) isRelay() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.now().Sub(w.bulletin.asked) < boardLifetime
+	return w.now().Sub(w.storeReads.asked) < relayLifetime
 }
 
 // ask records that a gateway wants the store to be read for it; the caller holds the lock.
 func (w *watchers) ask() {
-	if w.now().Sub(w.bulletin.asked) >= boardLifetime {
+	if w.now().Sub(w.storeReads.asked) >= relayLifetime {
 		select {
 		case w.asked <- struct{}{}:
 		default:
 		}
 	}
-	w.bulletin.asked = w.now()
+	w.storeReads.asked = w.now()
 }
 
 // setTargets takes over the registry as it was just read.
@@ -98,12 +98,12 @@
 	slices.SortFunc(list, func(a, b *wire.RegisteredTarget) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.bulletin.targetsAt = w.now()
-	if w.bulletin.revision > 0 && slices.EqualFunc(list, w.bulletin.targets, func(a, b *wire.RegisteredTarget) bool { return proto.Equal(a, b) }) {
+	w.storeReads.targetsAt = w.now()
+	if w.storeReads.revision > 0 && slices.EqualFunc(list, w.storeReads.targets, func(a, b *wire.RegisteredTarget) bool { return proto.Equal(a, b) }) {
 		return
 	}
-	w.bulletin.targets = list
-	w.bulletin.revision++
+	w.storeReads.targets = list
+	w.storeReads.revision++
 	w.pushLast()
 }
 
@@ -111,16 +111,16 @@
 func (w *watchers) setRoutes(version int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.bulletin.routesAt = w.now()
-	if version > w.bulletin.routesVersion {
-		w.bulletin.routesVersion = version
+	w.storeReads.routesAt = w.now()
+	if version > w.storeReads.routesVersion {
+		w.storeReads.routesVersion = version
 		w.pushLast()
 	}
 }
 
-// pushLast sends the last state again, with the bulletin that has changed; the caller holds the lock.
+// pushLast sends the last state again, with the reads of the store that have changed; the caller holds the lock.
 func (w *watchers) pushLast() {
-	if w.last == nil || w.now().Sub(w.bulletin.asked) >= boardLifetime {
+	if w.last == nil || w.now().Sub(w.storeReads.asked) >= relayLifetime {
 		return
 	}
 	for each := range w.all {
@@ -128,17 +128,17 @@
 	}
 }
 
-// bulletinFor returns what to tell a gateway, or nil if it has not all been read; the caller holds the lock.
-func (w *watchers) bulletinFor(to *watcher) *wire.Bulletin {
-	b := &w.bulletin
-	if w.now().Sub(b.asked) >= boardLifetime || b.revision == 0 || b.routesVersion == 0 {
+// storeReadsFor returns what to tell a gateway, or nil if it has not all been read; the caller holds the lock.
+func (w *watchers) storeReadsFor(to *watcher) *wire.StoreReads {
+	b := &w.storeReads
+	if w.now().Sub(b.asked) >= relayLifetime || b.revision == 0 || b.routesVersion == 0 {
 		return nil
 	}
-	oldest := b.routesAt.Add(boardRoutesWait - targetsInterval) // a change of routes is told at once, not by the next read
+	oldest := b.routesAt.Add(relayRoutesWait - targetsInterval) // a change of routes is told at once, not by the next read
 	if b.targetsAt.Before(oldest) {
 		oldest = b.targetsAt
 	}
-	out := &wire.Bulletin{RoutesVersion: b.routesVersion, Revision: b.revision, AgeMs: uint32(max(0, w.now().Sub(oldest)).Milliseconds())}
+	out := &wire.StoreReads{RoutesVersion: b.routesVersion, Revision: b.revision, AgeMs: uint32(max(0, w.now().Sub(oldest)).Milliseconds())}
 	if to.revision != b.revision {
 		out.HasTargets, out.Targets = true, b.targets
 		to.revision = b.revision
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -33,13 +33,13 @@
 type watchers struct {
 	now func() time.Time
 
-	mu       sync.Mutex
-	all      map[*watcher]struct{}
-	last     *wire.TargetState
-	sentAt   time.Time
-	demandAt time.Time
-	bulletin bulletin
-	asked    chan struct{} // holds a value after a gateway has asked for the bulletin that none asked for before
+	mu         sync.Mutex
+	all        map[*watcher]struct{}
+	last       *wire.TargetState
+	sentAt     time.Time
+	demandAt   time.Time
+	storeReads storeReads
+	asked      chan struct{} // holds a value after a gateway has asked for the store to be read, which none did before
 }
 
 // watcher is a gateway with its latest demand.
@@ -110,8 +110,8 @@
 		if len(live) <= fewWatchers {
 			pause = heartbeatForFew
 		}
-		if w.now().Sub(w.bulletin.asked) < boardLifetime {
-			pause = min(pause, boardHeartbeat)
+		if w.now().Sub(w.storeReads.asked) < relayLifetime {
+			pause = min(pause, relayHeartbeat)
 		}
 		if since < loadPause || (since < pause && sameLoad(w.last, state)) {
 			return
@@ -150,17 +150,17 @@
 }
 
 // personal returns the state with what is meant for one gateway: the prompt parts that are queued for it and the
-// bulletin.
+// reads of the store.
 func (w *watchers) personal(state *wire.TargetState, to *watcher) *wire.TargetState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	told := w.bulletinFor(to)
+	told := w.storeReadsFor(to)
 	if len(to.parts) == 0 && told == nil {
 		return state
 	}
 	own := proto.Clone(state).(*wire.TargetState)
 	own.Parts, to.parts = to.parts, nil
-	own.Bulletin = told
+	own.StoreReads = told
 	return own
 }
 
--- a/agent/watchers_test.go
+++ b/agent/watchers_test.go
@@ -107,31 +107,31 @@
 	}
 }
 
-func TestBulletin(t *testing.T) {
+func TestStoreReadsAreRelayed(t *testing.T) {
 	w, clock := newTestWatchers()
 	to := w.add()
 	targets := []registry.Target{{ID: "a", Service: "s", Address: "10.0.0.1:80"}}
 	w.setRoutes(3)
 	w.setTargets(targets)
 	w.publish(&wire.TargetState{TargetId: "t"})
-	if received(w, to).GetBulletin() != nil {
-		t.Error("a bulletin for a gateway that did not ask for it")
+	if received(w, to).GetStoreReads() != nil {
+		t.Error("a storeReads for a gateway that did not ask for it")
 	}
 	w.heard(to, &wire.WatcherUpdate{Node: "g1", HasDemand: true})
 	clock.advance(400 * time.Millisecond)
 	w.publish(&wire.TargetState{TargetId: "t"})
-	if b := received(w, to).GetBulletin(); b.GetRoutesVersion() != 3 || len(b.GetTargets()) != 1 || b.GetAgeMs() != 400 {
-		t.Errorf("bulletin %v", b)
+	if b := received(w, to).GetStoreReads(); b.GetRoutesVersion() != 3 || len(b.GetTargets()) != 1 || b.GetAgeMs() != 400 {
+		t.Errorf("storeReads %v", b)
 	}
 	w.setTargets(targets)
 	clock.advance(400 * time.Millisecond)
 	w.publish(&wire.TargetState{TargetId: "t"})
-	if b := received(w, to).GetBulletin(); b == nil || b.GetHasTargets() {
-		t.Errorf("bulletin %v, the targets are unchanged", b)
+	if b := received(w, to).GetStoreReads(); b == nil || b.GetHasTargets() {
+		t.Errorf("storeReads %v, the targets are unchanged", b)
 	}
 	targets[0].Draining = true
 	w.setTargets(targets)
-	if b := received(w, to).GetBulletin(); len(b.GetTargets()) != 1 || !b.GetTargets()[0].GetDraining() {
-		t.Errorf("bulletin %v, a drain must be told at once", b)
+	if b := received(w, to).GetStoreReads(); len(b.GetTargets()) != 1 || !b.GetTargets()[0].GetDraining() {
+		t.Errorf("storeReads %v, a drain must be told at once", b)
 	}
 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -145,7 +145,7 @@
 func (f *Fleet) chooseHolder(holders []*state, req *request.Request, now time.Time) Choice {
 	chain := req.Chain()
 	places := places(holders)
-	source := newKeeper(holders, req, chain, now)
+	source := newPrefixSource(holders, req, chain, now)
 	var best Choice
 	bestCost := 0.0
 	for i, s := range holders {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,9 +35,9 @@
 	totalFrom int // gateways in total
 	totalAt   time.Time
 
-	storeLoads []time.Time          // loads from the weight store that were planned lately
-	storeUntil map[string]time.Time // by service, when the next load from the weight store may begin
-	readAt     time.Time            // of the registry
+	storeLoads map[string][]time.Time // by service, loads from the weight store that were planned lately
+	storeUntil map[string]time.Time   // by service, when the next load from the weight store may begin
+	readAt     time.Time              // of the registry
 }
 
 // state is what is known of one run of a target.
@@ -83,6 +83,7 @@
 		paces:      map[string]float64{},
 		demand:     map[demandKey]*rate{},
 		storeUntil: map[string]time.Time{},
+		storeLoads: map[string][]time.Time{},
 	}
 }
 
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -75,7 +75,7 @@
 		s := f.states[placement.Target.ID]
 		s.loading, s.loadingSince = model, now
 		if !s.report.AtHand(model) {
-			f.storeLoads = append(f.storeLoads, now)
+			f.storeLoads[service] = append(f.storeLoads[service], now)
 		}
 		return placement, true
 	}
@@ -87,8 +87,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.storeUntil[service] = until
-	if n := len(f.storeLoads); n > 0 {
-		f.storeLoads = f.storeLoads[:n-1]
+	if n := len(f.storeLoads[service]); n > 0 {
+		f.storeLoads[service] = f.storeLoads[service][:n-1]
 	}
 }
 
@@ -148,7 +148,7 @@
 	if engine == nil {
 		return nil
 	}
-	c := &catalog{engine: engine, now: now, copies: map[string]int{}, work: f.workFor(service, now), noStore: now.Before(f.storeUntil[service]) || f.storeExhausted(engine, now)}
+	c := &catalog{engine: engine, now: now, copies: map[string]int{}, work: f.workFor(service, now), noStore: now.Before(f.storeUntil[service]) || f.storeExhausted(service, engine, now)}
 	for _, s := range f.byService[service] {
 		if s.leaving() || now.Before(s.avoid) {
 			continue
@@ -170,9 +170,10 @@
 
 // storeExhausted reports whether the loads from the weight store that were planned lately use up its rate; one more would
 // wait at its engine and keep that from loading what it has at hand.
-func (f *Fleet) storeExhausted(engine *route.Engine, now time.Time) bool {
-	f.storeLoads = slices.DeleteFunc(f.storeLoads, func(at time.Time) bool { return now.Sub(at) > storeWindow })
-	return float64(len(f.storeLoads)) >= engine.StoreLoadRate*storeWindow.Seconds()+storeBurst
+func (f *Fleet) storeExhausted(service string, engine *route.Engine, now time.Time) bool {
+	lately := slices.DeleteFunc(f.storeLoads[service], func(at time.Time) bool { return now.Sub(at) > storeWindow })
+	f.storeLoads[service] = lately
+	return float64(len(lately)) >= engine.StoreLoadRate*storeWindow.Seconds()+storeBurst
 }
 
 func (c *catalog) perCopy(model string) float64 {
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -175,3 +175,16 @@
 		t.Errorf("after the wait: placement %+v, %v", again, ok)
 	}
 }
+
+// TestEachServiceHasItsOwnRate uses up the rate of another service's weight store.
+func TestEachServiceHasItsOwnRate(t *testing.T) {
+	f := engines(nil)
+	for range 100 {
+		f.storeLoads["other"] = append(f.storeLoads["other"], start)
+	}
+	f.StoreExhausted("other", start.Add(time.Minute))
+	f.Want(service, ask("new"), start)
+	if placement, ok := f.Plan(service, start); !ok || placement.Model != "new" {
+		t.Errorf("placement %+v, %v", placement, ok)
+	}
+}
--- a/fleet/keeper.go
+++ b/fleet/prefix_source.go
@@ -6,15 +6,15 @@
 	"gypsumbank/request"
 )
 
-// keeper names the two targets that keep most of a prompt, so that each target has one besides itself.
-type keeper struct {
+// prefixSource names the two targets that keep most of a prompt, so that each target has one besides itself.
+type prefixSource struct {
 	most, second       *state
 	mostKept, nextKept int // tokens
 	prompt             int // tokens
 }
 
-func newKeeper(holders []*state, req *request.Request, chain []uint64, now time.Time) keeper {
-	k := keeper{prompt: req.PromptTokens}
+func newPrefixSource(holders []*state, req *request.Request, chain []uint64, now time.Time) prefixSource {
+	k := prefixSource{prompt: req.PromptTokens}
 	for _, s := range holders {
 		if s.suspicion(now) > 0 {
 			continue
@@ -33,7 +33,7 @@
 
 // worthFetching returns the address of a target from which one with unread tokens should fetch some, and how many, or
 // nothing if reading them costs less.
-func (k keeper) worthFetching(s *state, unread int, pace float64) (address string, tokens int) {
+func (k prefixSource) worthFetching(s *state, unread int, pace float64) (address string, tokens int) {
 	source, kept := k.most, k.mostKept
 	if source == s {
 		source, kept = k.second, k.nextKept
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -33,32 +33,32 @@
 	urgentPause = 20 * time.Millisecond
 	// changePause collects changes; it is well below the time for which an agent waits for word of an adapter's use.
 	changePause = 10 * time.Millisecond
-	// boardCount agents are told the demand and read the store, so that the loss of one costs nothing; in deployments of
+	// relayCount agents are told the demand and read the store, so that the loss of one costs nothing; in deployments of
 	// manyEngines one more.
-	boardCount  = 2
+	relayCount  = 2
 	manyEngines = 20
 )
 
 // agents is the client of the agents beside the engines.
 type agents struct {
-	name   string
-	port   string
-	dialer *dialer.Dialer
-	fleet  *fleet.Fleet
-	board  *board
-	log    *logrus.Entry
+	name    string
+	port    string
+	dialer  *dialer.Dialer
+	fleet   *fleet.Fleet
+	relayed *relayed
+	log     *logrus.Entry
 
 	mu      sync.Mutex
 	watched map[string]context.CancelFunc
-	boards  map[string]bool          // agents that are told the demand
+	relays  map[string]bool          // agents that are told the demand
 	urgent  chan struct{}            // replaced and closed when the demand is to be told at once
 	changes map[string]chan struct{} // by agent, filled when what this gateway has at its target has changed
 	ended   sync.WaitGroup
 }
 
-func newAgents(name string, port int, d *dialer.Dialer, f *fleet.Fleet, b *board, log *logrus.Entry) *agents {
+func newAgents(name string, port int, d *dialer.Dialer, f *fleet.Fleet, r *relayed, log *logrus.Entry) *agents {
 	return &agents{
-		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, board: b, log: log,
+		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relayed: r, log: log,
 		watched: map[string]context.CancelFunc{}, urgent: make(chan struct{}), changes: map[string]chan struct{}{},
 	}
 }
@@ -76,7 +76,7 @@
 func (a *agents) follow(addresses map[string]bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.boards = chooseBoards(addresses)
+	a.relays = chooseRelays(addresses)
 	for address, stop := range a.watched {
 		if !addresses[address] {
 			stop()
@@ -97,22 +97,22 @@
 	}
 }
 
-// chooseBoards returns the agents that are told the demand, the same ones at each gateway.
-func chooseBoards(addresses map[string]bool) map[string]bool {
+// chooseRelays returns the agents that are told the demand, the same ones at each gateway.
+func chooseRelays(addresses map[string]bool) map[string]bool {
 	ranked := make([]string, 0, len(addresses))
 	for address := range addresses {
 		ranked = append(ranked, address)
 	}
 	sort.Slice(ranked, func(i, j int) bool { return xxhash.Sum64String(ranked[i]) < xxhash.Sum64String(ranked[j]) })
-	boards := map[string]bool{}
-	count := boardCount
+	relays := map[string]bool{}
+	count := relayCount
 	if len(ranked) > manyEngines {
 		count++
 	}
 	for _, address := range ranked[:min(count, len(ranked))] {
-		boards[address] = true
+		relays[address] = true
 	}
-	return boards
+	return relays
 }
 
 // TellDemand has the demand told to the agents at once.
@@ -141,19 +141,19 @@
 }
 
 // tell returns whether an agent is to be told the demand, and the channel that is closed when that is urgent.
-func (a *agents) tell(address string) (board bool, urgent <-chan struct{}) {
+func (a *agents) tell(address string) (relay bool, urgent <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.boards[address], a.urgent
+	return a.relays[address], a.urgent
 }
 
 // beat sends heartbeats, to some agents with the demand, until ctx ends or the stream breaks.
 func (a *agents) beat(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
 	changed := a.changesOf(address)
 	for {
-		board, urgent := a.tell(address)
-		update := &wire.WatcherUpdate{Node: a.name, HasDemand: board}
-		if board {
+		relay, urgent := a.tell(address)
+		update := &wire.WatcherUpdate{Node: a.name, HasDemand: relay}
+		if relay {
 			for _, d := range a.fleet.Demand(time.Now()) {
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.Work)})
 			}
@@ -171,7 +171,7 @@
 		}
 		interval := beatInterval
 		switch {
-		case !board:
+		case !relay:
 			urgent = nil
 		case a.fleet.Gateways() <= fewGateways:
 			interval = demandInterval
@@ -234,7 +234,7 @@
 		cancel()
 		conn.Close()
 		<-beats
-		a.board.forget(address)
+		a.relayed.forget(address)
 	}()
 	for {
 		state, err := stream.Recv()
@@ -248,8 +248,8 @@
 }
 
 func (a *agents) observe(address string, state *wire.TargetState) {
-	if bulletin := state.GetBulletin(); bulletin != nil {
-		a.board.take(address, bulletin, time.Now())
+	if storeReads := state.GetStoreReads(); storeReads != nil {
+		a.relayed.take(address, storeReads, time.Now())
 	}
 	report := registry.Report{
 		Born: state.GetBorn(), Busy: state.GetBusy(), Sequence: state.GetSequence(),
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -23,8 +23,8 @@
 	// startInterval is the pause between reads in the startPhase after the start, until agents do them.
 	startInterval = 250 * time.Millisecond
 	startPhase    = 4 * time.Second
-	// boardPause is the pause between looks whether the agents still read the store.
-	boardPause = 20 * time.Millisecond
+	// relayPause is the pause between looks whether the agents still read the store.
+	relayPause = 20 * time.Millisecond
 )
 
 // followRoutes keeps the newest routing table in force.
@@ -33,8 +33,8 @@
 	lost := false
 	for ctx.Err() == nil {
 		begun := time.Now()
-		if g.boardHasRoutes(begun) {
-			_ = pause.For(ctx, boardPause)
+		if g.relayHasRoutes(begun) {
+			_ = pause.For(ctx, relayPause)
 			continue
 		}
 		table, next, err := g.nextRoutes(ctx, version)
@@ -66,22 +66,22 @@
 	return ctx.Err()
 }
 
-// boardHasRoutes reports whether agents read the routes for this gateway and those in force are the newest.
-func (g *Gateway) boardHasRoutes(now time.Time) bool {
+// relayHasRoutes reports whether agents read the routes for this gateway and those in force are the newest.
+func (g *Gateway) relayHasRoutes(now time.Time) bool {
 	table := g.table.Load()
-	return table != nil && g.board.fresh(now) && g.board.routesVersion() <= table.Version()
+	return table != nil && g.relayed.fresh(now) && g.relayed.routesVersion() <= table.Version()
 }
 
-// followBoard takes over what agents have read in the store.
-func (g *Gateway) followBoard(ctx context.Context) error {
+// followRelayed takes over what agents have read in the store.
+func (g *Gateway) followRelayed(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-g.board.changed:
+		case <-g.relayed.changed:
 		case <-time.After(targetsInterval):
 		}
-		if targets, readAt, ok := g.board.targets(); ok {
+		if targets, readAt, ok := g.relayed.targets(); ok {
 			g.adoptTargets(targets, g.storeLost.Load(), readAt)
 		}
 	}
@@ -112,7 +112,7 @@
 // followTargets keeps the view of the registered targets fresh.
 func (g *Gateway) followTargets(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if g.fleetKnown.Load() && g.board.fresh(time.Now()) {
+		if g.fleetKnown.Load() && g.relayed.fresh(time.Now()) {
 			_ = pause.For(ctx, storePause)
 			continue
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,7 +48,7 @@
 	dispatcher *dispatch.Dispatcher
 	budget     *retrybudget.Budget
 	agents     *agents
-	board      *board
+	relayed    *relayed
 	dialer     *dialer.Dialer
 	conns      *connections
 	started    time.Time
@@ -64,7 +64,7 @@
 func New(config *settings.Config, log *logrus.Entry) *Gateway {
 	f := fleet.New(config.Node.AvailabilityZone)
 	d := dialer.New(nil)
-	b := newBoard()
+	b := newRelayed()
 	a := newAgents(config.Node.Name, config.Gateway.AgentPort, d, f, b, log)
 	budget := retrybudget.New(retryLimits(config.Bounds))
 	replicas := platform.NewReplica(sender.New(connpool.New()))
@@ -76,7 +76,7 @@
 		dispatcher: dispatch.New(f, replicas, a, budget, log, time.Now),
 		budget:     budget,
 		agents:     a,
-		board:      b,
+		relayed:    b,
 		dialer:     d,
 		conns:      newConnections(),
 		started:    time.Now(),
@@ -116,7 +116,7 @@
 	group.Go(func() error { return ended(ready.Serve(checks)) })
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
-	group.Go(func() error { return g.followBoard(serving) })
+	group.Go(func() error { return g.followRelayed(serving) })
 	group.Go(func() error { return g.plan(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.ready).Run(serving) })
 	group.Go(func() error { return g.conns.sweep(serving, g.idleTimeout) })
--- a/gateway/board.go
+++ b/gateway/relayed.go
@@ -8,12 +8,12 @@
 	"gypsumbank/wire"
 )
 
-// boardFresh is the age up to which a gateway relies on what agents have read in the store; their reads are at most a
+// relayFresh is the age up to which a gateway relies on what agents have read in the store; their reads are at most a
 // second apart.
-const boardFresh = 1500 * time.Millisecond
+const relayFresh = 1500 * time.Millisecond
 
-// board holds what agents have read in the platform's store for the gateways.
-type board struct {
+// relayed holds what agents have read in the platform's store for the gateways.
+type relayed struct {
 	mu      sync.Mutex
 	reads   map[string]*read // by agent
 	adopted adopted
@@ -34,10 +34,12 @@
 	revision uint64
 }
 
-func newBoard() *board { return &board{reads: map[string]*read{}, changed: make(chan struct{}, 1)} }
+func newRelayed() *relayed {
+	return &relayed{reads: map[string]*read{}, changed: make(chan struct{}, 1)}
+}
 
-// take takes over the bulletin of an agent.
-func (b *board) take(agent string, bulletin *wire.Bulletin, now time.Time) {
+// take takes over what an agent has read in the store.
+func (b *relayed) take(agent string, storeReads *wire.StoreReads, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.reads[agent]
@@ -45,14 +47,14 @@
 		r = &read{}
 		b.reads[agent] = r
 	}
-	if bulletin.GetHasTargets() {
-		r.targets, r.revision = targetsOf(bulletin), bulletin.GetRevision()
+	if storeReads.GetHasTargets() {
+		r.targets, r.revision = targetsOf(storeReads), storeReads.GetRevision()
 	}
-	if r.revision != bulletin.GetRevision() {
+	if r.revision != storeReads.GetRevision() {
 		return // a message with targets was lost
 	}
-	news := r.routesVersion != bulletin.GetRoutesVersion() || bulletin.GetHasTargets()
-	r.at, r.routesVersion = now.Add(-time.Duration(bulletin.GetAgeMs())*time.Millisecond), bulletin.GetRoutesVersion()
+	news := r.routesVersion != storeReads.GetRoutesVersion() || storeReads.GetHasTargets()
+	r.at, r.routesVersion = now.Add(-time.Duration(storeReads.GetAgeMs())*time.Millisecond), storeReads.GetRoutesVersion()
 	if news {
 		select {
 		case b.changed <- struct{}{}:
@@ -62,22 +64,22 @@
 }
 
 // forget drops what an agent has read.
-func (b *board) forget(agent string) {
+func (b *relayed) forget(agent string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.reads, agent)
 }
 
 // fresh reports whether an agent has read the store so recently that the gateway need not.
-func (b *board) fresh(now time.Time) bool {
+func (b *relayed) fresh(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, newest := b.newest()
-	return newest != nil && now.Sub(newest.at) < boardFresh
+	return newest != nil && now.Sub(newest.at) < relayFresh
 }
 
 // targets returns the targets of the latest read, unless they were returned before.
-func (b *board) targets() (targets []registry.Target, readAt time.Time, ok bool) {
+func (b *relayed) targets() (targets []registry.Target, readAt time.Time, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	agent, newest := b.newest()
@@ -89,7 +91,7 @@
 }
 
 // routesVersion returns the highest version of routes that an agent has read.
-func (b *board) routesVersion() int64 {
+func (b *relayed) routesVersion() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	version := int64(0)
@@ -99,7 +101,7 @@
 	return version
 }
 
-func (b *board) newest() (string, *read) {
+func (b *relayed) newest() (string, *read) {
 	var from string
 	var newest *read
 	for agent, r := range b.reads {
@@ -110,9 +112,9 @@
 	return from, newest
 }
 
-func targetsOf(bulletin *wire.Bulletin) []registry.Target {
-	targets := make([]registry.Target, 0, len(bulletin.GetTargets()))
-	for _, t := range bulletin.GetTargets() {
+func targetsOf(storeReads *wire.StoreReads) []registry.Target {
+	targets := make([]registry.Target, 0, len(storeReads.GetTargets()))
+	for _, t := range storeReads.GetTargets() {
 		target := registry.Target{
 			ID: t.GetId(), Born: t.GetBorn(), Service: t.GetService(), Address: t.GetAddress(),
 			AvailabilityZone: t.GetAvailabilityZone(), Slots: int(t.GetSlots()), Draining: t.GetDraining(),
--- a/gateway/board_test.go
+++ b/gateway/relayed_test.go
@@ -7,21 +7,21 @@
 	"gypsumbank/wire"
 )
 
-func bulletin(revision uint64, age time.Duration, draining bool) *wire.Bulletin {
-	return &wire.Bulletin{
+func storeReads(revision uint64, age time.Duration, draining bool) *wire.StoreReads {
+	return &wire.StoreReads{
 		RoutesVersion: 1, Revision: revision, HasTargets: true, AgeMs: uint32(age.Milliseconds()),
 		Targets: []*wire.RegisteredTarget{{Id: "a", Draining: draining}},
 	}
 }
 
-func TestBoardTakesTheLatestRead(t *testing.T) {
+func TestLatestRelayedReadCounts(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := newBoard()
+	b := newRelayed()
 	if b.fresh(now) {
-		t.Error("a board without reads is fresh")
+		t.Error("relayed reads are fresh before the first")
 	}
-	b.take("late", bulletin(9, 100*time.Millisecond, true), now)
-	b.take("early", bulletin(4, 600*time.Millisecond, false), now)
+	b.take("late", storeReads(9, 100*time.Millisecond, true), now)
+	b.take("early", storeReads(4, 600*time.Millisecond, false), now)
 	targets, _, ok := b.targets()
 	if !ok || !targets[0].Draining {
 		t.Errorf("targets %+v, %v; an earlier read must not undo a drain", targets, ok)
@@ -30,7 +30,7 @@
 		t.Error("the same targets are handed on twice")
 	}
 	if !b.fresh(now.Add(time.Second)) || b.fresh(now.Add(2*time.Second)) {
-		t.Error("a board is fresh for 1.5 s after its latest read")
+		t.Error("relayed reads are fresh for 1.5 s after the latest")
 	}
 	b.forget("late")
 	if targets, _, ok := b.targets(); !ok || targets[0].Draining {
@@ -38,11 +38,11 @@
 	}
 }
 
-func TestBoardIgnoresABulletinAfterALostOne(t *testing.T) {
+func TestReadAfterALostOneIsIgnored(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := newBoard()
-	b.take("a", bulletin(1, 0, false), now)
-	b.take("a", &wire.Bulletin{RoutesVersion: 1, Revision: 2}, now.Add(3*time.Second))
+	b := newRelayed()
+	b.take("a", storeReads(1, 0, false), now)
+	b.take("a", &wire.StoreReads{RoutesVersion: 1, Revision: 2}, now.Add(3*time.Second))
 	if b.fresh(now.Add(3 * time.Second)) {
 		t.Error("targets of an earlier revision count as fresh")
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -17,10 +17,10 @@
 	listener net.Listener
 	done     chan struct{}
 
-	mu    sync.Mutex
-	delay time.Duration
-	deaf  bool // nothing passes from the target
-	pairs map[*pair]struct{}
+	mu     sync.Mutex
+	delay  time.Duration
+	oneWay bool // nothing passes from the target
+	pairs  map[*pair]struct{}
 }
 
 type pair struct {
@@ -69,11 +69,11 @@
 	}
 }
 
-// SetDeaf cuts the way from the target, for open and new connections, or mends it for new ones.
-func (l *Link) SetDeaf(deaf bool) {
+// SetOneWay cuts the way from the target, for open and new connections, or mends it for new ones.
+func (l *Link) SetOneWay(oneWay bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.deaf = deaf
+	l.oneWay = oneWay
 }
 
 // Cut closes all open connections.
@@ -141,7 +141,7 @@
 func (l *Link) state(p *pair, back bool) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.delay, p.silenced || (back && l.deaf)
+	return l.delay, p.silenced || (back && l.oneWay)
 }
 
 func (l *Link) drop(p *pair) {
--- a/soak_faults_test.go
+++ b/soak_faults_test.go
@@ -57,7 +57,7 @@
 		{"delay of " + target.id, func() { target.way.SetDelay(60 * time.Millisecond) }, func() { target.way.SetDelay(0) }},
 		{"cut of " + target.id, target.way.Cut, func() {}},
 		{"silence of " + target.id, target.way.SilenceOpen, target.way.Cut},
-		{"one way to " + target.id, func() { target.way.SetDeaf(true) }, func() { target.way.SetDeaf(false); target.way.Cut() }},
+		{"one way to " + target.id, func() { target.way.SetOneWay(true) }, func() { target.way.SetOneWay(false); target.way.Cut() }},
 		{"restart of " + target.id, target.Restart, func() { s.register(target, "ready") }},
 		{"leave of " + target.id, func() { s.register(target, "draining") }, func() { s.register(target, "ready") }},
 		{fmt.Sprintf("store fault %d", storeFault), func() { s.store.SetFault(storeFault) }, func() { s.store.SetFault(site.NoFault) }},
