Tell gateways at once when much more waits at a target

Cause: an agent told gateways of a rise of the prompts that wait at its engine with the next look at the engine, 100 ms later or more, so that several gateways could send long prompts to one target at the same moment. Change: a rise of 100 ms or more of reading is told when it is heard.

Ruled out as the cause of mispredicted first events: the age of reports (7 to 9 in 100 take over twice the expected time at each age).

--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -27,6 +27,9 @@
 	// unreadStepMs is the same for the time to read the prompts that wait.
 	unreadStepMs   = 25
 	maxQueuedParts = 1024
+	// unreadJumpMs is the rise of that time which is told at once, so that gateways do not send several long prompts to
+	// one target at the same moment.
+	unreadJumpMs = 100
 )
 
 // watchers hands the newest state to all gateways that watch, and the demand of all to the one that plans.
@@ -85,6 +88,7 @@
 			each.learn(update.GetParts())
 		}
 	}
+	w.tellJump()
 	if update.GetHasDemand() {
 		w.ask()
 		from.demand = update.GetDemand()
@@ -98,9 +102,7 @@
 	defer w.mu.Unlock()
 	live := w.live()
 	state.Watchers = uint32(len(live))
-	for _, each := range live {
-		state.UnreadMs += each.unread
-	}
+	state.UnreadMs = unread(live)
 	if planner := planner(live); planner != nil {
 		state.Planner = planner.node
 	}
@@ -124,6 +126,31 @@
 	w.tellDemand()
 }
 
+// tellJump sends the last state again if much more waits at the target by now; the caller holds the lock.
+func (w *watchers) tellJump() {
+	if w.last == nil {
+		return
+	}
+	waiting := unread(w.live())
+	if waiting < w.last.GetUnreadMs()+unreadJumpMs {
+		return
+	}
+	w.last = proto.Clone(w.last).(*wire.TargetState)
+	w.last.UnreadMs = waiting
+	for each := range w.all {
+		each.send(w.last)
+	}
+}
+
+// unread returns the expected ms to read the prompts that gateways have waiting.
+func unread(of []*watcher) float32 {
+	sum := float32(0)
+	for _, each := range of {
+		sum += each.unread
+	}
+	return sum
+}
+
 // tellDemand sends the demand of all gateways to the one that plans; the caller holds the lock.
 func (w *watchers) tellDemand() {
 	live := w.live()
--- a/agent/watchers_test.go
+++ b/agent/watchers_test.go
@@ -135,3 +135,25 @@
 		t.Errorf("storeReads %v, a drain must be told at once", b)
 	}
 }
+
+// TestLongPromptsOfManyGatewaysAtOnce names its load: gateways send long prompts at the same moment; each must learn of the
+// others' before the next state is due.
+func TestLongPromptsOfManyGatewaysAtOnce(t *testing.T) {
+	w, _ := newTestWatchers()
+	first, second := w.add(), w.add()
+	w.heard(first, &wire.WatcherUpdate{Node: "g1"})
+	w.heard(second, &wire.WatcherUpdate{Node: "g2"})
+	w.publish(&wire.TargetState{TargetId: "t"})
+	received(w, second)
+	tests := []struct {
+		unread float32
+		told   bool
+	}{{unreadJumpMs / 2, false}, {2 * unreadJumpMs, true}, {2.5 * unreadJumpMs, false}, {3 * unreadJumpMs, true}, {0, false}}
+	for _, test := range tests {
+		w.heard(first, &wire.WatcherUpdate{Node: "g1", UnreadMs: test.unread})
+		state := received(w, second)
+		if (state != nil) != test.told || (state != nil && state.GetUnreadMs() != test.unread) {
+			t.Errorf("%v ms wait at the first gateway, the second is told %v", test.unread, state)
+		}
+	}
+}
