Space the tries to read a store that is away

Change: pauses grow from 200 ms to 1.6 s with jitter, and end once an agent has read the store. An inventory also writes its first change by the version that it has read, without reading again.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/pause"
@@ -25,12 +26,39 @@
 	startPhase    = 4 * time.Second
 	// relayPause is the pause between looks whether the agents still read the store.
 	relayPause = 20 * time.Millisecond
+	// maxStorePause is the longest pause between tries to read a store that does not answer; with a read it stays below the
+	// time in which a change must be in force.
+	maxStorePause = 1600 * time.Millisecond
 )
 
+// newRetryInterval returns the pauses between tries to read a store that does not answer: with many gateways, tries at short
+// intervals would be most of the store's load.
+func newRetryInterval() *backoff.ExponentialBackOff {
+	return &backoff.ExponentialBackOff{
+		InitialInterval: storePause, MaxInterval: maxStorePause,
+		Multiplier: backoff.DefaultMultiplier, RandomizationFactor: backoff.DefaultRandomizationFactor,
+	}
+}
+
+// pauseForStore waits for a time, or until agents have read the store after none had lately.
+func (g *Gateway) pauseForStore(ctx context.Context, longest time.Duration) error {
+	end := time.Now().Add(longest)
+	if g.relayed.fresh(time.Now()) {
+		return pause.For(ctx, longest)
+	}
+	for time.Now().Before(end) && !g.relayed.fresh(time.Now()) {
+		if err := pause.For(ctx, relayPause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // followRoutes keeps the newest routing table in force.
 func (g *Gateway) followRoutes(ctx context.Context) error {
 	version := int64(0)
 	lost := false
+	retry := newRetryInterval()
 	for ctx.Err() == nil {
 		begun := time.Now()
 		if g.relayHasRoutes(begun) {
@@ -50,9 +78,10 @@
 				g.log.WithError(err).Warn("store lost while following routes")
 			}
 			lost = true
-			_ = pause.For(ctx, storePause)
+			_ = g.pauseForStore(ctx, retry.NextBackOff())
 			continue
 		}
+		retry.Reset()
 		if lost {
 			g.log.Info("store regained while following routes")
 			lost = false
@@ -111,6 +140,7 @@
 
 // followTargets keeps the view of the registered targets fresh.
 func (g *Gateway) followTargets(ctx context.Context) error {
+	retry := newRetryInterval()
 	for ctx.Err() == nil {
 		if g.fleetKnown.Load() && g.relayed.fresh(time.Now()) {
 			_ = pause.For(ctx, storePause)
@@ -126,9 +156,10 @@
 			if !g.storeLost.Swap(true) {
 				g.log.WithError(err).Warn("store lost while following targets")
 			}
-			_ = pause.For(ctx, storePause)
+			_ = g.pauseForStore(ctx, retry.NextBackOff())
 			continue
 		}
+		retry.Reset()
 		if len(foreign) > 0 {
 			g.log.WithField("entries", foreign).Debug("entries that describe no target")
 		}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -127,6 +127,26 @@
 	}
 }
 
+// TestStoreIsNotPressedWhileAway names its load: the store turns all calls away for seconds, and many gateways try again.
+func TestStoreIsNotPressedWhileAway(t *testing.T) {
+	const away = 4 * time.Second
+	d := deploy(t)
+	d.store.SetFault(site.Down)
+	before := d.store.Calls()
+	time.Sleep(away)
+	if calls := d.store.Calls() - before; calls > 20 {
+		t.Errorf("%d calls to a store that was away for %s", calls, away)
+	}
+	d.store.SetFault(site.NoFault)
+	changed := manifest(2, 2000)
+	changed["routes"] = changed["routes"].([]any)[1:]
+	d.store.Put("op", "config", changed)
+	time.Sleep(3 * time.Second)
+	if response, _, err := d.ask(get("/safe/a")); err != nil || response.StatusCode != http.StatusNotFound {
+		t.Errorf("answer %v, %v; the change after the outage is not in force within 3 s", response, err)
+	}
+}
+
 func TestRestartWhileStoreIsAway(t *testing.T) {
 	d := deploy(t)
 	d.stop()
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -34,7 +34,8 @@
 	store   Store
 	target  string
 	log     *logrus.Entry
-	version int64 // of the record; 0 if it may have changed
+	version int64 // of the record, 0 if there is none
+	current bool  // version is that in the store
 	changes chan []Model
 	former  chan []Model
 }
@@ -123,8 +124,9 @@
 
 func (i *Inventory) read(ctx context.Context) ([]Model, error) {
 	for {
-		_, known, err := i.load(ctx)
+		row, known, err := i.load(ctx)
 		if err == nil {
+			i.version, i.current = row.Version, true
 			return known.Models, nil
 		}
 		i.log.WithError(err).Info("inventory not read")
@@ -153,7 +155,7 @@
 
 func (i *Inventory) write(ctx context.Context, models []Model) (err error) {
 	row := platform.Row{Table: table, Part: i.target, Key: key, Version: i.version}
-	if row.Version == 0 {
+	if !i.current {
 		if row, _, err = i.load(ctx); err != nil {
 			return err
 		}
@@ -164,5 +166,6 @@
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	i.version, err = i.store.Replace(call, row)
+	i.current = err == nil
 	return err
 }
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -103,3 +103,17 @@
 		t.Errorf("record %q", row.Value)
 	}
 }
+
+// TestChangeIsWrittenWithoutAnotherRead counts the calls to the store of a process that has read the record and changes it.
+func TestChangeIsWrittenWithoutAnotherRead(t *testing.T) {
+	t.Parallel()
+	store := site.NewStore()
+	defer store.Close()
+	kept, _ := run(t, store)
+	before := store.Calls()
+	kept.Set(named([]string{"a"}))
+	time.Sleep(settled)
+	if calls := store.Calls() - before; calls != 1 {
+		t.Errorf("%d calls for one change, want 1", calls)
+	}
+}
