--- a/link/link.go
+++ b/link/link.go
@@ -4,12 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 )
 
-const bufferBytes = 32 << 10
+const (
+	bufferBytes = 32 << 10
+	// retransmission is the least time in which TCP sends a lost packet again.
+	retransmission = 200 * time.Millisecond
+)
 
 // Link is a TCP hop with faults between two processes.
 type Link struct {
@@ -19,6 +24,7 @@
 
 	mu     sync.Mutex
 	delay  time.Duration
+	loss   float64 // share of the pieces that get lost once
 	oneWay bool // nothing passes from the target
 	pairs  map[*pair]struct{}
 }
@@ -60,6 +66,14 @@
 	l.delay = delay
 }
 
+// SetLoss has a share of the pieces of data lost once, 0 for none, so that they and what follows them come after a
+// retransmission.
+func (l *Link) SetLoss(share float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loss = share
+}
+
 // SilenceOpen makes all open connections silent for good while new ones work.
 func (l *Link) SilenceOpen() {
 	l.mu.Lock()
@@ -138,10 +152,15 @@
 	}
 }
 
+// state returns how much longer a piece of data takes and whether nothing passes.
 func (l *Link) state(p *pair, back bool) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.delay, p.silenced || (back && l.oneWay)
+	delay := l.delay
+	if rand.Float64() < l.loss {
+		delay += retransmission
+	}
+	return delay, p.silenced || (back && l.oneWay)
 }
 
 func (l *Link) drop(p *pair) {
--- a/soak_faults_test.go
+++ b/soak_faults_test.go
@@ -55,6 +55,7 @@
 		begin, end func()
 	}{
 		{"delay of " + target.id, func() { target.way.SetDelay(60 * time.Millisecond) }, func() { target.way.SetDelay(0) }},
+		{"loss on the way to " + target.id, func() { target.way.SetLoss(0.3) }, func() { target.way.SetLoss(0) }},
 		{"cut of " + target.id, target.way.Cut, func() {}},
 		{"silence of " + target.id, target.way.SilenceOpen, target.way.Cut},
 		{"one way to " + target.id, func() { target.way.SetOneWay(true) }, func() { target.way.SetOneWay(false); target.way.Cut() }},
