Write a reference of the settings, checked by a test

The page showed a fault: a gateway without agent-port took 0, which is not allowed, and would have found no agent; the key is required now.

--- a/Makefile
+++ b/Makefile
@@ -54,8 +54,8 @@
 	GYPSUMBANK_ROUNDS=$${GYPSUMBANK_ROUNDS:-200} go test -run TestTwoFaultsAtOnce -timeout 3h -v .
 	GYPSUMBANK_SOAK_SEED=$${GYPSUMBANK_SOAK_SEED:-$$(date +%s)} GYPSUMBANK_SOAK_SECONDS=$${GYPSUMBANK_SOAK_SECONDS:-300} go test -race -run TestSoak -timeout 3h -v .
 
-man: ## write the manual pages again
-	GYPSUMBANK_UPDATE_MAN=1 go test -run ManualPages .
+man: ## write the manual pages and the reference of settings again
+	GYPSUMBANK_UPDATE_MAN=1 go test -run 'ManualPages|SettingsReference' .
 
 clean: ## remove what was built
 	rm -rf bin gypsumbank
--- a/inifile/file.go
+++ b/inifile/file.go
@@ -1,9 +1,12 @@
 package inifile
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -18,14 +21,27 @@
 // MaxBytes bounds the size of a file in bytes.
 const MaxBytes = 4 << 20
 
+const (
+	addressAllowed   = "IP:PORT"
+	addressesAllowed = "IP:PORT, separated by commas"
+)
+
 // File reads typed values from INI text and collects every problem that it meets.
 type File struct {
 	name     string
 	ini      *ini.File
-	known    map[string]map[string]bool
+	known    map[string]map[string]Key
 	problems []string
 }
 
+// Key describes a key that the reader of a file knows.
+type Key struct {
+	Section string
+	Name    string
+	Default string // empty if there is none
+	Allowed string // in words
+}
+
 // New parses data, named name in errors, and returns an error that wraps ErrInvalid if the syntax is wrong.
 func New(name string, data []byte) (*File, error) {
 	if len(data) > MaxBytes {
@@ -42,7 +58,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w: %w", name, err, ErrInvalid)
 	}
-	f := &File{name: name, ini: parsed, known: map[string]map[string]bool{}}
+	f := &File{name: name, ini: parsed, known: map[string]map[string]Key{}}
 	f.findRepeats()
 	return f, nil
 }
@@ -85,7 +101,7 @@
 
 // String returns the value of a key, or fallback if the key is absent.
 func (f *File) String(section, key, fallback string) string {
-	value, ok := f.value(section, key)
+	value, ok := f.value(Key{section, key, fallback, "text"})
 	if !ok {
 		return fallback
 	}
@@ -94,7 +110,7 @@
 
 // Required returns the value of a key and records a problem if it is empty.
 func (f *File) Required(section, key, allowed string) string {
-	value, _ := f.value(section, key)
+	value, _ := f.value(Key{section, key, "", allowed + "; required"})
 	if value == "" {
 		f.Problem(section, key, "is missing; allowed: "+allowed)
 	}
@@ -103,7 +119,10 @@
 
 // Choice returns the value of a key, which must be one of allowed.
 func (f *File) Choice(section, key, fallback string, allowed ...string) string {
-	value := f.String(section, key, fallback)
+	value, ok := f.value(Key{section, key, fallback, strings.Join(allowed, ", ")})
+	if !ok {
+		return fallback
+	}
 	for _, candidate := range allowed {
 		if value == candidate {
 			return value
@@ -115,13 +134,14 @@
 
 // Int returns a whole number within low and high, or fallback if the key is absent.
 func (f *File) Int(section, key string, fallback, low, high int64) int64 {
-	text, ok := f.value(section, key)
+	allowed := fmt.Sprintf("a whole number from %d to %d", low, high)
+	text, ok := f.value(Key{section, key, strconv.FormatInt(fallback, 10), allowed})
 	if !ok {
 		return fallback
 	}
 	number, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || number < low || number > high {
-		f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: a whole number from %d to %d", text, low, high))
+		f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: %s", text, allowed))
 		return fallback
 	}
 	return number
@@ -129,13 +149,14 @@
 
 // Float returns a number within low and high, or fallback if the key is absent.
 func (f *File) Float(section, key string, fallback, low, high float64) float64 {
-	text, ok := f.value(section, key)
+	allowed := fmt.Sprintf("a number from %g to %g", low, high)
+	text, ok := f.value(Key{section, key, fmt.Sprintf("%g", fallback), allowed})
 	if !ok {
 		return fallback
 	}
 	number, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(number >= low && number <= high) {
-		f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: a number from %g to %g", text, low, high))
+		f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: %s", text, allowed))
 		return fallback
 	}
 	return number
@@ -143,13 +164,14 @@
 
 // Duration returns a duration within low and high, or fallback if the key is absent.
 func (f *File) Duration(section, key string, fallback, low, high time.Duration) time.Duration {
-	text, ok := f.value(section, key)
+	allowed := fmt.Sprintf("a duration from %s to %s", low, high)
+	text, ok := f.value(Key{section, key, fallback.String(), allowed})
 	if !ok {
 		return fallback
 	}
 	duration, err := time.ParseDuration(text)
 	if err != nil || duration < low || duration > high {
-		f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: a duration from %s to %s", text, low, high))
+		f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: %s", text, allowed))
 		return fallback
 	}
 	return duration
@@ -157,12 +179,12 @@
 
 // Address returns an IP address with a port, or fallback if the key is absent.
 func (f *File) Address(section, key, fallback string) string {
-	text, ok := f.value(section, key)
+	text, ok := f.value(Key{section, key, fallback, addressAllowed})
 	if !ok {
 		return fallback
 	}
 	if !validAddress(text) {
-		f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: IP:PORT", text))
+		f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: %s", text, addressAllowed))
 		return fallback
 	}
 	return text
@@ -170,7 +192,11 @@
 
 // List returns the comma-separated values of a key.
 func (f *File) List(section, key string) []string {
-	text, _ := f.value(section, key)
+	return f.list(Key{section, key, "", "text, separated by commas"})
+}
+
+func (f *File) list(key Key) []string {
+	text, _ := f.value(key)
 	var items []string
 	for _, item := range strings.Split(text, ",") {
 		item = strings.TrimSpace(item)
@@ -183,10 +209,10 @@
 
 // Addresses returns the comma-separated IP addresses with ports of a key.
 func (f *File) Addresses(section, key string) []string {
-	items := f.List(section, key)
+	items := f.list(Key{section, key, "", addressesAllowed})
 	for _, item := range items {
 		if !validAddress(item) {
-			f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: IP:PORT, separated by commas", item))
+			f.Problem(section, key, fmt.Sprintf("%q is not allowed; allowed: %s", item, addressesAllowed))
 		}
 	}
 	return items
@@ -201,18 +227,33 @@
 	return err == nil && number <= 65535
 }
 
-func (f *File) value(section, key string) (string, bool) {
-	keys := f.known[section]
+// value returns the value of a key, which is known from now on; a required key may be read again for its form.
+func (f *File) value(key Key) (string, bool) {
+	keys := f.known[key.Section]
 	if keys == nil {
-		keys = map[string]bool{}
-		f.known[section] = keys
+		keys = map[string]Key{}
+		f.known[key.Section] = keys
+	}
+	if _, ok := keys[key.Name]; !ok {
+		keys[key.Name] = key
 	}
-	keys[key] = true
-	found, err := f.ini.GetSection(section)
-	if err != nil || !found.HasKey(key) {
+	found, err := f.ini.GetSection(key.Section)
+	if err != nil || !found.HasKey(key.Name) {
 		return "", false
 	}
-	return strings.TrimSpace(found.Key(key).Value()), true
+	return strings.TrimSpace(found.Key(key.Name).Value()), true
+}
+
+// Keys returns the keys that were read so far, in order of section and name.
+func (f *File) Keys() []Key {
+	var all []Key
+	for _, keys := range f.known {
+		all = slices.AppendSeq(all, maps.Values(keys))
+	}
+	slices.SortFunc(all, func(a, b Key) int {
+		return cmp.Or(strings.Compare(a.Section, b.Section), strings.Compare(a.Name, b.Name))
+	})
+	return all
 }
 
 func (f *File) findRepeats() {
@@ -240,18 +281,13 @@
 	}
 	var problems []string
 	for _, key := range section.Keys() {
-		if !keys[key.Name()] {
+		if _, ok := keys[key.Name()]; !ok {
 			problems = append(problems, fmt.Sprintf("[%s] %s: unknown key; allowed: %s", section.Name(), key.Name(), sortedKeys(keys)))
 		}
 	}
 	return problems
 }
 
-func sortedKeys(keys map[string]bool) string {
-	names := make([]string, 0, len(keys))
-	for name := range keys {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return strings.Join(names, ", ")
+func sortedKeys(keys map[string]Key) string {
+	return strings.Join(slices.Sorted(maps.Keys(keys)), ", ")
 }
--- a/settings/site.go
+++ b/settings/site.go
@@ -71,6 +71,7 @@
 func gateway(file *inifile.File) Gateway {
 	file.Required("gateway", "listen", "IP:PORT")
 	file.Required("gateway", "ready", "IP:PORT")
+	file.Required("gateway", "agent-port", "a whole number from 1 to 65535")
 	return Gateway{
 		Listen:    file.Address("gateway", "listen", ""),
 		Ready:     file.Address("gateway", "ready", ""),
