Wait out a takeover of orders also when the answer of its write is lost or the process starts again

Cause: an agent that takes a target's orders over from one on another machine waited longer than the platform's lease time only if it learnt of its own write. When the answer was lost or the write was performed late, it found its own record at the next try and gave orders at once; so did a second start of the process within the wait. Change: the record keeps when the orders were taken over, by the store's clock, and each start waits until the rest has passed. The two one-row stores of the tests of holder and weightstore are one stand-in now, standin/row, with late writes as well.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -17,7 +17,8 @@
 	table        = "order-holders"
 	retryPause   = 300 * time.Millisecond
 	storeTimeout = time.Second
-	// takeoverPause is waited after another machine held the number, longer than the platform's lease time.
+	// takeoverPause is the time from a takeover from another machine until the first order, longer than the platform's lease
+	// time.
 	takeoverPause = 4 * time.Second
 )
 
@@ -41,6 +42,8 @@
 	Holder string `json:"holder"`
 	Run    int64  `json:"run"` // tells starts of the holder apart
 	Fence  int64  `json:"fence"`
+	// TakenMs is when the holder took over from one on another machine, by the store's clock; 0 if it is the first.
+	TakenMs int64 `json:"taken-ms,omitempty"`
 }
 
 // New returns the holder with the given name, in the given run, of the target at an address.
@@ -66,7 +69,7 @@
 func (h *Holder) try(ctx context.Context) (int64, error) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	row, _, err := h.store.Row(call, table, h.target, "holder")
+	row, nowMs, err := h.store.Row(call, table, h.target, "holder")
 	var known record
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
@@ -79,20 +82,30 @@
 		}
 	}
 	if known.Holder == h.name && known.Run == h.run {
-		return known.Fence, nil // an earlier write whose answer was lost
+		return known.Fence, h.awaitTakeover(ctx, known, nowMs) // an earlier write whose answer was lost
+	}
+	next := record{Holder: h.name, Run: h.run, Fence: known.Fence + 1, TakenMs: known.TakenMs}
+	if known.Holder != "" && known.Holder != h.name {
+		h.log.WithField("previous", known.Holder).Info("taking over the orders of a target")
+		next.TakenMs = nowMs
 	}
-	next := record{Holder: h.name, Run: h.run, Fence: known.Fence + 1}
 	if row.Value, err = json.Marshal(next); err != nil {
 		return 0, err
 	}
 	if _, err := h.store.Replace(call, row); err != nil {
 		return 0, err
 	}
-	if known.Holder != "" && known.Holder != h.name {
-		h.log.WithField("previous", known.Holder).Info("taking over the orders of a target")
-		if err := pause.For(ctx, takeoverPause); err != nil {
-			return 0, err
-		}
+	return next.Fence, h.awaitTakeover(ctx, next, nowMs)
+}
+
+// awaitTakeover waits until the holder before the last takeover gives no more orders, given the time by the store's clock.
+func (h *Holder) awaitTakeover(ctx context.Context, r record, nowMs int64) error {
+	if r.TakenMs == 0 {
+		return nil
+	}
+	since := time.Duration(nowMs-r.TakenMs) * time.Millisecond
+	if since >= takeoverPause {
+		return nil
 	}
-	return next.Fence, nil
+	return pause.For(ctx, takeoverPause-max(0, since))
 }
--- a/weightstore/budget_test.go
+++ b/weightstore/budget_test.go
@@ -1,4 +1,4 @@
-package weightstore
+package weightstore_test
 
 import (
 	"context"
@@ -8,58 +8,35 @@
 	"pgregory.net/rapid"
 
 	"gypsumbank/platform"
+	"gypsumbank/standin/row"
+	"gypsumbank/weightstore"
 )
 
-// memoryStore keeps one row and may lose answers.
-type memoryStore struct {
-	now     int64
-	row     platform.Row
-	exists  bool
-	between func() // runs between a read and a write, as another agent may
-	lose    bool
-}
+// fakeClock is the store's clock in ms, which tests move.
+type fakeClock struct{ ms int64 }
 
-func (s *memoryStore) Row(context.Context, string, string, string) (platform.Row, int64, error) {
-	if !s.exists {
-		return platform.Row{}, s.now, platform.ErrNotFound
-	}
-	return s.row, s.now, nil
-}
+func (c *fakeClock) now() int64 { return c.ms }
 
-var errLost = errors.New("answer lost")
-
-func (s *memoryStore) Replace(_ context.Context, row platform.Row) (int64, error) {
-	if s.between != nil {
-		between := s.between
-		s.between = nil
-		between()
-	}
-	if row.Version != s.row.Version {
-		return 0, platform.ErrConflict
-	}
-	s.row, s.exists = row, true
-	s.row.Version++
-	if s.lose {
-		return 0, errLost
-	}
-	return s.row.Version, nil
+func newTestStore() (*row.Store, *fakeClock) {
+	clock := &fakeClock{ms: 1000}
+	return row.New(clock.now), clock
 }
 
-var limit = Limit{PerSecond: 2, Burst: 3}
+var limit = weightstore.Limit{PerSecond: 2, Burst: 3}
 
 func TestTake(t *testing.T) {
 	ctx := context.Background()
-	s := &memoryStore{now: 1000}
-	b := New(s, "llm")
+	s, clock := newTestStore()
+	b := weightstore.New(s, "llm")
 	for i := range 3 {
 		if err := b.Take(ctx, limit); err != nil {
 			t.Fatalf("load %d of the burst: %v", i+1, err)
 		}
 	}
-	if err := b.Take(ctx, limit); !errors.Is(err, ErrExhausted) {
+	if err := b.Take(ctx, limit); !errors.Is(err, weightstore.ErrExhausted) {
 		t.Errorf("load beyond the burst: %v", err)
 	}
-	s.now += 500
+	clock.ms += 500
 	if err := b.Take(ctx, limit); err != nil {
 		t.Errorf("load after half a second: %v", err)
 	}
@@ -67,29 +44,29 @@
 
 func TestTakeOfTwoAgentsAtOnce(t *testing.T) {
 	ctx := context.Background()
-	s := &memoryStore{now: 1000}
-	other := New(s, "llm")
-	s.between = func() {
+	s, _ := newTestStore()
+	other := weightstore.New(s, "llm")
+	s.Between(func() {
 		if err := other.Take(ctx, limit); err != nil {
 			t.Errorf("the other agent: %v", err)
 		}
-	}
-	if err := New(s, "llm").Take(ctx, limit); !errors.Is(err, platform.ErrConflict) {
+	})
+	if err := weightstore.New(s, "llm").Take(ctx, limit); !errors.Is(err, platform.ErrConflict) {
 		t.Errorf("Take = %v, want a conflict", err)
 	}
 }
 
-// TestNoWindowHasMoreLoadsThanAllowed draws the times of loads of several agents with lost answers.
+// TestNoWindowHasMoreLoadsThanAllowed draws the times of loads of several agents with lost answers and late writes.
 func TestNoWindowHasMoreLoadsThanAllowed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const windowMs = 5000
-		s := &memoryStore{now: 1000}
+		s, clock := newTestStore()
 		var begun []int64
 		for range rapid.IntRange(1, 200).Draw(t, "tries") {
-			s.now += int64(rapid.IntRange(0, 700).Draw(t, "ms"))
-			s.lose = rapid.IntRange(0, 9).Draw(t, "lose") == 0
-			if New(s, "llm").Take(context.Background(), limit) == nil {
-				begun = append(begun, s.now)
+			clock.ms += int64(rapid.IntRange(0, 700).Draw(t, "ms"))
+			s.Break(rapid.SampledFrom([]row.Fault{row.None, row.None, row.None, row.None, row.LoseAnswer, row.Late}).Draw(t, "fault"))
+			if weightstore.New(s, "llm").Take(context.Background(), limit) == nil {
+				begun = append(begun, clock.ms)
 			}
 		}
 		for i, from := range begun {
