--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	go test -run '^$$' -bench Capacity -benchtime 1x .
 	go test -run '^$$' -bench Capacity ./snapshot ./router
 
-soak: ## draw faults for long; GYPSUMBANK_SEED, GYPSUMBANK_ROUNDS, GYPSUMBANK_SOAK_SEED and GYPSUMBANK_SOAK_SECONDS set what and how long
+soak: ## draw faults for long; GYPSUMBANK_SEED, GYPSUMBANK_ROUNDS, GYPSUMBANK_SOAK_SEED, GYPSUMBANK_SOAK_SECONDS and GYPSUMBANK_SOAK_SIZE set what, how long and how large
 	GYPSUMBANK_ROUNDS=$${GYPSUMBANK_ROUNDS:-200} go test -run TestTwoFaultsAtOnce -timeout 3h -v .
 	GYPSUMBANK_SOAK_SEED=$${GYPSUMBANK_SOAK_SEED:-$$(date +%s)} GYPSUMBANK_SOAK_SECONDS=$${GYPSUMBANK_SOAK_SECONDS:-300} go test -race -run TestSoak -timeout 3h -v .
 
--- a/soak_test.go
+++ b/soak_test.go
@@ -25,9 +25,10 @@
 const (
 	soakSeed    = "GYPSUMBANK_SOAK_SEED"    // another seed than those of the regression cases
 	soakSeconds = "GYPSUMBANK_SOAK_SECONDS" // the length of the faults, usually usualSoak
+	soakSize    = "GYPSUMBANK_SOAK_SIZE"    // by how much the deployment, its callers and the faults are multiplied, usually 1
 	usualSoak   = 10
 
-	soakGateways   = 2
+	soakGateways   = 2 // these four for each unit of size
 	soakEngines    = 3
 	soakPlain      = 2
 	soakCallers    = 8
@@ -58,6 +59,7 @@
 // soakSite is a deployment under faults.
 type soakSite struct {
 	t       *testing.T
+	size    int
 	rng     *rand.Rand
 	checker *soak.Checker
 	store   *site.Store
@@ -80,20 +82,21 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soakSite {
-	s := &soakSite{t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: site.NewStore(), ports: map[string]string{}, begun: time.Now()}
+	size := int(number(t, soakSize, 1))
+	s := &soakSite{t: t, size: size, rng: rand.New(rand.NewPCG(seed, seed)), store: site.NewStore(), ports: map[string]string{}, begun: time.Now()}
 	t.Logf("seed %d", seed)
-	s.checker = soak.New(soak.Limits{LoadsPerSecond: 5, LoadWindow: 5 * time.Second, LoadBurst: 1.1, RetryRatio: 0.2, RetryExtra: 54 * soakGateways})
+	s.checker = soak.New(soak.Limits{LoadsPerSecond: 5, LoadWindow: 5 * time.Second, LoadBurst: 1.1, RetryRatio: 0.2, RetryExtra: 54 * size * soakGateways})
 	t.Cleanup(s.store.Close)
 	s.toStore = s.link("127.0.0.1:0", s.store.Address())
 	agentPort := s.port()
-	for i := range soakEngines {
+	for i := range size * soakEngines {
 		s.addTarget(fmt.Sprintf("engine-%d", i), "engine", fmt.Sprintf("127.0.1.%d", i+1), agentPort)
 	}
-	for i := range soakPlain {
+	for i := range size * soakPlain {
 		s.addTarget(fmt.Sprintf("plain-%d", i), "plain", "127.0.0.1", "")
 	}
 	s.publish()
-	for i := range soakGateways {
+	for i := range size * soakGateways {
 		listen, ready := s.address(), s.address()
 		s.addNode(fmt.Sprintf("gateway-%d", i), "gateway", listen, fmt.Sprintf("[gateway]\nlisten = %s\nready = %s\nagent-port = %s\ngrace = %s\n", listen, ready, agentPort, soakGrace))
 	}
@@ -193,12 +196,14 @@
 	s.recovered("the start")
 	ctx, stop := context.WithCancel(s.t.Context())
 	var callers sync.WaitGroup
-	for i := range soakCallers {
+	for i := range s.size * soakCallers {
 		callers.Go(func() { s.call(ctx, i) })
 	}
 	until := time.Now().Add(length)
 	for time.Now().Before(until) {
-		s.fault()
+		for range s.size {
+			s.fault()
+		}
 		time.Sleep(time.Duration(200+s.rng.IntN(600)) * time.Millisecond)
 	}
 	s.ends.Wait()
@@ -262,7 +267,8 @@
 // call sends requests over a connection that is kept, until ctx ends.
 func (s *soakSite) call(ctx context.Context, number int) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: callerPatience}
-	gateway := s.nodes[len(s.nodes)-soakGateways+number%soakGateways]
+	gateways := s.size * soakGateways
+	gateway := s.nodes[len(s.nodes)-gateways+number%gateways]
 	for ctx.Err() == nil {
 		paths := []string{"/safe/", "/unsafe/", "/stream/", fmt.Sprintf("/version-%d/", s.version.Load())}
 		answer := s.ask(ctx, client, gateway, paths[int(s.ids.Load())%len(paths)])
