--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -29,13 +29,14 @@
 // serve answers one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	id := platform.RequestID(r)
 	if g.conns.crossed(r.Context()) {
+		g.log.WithField("request", id).Info("request crossed the close of its connection")
 		panic(http.ErrAbortHandler)
 	}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	id := platform.RequestID(r)
 	if g.refusing.Load() {
 		g.refuse(w, r, id, dispatch.Stopping, http.StatusServiceUnavailable, stoppingRetryAfter)
 		return
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	ports "gypsumbank/deployment"
 	"gypsumbank/gateway"
@@ -32,6 +32,7 @@
 	agentPort int
 	stop      context.CancelFunc
 	ended     chan error
+	lines     *logtest.Hook // what the gateway has logged
 }
 
 const host = "callers.example"
@@ -107,8 +108,8 @@
 		Store:   settings.Store{Address: d.store.Address()},
 		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log, lines := logtest.NewNullLogger()
+	d.lines = lines
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop, d.ended = stop, make(chan error, 1)
 	go func() { d.ended <- gateway.New(config, log.WithField("test", d.t.Name())).Run(ctx) }()
