--- a/agent/restore.go
+++ b/agent/restore.go
@@ -18,8 +18,6 @@
 	useMemory = 5 * time.Second
 	// leastUse is the use, in requests at a time, that a model without requests counts as.
 	leastUse = 0.01
-	// idleUse is the use below which a model is not restored: models that are asked for would wait for its load.
-	idleUse = 0.05
 )
 
 // restore has an engine that has restarted load what it held before, as far as it has the weights at hand: that takes no
@@ -96,14 +94,14 @@
 	a.usedAt = now
 }
 
-// drawn returns the models that are in use in a random order in which one comes first with a chance in proportion to its use,
-// so that the engines which held the same models don't all begin with the same one.
+// drawn returns models in a random order in which one comes first with a chance in proportion to its use, so that the
+// engines which held the same models don't all begin with the same one.
 func drawn(models []inventory.Model, random func() float64) []inventory.Model {
-	order := slices.DeleteFunc(slices.Clone(models), func(m inventory.Model) bool { return m.Use < idleUse })
-	keys := make(map[string]float64, len(order))
-	for _, m := range order {
-		keys[m.Name] = math.Pow(random(), 1/m.Use)
+	keys := make(map[string]float64, len(models))
+	for _, m := range models {
+		keys[m.Name] = math.Pow(random(), 1/max(leastUse, m.Use))
 	}
+	order := slices.Clone(models)
 	slices.SortStableFunc(order, func(a, b inventory.Model) int {
 		switch {
 		case keys[a.Name] > keys[b.Name]:
