--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -26,14 +26,14 @@
 	return holder.New(store, "10.0.0.1:80", machine, run, log.WithField("test", "holder"))
 }
 
-// acquire returns the fencing number of a start and how long that took.
-func acquire(t interface{ Fatal(args ...any) }, h *holder.Holder) (int64, time.Duration) {
-	begun := time.Now()
+// acquire returns the fencing number of a start.
+func acquire(t *testing.T, h *holder.Holder) int64 {
+	t.Helper()
 	fence, err := h.Acquire(context.Background())
 	if err != nil {
 		t.Fatal(err)
 	}
-	return fence, time.Since(begun)
+	return fence
 }
 
 func TestAcquire(t *testing.T) {
@@ -52,7 +52,7 @@
 				store := newStore()
 				store.Break(test.faults...)
 				for i, want := range test.want {
-					if got, _ := acquire(t, start(store, "agent-1", int64(i+1))); got != want {
+					if got := acquire(t, start(store, "agent-1", int64(i+1))); got != want {
 						t.Errorf("start %d: %d, want %d", i+1, got, want)
 					}
 				}
@@ -87,7 +87,7 @@
 					}
 					stop()
 				}
-				if fence, _ := acquire(t, start(store, "agent-2", 2)); fence < 2 {
+				if fence := acquire(t, start(store, "agent-2", 2)); fence < 2 {
 					t.Errorf("number %d after 1", fence)
 				}
 				if waited := time.Since(begun); waited <= lease {
--- a/link/link.go
+++ b/link/link.go
@@ -25,7 +25,7 @@
 	mu     sync.Mutex
 	delay  time.Duration
 	loss   float64 // share of the pieces that get lost once
-	oneWay bool // nothing passes from the target
+	oneWay bool    // nothing passes from the target
 	pairs  map[*pair]struct{}
 }
 
