Keep SIGHUP caught while a process drains

Cause: the watcher of settings ended with the signal to stop and gave SIGHUP back to its default action, which ends the process; a reload during a drain cut the answers in progress.

--- a/reload/watcher.go
+++ b/reload/watcher.go
@@ -26,8 +26,8 @@
 	last    []byte
 }
 
-// New returns a watcher of the file at path; from now on SIGHUP no longer ends the process. Valid settings are handed to
-// apply.
+// New returns a watcher of the file at path; from now on SIGHUP never ends the process, also while it drains. Valid settings
+// are handed to apply.
 func New(path string, apply func(*settings.Config), log *logrus.Entry) (*Watcher, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -40,7 +40,6 @@
 
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	defer signal.Stop(w.hangups)
 	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
 	for {
--- a/reload/watcher_test.go
+++ b/reload/watcher_test.go
@@ -73,3 +73,31 @@
 		t.Fatal(err)
 	}
 }
+
+// TestHangupWhileStopping sends SIGHUP after the watcher has ended, as while the process drains; unhandled, it would end the
+// process and cut the answers in progress.
+func TestHangupWhileStopping(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(path, []byte(valid+"info\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w, err := New(path, func(*settings.Config) {}, log.WithField("test", t.Name()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if err := w.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-w.hangups:
+	case <-time.After(2 * time.Second):
+		t.Error("the signal was not caught")
+	}
+}
--- a/soak_test.go
+++ b/soak_test.go
@@ -43,7 +43,10 @@
 // TestSoak runs gateways and agents as processes before stand-ins, while callers keep their connections and faults come in
 // series and overlap. Seeds that once failed stay as cases, each with its cause.
 func TestSoak(t *testing.T) {
-	seeds := map[string]uint64{"first": 1, "second": 2}
+	seeds := map[string]uint64{
+		"first": 1, "second": 2,
+		"hangup in a drain": 30007, "hangup in a second drain": 30001, // SIGHUP ended a gateway that drained
+	}
 	if os.Getenv(soakSeed) != "" {
 		seeds = map[string]uint64{"given": number(t, soakSeed, 1)}
 	}
