Keep stop signals caught until the exit

Cause: main restored the default action of SIGTERM before it exited, so a second signal after the drain ended the process with the status of the signal. Change: the signals stay caught; main and the test binary share one function.

--- a/cluster_test.go
+++ b/cluster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,7 +9,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -34,14 +32,7 @@
 // binary as a process for each role.
 func TestMain(m *testing.M) {
 	if os.Getenv(runAsProgramVariable) != "" {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		err := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
-		stop()
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "gypsumbank:", err)
-			os.Exit(1)
-		}
-		os.Exit(0)
+		os.Exit(execute())
 	}
 	os.Exit(m.Run())
 }
