Bound the bytes that a target may send where an answer is due

Cause: the head of a response was read without a limit. Change: at most 256 KB for a head, 4 MB for a skipped body, 1 MB for an event; beyond that the attempt has no usable response, which counts against the target. Bodies of the answer itself are passed on as they come and end at the deadline.

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -33,6 +34,7 @@
 type Conn struct {
 	net.Conn
 	Reader     *bufio.Reader
+	limit      *readLimit
 	Reused     bool
 	address    string
 	idleSince  time.Time // when the connection was returned to the pool
@@ -66,9 +68,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(conn, readBufferBytes), address: address}, nil
+	limit := &readLimit{conn: conn, left: math.MaxInt64}
+	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, address: address}, nil
 }
 
+// LimitReads makes Reader fail with ErrReadLimit once it has read that many further bytes from the network.
+func (c *Conn) LimitReads(bytes int64) { c.limit.left = bytes }
+
+// UnlimitReads removes the limit set by LimitReads.
+func (c *Conn) UnlimitReads() { c.limit.left = math.MaxInt64 }
+
 // Put returns conn to the pool, from which it may be reused for at most keepFor. It closes conn if keepFor is not positive
 // or unread data is buffered, and the oldest idle connection if the target already has maxIdlePerTarget.
 func (p *Pool) Put(conn *Conn, keepFor time.Duration) {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -1,6 +1,15 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+)
+
+// maxEventBytes bounds an event of a stream.
+const maxEventBytes = 1 << 20
+
+// errEventTooLong reports bytes without the end of an event.
+var errEventTooLong = errors.New("event of the stream does not end")
 
 // eventBuffer splits a stream of server-sent events, which arrives in chunks, at the ends of events.
 type eventBuffer struct {
@@ -13,18 +22,21 @@
 	idField  = []byte("id:")
 )
 
-// addChunk adds a chunk and returns the bytes of the events that are now complete.
-func (e *eventBuffer) addChunk(chunk []byte) []byte {
+// addChunk adds a chunk and returns the bytes of the events that are now complete, or errEventTooLong.
+func (e *eventBuffer) addChunk(chunk []byte) ([]byte, error) {
 	e.incomplete = append(e.incomplete, chunk...)
 	end := bytes.LastIndex(e.incomplete, eventEnd)
-	if end < 0 {
-		return nil
+	switch {
+	case end < 0 && len(e.incomplete) > maxEventBytes:
+		return nil, errEventTooLong
+	case end < 0:
+		return nil, nil
 	}
 	end += len(eventEnd)
 	complete := append([]byte(nil), e.incomplete[:end]...)
 	e.incomplete = append(e.incomplete[:0], e.incomplete[end:]...)
 	e.recordLastID(complete)
-	return complete
+	return complete, nil
 }
 
 // hasIncomplete reports whether the last event has arrived only in part.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -251,7 +251,11 @@
 		lastRead = now
 		chunk := buffer[:n]
 		if wholeEventsOnly {
-			chunk = events.addChunk(chunk)
+			complete, tooLong := events.addChunk(chunk)
+			if tooLong != nil {
+				return tooLong
+			}
+			chunk = complete
 		}
 		if len(chunk) > 0 {
 			if _, err := e.writer.Write(chunk); err != nil {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -28,6 +28,9 @@
 	keepAliveMargin = time.Second
 	// maxResponsesRead bounds the responses that are read to find the one to a request.
 	maxResponsesRead = 4
+	// maxHeadBytes bounds the head of a response, and maxSkippedBytes the body of a response to another request.
+	maxHeadBytes    = 256 << 10
+	maxSkippedBytes = 4 << 20
 )
 
 // Request is an HTTP request to a target.
@@ -105,7 +108,9 @@
 
 // readResponse returns the response to request. It skips interim (1xx) responses and late responses to earlier requests.
 func readResponse(conn *connpool.Conn, request *Request) (*http.Response, error) {
+	defer conn.UnlimitReads()
 	for range maxResponsesRead {
+		conn.LimitReads(maxHeadBytes)
 		response, err := http.ReadResponse(conn.Reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, err
@@ -119,6 +124,7 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errors.New("response to another request, with no known end")
 		}
+		conn.LimitReads(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
