Do not blame a run for a crash that was noticed before it began

Cause: a run that got the slot of a crashing request was sent to the engine while it went down, on a pooled connection; its cut stream counted as a crash of its own, so a neighbour was blocked after one real crash. Change: the sidecar keeps when the crash of an incarnation was noticed; a run that began later ends without blame.

--- a/sidecar/final_event.go
+++ b/sidecar/final_event.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"gypsumbank/engine"
 	"gypsumbank/loader"
@@ -13,8 +14,9 @@
 )
 
 // endCause returns why a run on the engine failed: the cause of its cancellation, a crashError if the engine has
-// crashed since the run began, or else err. A crash raises the crash count of the request's content.
-func (s *Sidecar) endCause(ctx context.Context, request *wire.GenerateRequest, incarnation uint64, err error) error {
+// crashed since the run began, or else err. A crash raises the crash count of the request's content, unless the crash
+// was noticed before the run began: the run was then sent to an engine that was already going down.
+func (s *Sidecar) endCause(ctx context.Context, request *wire.GenerateRequest, incarnation uint64, begun time.Time, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
 	}
@@ -24,6 +26,10 @@
 	if !s.engineCrashed(incarnation) {
 		return err
 	}
+	if s.crashes.noticedBefore(incarnation, begun) {
+		return fmt.Errorf("%w: %w", errEngineDown, err)
+	}
+	s.crashes.notice(incarnation, time.Now())
 	crashes := request.GetKnownCrashes() + 1
 	s.node.Suspects().Raise(request.GetFingerprint(), crashes)
 	s.recordEvent(timeline.SuspectSeen, request, fmt.Sprintf("%d crashes", crashes))
--- a/sidecar/generate.go
+++ b/sidecar/generate.go
@@ -29,6 +29,7 @@
 	errSuperseded = errors.New("superseded by a later attempt of the same request")
 	errMoved      = errors.New("run moves to another target")
 	errPreempted  = errors.New("run gives its slot to another")
+	errEngineDown = errors.New("engine had crashed before the run began")
 )
 
 // run is an attempt of a request that is in progress at this target.
@@ -191,8 +192,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go s.cancelOnStop(ctx, slot, cancel)
-	incarnation := s.loader.View().Incarnation
-	lastTokenAt := time.Now()
+	incarnation, begun := s.loader.View().Incarnation, time.Now()
+	lastTokenAt := begun
 	finished := &wire.Finished{}
 	engineReq := s.engineRequest(request, lease, progress.tokens)
 	err := s.engine.Generate(ctx, engineReq, func(chunk engine.Chunk) error {
@@ -219,7 +220,7 @@
 		s.cancelOnEngine(engineReq.ID)
 	}
 	if err != nil {
-		return nil, s.endCause(ctx, request, incarnation, err)
+		return nil, s.endCause(ctx, request, incarnation, begun, err)
 	}
 	s.node.Meter().Add(request.GetMember(), meter.Use{PromptTokens: uint64(finished.GetPromptTokens()), Requests: 1})
 	if request.GetKnownCrashes() > 0 {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -50,6 +50,8 @@
 	draining atomic.Bool
 	moveRuns chan struct{} // closed when runs in progress must move to other targets
 
+	crashes *crashRecord
+
 	mu   sync.Mutex
 	runs map[string]*run // by request ID
 }
@@ -68,6 +70,7 @@
 			Policy:           queue.Policy(config.Sidecar.QueuePolicy),
 		}),
 		moveRuns: make(chan struct{}),
+		crashes:  &crashRecord{},
 		runs:     map[string]*run{},
 	}
 	s.node.OnStatus(s.fillStatus)
