Plan copies of models by the congestion of the engines

Change: work counts the share of an engine's slots while a request generates, by the measured pace of the model and the caller's estimate of the output. The planner divides each model's work among its holders as the gateways do, and takes the load that lowers the sum of waits most over the next ten seconds, with its time and what it evicts.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -232,6 +232,7 @@
 	log := d.log.WithFields(logrus.Fields{
 		"target": placement.Target.ID, "model": placement.Model, "evict": placement.Evict, "copies": placement.Copies,
 		"work-ms-per-s": int(placement.WorkPerCopyMsPerS), "expected-ms": placement.ETA.Milliseconds(),
+		"gain-ms": int(placement.GainMs),
 	})
 	log.Info("model load begins")
 	err := d.agents.EnsureLoaded(ctx, placement.Target, "", placement.Model, "", placement.Evict)
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -43,8 +43,9 @@
 	choice         Choice
 	request        *request.Request
 	sentAt         time.Time
-	queueWasEmpty  bool // no request was known to wait at the target when this one was sent
-	pendingRemoved bool // no longer among the target's pending requests
+	startedAt      time.Time // when the first byte arrived; zero before
+	queueWasEmpty  bool      // no request was known to wait at the target when this one was sent
+	pendingRemoved bool      // no longer among the target's pending requests
 	ended          bool
 	onEnd          func()
 }
@@ -92,6 +93,7 @@
 		return
 	}
 	a.removePending()
+	a.startedAt = now
 	a.recordFirstByteTime(float64(now.Sub(a.sentAt))/float64(time.Millisecond), now)
 }
 
@@ -123,6 +125,9 @@
 		}
 	}
 	a.recordResult(result, now)
+	if result == Served && !a.startedAt.IsZero() {
+		a.fleet.recordDecoding(a.request, now.Sub(a.startedAt))
+	}
 	return true
 }
 
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -14,8 +14,6 @@
 	// totalDemandLifetime is the age from which the reported demand of all gateways is ignored and an estimate from
 	// this gateway's own demand is used.
 	totalDemandLifetime = 2500 * time.Millisecond
-	// decodeMsPerToken is the engine time for one generated token in a full batch.
-	decodeMsPerToken = 0.1
 	// minWorkMsPerS is the work below which a model counts as having no demand.
 	minWorkMsPerS = 1
 )
@@ -43,7 +41,7 @@
 
 // RecordDemand adds a request to the demand for its model and reports whether no target holds that model. It must be
 // called once for each request. The work of a request is estimated as baseLatencyMs, the prefill of the prompt without
-// its shared parts, and the decoding of half of its limit of tokens.
+// its shared parts, and its share of the engine's slots while it generates the expected tokens.
 func (f *Fleet) RecordDemand(service string, req *request.Request, now time.Time) (missing bool) {
 	if req.Model == "" {
 		return false
@@ -56,7 +54,7 @@
 		d = &decayingWork{updatedAt: now}
 		f.ownDemand[key] = d
 	}
-	workMs := baseLatencyMs + f.prefillMsPerToken(req.Model)*float64(unsharedTokens(req)) + decodeMsPerToken*float64(req.MaxOutputTokens)/2
+	workMs := baseLatencyMs + f.prefillMsPerToken(req.Model)*float64(unsharedTokens(req)) + f.decodeWorkMs(service, req)
 	d.msPerS = d.valueAt(now) + workMs/demandTimeConstant.Seconds()
 	d.updatedAt = now
 	for _, s := range f.byService[service] {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,6 +30,7 @@
 	states              map[string]*targetState     // by target id
 	byService           map[string][]*targetState   // the same states by service
 	measuredMsPerToken  map[string]float64          // prefill time by model, moving average
+	decodePaces         map[string]*decodePace      // by model
 	ownDemand           map[demandKey]*decayingWork // from requests of this gateway
 	totalDemand         map[demandKey]float64       // of all gateways, in ms of engine time per second
 	totalDemandGateways int                         // number of gateways that totalDemand includes
@@ -80,6 +81,7 @@
 		states:             map[string]*targetState{},
 		byService:          map[string][]*targetState{},
 		measuredMsPerToken: map[string]float64{},
+		decodePaces:        map[string]*decodePace{},
 		ownDemand:          map[demandKey]*decayingWork{},
 		storeBlockedUntil:  map[string]time.Time{},
 		plannedStoreLoads:  map[string][]time.Time{},
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -18,15 +18,15 @@
 	ETA               time.Duration // expected time until the target holds the model
 	Copies            int           // number of targets that hold or load the model already
 	WorkPerCopyMsPerS float64       // demand for each of these copies, in ms of engine time per second
+	GainMs            float64       // expected net gain over planHorizon, in ms of engine time
 }
 
-// Work is measured in ms of engine time per second, and so are the costs by which loads are compared.
+// Work is measured in ms of engine time per second, and so is the congestion by which loads are compared.
 const (
-	// maxWorkPerCopyMsPerS is the work for each copy of a model from which it gets a further copy.
-	maxWorkPerCopyMsPerS = 60
-	// minEvictionGain is the factor by which the work for each copy of the model to load must exceed the cost of
-	// evicting another model for its further copy.
-	minEvictionGain = 2
+	// planHorizon is the time over which the gain of a load must exceed its price; demand shifts within that time.
+	planHorizon = 10 * time.Second
+	// minGainMs is the least net gain of a load over planHorizon, in ms of engine time.
+	minGainMs = 200
 	// unloadTime is the usual time until the running requests of an evicted model have ended.
 	unloadTime = 800 * time.Millisecond
 	// unreportedLoadLifetime is how long a planned load counts as in progress while no report confirms it.
@@ -37,29 +37,31 @@
 	// rate allows plus the burst.
 	storeLoadWindow = 3 * time.Second
 	storeLoadBurst  = 2
-	// lastCopyCost is the cost of evicting the only copy of a model in demand; it exceeds any other cost.
-	lastCopyCost = 1e6
-	// idleWorkMsPerS is the work below which a model counts as idle, and idleLastCopyCost the cost of evicting its only
-	// copy: a later request waits about half a second for a load from the disk of the target that held it.
-	idleWorkMsPerS   = 3
-	idleLastCopyCost = 220
-	// costPerLoadSecond is the cost of each second until the model is loaded.
-	costPerLoadSecond = 100
+	// reachableGain is the gain of the first copy of a model in demand, beyond that of its work, as all models must be
+	// reachable. It is also the loss of the only copy of such a model, and idleReachableLoss that of an idle one, whose
+	// work is below idleWorkMsPerS.
+	reachableGain     = 150
+	idleReachableLoss = 40
+	idleWorkMsPerS    = 3
+	// maxModelsCompared and maxTargetsCompared bound the loads that are compared for a plan.
+	maxModelsCompared  = 12
+	maxTargetsCompared = 24
 )
 
 // planState is the input of a planning step: the copies of a service's models and the demand for them.
 type planState struct {
 	engine         *route.Engine
-	targets        []*targetState // by id, without those that drain, are replaced or are in backoff
-	copies         map[string]int // number of targets that hold or load a model
+	targets        []*targetState   // by id, without those that drain, are replaced or are in backoff
+	holders        map[string][]int // indexes in targets of those that hold or load a model
 	workMsPerS     map[string]float64
+	balance        *balance
 	now            time.Time
 	storeExhausted bool // no further load from the weight store may be planned now
 }
 
 // Plan returns the next load by which the held models meet the demand better, and records it as in progress; it returns
-// false if there is none. Only targets whose models this gateway plans are considered. Models without a copy come
-// first, then those with the most work for each copy.
+// false if there is none. Only targets whose models this gateway plans are considered. Of all loads the one with the
+// highest net gain is taken.
 func (f *Fleet) Plan(service string, now time.Time) (Placement, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -67,23 +69,22 @@
 	if p == nil {
 		return Placement{}, false
 	}
+	var best Placement
+	bestGainMs := float64(minGainMs)
 	for _, model := range p.modelsByUrgency() {
-		noCopy := p.copies[model] == 0
-		if !noCopy && p.workPerCopy(model) < maxWorkPerCopyMsPerS {
-			return Placement{}, false
+		if placement, gainMs := p.bestLoad(model); gainMs > bestGainMs {
+			best, bestGainMs = placement, gainMs
 		}
-		placement, ok := p.cheapestLoad(model)
-		if !ok || (!noCopy && placement.Evict != "" && p.workPerCopy(model) < minEvictionGain*p.evictionCost(placement.Evict)) {
-			continue
-		}
-		s := f.states[placement.Target.ID]
-		s.loading, s.loadingSince = model, now
-		if !s.report.HasLocalWeights(model) {
-			f.plannedStoreLoads[service] = append(f.plannedStoreLoads[service], now)
-		}
-		return placement, true
 	}
-	return Placement{}, false
+	if best.Model == "" {
+		return Placement{}, false
+	}
+	s := f.states[best.Target.ID]
+	s.loading, s.loadingSince = best.Model, now
+	if !s.report.HasLocalWeights(best.Model) {
+		f.plannedStoreLoads[service] = append(f.plannedStoreLoads[service], now)
+	}
+	return best, true
 }
 
 // MarkStoreExhausted records that a planned load from the weight store was rejected because of its rate limit. No
@@ -156,7 +157,7 @@
 	if engine == nil {
 		return nil
 	}
-	p := &planState{engine: engine, now: now, copies: map[string]int{}, workMsPerS: f.workByModel(service, now), storeExhausted: now.Before(f.storeBlockedUntil[service]) || f.storeRateExhausted(service, engine, now)}
+	p := &planState{engine: engine, now: now, holders: map[string][]int{}, workMsPerS: f.workByModel(service, now), storeExhausted: now.Before(f.storeBlockedUntil[service]) || f.storeRateExhausted(service, engine, now)}
 	for _, s := range f.byService[service] {
 		if s.drainingOrReplaced() || now.Before(s.backoffUntil) {
 			continue
@@ -165,14 +166,17 @@
 			s.loading = ""
 		}
 		p.targets = append(p.targets, s)
+	}
+	sort.Slice(p.targets, func(i, j int) bool { return p.targets[i].ID < p.targets[j].ID })
+	for i, s := range p.targets {
 		for _, m := range s.held(now) {
-			p.copies[m.Name]++
+			p.holders[m.Name] = append(p.holders[m.Name], i)
 		}
 		if s.loading != "" && !s.holds(s.loading, "", now) {
-			p.copies[s.loading]++
+			p.holders[s.loading] = append(p.holders[s.loading], i)
 		}
 	}
-	sort.Slice(p.targets, func(i, j int) bool { return p.targets[i].ID < p.targets[j].ID })
+	p.balance = newBalance(len(p.targets), p.holders, p.workMsPerS)
 	return p
 }
 
@@ -184,72 +188,110 @@
 	return float64(len(recent)) >= engine.StoreLoadsPerSecond*storeLoadWindow.Seconds()+storeLoadBurst
 }
 
-// workPerCopy returns the work for a model divided by the number of its copies.
-func (p *planState) workPerCopy(model string) float64 {
-	return p.workMsPerS[model] / float64(max(1, p.copies[model]))
-}
-
-// evictionCost returns the cost of evicting one copy of a model: the work that each remaining copy would have, or for
-// the last copy its work plus lastCopyCost, or plus idleLastCopyCost if the model is idle.
-func (p *planState) evictionCost(model string) float64 {
-	switch work := p.workMsPerS[model]; {
-	case p.copies[model] <= 1 && work >= idleWorkMsPerS:
-		return lastCopyCost + work
-	case p.copies[model] <= 1:
-		return idleLastCopyCost + work
-	}
-	return p.workMsPerS[model] / float64(p.copies[model]-1)
-}
-
-// modelsByUrgency returns the models with demand: first those without a copy, then by falling work for each copy.
+// modelsByUrgency returns the models with demand that gain most by a further copy, at most maxModelsCompared: first those
+// without a copy, then by the work that their holders have.
 func (p *planState) modelsByUrgency() []string {
 	models := make([]string, 0, len(p.workMsPerS))
-	for model := range p.workMsPerS {
-		if _, ok := p.engine.Models[model]; ok {
-			models = append(models, model)
+	urgency := make(map[string]float64, len(p.workMsPerS))
+	for model, work := range p.workMsPerS {
+		if _, ok := p.engine.Models[model]; !ok {
+			continue
 		}
-	}
-	urgency := func(model string) float64 {
-		if p.copies[model] == 0 {
-			return lastCopyCost + p.workMsPerS[model]
+		models = append(models, model)
+		urgency[model] = p.holderWork(model)
+		if len(p.holders[model]) == 0 {
+			urgency[model] = maxCongestion*work + reachableGain
 		}
-		return p.workPerCopy(model)
 	}
 	sort.Slice(models, func(i, j int) bool {
-		a, b := urgency(models[i]), urgency(models[j])
+		a, b := urgency[models[i]], urgency[models[j]]
 		return a > b || (a == b && models[i] < models[j])
 	})
-	return models
+	return models[:min(len(models), maxModelsCompared)]
 }
 
-// cheapestLoad returns the load of a model with the lowest cost over all targets; ok is false if no target can begin it
-// now.
-func (p *planState) cheapestLoad(model string) (best Placement, ok bool) {
-	bestCost := math.Inf(1)
-	for _, s := range p.targets {
-		if !s.plannedHere || s.loading != "" || s.report.Busy || s.holds(model, "", p.now) || p.now.Sub(s.reportAt) > reportLifetime {
-			continue
-		}
-		evict, evictCost, fits := p.makeRoom(s, model)
-		if !fits || (p.storeExhausted && !s.report.HasLocalWeights(model)) {
+// holderWork returns the upper bound of the gain of a further copy of a model: the congestion that its own work causes.
+func (p *planState) holderWork(model string) float64 {
+	sum := 0.0
+	for i, other := range p.balance.othersLoad(model) {
+		sum += congestion(p.balance.load[p.holders[model][i]]) - congestion(other)
+	}
+	return sum
+}
+
+// bestLoad returns the load of a model with the highest net gain, in ms of engine time over planHorizon, of all targets
+// that can begin it now; the gain is negative infinity if there is none.
+func (p *planState) bestLoad(model string) (best Placement, bestGainMs float64) {
+	bestGainMs = math.Inf(-1)
+	for _, i := range p.targetsFor(model) {
+		s := p.targets[i]
+		evict, lossMsPerS, fits := p.makeRoom(i, model)
+		if !fits {
 			continue
 		}
 		eta := loadTime(p.engine.Models[model], s)
 		if evict != "" && s.requestsByModel[evict] > 0 {
 			eta += unloadTime
 		}
-		cost := evictCost + eta.Seconds()*costPerLoadSecond
-		if cost < bestCost {
-			bestCost = cost
-			best = Placement{Target: s.Target, Model: model, Evict: evict, ETA: eta, Copies: p.copies[model], WorkPerCopyMsPerS: p.workPerCopy(model)}
+		otherLoad := p.balance.load[i] - p.balance.shareOn(evict, i)
+		gainMs := p.gainOfCopy(model, otherLoad)*(planHorizon-eta).Seconds() - lossMsPerS*planHorizon.Seconds()
+		if gainMs > bestGainMs {
+			bestGainMs = gainMs
+			copies := len(p.holders[model])
+			best = Placement{Target: s.Target, Model: model, Evict: evict, ETA: eta, Copies: copies, WorkPerCopyMsPerS: p.workMsPerS[model] / float64(max(1, copies)), GainMs: gainMs}
+		}
+	}
+	return best, bestGainMs
+}
+
+// targetsFor returns the targets that can begin to load a model now, at most maxTargetsCompared: those that load it
+// fastest, and of these the least loaded.
+func (p *planState) targetsFor(model string) []int {
+	var able []int
+	for i, s := range p.targets {
+		if !s.plannedHere || s.loading != "" || s.report.Busy || s.holds(model, "", p.now) || p.now.Sub(s.reportAt) > reportLifetime {
+			continue
+		}
+		if p.storeExhausted && !s.report.HasLocalWeights(model) {
+			continue
 		}
+		able = append(able, i)
+	}
+	if len(able) <= maxTargetsCompared {
+		return able
+	}
+	cost := func(i int) float64 {
+		return p.balance.load[i]/engineCapacity + loadTime(p.engine.Models[model], p.targets[i]).Seconds()
+	}
+	sort.Slice(able, func(a, b int) bool { return cost(able[a]) < cost(able[b]) })
+	return able[:maxTargetsCompared]
+}
+
+// gainOfCopy returns by how much congestion falls with a copy of a model on a target whose other models give it otherLoad.
+func (p *planState) gainOfCopy(model string, otherLoad float64) float64 {
+	if len(p.holders[model]) > 0 {
+		return p.balance.gainOfCopy(model, otherLoad)
+	}
+	work := p.workMsPerS[model]
+	return maxCongestion*work + reachableGain - (congestion(otherLoad+work) - congestion(otherLoad))
+}
+
+// lossOfCopy returns by how much congestion rises without the copy of a model on a target.
+func (p *planState) lossOfCopy(model string, target int) float64 {
+	work := p.workMsPerS[model]
+	switch {
+	case len(p.holders[model]) > 1:
+		return p.balance.lossOfCopy(model, target)
+	case work >= idleWorkMsPerS:
+		return maxCongestion*work + reachableGain
 	}
-	return best, !math.IsInf(bestCost, 1)
+	return maxCongestion*work + idleReachableLoss
 }
 
 // makeRoom returns the model to evict from a target before another model is loaded, empty if there is enough free
-// memory, and the cost of the eviction; ok is false if no single model that may be evicted frees enough.
-func (p *planState) makeRoom(s *targetState, model string) (evict string, evictCost float64, ok bool) {
+// memory, and the loss by it; ok is false if no single model that may be evicted frees enough.
+func (p *planState) makeRoom(target int, model string) (evict string, lossMsPerS float64, ok bool) {
+	s := p.targets[target]
 	held := s.held(p.now)
 	freeMB := p.engine.WeightMemoryMB
 	for _, m := range held {
@@ -260,17 +302,19 @@
 	if freeMB >= needMB {
 		return "", 0, true
 	}
-	evictCost = math.Inf(1)
+	lossMsPerS = math.Inf(1)
 	for _, m := range held {
 		spec := p.engine.Models[m.Name]
 		if freeMB+spec.WeightMB+spec.AdapterMB*float64(len(m.Adapters)) < needMB || p.now.Sub(s.loadedAt[m.Name]) < minimumStay {
 			continue
 		}
-		if cost := p.evictionCost(m.Name); cost < evictCost {
-			evict, evictCost = m.Name, cost
+		// The target no longer serves what it evicts, which makes its other load lower.
+		loss := p.lossOfCopy(m.Name, target) - (congestion(p.balance.load[target]) - congestion(p.balance.load[target]-p.balance.shareOn(m.Name, target)))
+		if loss < lossMsPerS {
+			evict, lossMsPerS = m.Name, loss
 		}
 	}
-	return evict, evictCost, evict != ""
+	return evict, lossMsPerS, evict != ""
 }
 
 // loadTime returns the time in which a target loads a model from the fastest source that it has.
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumbank/registry"
+	"gypsumbank/request"
 	"gypsumbank/route"
 )
 
@@ -194,3 +195,82 @@
 		t.Errorf("placement %+v, %v, want a load of new", placement, ok)
 	}
 }
+
+// TestLongOutputsOnFewSlotsGetCopies sends requests with short prompts and long outputs to engines with few slots: they
+// are bound by slots, not by prefill, and their model needs further copies.
+func TestLongOutputsOnFewSlotsGetCopies(t *testing.T) {
+	cases := map[string]struct {
+		slots  int
+		copies int
+	}{
+		"24 slots": {slots: 24, copies: 1},
+		"256":      {slots: 256, copies: 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet([]string{"hot", "x1", "x2"}, []string{"x3", "x4", "x5"})
+			engine := *f.services[service].Engine
+			engine.Slots = c.slots
+			f.SetServices(map[string]route.Service{service: {Name: service, Engine: &engine}})
+			now := start
+			for range 100 {
+				now = now.Add(100 * time.Millisecond)
+				f.RecordDemand(service, &request.Request{Model: "hot", PromptTokens: 500, MaxOutputTokens: 700}, now)
+			}
+			for id := range 2 {
+				f.Observe(fmt.Sprint("e", id), newObservation(registry.Report{Born: 1, Models: f.states[fmt.Sprint("e", id)].Models}), now)
+			}
+			planned := 0
+			for {
+				placement, ok := f.Plan(service, now)
+				if !ok {
+					break
+				}
+				if placement.Model != "hot" {
+					t.Errorf("placement %+v, want one of hot", placement)
+				}
+				planned++
+			}
+			if planned != c.copies {
+				t.Errorf("%d further copies are planned, want %d", planned, c.copies)
+			}
+		})
+	}
+}
+
+// TestRareModelTakesNoBusyCopy requests a rare model once while the only engine that could load it has the only copies of
+// busy models: without one of these, more requests would go unserved than the rare model has.
+func TestRareModelTakesNoBusyCopy(t *testing.T) {
+	f := newTestFleet([]string{"hot", "cold", "x1"})
+	now := start
+	for range 30 {
+		now = now.Add(200 * time.Millisecond)
+		for _, model := range []string{"hot", "cold", "x1"} {
+			f.RecordDemand(service, longRequest(model, "s"), now)
+		}
+	}
+	f.RecordDemand(service, shortRequest("new"), now)
+	f.Observe("e0", newObservation(registry.Report{Born: 1, Models: f.states["e0"].Models}), now)
+	if placement, ok := f.Plan(service, now); ok {
+		t.Errorf("placement %+v, want none: all copies are busy", placement)
+	}
+}
+
+// TestFurtherCopyGoesToTheIdleEngine overloads the one copy of a model while one engine serves another busy model and a
+// third is idle.
+func TestFurtherCopyGoesToTheIdleEngine(t *testing.T) {
+	f := newTestFleet([]string{"hot", "x1", "x2"}, []string{"cold", "x3", "x4"}, []string{"x5", "x6", "x7"})
+	now := start
+	for range 200 {
+		now = now.Add(15 * time.Millisecond)
+		f.RecordDemand(service, longRequest("hot", "s"), now)
+		f.RecordDemand(service, longRequest("cold", "s"), now)
+	}
+	for id := range 3 {
+		f.Observe(fmt.Sprint("e", id), newObservation(registry.Report{Born: 1, Models: f.states[fmt.Sprint("e", id)].Models}), now)
+	}
+	placement, ok := f.Plan(service, now)
+	if !ok || placement.Target.ID != "e2" {
+		t.Errorf("placement %+v, %v, want a load on the idle engine e2", placement, ok)
+	}
+}
--- a/request/request.go
+++ b/request/request.go
@@ -45,6 +45,14 @@
 	return r.Model + "/" + r.Adapter
 }
 
+// ExpectedOutputTokens returns the caller's estimate of the generated tokens, or half of the limit if it gave none.
+func (r *Request) ExpectedOutputTokens() int {
+	if r.LengthHint > 0 && r.MaxOutputTokens > 0 {
+		return min(r.LengthHint, r.MaxOutputTokens)
+	}
+	return max(r.LengthHint, r.MaxOutputTokens/2)
+}
+
 // PrefixHashes returns one hash for each part, computed over the weights and the prompt up to and including that part.
 // Two requests with the same hash have the same prompt prefix for the same weights.
 func (r *Request) PrefixHashes() []uint64 {
