Let requests wait at the gateway for room, as long as their callers do

Change: agents tell the number of requests that all gateways have at an engine, at once when it has changed by two. A gateway counts them with its own and sends only if a slot (and a twelfth more, for the time the news takes) and KV cache are free; otherwise the request waits in a list by model: those that can still meet their objective first, then by urgency. It is admitted to the list if its turn is predicted within half of the time for which its caller waits for a first byte, and refused at once if not, with the predicted time as Retry-After, varied by 30%. A refusal by a full engine no longer excludes it. Each wait and its end have a log line.

--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -32,6 +32,10 @@
 	// pendingPrefillRiseMs is a rise of that time which is sent at once, so that gateways do not send several long prompts to
 	// the same target at the same time.
 	pendingPrefillRiseMs = 100
+	// minRequestsChange is the change of the number of requests at the target that is sent at once, so that gateways do not
+	// take the same free slot. The time between two such messages is at least requestsIntervalPerWatcher for each gateway.
+	minRequestsChange          = 2
+	requestsIntervalPerWatcher = 5 * time.Millisecond
 )
 
 // watchers sends the newest state of the target to all gateways that watch it, and the summed demand of all gateways to the
@@ -44,6 +48,7 @@
 	lastState        *wire.TargetState
 	holdingsRevision uint64 // number of changes of the models and weights that the target holds
 	lastSentAt       time.Time
+	loadSentAt       time.Time // of the last message between states, see broadcastLoadChange
 	demandSentAt     time.Time
 	storeReads       storeReads
 	relayRequested   chan struct{} // receives a value when a gateway needs reads of the store and none did before
@@ -104,7 +109,7 @@
 			each.queuePromptParts(heartbeat.GetParts())
 		}
 	}
-	w.broadcastPrefillRise()
+	w.broadcastLoadChange()
 	if heartbeat.GetHasDemand() {
 		w.requestRelay()
 		from.demand = heartbeat.GetDemand()
@@ -120,6 +125,7 @@
 	live := w.live()
 	state.Watchers = uint32(len(live))
 	state.UnreadMs = sumPendingPrefillMs(live)
+	state.Requests = sumRequests(live)
 	if planner := planner(live); planner != nil {
 		state.Planner = planner.node
 	}
@@ -144,21 +150,33 @@
 	w.sendDemandToPlanner()
 }
 
-// broadcastPrefillRise sends the last state again if the pending prefill time at the target has since risen by
-// pendingPrefillRiseMs; the caller holds the lock.
-func (w *watchers) broadcastPrefillRise() {
+// broadcastLoadChange sends the last state again if, since it was sent, the pending prefill time at the target has risen by
+// pendingPrefillRiseMs or the number of requests there has changed by minRequestsChange; the caller holds the lock.
+func (w *watchers) broadcastLoadChange() {
 	if w.lastState == nil {
 		return
 	}
-	pending := sumPendingPrefillMs(w.live())
-	if pending < w.lastState.GetUnreadMs()+pendingPrefillRiseMs {
+	live := w.live()
+	pending, requests := sumPendingPrefillMs(live), sumRequests(live)
+	prefillRose := pending >= w.lastState.GetUnreadMs()+pendingPrefillRiseMs
+	if !prefillRose && !w.requestsChangeDue(requests, len(live)) {
 		return
 	}
 	w.lastState = proto.Clone(w.lastState).(*wire.TargetState)
-	w.lastState.UnreadMs = pending
+	w.lastState.UnreadMs, w.lastState.Requests = pending, requests
+	w.loadSentAt = w.now()
 	w.broadcastLast()
 }
 
+// requestsChangeDue reports whether a new number of requests at the target is to be sent now; the caller holds the lock.
+func (w *watchers) requestsChangeDue(requests uint32, gateways int) bool {
+	change := int(requests) - int(w.lastState.GetRequests())
+	if change > -minRequestsChange && change < minRequestsChange {
+		return false
+	}
+	return w.now().Sub(w.loadSentAt) >= time.Duration(gateways)*requestsIntervalPerWatcher
+}
+
 // broadcastLast sends the last state to all gateways; the caller holds the lock.
 func (w *watchers) broadcastLast() {
 	next := w.newUpdate(w.lastState)
@@ -183,6 +201,19 @@
 	return sum
 }
 
+// sumRequests returns the number of requests that the gateways have at the target.
+func sumRequests(members []*watcher) uint32 {
+	sum := uint32(0)
+	for _, each := range members {
+		for _, use := range each.requests {
+			if use.GetAdapter() == "" {
+				sum += use.GetRequests()
+			}
+		}
+	}
+	return sum
+}
+
 // sendDemandToPlanner sends the summed demand of all gateways to the planner, at most every minDemandInterval; the caller
 // holds the lock.
 func (w *watchers) sendDemandToPlanner() {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"gypsumbank/request"
 	"gypsumbank/retrybudget"
 	"gypsumbank/route"
+	"gypsumbank/waitlist"
 )
 
 // ErrNotLoaded reports that a model or adapter could not be loaded on a target.
@@ -53,13 +54,14 @@
 	sender Sender
 	agents AgentClient
 	budget *retrybudget.Budget
+	waits  *waitlist.List // requests that wait for room at an engine
 	log    *logrus.Entry
 	now    func() time.Time
 }
 
 // New returns a dispatcher that reads the time from now.
 func New(f *fleet.Fleet, sender Sender, agents AgentClient, budget *retrybudget.Budget, log *logrus.Entry, now func() time.Time) *Dispatcher {
-	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, log: log, now: now}
+	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, waits: waitlist.New(), log: log, now: now}
 }
 
 // Dispatch is one request with the state of its attempts.
@@ -72,8 +74,9 @@
 	cancel       context.CancelFunc
 	deadline     time.Time
 	excluded     map[string]bool
-	sendCount    int // attempts that left this process
-	possibleRuns int // of those, attempts that may have run
+	sendCount    int             // attempts that left this process
+	possibleRuns int             // of those, attempts that may have run
+	place        *waitlist.Place // while the request waits for room
 	log          *logrus.Entry
 }
 
@@ -132,6 +135,7 @@
 
 // Run sends the request to one target after another until its outcome is known.
 func (d *Dispatch) Run() Outcome {
+	defer d.leaveWaitlist()
 	connectFailures := 0
 	for {
 		choice, refused := d.chooseTarget()
@@ -166,7 +170,7 @@
 		}
 		now := d.now()
 		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded}, now)
-		remaining := d.deadline.Sub(now)
+		remaining := d.firstByteDeadline().Sub(now)
 		switch {
 		case !ok:
 			return choice, &Refused{Reason: NoTarget, RetryAfter: defaultRetryAfter}
@@ -181,7 +185,14 @@
 				"candidates": choice.Candidates, "report-age-ms": choice.ReportAge.Milliseconds(),
 			}).Info("no target answers in time")
 			return choice, &Refused{Reason: Overload, RetryAfter: choice.Expected / 2}
-		case !choice.LacksAdapter:
+		}
+		if mayBegin, refused := d.waitForTurn(choice, now); refused != nil || !mayBegin {
+			if refused != nil {
+				return choice, refused
+			}
+			continue
+		}
+		if !choice.LacksAdapter {
 			return choice, nil
 		}
 		if err := d.loadAdapter(choice); err != nil {
@@ -196,6 +207,18 @@
 	}
 }
 
+// firstByteDeadline returns until when the caller waits for the answer to begin.
+func (d *Dispatch) firstByteDeadline() time.Time {
+	patience := d.route.StreamPatience()
+	if patience == 0 || d.request.LastEventID != "" {
+		return d.deadline
+	}
+	if by := d.request.Arrived.Add(patience); by.Before(d.deadline) {
+		return by
+	}
+	return d.deadline
+}
+
 // loadAdapter loads the adapter of the request on the chosen target.
 func (d *Dispatch) loadAdapter(choice fleet.Choice) error {
 	ctx, cancel := context.WithTimeout(d.ctx, adapterLoadTimeout)
@@ -315,15 +338,19 @@
 // handleNotRun records why the target did not run the request and retries it up to maxSends.
 func (d *Dispatch) handleNotRun(result reply.NotRun, assignment *fleet.Assignment, log *logrus.Entry) (Outcome, bool) {
 	target := assignment.Target()
-	assignment.End(fleet.Refused, d.now())
 	log.WithFields(logrus.Fields{"misplaced": result.Misdirected, "other": result.OtherTargetID}).Info("target refused")
 	switch {
 	case result.OtherTargetID != "":
+		assignment.End(fleet.Misdirected, d.now())
 		d.fleet.MarkReplaced(target.ID)
 	case result.Misdirected:
+		assignment.End(fleet.Misdirected, d.now())
 		d.fleet.MarkNotHeld(target.ID, d.request.Model, d.request.Adapter)
 	default:
-		d.excluded[target.ID] = true
+		assignment.End(fleet.Refused, d.now())
+		if d.request.Model == "" {
+			d.excluded[target.ID] = true // an engine is asked again once it has room
+		}
 	}
 	if d.sendCount >= maxSends {
 		return d.finalOutcome(Refused{Reason: AllRefused, RetryAfter: defaultRetryAfter}), false
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -81,18 +81,23 @@
 	engineService = "llm"
 )
 
-// newDispatcher returns a dispatcher with two targets for each service. The engines hold model m1 and no adapter.
-func newDispatcher(s *scriptedClient, now func() time.Time) *Dispatcher {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	f := fleet.New("a")
-	f.SetServices(map[string]route.Service{
+// engineServices returns a plain service and one with engines that may hold the models m1 and m2.
+func engineServices() map[string]route.Service {
+	return map[string]route.Service{
 		plainService: {Name: plainService},
 		engineService: {Name: engineService, Engine: &route.Engine{
 			Models:         map[string]route.Model{"m1": {Name: "m1", StoreLoadTime: time.Second}, "m2": {Name: "m2", StoreLoadTime: 100 * time.Millisecond}},
 			WeightMemoryMB: 100, AdapterSlots: 2,
 		}},
-	})
+	}
+}
+
+// newDispatcher returns a dispatcher with two targets for each service. The engines hold model m1 and no adapter.
+func newDispatcher(s *scriptedClient, now func() time.Time) *Dispatcher {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := fleet.New("a")
+	f.SetServices(engineServices())
 	var targets []registry.Target
 	for _, id := range []string{"1", "2"} {
 		targets = append(targets,
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -12,11 +12,12 @@
 
 // The results.
 const (
-	Served    Result = iota // the answer is complete
-	Failed                  // the answer is incomplete, corrupt or a server error
-	Refused                 // the target did not run the request
-	Unreached               // no connection to the target
-	Abandoned               // ended by the caller or by a timeout
+	Served      Result = iota // the answer is complete
+	Failed                    // the answer is incomplete, corrupt or a server error
+	Refused                   // the target did not run the request, as it was full
+	Misdirected               // the target did not run the request, as it does not hold the model or is another one
+	Unreached                 // no connection to the target
+	Abandoned                 // ended by the caller or by a timeout
 )
 
 const (
@@ -32,6 +33,8 @@
 	maxBackoff     = 3 * time.Second
 	// refusalBackoff is how long a target of a plain service is avoided after it refused a request because it was full.
 	refusalBackoff = 30 * time.Millisecond
+	// fullAfterRefusal is how long an engine counts as full after it refused a request for that reason.
+	fullAfterRefusal = 100 * time.Millisecond
 	// minSamplePrefillTokens is the least number of tokens to prefill from which a model's prefill time is measured.
 	minSamplePrefillTokens = 500
 )
@@ -127,6 +130,7 @@
 	a.recordResult(result, now)
 	if result == Served && !a.startedAt.IsZero() {
 		a.fleet.recordDecoding(a.request, now.Sub(a.startedAt))
+		s.residenceMs = movingAverage(s.residenceMs, float64(now.Sub(a.sentAt))/float64(time.Millisecond))
 	}
 	return true
 }
@@ -185,8 +189,10 @@
 	case Refused:
 		if a.request.Model == "" {
 			s.backoffUntil = now.Add(refusalBackoff)
+			break
 		}
-	case Abandoned:
+		s.fullUntil = now.Add(fullAfterRefusal)
+	case Abandoned, Misdirected:
 	}
 }
 
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -78,6 +78,8 @@
 	FetchTokens   int           // tokens whose KV cache is fetched from there instead of prefilled
 	ReportAge     time.Duration // age of the agent's last report, or for a plain service of the last read of the registry; negative without a report
 	Candidates    int           // number of targets that were compared
+	HasRoom       bool          // the target can begin to serve the request at once; always true for a plain service
+	SlotInterval  time.Duration // average time between two free slots of all holders of the model while all slots are taken
 	prefillMs     float64       // expected time to prefill and fetch those tokens
 	baselineMs    float64       // expected time to the first byte at a target of usual speed that need not load the adapter
 }
@@ -147,7 +149,7 @@
 			best, bestCostMs = s, costMs
 		}
 	}
-	return Choice{Target: best.Target, Expected: durationFromMs(max(1, best.latencyMs)), ReportAge: now.Sub(f.registryReadAt), Candidates: len(usable)}
+	return Choice{Target: best.Target, Expected: durationFromMs(max(1, best.latencyMs)), ReportAge: now.Sub(f.registryReadAt), Candidates: len(usable), HasRoom: true}
 }
 
 // chooseHolder returns the target with the lowest cost of those that hold the model.
@@ -168,7 +170,8 @@
 			fetchCostMs = fetchPenaltyMs
 		}
 		queueMs := f.queueMs(s, now)
-		baselineMs := baseLatencyMs + queueMs + prefillMs + runningRequestMs*float64(max(s.inflight, s.report.Running))
+		slotWaitMs := s.slotWaitMs(now)
+		baselineMs := baseLatencyMs + queueMs + slotWaitMs + prefillMs + runningRequestMs*float64(max(s.inflight, s.report.Running))
 		expectedMs := baselineMs * s.performance.slowness(now)
 		lacksAdapter := req.Adapter != "" && !s.holds(req.Model, req.Adapter, now)
 		if lacksAdapter {
@@ -177,7 +180,7 @@
 		if lacksAdapter && (s.report.Busy || s.loading != "" || (s.availableAdapterSlots == 0 && !s.reportAt.IsZero())) {
 			expectedMs += adapterWaitMs
 		}
-		costMs := expectedMs + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + f.capacityCost(s, req) + affinityCost(prefixHashes, s.ID) +
+		costMs := expectedMs + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + f.capacityCost(s, req, now) + affinityCost(prefixHashes, s.ID) +
 			f.mixingCost(req, ranks[s.ID]) + s.unresponsiveCost(now) + fetchCostMs
 		if s.ColdRemaining > 0 {
 			costMs += coldStartCostMs
@@ -186,7 +189,8 @@
 			bestCostMs = costMs
 			best = Choice{
 				Target: s.Target, LacksAdapter: lacksAdapter, Expected: durationFromMs(expectedMs), PrefillTokens: prefillTokens, FetchFrom: fetchFrom, FetchTokens: fetchTokens, Candidates: len(holders),
-				ReportAge: s.reportAge(now), prefillMs: prefillMs, baselineMs: baselineMs,
+				ReportAge: s.reportAge(now), HasRoom: s.hasRoom(req, now), SlotInterval: durationFromMs(s.slotIntervalMs() / float64(len(holders))),
+				prefillMs: prefillMs, baselineMs: baselineMs,
 			}
 		}
 	}
@@ -251,15 +255,13 @@
 	return s.pendingPrefillMs
 }
 
-// capacityCost returns the cost in ms of a target without enough free KV cache or without a free slot for the request,
-// which is expected to generate half of its limit of tokens.
-func (f *Fleet) capacityCost(s *targetState, req *request.Request) float64 {
+// capacityCost returns the cost in ms of a target that is full, as it has refused a request or lacks KV cache.
+func (f *Fleet) capacityCost(s *targetState, req *request.Request, now time.Time) float64 {
 	costMs := 0.0
-	needTokens := req.PromptTokens + req.MaxOutputTokens/2
-	if total := s.report.KVTotal; total > 0 && float64(s.report.KVUsed+needTokens) > preemptionShare*float64(total) {
+	if !s.hasKVCache(req) {
 		costMs += fullCostMs
 	}
-	if max(s.inflight, s.report.Running+s.report.Waiting) >= s.Slots {
+	if now.Before(s.fullUntil) {
 		costMs += fullCostMs
 	}
 	return costMs
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,6 +55,10 @@
 	loadedAt     map[string]time.Time // when a model was last loaded
 
 	inflight          int                      // this gateway's requests at the target
+	reportedInflight  int                      // of these, as last reported to the target's agent
+	othersInflight    int                      // other gateways' requests at the target
+	fullUntil         time.Time                // until when the target counts as full after it refused a request
+	residenceMs       float64                  // time from the send of a request to its end, moving average
 	othersPrefillMs   float64                  // expected prefill time of other gateways' pending requests
 	unsentParts       []PromptPart             // prompt parts sent to the target and not yet reported to its agent
 	pendingPrefillMs  float64                  // expected prefill time of this gateway's pending requests
@@ -184,6 +188,8 @@
 	AvailableAdapterSlots int
 	// QueuedPrefillMs is the expected prefill time of the prompts that all gateways have waiting there.
 	QueuedPrefillMs float64
+	// Requests is the number of requests that all gateways have there.
+	Requests int
 	// Parts holds prompt parts that other gateways have sent there since the last message.
 	Parts []PromptPart
 }
@@ -214,6 +220,7 @@
 	}
 	s.report, s.reportAt, s.watchers, s.plannedHere, s.availableAdapterSlots = report, now, observation.Watchers, observation.PlannedHere, observation.AvailableAdapterSlots
 	s.othersPrefillMs = max(0, observation.QueuedPrefillMs-s.pendingPrefillMs)
+	s.othersInflight = max(0, observation.Requests-s.reportedInflight)
 	if report.KVTotal > 0 {
 		s.promptCache.limitTokens = int(promptCacheShare * float64(report.KVTotal))
 	}
@@ -263,6 +270,7 @@
 		}
 		report := LoadReport{PendingPrefillMs: s.pendingPrefillMs, Parts: s.unsentParts}
 		s.unsentParts = nil
+		s.reportedInflight = s.inflight
 		for a, n := range s.requestsByAdapter {
 			report.Uses = append(report.Uses, ModelUse{Adapter: a, Requests: n})
 		}
--- a/fleet/performance.go
+++ b/fleet/performance.go
@@ -53,7 +53,7 @@
 		p.served++
 	case Failed:
 		p.failed++
-	case Refused, Unreached, Abandoned:
+	case Refused, Misdirected, Unreached, Abandoned:
 	}
 }
 
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -277,7 +277,7 @@
 	}
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
 		Report: report, Host: registry.Host(address), Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), PlannedHere: state.GetPlanner() == a.name,
-		AvailableAdapterSlots: int(state.GetAdapterRoom()), QueuedPrefillMs: float64(state.GetUnreadMs()), Parts: decodeParts(state),
+		AvailableAdapterSlots: int(state.GetAdapterRoom()), QueuedPrefillMs: float64(state.GetUnreadMs()), Requests: int(state.GetRequests()), Parts: decodeParts(state),
 	}, time.Now())
 	if !state.GetHasDemand() {
 		return
--- a/route/table.go
+++ b/route/table.go
@@ -52,6 +52,23 @@
 // Repeatable reports whether a request may be sent again after it may have run.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || (r.Kind == Streaming && r.Resumable) }
 
+const (
+	// Callers abandon a stream whose next event takes longer than minStreamPatience, patiencePerObjective times the latency
+	// objective and patiencePerGap times the longest pause for an answer on time, whichever is longest.
+	minStreamPatience    = 2 * time.Second
+	patiencePerObjective = 4
+	patiencePerGap       = 8
+)
+
+// StreamPatience returns for how long callers wait for the first or the next event of a stream; 0 for other kinds of
+// routes, whose callers wait until their deadline.
+func (r *Route) StreamPatience() time.Duration {
+	if r.Kind != Streaming {
+		return 0
+	}
+	return max(minStreamPatience, patiencePerObjective*r.LatencyObjective, patiencePerGap*r.MaxGap)
+}
+
 // Model is a model that the targets of a service may hold.
 type Model struct {
 	Name           string
--- /dev/null
+++ b/waitlist/list.go
@@ -0,0 +1,97 @@
+package waitlist
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Key identifies the targets that a request waits for: those of a service that hold a model.
+type Key struct{ Service, Model string }
+
+// Rank decides the order of the requests that wait for the same targets.
+type Rank struct {
+	Priority  int       // of the route, 0 is the most urgent
+	Objective time.Time // by when the answer has to begin to have its full value
+}
+
+// before reports whether a request of rank r is served before one of rank other: requests that can still meet their
+// objective come first, of these the more urgent ones, and of equally urgent ones that with the earlier objective.
+func (r Rank) before(other Rank, now time.Time) bool {
+	missed, otherMissed := now.After(r.Objective), now.After(other.Objective)
+	if missed != otherMissed {
+		return otherMissed
+	}
+	if r.Priority != other.Priority {
+		return r.Priority < other.Priority
+	}
+	return r.Objective.Before(other.Objective)
+}
+
+// List holds the waiting requests. Its methods may be called by several goroutines.
+type List struct {
+	mu      sync.Mutex
+	waiting map[Key][]*Place // in order of arrival
+}
+
+// Place is the place of one request in the list, from Join to Leave.
+type Place struct {
+	list *List
+	key  Key
+	rank Rank
+}
+
+// New returns an empty list.
+func New() *List { return &List{waiting: map[Key][]*Place{}} }
+
+// Join adds a request to those that wait for the same targets.
+func (l *List) Join(key Key, rank Rank) *Place {
+	p := &Place{list: l, key: key, rank: rank}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting[key] = append(l.waiting[key], p)
+	return p
+}
+
+// Len returns the number of requests that wait for the targets of key.
+func (l *List) Len(key Key) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting[key])
+}
+
+// Keys returns for which targets requests wait, in no particular order.
+func (l *List) Keys() []Key {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.waiting))
+}
+
+// Ahead returns the number of requests that wait for the same targets and are served before this one.
+func (p *Place) Ahead(now time.Time) int {
+	p.list.mu.Lock()
+	defer p.list.mu.Unlock()
+	ahead, arrivedBefore := 0, true
+	for _, other := range p.list.waiting[p.key] {
+		switch {
+		case other == p:
+			arrivedBefore = false
+		case other.rank.before(p.rank, now) || (arrivedBefore && !p.rank.before(other.rank, now)):
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// Leave removes the request from the list; further calls have no effect.
+func (p *Place) Leave() {
+	p.list.mu.Lock()
+	defer p.list.mu.Unlock()
+	rest := slices.DeleteFunc(p.list.waiting[p.key], func(other *Place) bool { return other == p })
+	if len(rest) == 0 {
+		delete(p.list.waiting, p.key)
+		return
+	}
+	p.list.waiting[p.key] = rest
+}
