Use all holders of a model where there are no long prompts to keep apart

Change: the cost grows with the share of long prompts that the gateway has seen for the service, fully from a fifth; and a target costs up to 40 ms by the share of its slots that are taken. Test: TestShortPromptsUseAllHolders, red without the change.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -56,6 +56,8 @@
 	fetchBaseMs     = 5
 	// fetchPenaltyMs is the cost of a fetch in addition to its time; the prefill time that it saves must cover both.
 	fetchPenaltyMs = 20
+	// fullOccupancyCostMs is the cost of a target all of whose slots are taken, in addition to the wait for one.
+	fullOccupancyCostMs = 40
 	// preemptionShare is the share of a target's KV cache in use above which requests preempt one another.
 	preemptionShare = 0.92
 )
@@ -180,8 +182,8 @@
 		if lacksAdapter && (s.report.Busy || s.loading != "" || (s.availableAdapterSlots == 0 && !s.reportAt.IsZero())) {
 			expectedMs += adapterWaitMs
 		}
-		costMs := expectedMs + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + f.capacityCost(s, req, now) + affinityCost(prefixHashes, s.ID) +
-			f.mixingCost(req, ranks[s.ID]) + s.unresponsiveCost(now) + fetchCostMs
+		costMs := expectedMs + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + f.capacityCost(s, req, now) + s.occupancyCost(now) + affinityCost(prefixHashes, s.ID) +
+			f.mixingCost(s.Service, req, ranks[s.ID]) + s.unresponsiveCost(now) + fetchCostMs
 		if s.ColdRemaining > 0 {
 			costMs += coldStartCostMs
 		}
@@ -217,10 +219,11 @@
 
 // mixingCost returns a cost in ms that keeps long prompts and the streams of short ones on different targets: it
 // favours holders of high rank for long prompts and of low rank for others. An engine interleaves prefill with
-// decoding, so a long prompt causes gaps in the streams of other requests.
-func (f *Fleet) mixingCost(req *request.Request, rank float64) float64 {
-	maxCostMs := mixingCostTokens * f.prefillMsPerToken(req.Model)
-	if req.PromptTokens > longPromptTokens {
+// decoding, so a long prompt causes gaps in the streams of other requests. Where there are few long prompts, the cost is
+// lower, as it would leave the holders of high rank idle.
+func (f *Fleet) mixingCost(service string, req *request.Request, rank float64) float64 {
+	maxCostMs := mixingCostTokens * f.prefillMsPerToken(req.Model) * f.promptMixes[service].separation()
+	if isLongPrompt(req) {
 		return maxCostMs * (1 - rank)
 	}
 	return maxCostMs * rank
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -48,6 +48,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.promptMixes[service] == nil {
+		f.promptMixes[service] = &promptMix{}
+	}
+	f.promptMixes[service].add(req, now)
 	key := demandKey{service, req.Model}
 	d := f.ownDemand[key]
 	if d == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,7 @@
 	byService           map[string][]*targetState   // the same states by service
 	measuredMsPerToken  map[string]float64          // prefill time by model, moving average
 	decodePaces         map[string]*decodePace      // by model
+	promptMixes         map[string]*promptMix       // by service
 	ownDemand           map[demandKey]*decayingWork // from requests of this gateway
 	totalDemand         map[demandKey]float64       // of all gateways, in ms of engine time per second
 	totalDemandGateways int                         // number of gateways that totalDemand includes
@@ -86,6 +87,7 @@
 		byService:          map[string][]*targetState{},
 		measuredMsPerToken: map[string]float64{},
 		decodePaces:        map[string]*decodePace{},
+		promptMixes:        map[string]*promptMix{},
 		ownDemand:          map[demandKey]*decayingWork{},
 		storeBlockedUntil:  map[string]time.Time{},
 		plannedStoreLoads:  map[string][]time.Time{},
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -55,3 +55,9 @@
 	}
 	return float64(excess) * s.slotIntervalMs()
 }
+
+// occupancyCost returns a cost in ms that grows with the share of the target's slots that are taken, so that the holders of
+// a model keep slots free for the next burst.
+func (s *targetState) occupancyCost(now time.Time) float64 {
+	return fullOccupancyCostMs * float64(s.occupied(now)) / float64(max(1, s.Slots))
+}
--- a/fleet/room_test.go
+++ b/fleet/room_test.go
@@ -50,3 +50,32 @@
 		})
 	}
 }
+
+// TestShortPromptsUseAllHolders sends only short prompts with long outputs, as many as three quarters of the holders' slots.
+// Without long prompts there is nothing to keep them apart from, so no holder may be full while others are idle.
+func TestShortPromptsUseAllHolders(t *testing.T) {
+	holdings := make([][]string, 8)
+	for i := range holdings {
+		holdings[i] = []string{"hot"}
+	}
+	f := newTestFleet(holdings...)
+	now := start
+	for range 500 {
+		f.RecordDemand(service, shortRequest("hot"), now)
+	}
+	requests := map[string]int{}
+	for range 8 * 48 {
+		now = now.Add(time.Millisecond)
+		choice, ok := f.Choose(Query{Service: service, Request: shortRequest("hot")}, now)
+		if !ok || !choice.HasRoom {
+			t.Fatalf("choice %+v, %v, want a target with room", choice, ok)
+		}
+		f.Assign(choice, shortRequest("hot"), now).Start(now.Add(30 * time.Millisecond))
+		requests[choice.Target.ID]++
+	}
+	for id := range f.states {
+		if n := requests[id]; n < 30 || n > 64 {
+			t.Errorf("%s has %d requests of a mean of 48", id, n)
+		}
+	}
+}
