Refuse the requests that wait when a gateway stops

Change: once the platform sends no more callers, waiting requests are refused as not run with Retry-After 20 ms; another gateway serves them. Those sent to a target go on. Test: TestStopEndsWaits, both kinds red without the change.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,11 +58,29 @@
 	waits  *waitlist.List // requests that wait for room at an engine
 	log    *logrus.Entry
 	now    func() time.Time
+
+	stopOnce sync.Once
+	stopping chan struct{} // closed by StopWaits
 }
 
 // New returns a dispatcher that reads the time from now.
 func New(f *fleet.Fleet, sender Sender, agents AgentClient, budget *retrybudget.Budget, log *logrus.Entry, now func() time.Time) *Dispatcher {
-	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, waits: waitlist.New(), log: log, now: now}
+	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, waits: waitlist.New(), log: log, now: now, stopping: make(chan struct{})}
+}
+
+// StopWaits refuses the requests that wait for room or for a model, and those that would begin to wait. The process is about
+// to end, and another gateway can serve them at once.
+func (d *Dispatcher) StopWaits() { d.stopOnce.Do(func() { close(d.stopping) }) }
+
+// wait waits for a duration. It returns a refusal if StopWaits has been called; it also returns when the context ends.
+func (d *Dispatch) wait(duration time.Duration) *Refused {
+	select {
+	case <-d.ctx.Done():
+	case <-d.stopping:
+		return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
+	case <-time.After(duration):
+	}
+	return nil
 }
 
 // Dispatch is one request with the state of its attempts.
@@ -93,6 +112,9 @@
 	maxConnectFailures = 4
 	// defaultRetryAfter is the Retry-After for callers when there is no better estimate.
 	defaultRetryAfter = 300 * time.Millisecond
+	// StoppingRetryAfter is the Retry-After of a process that stops. It is short because another gateway can serve the
+	// request at once.
+	StoppingRetryAfter = 20 * time.Millisecond
 	// adapterLoadTimeout bounds the load of an adapter, which usually takes some ms.
 	adapterLoadTimeout = 600 * time.Millisecond
 	// modelLoadTimeout bounds the load of a model, which takes a few seconds once the requests of the evicted model have
@@ -240,11 +262,7 @@
 		}).Info("model will not be held in time")
 		return &Refused{Reason: NoModel, RetryAfter: max(defaultRetryAfter, min(eta, remaining/3))}
 	}
-	select {
-	case <-d.ctx.Done():
-	case <-time.After(modelPollInterval):
-	}
-	return nil
+	return d.wait(modelPollInterval)
 }
 
 // LoadModel loads a model on a target as planned, and records the result in the fleet.
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -56,11 +56,7 @@
 	if ahead == 0 {
 		interval = nextTurnInterval
 	}
-	select {
-	case <-d.ctx.Done():
-	case <-time.After(interval):
-	}
-	return false, nil
+	return false, d.wait(interval)
 }
 
 // logWait logs and counts that the request begins to wait for room.
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -95,3 +95,38 @@
 		t.Errorf("outcome %+v, %v after %s, want a refusal at once", outcome, ok, time.Since(began))
 	}
 }
+
+// TestStopEndsWaits lets one request wait for room and one for a model that is being loaded, and then stops the waits, as a
+// gateway does that has been told to stop. Both must be refused at once as not run, so that their callers go to another.
+func TestStopEndsWaits(t *testing.T) {
+	cases := map[string]string{"for room": "m1", "for a model": "m2"}
+	for name, model := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &scriptedClient{replies: []func() reply.Result{respond(200)}}
+			d := newDispatcher(s, time.Now)
+			fillEngines(d, 75)
+			services := engineServices()
+			engine := *services[engineService].Engine
+			loading := engine.Models["m2"]
+			loading.StoreLoadTime = 5 * time.Second
+			engine.Models["m2"] = loading
+			d.fleet.SetServices(services)
+			r := streamRoute(true)
+			r.Timeout, r.LatencyObjective = 20*time.Second, 8*time.Second
+			dispatch := d.Begin(t.Context(), &request.Request{ID: "r", Model: model, Arrived: time.Now(), PromptTokens: 100, MaxOutputTokens: 100}, r, engineService)
+			defer dispatch.Close()
+			outcome := make(chan Outcome, 1)
+			go func() { outcome <- dispatch.Run() }()
+			time.Sleep(100 * time.Millisecond)
+			d.StopWaits()
+			select {
+			case o := <-outcome:
+				if refused, ok := o.(Refused); !ok || refused.Reason != Stopping {
+					t.Errorf("outcome %#v, want a refusal as stopping", o)
+				}
+			case <-time.After(time.Second):
+				t.Error("the request still waits")
+			}
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,6 +150,7 @@
 	g.log.Info("gateway drains")
 	time.Sleep(deregistrationDelay)
 	g.refusingRequests.Store(true)
+	g.dispatcher.StopWaits()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.config.Gateway.Grace-shutdownMargin))
 	defer cancel()
 	if err := g.conns.drain(ctx); err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -22,8 +22,6 @@
 const (
 	defaultMaxBodyBytes = 4 << 20
 	copyBufferBytes     = 16 << 10
-	// stoppingRetryAfter is short because another gateway can serve the request at once.
-	stoppingRetryAfter = 20 * time.Millisecond
 )
 
 // serve handles one request of a caller.
@@ -38,7 +36,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if g.refusingRequests.Load() {
-		g.refuse(w, r, id, dispatch.Stopping, http.StatusServiceUnavailable, stoppingRetryAfter)
+		g.refuse(w, r, id, dispatch.Stopping, http.StatusServiceUnavailable, dispatch.StoppingRetryAfter)
 		return
 	}
 	table := g.routeTable.Load()
