Use the first list of targets of an agent that has restarted

Cause: an agent numbers the changes of the registry from its start. After a restart its first list has number 1 again; a gateway that had last used list 1 of the process before took it for the same and, as the reads were fresh, did not read the store itself. A target that had left meanwhile stayed in use, and a new one unused, until the next change. Change: what was last used of an agent is forgotten when the connection to it ends. Test: TestReadOfARestartedAgentIsUsed, red without the change.

--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -63,11 +63,14 @@
 	}
 }
 
-// remove drops the reads of an agent.
+// remove drops the reads of an agent. It may have restarted, and then counts its revisions anew.
 func (r *relayedReads) remove(agent string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.reads, agent)
+	if r.lastReturned.agent == agent {
+		r.lastReturned = readKey{}
+	}
 }
 
 // isFresh reports whether an agent has read the store within relayMaxAge, so that the gateway need not.
--- a/gateway/relayed_test.go
+++ b/gateway/relayed_test.go
@@ -50,3 +50,19 @@
 		t.Error("isFresh is true although the targets of the current revision are missing")
 	}
 }
+
+// TestReadOfARestartedAgentIsUsed has the agent restart while a target leaves: the new process counts its revisions from
+// the start, so that its first list has the number of the one that the gateway took from the process before.
+func TestReadOfARestartedAgentIsUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	relay := newRelayedReads()
+	relay.record("a", newStoreReads(1, 0, false), now)
+	if _, _, ok := relay.newTargets(); !ok {
+		t.Fatal("the first list was not returned")
+	}
+	relay.remove("a")
+	relay.record("a", newStoreReads(1, 0, true), now.Add(time.Second))
+	if targets, _, ok := relay.newTargets(); !ok || !targets[0].Draining {
+		t.Errorf("targets %+v, %v; want those that the restarted agent has read", targets, ok)
+	}
+}
