Take no late second copy of an answer for the next one

Cause: requests of callers carry an id that targets echo, but reports, orders, health checks and all calls of jsonclient (the store, the table, engines' control, the list of VMs) don't. A second copy of a report that came after an order was sent counted as its answer: 'holds' for an order that the engine had refused. A copy that came between two calls of jsonclient shifted all further answers on that connection by one: a write could be taken as done by the answer to an earlier read. Change: an order and a health check get a connection of their own; jsonclient's connections refuse the next request, before a byte of it is sent, once bytes have arrived that belong to no answer, and the call goes on a new connection. A copy that arrives after the next request of jsonclient has left still can't be told; the store's answers have no id (docs/questions.md).

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"gypsumbank/quietconn"
 )
 
 const (
@@ -44,16 +46,16 @@
 // New returns an empty pool.
 func New() *Pool { return &Pool{idle: map[string][]*Conn{}} }
 
-// Get returns a pooled connection to address that has been idle for at most maxIdle, or dials a new one. Pooled connections
-// that are not fit for reuse are closed.
+// Get returns a pooled connection to address that has been idle for at most maxIdle, or dials a new one, always if maxIdle is
+// 0. Pooled connections that are not fit for reuse are closed.
 func (p *Pool) Get(ctx context.Context, address string, maxIdle time.Duration) (*Conn, error) {
-	for {
+	for maxIdle > 0 {
 		conn := p.popIdle(address)
 		if conn == nil {
 			break
 		}
 		now := time.Now()
-		if now.Sub(conn.idleSince) <= maxIdle && now.Before(conn.reuseUntil) && conn.isReusable() {
+		if now.Sub(conn.idleSince) <= maxIdle && now.Before(conn.reuseUntil) && quietconn.IsQuiet(conn.Conn) {
 			conn.Reused = true
 			return conn, nil
 		}
@@ -129,22 +131,6 @@
 	return conn
 }
 
-// isReusable reports whether the connection is open and no data has arrived on it since the last response.
-func (c *Conn) isReusable() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	reusable := false
-	err = raw.Read(func(fd uintptr) bool {
-		var peeked [1]byte
-		_, _, recvErr := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = recvErr == unix.EAGAIN
-		return true
-	})
-	return err == nil && reusable
-}
-
 // setTCPUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockoptErr error
--- a/jsonclient/client.go
+++ b/jsonclient/client.go
@@ -5,13 +5,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"gypsumbank/quietconn"
 )
 
 const (
 	defaultTimeout    = 30 * time.Second
+	dialTimeout       = 3 * time.Second
 	maxResponseBytes  = 64 << 20
 	maxErrorTextBytes = 200
 )
@@ -96,14 +100,30 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// newHTTPClient returns an HTTP client whose automatic retries are disabled.
+// maxAttempts allows for one further connection if the first one is not fit for use and nothing has been sent on it.
+const maxAttempts = 2
+
+// newHTTPClient returns an HTTP client that sends a request once.
 func newHTTPClient() *fasthttp.Client {
 	return &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:       maxResponseBytes,
-		NoDefaultUserAgentHeader:  true,
+		Dial:                      dialQuiet,
+		MaxIdemponentCallAttempts: maxAttempts,
+		RetryIfErr: func(_ *fasthttp.Request, _ int, err error) (bool, bool) {
+			return false, errors.Is(err, quietconn.ErrUnsolicited)
+		},
+		MaxResponseBodySize:      maxResponseBytes,
+		NoDefaultUserAgentHeader: true,
+	}
+}
+
+// dialQuiet opens a connection that is not reused once bytes have arrived on it that belong to no answer: answers have no
+// id, so a late second copy of one would count as the answer to the next request.
+func dialQuiet(address string) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+	if err != nil {
+		return nil, err
 	}
+	return quietconn.New(conn), nil
 }
 
 func setBody(request *fasthttp.Request, in any) error {
--- /dev/null
+++ b/jsonclient/late_copy_test.go
@@ -0,0 +1,60 @@
+package jsonclient_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gypsumbank/jsonclient"
+)
+
+// TestLateCopyIsNoAnswerToTheNextRequest calls a server that answers each request with a number and sends a second copy of
+// each answer some time later on the same connection.
+func TestLateCopyIsNoAnswerToTheNextRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(conn)
+		}
+	}()
+	client := jsonclient.New(listener.Addr().String())
+	defer client.Close()
+	for i := range 5 {
+		var got struct {
+			Path string `json:"path"`
+		}
+		path := fmt.Sprintf("/%d", i)
+		if err := client.Do(t.Context(), http.MethodGet, path, nil, &got); err != nil || got.Path != path {
+			t.Errorf("answer to %s: %+v, %v", path, got, err)
+		}
+		time.Sleep(40 * time.Millisecond)
+	}
+}
+
+// answerTwice answers each request on a connection with its path, and again 20 ms later.
+func answerTwice(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body := fmt.Sprintf(`{"path":%q}`, request.URL.Path)
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		_, _ = conn.Write([]byte(answer))
+		time.Sleep(20 * time.Millisecond)
+		_, _ = conn.Write([]byte(answer))
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -42,7 +42,7 @@
 	Body        []byte
 	IDHeader    string        // name of the header in which the target echoes ID
 	ID          string        // id of the request; not checked if empty
-	MaxConnIdle time.Duration // how long a reused connection may have been idle
+	MaxConnIdle time.Duration // how long a reused connection may have been idle; 0 for a connection of its own
 }
 
 // Response is the HTTP response of a target. Its body must be closed.
@@ -84,7 +84,7 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoUsableResponse, err)
 	}
-	body := &responseBody{sender: s, conn: conn, response: response, writeDone: writeDone, stopAbort: stopAbort}
+	body := &responseBody{sender: s, conn: conn, response: response, writeDone: writeDone, stopAbort: stopAbort, keepConn: request.MaxConnIdle > 0}
 	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: body}, nil
 }
 
@@ -139,6 +139,7 @@
 	response  *http.Response
 	writeDone chan error
 	stopAbort func() bool
+	keepConn  bool
 	done      bool
 }
 
@@ -166,7 +167,7 @@
 // release returns the connection to the pool, or closes it if it is not fit for reuse.
 func (b *responseBody) release() {
 	b.done = true
-	if !b.stopAbort() || b.response.Close || !b.requestWritten() {
+	if !b.stopAbort() || !b.keepConn || b.response.Close || !b.requestWritten() {
 		b.conn.Close()
 		return
 	}
