Choose plain targets by their refusals, too

Change: a target costs up to 150 ms by the share of requests that it has lately refused, with a time constant of 2 s and one accepted request credited. Test: TestPlainTargetThatRefusesGetsLess (40 of 40 went on to the refusing target before).

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -38,6 +38,9 @@
 	runningRequestMs = 0.6
 	// failedAnswerCostMs is the cost of a target at an error rate of 1.
 	failedAnswerCostMs = 1500
+	// refusalCostMs is the cost of a plain target that refuses all requests. With many gateways a target's refusals tell more
+	// of its load than the few requests that this gateway has there.
+	refusalCostMs = 150
 	// fullCostMs is the cost of a target without free KV cache, and that of one without free slots.
 	fullCostMs = 1000
 	// unresponsiveCostMs is the cost of a target that may be frozen or unreachable.
@@ -140,7 +143,7 @@
 	bestCostMs := 0.0
 	for _, s := range usable {
 		latencyMs := max(1, s.latencyMs)
-		costMs := latencyMs*(1+2*float64(s.inflight)/float64(max(1, s.Slots))) + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + s.unresponsiveCost(now)
+		costMs := latencyMs*(1+2*float64(s.inflight)/float64(max(1, s.Slots))) + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + s.performance.refusalRate(now)*refusalCostMs + s.unresponsiveCost(now)
 		if s.inflight >= s.Slots {
 			costMs += fullCostMs
 		}
--- a/fleet/performance.go
+++ b/fleet/performance.go
@@ -12,10 +12,14 @@
 	// failureTimeConstant is the same for the error rate. A target that has failed gets few requests that could show
 	// its recovery.
 	failureTimeConstant = 8 * time.Second
+	// refusalTimeConstant is the same for the refusal rate, which follows the load of the target.
+	refusalTimeConstant = 2 * time.Second
 	// priorFirstByteMs and priorServed are the prior of both averages: every target is credited with first bytes on
 	// time worth this many ms of expected time, and with this many complete answers.
 	priorFirstByteMs = 100
 	priorServed      = 5
+	// priorAccepted is the number of requests that every target is credited with having accepted.
+	priorAccepted = 1
 	// maxSlowness limits the weight of a single answer: its time counts as at most this multiple of the expected time.
 	maxSlowness = 8
 )
@@ -24,6 +28,7 @@
 type performance struct {
 	tookMs, baselineMs float64 // decaying sums of the measured and of the expected times to the first byte
 	served, failed     float64 // decaying numbers of answers
+	accepted, refused  float64 // decaying numbers of requests that the target has run and refused
 	decayedAt          time.Time
 }
 
@@ -34,6 +39,8 @@
 	failuresLeft := math.Exp(-float64(age) / float64(failureTimeConstant))
 	p.tookMs, p.baselineMs = p.tookMs*slownessLeft, p.baselineMs*slownessLeft
 	p.served, p.failed = p.served*failuresLeft, p.failed*failuresLeft
+	refusalsLeft := math.Exp(-float64(age) / float64(refusalTimeConstant))
+	p.accepted, p.refused = p.accepted*refusalsLeft, p.refused*refusalsLeft
 	p.decayedAt = now
 }
 
@@ -45,15 +52,20 @@
 	p.baselineMs += baselineMs
 }
 
-// addResult adds the result of a request. Only complete and failed answers count.
+// addResult adds the result of a request. Complete and failed answers count for the error rate, and those and refusals for
+// the refusal rate.
 func (p *performance) addResult(result Result, now time.Time) {
 	p.decay(now)
 	switch result {
 	case Served:
 		p.served++
+		p.accepted++
 	case Failed:
 		p.failed++
-	case Refused, Misdirected, Unreached, Abandoned:
+		p.accepted++
+	case Refused:
+		p.refused++
+	case Misdirected, Unreached, Abandoned:
 	}
 }
 
@@ -69,3 +81,9 @@
 	p.decay(now)
 	return p.failed / (p.failed + p.served + priorServed)
 }
+
+// refusalRate returns the share of requests that the target has lately refused, between 0 and 1.
+func (p performance) refusalRate(now time.Time) float64 {
+	p.decay(now)
+	return p.refused / (p.refused + p.accepted + priorAccepted)
+}
