Read routes and write inventories less often

Reckoned from the code at 180 agents: each waited for a change of the routes and read it again at every version, tried a store that is away twice a second, and wrote its inventory whenever another of its models was the most used for a moment. Change: an agent on which no gateway relies reads the routes each 30 s, and at once when it is asked for a model that they don't list; 3 s between its tries while the store is away; a change of the most used model is recorded if it is used twice as much, and by one request more. Gateways that are connected to two relays wait up to four times as long between tries of their own; they still end their wait once a relay has read the store. Tests: TestRecordIsWrittenForLastingChangesOnly.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,12 +38,12 @@
 	// orderTimeout is short because the engine is on the same VM and an unanswered order is sent again.
 	orderTimeout = 150 * time.Millisecond
 	storeTimeout = 700 * time.Millisecond
-	// routesLongPollWait is how long the store holds a read of the routes open while nothing changes.
-	routesLongPollWait = 20 * time.Second
+	// routesReadInterval is the interval between reads of the routes by an agent on which no gateway relies: what they say of
+	// engines rarely changes. A request for a model that is not listed leads to a read at once.
+	routesReadInterval = 30 * time.Second
 	routesPollInterval = 500 * time.Millisecond
-	// routesChangePause is the pause after a change of the routes while no gateway relies on this agent's reads: what they
-	// say of engines rarely changes, and not every agent should read each change of a series.
-	routesChangePause     = 3 * time.Second
+	// routesRetryInterval is the pause after a failed read by such an agent if it has read the routes before.
+	routesRetryInterval   = 3 * time.Second
 	budgetRetryInterval   = 250 * time.Millisecond
 	budgetMaxAttempts     = 3
 	identifyRetryInterval = 300 * time.Millisecond
@@ -61,6 +61,7 @@
 	loadRequests   chan *occupancy.LoadRequest
 	routingTables  chan *route.Table
 	fencingTokens  chan int64
+	routesNeeded   chan struct{} // holds a value after a request for a model that the routes do not list
 	runID          int64
 
 	// The fields below are used only by the goroutine of controlLoop.
@@ -76,7 +77,7 @@
 	fencingToken    int64
 	unansweredOrder *platform.Order
 	modelsToRestore []inventory.Model  // held by the engine before its current run and not yet restored
-	recordedKey     []string           // inventoryKey of the models last passed to modelInventory
+	recordedModels  []inventory.Model  // last passed to modelInventory
 	averageUse      map[string]float64 // moving average of concurrent requests, by model
 	useAveragedAt   time.Time          // time of the last update of averageUse
 	budgetRetryAt   time.Time          // earliest time of the next attempt to take from loadBudget
@@ -95,6 +96,7 @@
 		loadRequests:   make(chan *occupancy.LoadRequest, loadRequestBuffer),
 		routingTables:  make(chan *route.Table, 1),
 		fencingTokens:  make(chan int64, 1),
+		routesNeeded:   make(chan struct{}, 1),
 		runID:          time.Now().UnixNano(),
 		occupancy:      occupancy.New(),
 		averageUse:     map[string]float64{},
@@ -153,7 +155,7 @@
 		if err != nil {
 			a.log.WithError(err).Debug("routes could not be read from the store")
 			storeVersion = 0
-			if err := pause.For(ctx, routesPollInterval); err != nil {
+			if err := pause.For(ctx, a.routesRetryDelay(routesVersion > 0)); err != nil {
 				return err
 			}
 			continue
@@ -176,44 +178,45 @@
 		case a.routingTables <- table:
 		case <-ctx.Done():
 		}
-		a.pauseAfterRouteChange(ctx)
 	}
 	return ctx.Err()
 }
 
-// pauseAfterRouteChange waits for routesChangePause, but returns at once if a gateway relies on this agent's reads of the
-// store, or as soon as one does.
-func (a *Agent) pauseAfterRouteChange(ctx context.Context) {
-	if a.watchers.isRelay() {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-a.watchers.relayRequested:
-	case <-time.After(routesChangePause):
+// routesRetryDelay returns the time until the routes are read again after a failed read.
+func (a *Agent) routesRetryDelay(known bool) time.Duration {
+	if known && !a.watchers.isRelay() {
+		return routesRetryInterval
 	}
+	return routesPollInterval
 }
 
-// readRoutes returns the routes in force if storeVersion is 0, and otherwise waits for a change after that version of the
-// store. The table is nil if there was none.
+// readRoutes returns the routes in force if storeVersion is 0, and otherwise those after that version of the store: an agent
+// on which gateways rely waits for a change, any other for its next read. The table is nil if there was no change.
 func (a *Agent) readRoutes(ctx context.Context, storeVersion int64) (*route.Table, int64, error) {
+	if storeVersion != 0 && !a.watchers.isRelay() && a.pauseUntilNextRead(ctx) {
+		storeVersion = 0
+	}
 	if storeVersion == 0 {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		return a.store.Routes(callCtx)
 	}
-	wait := routesLongPollWait
-	if a.watchers.isRelay() {
-		wait = relayLongPollWait
-	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout/2)
+	callCtx, cancel := context.WithTimeout(ctx, relayLongPollWait+storeTimeout/2)
 	defer cancel()
-	go func() { // ends a long wait, so that short ones follow, once a gateway relies on this agent's reads
-		select {
-		case <-a.watchers.relayRequested:
-			cancel()
-		case <-callCtx.Done():
-		}
-	}()
-	return a.store.RoutesAfter(callCtx, storeVersion, wait)
+	return a.store.RoutesAfter(callCtx, storeVersion, relayLongPollWait)
+}
+
+// pauseUntilNextRead waits for routesReadInterval, or until a request needs the routes, and reports whether all routes are
+// to be read; it returns false once a gateway relies on this agent's reads, or at the end of ctx.
+func (a *Agent) pauseUntilNextRead(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-a.watchers.relayRequested:
+		return false
+	case <-a.routesNeeded:
+		return true
+	case <-time.After(routesReadInterval):
+		return true
+	}
 }
--- a/agent/restore.go
+++ b/agent/restore.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -19,6 +20,10 @@
 	// minUse is the average of concurrent requests below which a model counts as unused, and the weight of an unused model in
 	// the order of restores.
 	minUse = 0.01
+	// A model has to be used useChangeFactor times as much as the one recorded as the most used, and by minUseChange more, to
+	// be recorded in its place.
+	useChangeFactor = 2
+	minUseChange    = 1
 )
 
 // restoreModels requests the models that a restarted engine held before, as far as their weights are on its disk or in host
@@ -45,29 +50,24 @@
 // holds none, the record is left as it is.
 func (a *Agent) recordModels() {
 	models := a.reportedModels()
-	if a.targetID == "" || len(models) == 0 {
+	if a.targetID == "" || len(models) == 0 || !needsRecord(a.recordedModels, models) {
 		return
 	}
-	key := inventoryKey(models)
-	if slices.Equal(key, a.recordedKey) {
-		return
-	}
-	a.recordedKey = key
+	a.recordedModels = models
 	a.modelInventory.Set(models)
 }
 
-// inventoryKey returns the names of models followed by the name of the one with the highest use: a new record is written
-// only when one of these changes, not for every change of use.
-func inventoryKey(models []inventory.Model) []string {
-	mostUsed := models[0]
-	key := make([]string, 0, len(models)+1)
-	for _, m := range models {
-		key = append(key, m.Name)
-		if m.AvgConcurrency > mostUsed.AvgConcurrency {
-			mostUsed = m
-		}
+// needsRecord reports whether models differ from the recorded ones by a name, or by a most used one whose use is far above
+// that of the one recorded as such: the record decides which model is restored first.
+func needsRecord(recorded, models []inventory.Model) bool {
+	sameName := func(a, b inventory.Model) bool { return a.Name == b.Name }
+	if !slices.EqualFunc(recorded, models, sameName) {
+		return true
 	}
-	return append(key, mostUsed.Name)
+	byUse := func(a, b inventory.Model) int { return cmp.Compare(a.AvgConcurrency, b.AvgConcurrency) }
+	recordedTop, top := slices.MaxFunc(recorded, byUse), slices.MaxFunc(models, byUse)
+	useOfRecorded := models[slices.IndexFunc(models, func(m inventory.Model) bool { return m.Name == recordedTop.Name })].AvgConcurrency
+	return top.AvgConcurrency > useChangeFactor*useOfRecorded+minUseChange
 }
 
 // reportedModels returns the models in the engine's last report with their average use.
--- a/agent/restore_test.go
+++ b/agent/restore_test.go
@@ -28,3 +28,29 @@
 		}
 	}
 }
+
+// TestRecordIsWrittenForLastingChangesOnly checks which changes of the held models and their use lead to a write.
+func TestRecordIsWrittenForLastingChangesOnly(t *testing.T) {
+	models := func(a, b float64) []inventory.Model {
+		return []inventory.Model{{Name: "a", AvgConcurrency: a}, {Name: "b", AvgConcurrency: b}}
+	}
+	cases := map[string]struct {
+		recorded, models []inventory.Model
+		want             bool
+	}{
+		"first record":                       {models: models(0, 0), want: true},
+		"nothing has changed":                {recorded: models(5, 4), models: models(5, 4)},
+		"the most used ones take turns":      {recorded: models(5, 4), models: models(4, 5)},
+		"another one is used much more":      {recorded: models(5, 4), models: models(1, 6), want: true},
+		"little use of models that had none": {recorded: models(0, 0), models: models(0, 0.5)},
+		"use of models that had none":        {recorded: models(0, 0), models: models(0, 3), want: true},
+		"a model has gone":                   {recorded: models(5, 4), models: models(5, 4)[:1], want: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := needsRecord(c.recorded, c.models); got != c.want {
+				t.Errorf("record needed: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/agent/service.go
+++ b/agent/service.go
@@ -49,6 +49,7 @@
 	case err == nil:
 		reply.Outcome = wire.EnsureOutcome_ENSURE_HELD
 	case errors.Is(err, occupancy.ErrUnknownModel):
+		s.agent.requestRoutes()
 		reply.Outcome = wire.EnsureOutcome_ENSURE_UNKNOWN_MODEL
 	case errors.Is(err, occupancy.ErrNoRoom):
 		reply.Outcome = wire.EnsureOutcome_ENSURE_NO_ROOM
@@ -82,3 +83,11 @@
 	}
 	return state
 }
+
+// requestRoutes has the routes read soon.
+func (a *Agent) requestRoutes() {
+	select {
+	case a.routesNeeded <- struct{}{}:
+	default:
+	}
+}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -55,6 +55,7 @@
 	mu          sync.Mutex
 	cancelWatch map[string]context.CancelFunc
 	relayAgents map[string]bool          // addresses of the agents that receive the demand and read the store
+	connected   map[string]bool          // addresses of the agents whose states arrive
 	pushDemand  chan struct{}            // closed and replaced to send the demand now
 	pushUsage   map[string]chan struct{} // by agent address; holds a value if the requests in progress at its target have changed
 	watchers    sync.WaitGroup
@@ -63,7 +64,7 @@
 func newAgentClients(name string, port int, d *dialer.Dialer, f *fleet.Fleet, relay *relayedReads, log *logrus.Entry) *agentClients {
 	return &agentClients{
 		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, log: log,
-		cancelWatch: map[string]context.CancelFunc{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
+		cancelWatch: map[string]context.CancelFunc{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
 	}
 }
 
@@ -120,6 +121,30 @@
 	return relays
 }
 
+// connectedRelays returns the number of agents that read the store for this gateway and whose states arrive.
+func (a *agentClients) connectedRelays() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for address := range a.relayAgents {
+		if a.connected[address] {
+			n++
+		}
+	}
+	return n
+}
+
+// setConnected records whether the states of an agent arrive.
+func (a *agentClients) setConnected(address string, connected bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if connected {
+		a.connected[address] = true
+		return
+	}
+	delete(a.connected, address)
+}
+
 // PushDemand sends the demand of this gateway to the relay agents now instead of with the next heartbeat.
 func (a *agentClients) PushDemand() {
 	a.mu.Lock()
@@ -243,7 +268,9 @@
 		conn.Close()
 		<-heartbeatsDone
 		a.relay.remove(address)
+		a.setConnected(address, false)
 	}()
+	a.setConnected(address, true)
 	var lastHoldings *wire.TargetState // the last state with the lists of what the target holds
 	for {
 		state, err := stream.Recv()
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -33,6 +33,9 @@
 	// maxStoreBackoff bounds the interval, before jitter, between attempts to read a store that does not respond. Together
 	// with a read it stays below the time within which a change must be in force.
 	maxStoreBackoff = 1600 * time.Millisecond
+	// relayedRetryFactor lengthens the interval where many gateways are connected to agents that try to read the store, too,
+	// and tell them once it responds.
+	relayedRetryFactor = 4
 )
 
 // newStoreBackoff returns the backoff between attempts to read a store that does not respond. With many gateways, attempts
@@ -47,6 +50,9 @@
 // waitForRetry waits for maxWait after a failed read. If no agent has read the store recently, it returns early once one
 // has.
 func (g *Gateway) waitForRetry(ctx context.Context, maxWait time.Duration) error {
+	if g.fleet.GatewayCount() > maxGatewaysForFastHeartbeat && g.agents.connectedRelays() >= relayCount {
+		maxWait *= relayedRetryFactor
+	}
 	end := time.Now().Add(maxWait)
 	if g.relay.isFresh(time.Now()) {
 		return pause.For(ctx, maxWait)
