Let an agent wait for the first routes, and gateways retry as before while relays read

Change: an agent without routes waits for a change; the longer retries apply only while no relay has read the store either. Test: TestRoutesPublishedAfterTheStart, red without the change.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,8 @@
 	// engines rarely changes. A request for a model that is not listed leads to a read at once.
 	routesReadInterval = 30 * time.Second
 	routesPollInterval = 500 * time.Millisecond
+	// firstRoutesWait is how long the store holds a read open while there are no routes yet.
+	firstRoutesWait = 10 * time.Second
 	// routesRetryInterval is the pause after a failed read by such an agent if it has read the routes before.
 	routesRetryInterval   = 3 * time.Second
 	budgetRetryInterval   = 250 * time.Millisecond
@@ -151,7 +153,7 @@
 	storeVersion, routesVersion := int64(0), int64(0)
 	for ctx.Err() == nil {
 		started := time.Now()
-		table, newStoreVersion, err := a.readRoutes(ctx, storeVersion)
+		table, newStoreVersion, err := a.readRoutes(ctx, storeVersion, routesVersion > 0)
 		if err != nil {
 			a.log.WithError(err).Debug("routes could not be read from the store")
 			storeVersion = 0
@@ -191,9 +193,10 @@
 }
 
 // readRoutes returns the routes in force if storeVersion is 0, and otherwise those after that version of the store: an agent
-// on which gateways rely waits for a change, any other for its next read. The table is nil if there was no change.
-func (a *Agent) readRoutes(ctx context.Context, storeVersion int64) (*route.Table, int64, error) {
-	if storeVersion != 0 && !a.watchers.isRelay() && a.pauseUntilNextRead(ctx) {
+// that knows no routes yet or on which gateways rely waits for a change, any other for its next read. The table is nil if
+// there was no change.
+func (a *Agent) readRoutes(ctx context.Context, storeVersion int64, known bool) (*route.Table, int64, error) {
+	if storeVersion != 0 && known && !a.watchers.isRelay() && a.pauseUntilNextRead(ctx) {
 		storeVersion = 0
 	}
 	if storeVersion == 0 {
@@ -201,9 +204,13 @@
 		defer cancel()
 		return a.store.Routes(callCtx)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, relayLongPollWait+storeTimeout/2)
+	wait := relayLongPollWait
+	if !known {
+		wait = firstRoutesWait
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout/2)
 	defer cancel()
-	return a.store.RoutesAfter(callCtx, storeVersion, relayLongPollWait)
+	return a.store.RoutesAfter(callCtx, storeVersion, wait)
 }
 
 // pauseUntilNextRead waits for routesReadInterval, or until a request needs the routes, and reports whether all routes are
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -11,6 +11,7 @@
 	"gypsumbank/deployment"
 	"gypsumbank/dialer"
 	"gypsumbank/settings"
+	"gypsumbank/standin/site"
 	"gypsumbank/wire"
 )
 
@@ -80,3 +81,29 @@
 		t.Fatal("Run has not returned 3 s after its context ended")
 	}
 }
+
+// TestRoutesPublishedAfterTheStart starts an agent before any routes are published. It must have them soon after they are:
+// without them it can neither identify its engine nor report on it.
+func TestRoutesPublishedAfterTheStart(t *testing.T) {
+	store := site.NewStore()
+	defer store.Close()
+	config := &settings.Config{
+		Node:  settings.Node{Name: "agent-1"},
+		Agent: settings.Agent{Listen: freeAddress(t), Target: freeAddress(t), Service: "llm"},
+		Store: settings.Store{Address: store.Address()},
+	}
+	agent := New(config, discardLogger())
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = agent.followRoutes(ctx) }()
+	time.Sleep(300 * time.Millisecond)
+	store.Put("op", "config", map[string]any{"version": 3, "routes": []any{}, "services": []any{}, "limits": map[string]any{}})
+	select {
+	case table := <-agent.routingTables:
+		if table.Version() != 3 {
+			t.Errorf("routes of version %d, want 3", table.Version())
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the agent has no routes 3 s after they were published")
+	}
+}
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -50,13 +50,13 @@
 // waitForRetry waits for maxWait after a failed read. If no agent has read the store recently, it returns early once one
 // has.
 func (g *Gateway) waitForRetry(ctx context.Context, maxWait time.Duration) error {
+	if g.relay.isFresh(time.Now()) {
+		return pause.For(ctx, maxWait)
+	}
 	if g.fleet.GatewayCount() > maxGatewaysForFastHeartbeat && g.agents.connectedRelays() >= relayCount {
 		maxWait *= relayedRetryFactor
 	}
 	end := time.Now().Add(maxWait)
-	if g.relay.isFresh(time.Now()) {
-		return pause.For(ctx, maxWait)
-	}
 	for time.Now().Before(end) && !g.relay.isFresh(time.Now()) {
 		if err := pause.For(ctx, relayPollInterval); err != nil {
 			return err
