Send streams where few prompts have waited lately

What waits at the moment of the choice says little of the next second. Change: a target costs a short prompt up to 200 ms by the average prefill work that has waited there over the last two seconds, less where there are few long prompts.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -190,6 +190,9 @@
 		if s.ColdRemaining > 0 {
 			costMs += coldStartCostMs
 		}
+		if !isLongPrompt(req) {
+			costMs += s.backlogCost(now) * f.promptMixes[s.Service].separation()
+		}
 		if i == 0 || costMs < bestCostMs {
 			bestCostMs = costMs
 			best = Choice{
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,6 +63,7 @@
 	othersPrefillMs   float64                  // expected prefill time of other gateways' pending requests
 	unsentParts       []PromptPart             // prompt parts sent to the target and not yet reported to its agent
 	pendingPrefillMs  float64                  // expected prefill time of this gateway's pending requests
+	backlog           backlog                  // prefill work of all gateways that waits at the target
 	pendingCount      int                      // number of pending requests
 	pending           map[*Assignment]struct{} // this gateway's requests without a first byte
 	requestsByModel   map[string]int           // this gateway's requests by model
@@ -223,6 +224,7 @@
 	s.report, s.reportAt, s.watchers, s.plannedHere, s.availableAdapterSlots = report, now, observation.Watchers, observation.PlannedHere, observation.AvailableAdapterSlots
 	s.othersPrefillMs = max(0, observation.QueuedPrefillMs-s.pendingPrefillMs)
 	s.othersInflight = max(0, observation.Requests-s.reportedInflight)
+	s.backlog.set(s.pendingPrefillMs+s.othersPrefillMs, now)
 	if report.KVTotal > 0 {
 		s.promptCache.limitTokens = int(promptCacheShare * float64(report.KVTotal))
 	}
