Log and measure waits for models as those for room

Change: 'waits for model' beside 'waits for room', counted by cause; the difference between a wait that ended in a send and its prediction goes to a histogram.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -72,17 +72,6 @@
 // to end, and another gateway can serve them at once.
 func (d *Dispatcher) StopWaits() { d.stopOnce.Do(func() { close(d.stopping) }) }
 
-// wait waits for a duration. It returns a refusal if StopWaits has been called; it also returns when the context ends.
-func (d *Dispatch) wait(duration time.Duration) *Refused {
-	select {
-	case <-d.ctx.Done():
-	case <-d.stopping:
-		return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
-	case <-time.After(duration):
-	}
-	return nil
-}
-
 // Dispatch is one request with the state of its attempts.
 type Dispatch struct {
 	*Dispatcher
@@ -96,6 +85,7 @@
 	sendCount    int             // attempts that left this process
 	possibleRuns int             // of those, attempts that may have run
 	place        *waitlist.Place // while the request waits for room
+	wait         wait            // in progress; zero if there is none
 	log          *logrus.Entry
 }
 
@@ -208,12 +198,14 @@
 			}).Info("no target answers in time")
 			return choice, &Refused{Reason: Overload, RetryAfter: choice.Expected / 2}
 		}
-		if mayBegin, refused := d.waitForTurn(choice, now); refused != nil || !mayBegin {
-			if refused != nil {
-				return choice, refused
-			}
+		mayBegin, refused := d.waitForTurn(choice, now)
+		if refused != nil {
+			return choice, refused
+		}
+		if !mayBegin {
 			continue
 		}
+		d.endWait()
 		if !choice.LacksAdapter {
 			return choice, nil
 		}
@@ -262,7 +254,10 @@
 		}).Info("model will not be held in time")
 		return &Refused{Reason: NoModel, RetryAfter: max(defaultRetryAfter, min(eta, remaining/3))}
 	}
-	return d.wait(modelPollInterval)
+	if d.wait.began.IsZero() {
+		d.beginWait("model", eta, remaining)
+	}
+	return d.pauseWait(modelPollInterval)
 }
 
 // LoadModel loads a model on a target as planned, and records the result in the fleet.
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -42,7 +42,7 @@
 	predicted := choice.Expected + time.Duration(ahead)*choice.SlotInterval
 	remaining := d.firstByteDeadline().Sub(now)
 	if joins {
-		d.logWait(choice, ahead, predicted, remaining)
+		d.beginWait("room", predicted, remaining)
 		remaining = time.Duration(maxPredictedShare * float64(remaining))
 	}
 	if predicted+minResponseTime > remaining {
@@ -56,16 +56,47 @@
 	if ahead == 0 {
 		interval = nextTurnInterval
 	}
-	return false, d.wait(interval)
+	return false, d.pauseWait(interval)
 }
 
-// logWait logs and counts that the request begins to wait for room.
-func (d *Dispatch) logWait(choice fleet.Choice, ahead int, predicted, remaining time.Duration) {
-	metrics.GetOrCreateCounter("gypsumbank_gateway_waits_total").Inc()
+// wait is a wait for room or for a model.
+type wait struct {
+	cause     string // room or model
+	began     time.Time
+	predicted time.Duration
+}
+
+// beginWait logs and counts that the request begins to wait, and for how long it is expected to and its caller allows it.
+func (d *Dispatch) beginWait(cause string, predicted, remaining time.Duration) {
+	d.endWait()
+	d.wait = wait{cause: cause, began: d.now(), predicted: predicted}
+	metrics.GetOrCreateCounter(`gypsumbank_gateway_waits_total{cause="` + cause + `"}`).Inc()
 	d.log.WithFields(logrus.Fields{
-		"model": d.request.Model, "target": choice.Target.ID, "ahead": ahead, "expected-ms": predicted.Milliseconds(), "left-ms": remaining.Milliseconds(),
-		"candidates": choice.Candidates, "report-age-ms": choice.ReportAge.Milliseconds(),
-	}).Info("waits for room")
+		"model": d.request.Model, "expected-ms": predicted.Milliseconds(), "left-ms": remaining.Milliseconds(),
+		"waiting": d.waits.Len(waitlist.Key{Service: d.service, Model: d.request.Model}),
+	}).Info("waits for " + cause)
+}
+
+// endWait records how far the prediction of a wait that has ended was off, if there was one.
+func (d *Dispatch) endWait() {
+	if d.wait.began.IsZero() {
+		return
+	}
+	off := d.now().Sub(d.wait.began) - d.wait.predicted
+	metrics.GetOrCreateHistogram(`gypsumbank_gateway_wait_error_seconds{cause="` + d.wait.cause + `"}`).Update(off.Abs().Seconds())
+	d.wait = wait{}
+}
+
+// pauseWait pauses a wait for a duration. It returns a refusal if StopWaits has been called; it also returns when the context
+// ends.
+func (d *Dispatch) pauseWait(duration time.Duration) *Refused {
+	select {
+	case <-d.ctx.Done():
+	case <-d.stopping:
+		return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
+	case <-time.After(duration):
+	}
+	return nil
 }
 
 // leaveWaitlist ends the wait for room, if there is one.
