Do not end a resumed stream with the error of its second target

Change: an answer other than a success to a resumed stream aborts the caller's connection and counts as a failure of the target.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -181,10 +181,15 @@
 	})
 }
 
-// forward copies a response to the caller. If a resumable stream breaks, it resumes it on another target and returns the
+// forward copies a response to the caller. An error of the target that was to resume a stream is not part of the stream:
+// forward then aborts the connection, so that the stream does not look complete. If a resumable stream breaks, it resumes it on another target and returns the
 // outcome of that and true.
 func (e *exchange) forward(answered dispatch.Answered) (dispatch.Outcome, bool) {
 	defer answered.Response.Body.Close()
+	if e.headWritten && answered.Response.Status >= http.StatusMultipleChoices {
+		answered.Assignment.End(fleet.Failed, time.Now())
+		e.refuseOrAbort(answered.Response.Status, dispatch.StreamBroken, 0)
+	}
 	e.writeHead(answered)
 	events := &eventBuffer{lastID: e.request.LastEventID}
 	err := e.copyBody(answered, events)
