--- a/soak_test.go
+++ b/soak_test.go
@@ -49,7 +49,7 @@
 	seeds := map[string]uint64{
 		"first": 1, "second": 2,
 		"hangup in a drain": 30007, "hangup in a second drain": 30001, // SIGHUP terminated a gateway while it drained
-		"second stop": 40012, // a second SIGTERM terminated an agent that had stopped but not yet exited; see KNOWN-RED.txt
+		"second stop": 40012, // a second SIGTERM terminated an agent that had stopped but not yet exited
 	}
 	if os.Getenv(soakSeedVariable) != "" {
 		seeds = map[string]uint64{"given": envUint(t, soakSeedVariable, 1)}
