Remove a method that only a test used, and name the planner's bound by what it is

waitlist.List.Keys served one test, which now asks for the length of the list it means; holderWork returned congestion, so it is ownCongestion. No change of behaviour. go test -race ./waitlist ./dispatch ./fleet: green.

--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -198,7 +198,7 @@
 			continue
 		}
 		models = append(models, model)
-		urgency[model] = p.holderWork(model)
+		urgency[model] = p.ownCongestion(model)
 		if len(p.holders[model]) == 0 {
 			urgency[model] = maxCongestion*work + reachableGain
 		}
@@ -210,8 +210,8 @@
 	return models[:min(len(models), maxModelsCompared)]
 }
 
-// holderWork returns the upper bound of the gain of a further copy of a model: the congestion that its own work causes.
-func (p *planState) holderWork(model string) float64 {
+// ownCongestion returns the upper bound of the gain of a further copy of a model: the congestion that its own work causes.
+func (p *planState) ownCongestion(model string) float64 {
 	sum := 0.0
 	for i, other := range p.balance.othersLoad(model) {
 		sum += congestion(p.balance.load[p.holders[model][i]]) - congestion(other)
--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -1,7 +1,6 @@
 package waitlist
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -61,13 +60,6 @@
 	return len(l.waiting[key])
 }
 
-// Keys returns for which targets requests wait, in no particular order.
-func (l *List) Keys() []Key {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Collect(maps.Keys(l.waiting))
-}
-
 // Ahead returns the number of requests that wait for the same targets and are served before this one.
 func (p *Place) Ahead(now time.Time) int {
 	p.list.mu.Lock()
