Log what tells why an answer broke off

'answer broken off' now has parts, body-bytes and since-first-byte-ms, 'answer lost' has model and parts, and gypsumbank_gateway_answers_broken_total counts them. TestEachDecisionIsLogged covers the new line. No behaviour changes.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -303,7 +303,7 @@
 	}
 	assignment.End(fleet.Failed, d.now())
 	d.excluded[assignment.Target().ID] = true
-	log.WithError(result.Err).Info("answer lost")
+	log.WithError(result.Err).WithFields(logrus.Fields{"model": d.request.Model, "parts": d.request.SharedPartIDs()}).Info("answer lost")
 	if d.canRetry() {
 		return nil, true
 	}
--- a/gateway/decision_log_test.go
+++ b/gateway/decision_log_test.go
@@ -17,7 +17,8 @@
 	wantFields := map[string][]string{
 		"answer begins":                  {"target", "expected-ms", "took-ms", "waited-ms", "report-age-ms", "candidates", "send", "status", "kind", "service"},
 		"answer ends":                    {"target", "status", "whole", "took-ms", "route", "priority"},
-		"answer lost":                    {"target", "expected-ms", "report-age-ms", "send", "error"},
+		"answer lost":                    {"target", "expected-ms", "report-age-ms", "send", "error", "model", "parts"},
+		"answer broken off":              {"target", "last-event", "body-bytes", "since-first-byte-ms", "parts", "error"},
 		"target refused":                 {"target", "misplaced", "report-age-ms", "candidates", "send"},
 		"not served":                     {"reason", "status", "retry-after-ms", "begun", "route", "took-ms"},
 		"refused":                        {"reason", "status", "host", "uri"},
@@ -30,17 +31,19 @@
 		request      string
 		script       site.Handler
 		disconnect   bool
+		incomplete   bool // the caller gets a part of the response
 		wantMessages []string
 	}{
-		"served":              {getRequest("/safe/a"), nil, false, []string{"answer begins", "answer ends"}},
-		"streamed":            {getRequest("/stream/a", m1Header), nil, false, []string{"answer begins", "answer ends"}},
-		"no such route":       {getRequest("/nothing/a"), nil, false, []string{"refused"}},
-		"body too large":      {postRequest(strings.Repeat("z", 1<<20+1)), nil, false, []string{"refused"}},
-		"model not listed":    {getRequest("/stream/a", "X-Gypsumbank-Model: none"), nil, false, []string{"model will not be held in time", "not served"}},
-		"target error":        {getRequest("/safe/a"), site.TextResponse(500, "broken"), false, []string{"target failed, sending again", "not served"}},
-		"response lost":       {postRequest("sale"), site.RawResponse(false, func(net.Conn, string) {}), false, []string{"answer lost", "not served"}},
-		"no response in time": {postRequest("sale"), site.NoResponse(5 * time.Second), false, []string{"target had not answered", "not served"}},
-		"caller disconnects":  {getRequest("/safe/a"), site.NoResponse(5 * time.Second), true, []string{"target had not answered", "caller left"}},
+		"served":              {getRequest("/safe/a"), nil, false, false, []string{"answer begins", "answer ends"}},
+		"streamed":            {getRequest("/stream/a", m1Header), nil, false, false, []string{"answer begins", "answer ends"}},
+		"no such route":       {getRequest("/nothing/a"), nil, false, false, []string{"refused"}},
+		"body too large":      {postRequest(strings.Repeat("z", 1<<20+1)), nil, false, false, []string{"refused"}},
+		"model not listed":    {getRequest("/stream/a", "X-Gypsumbank-Model: none"), nil, false, false, []string{"model will not be held in time", "not served"}},
+		"target error":        {getRequest("/safe/a"), site.TextResponse(500, "broken"), false, false, []string{"target failed, sending again", "not served"}},
+		"response lost":       {postRequest("sale"), site.RawResponse(false, func(net.Conn, string) {}), false, false, []string{"answer lost", "not served"}},
+		"stream broken":       {getRequest("/safe/a"), site.EventStream(3, 0, 1), false, true, []string{"answer begins", "answer ends", "answer broken off"}},
+		"no response in time": {postRequest("sale"), site.NoResponse(5 * time.Second), false, false, []string{"target had not answered", "not served"}},
+		"caller disconnects":  {getRequest("/safe/a"), site.NoResponse(5 * time.Second), true, false, []string{"target had not answered", "caller left"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -56,8 +59,8 @@
 				time.Sleep(150 * time.Millisecond)
 				conn.Close()
 				time.Sleep(500 * time.Millisecond)
-			} else if _, _, err := d.roundTrip(test.request); err != nil {
-				t.Fatal(err)
+			} else if _, _, err := d.roundTrip(test.request); (err != nil) != test.incomplete {
+				t.Fatalf("error %v, want an incomplete response: %v", err, test.incomplete)
 			}
 			time.Sleep(50 * time.Millisecond)
 			var messages []string
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -121,7 +121,9 @@
 	callerCtx   context.Context // ends when the caller disconnects
 	headWritten bool            // the status and header of the response have been written
 
-	longestGap time.Duration // longest wait for a chunk of the response body
+	longestGap  time.Duration // longest wait for a chunk of the response body
+	bodyBytes   int           // bytes of response bodies received
+	firstByteAt time.Time     // when the first of these arrived; zero before
 }
 
 // run dispatches the request and writes its response. It panics with http.ErrAbortHandler, which closes the connection, if
@@ -214,7 +216,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	answered.Assignment.End(fleet.Failed, time.Now())
-	e.log().WithError(err).WithFields(logrus.Fields{"target": answered.Assignment.Target().ID, "last-event": events.lastID}).Info("answer broken off")
+	e.logBrokenAnswer(answered.Assignment.Target().ID, events.lastID, err)
 	if e.route.Kind != route.Streaming || !e.route.Resumable {
 		e.countOutcome(string(dispatch.StreamBroken))
 		panic(http.ErrAbortHandler)
@@ -252,6 +254,7 @@
 		now := time.Now()
 		e.longestGap = max(e.longestGap, now.Sub(lastRead))
 		lastRead = now
+		e.recordBodyBytes(n, now)
 		chunk := buffer[:n]
 		if wholeEventsOnly {
 			complete, tooLong := events.addChunk(chunk)
@@ -281,3 +284,24 @@
 		}
 	}
 }
+
+// recordBodyBytes records that n bytes of a response body have arrived.
+func (e *exchange) recordBodyBytes(n int, now time.Time) {
+	if n > 0 && e.firstByteAt.IsZero() {
+		e.firstByteAt = now
+	}
+	e.bodyBytes += n
+}
+
+// logBrokenAnswer logs and counts a response that its target has not completed: how much of it had arrived, since when, and
+// the prompt parts of the request, which tell whether the requests that targets crash under have one in common.
+func (e *exchange) logBrokenAnswer(targetID, lastEventID string, err error) {
+	sinceFirstByteMs := int64(-1)
+	if !e.firstByteAt.IsZero() {
+		sinceFirstByteMs = time.Since(e.firstByteAt).Milliseconds()
+	}
+	metrics.GetOrCreateCounter(`gypsumbank_gateway_answers_broken_total{begun="` + strconv.FormatBool(e.bodyBytes > 0) + `"}`).Inc()
+	e.log().WithError(err).WithFields(logrus.Fields{
+		"target": targetID, "last-event": lastEventID, "body-bytes": e.bodyBytes, "since-first-byte-ms": sinceFirstByteMs, "parts": e.request.SharedPartIDs(),
+	}).Info("answer broken off")
+}
--- a/request/request.go
+++ b/request/request.go
@@ -76,3 +76,15 @@
 	_, _ = hash.Write(r.Body)
 	return hash.Sum64()
 }
+
+// SharedPartIDs returns the ids of the prompt parts that other requests may have in common with this one: all but the last.
+func (r *Request) SharedPartIDs() []string {
+	if len(r.Parts) == 0 {
+		return nil
+	}
+	ids := make([]string, 0, len(r.Parts)-1)
+	for _, part := range r.Parts[:len(r.Parts)-1] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
