--- /dev/null
+++ b/gateway/crashing_part_test.go
@@ -0,0 +1,283 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/agent"
+	"gypsumbank/gateway"
+	"gypsumbank/settings"
+	"gypsumbank/standin/site"
+)
+
+const (
+	crashEngines  = 8
+	crashGateways = 3
+	crashDowntime = 700 * time.Millisecond
+	// crashesKnown is the crash from which on processes have crashReaction to stop requests like those that caused it, up to
+	// crashSendsAllowed of which may reach an engine later.
+	crashesKnown      = 5
+	crashReaction     = 3 * time.Second
+	crashSendsAllowed = 3
+)
+
+// crashDeployment is a store, engines with their agents, and gateways. Engines crash under requests with the prompt part
+// "bad", which have nothing else in common.
+type crashDeployment struct {
+	t         *testing.T
+	store     *site.Store
+	agentPort int
+	log       *logrus.Entry
+
+	mu        sync.Mutex
+	crashes   []time.Time // of engines
+	badSends  []time.Time // arrivals of requests with the bad part at engines
+	gateways  []string    // addresses
+	stops     []func()    // by gateway
+	requestNo int
+	sound     []soundResult
+}
+
+// soundResult is the outcome of a request without the bad part.
+type soundResult struct {
+	at     time.Time
+	served bool
+}
+
+func newCrashDeployment(t *testing.T) *crashDeployment {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	_, port, _ := net.SplitHostPort(freeAddress(t))
+	agentPort, _ := strconv.Atoi(port)
+	d := &crashDeployment{t: t, store: site.NewStore(), agentPort: agentPort, log: log.WithField("test", t.Name())}
+	t.Cleanup(d.store.Close)
+	d.store.Put("op", "config", routesDocument(1, 2000))
+	for i := range crashEngines {
+		d.startEngine(i)
+	}
+	for i := range crashGateways {
+		d.startGateway(i)
+	}
+	return d
+}
+
+// startEngine starts an engine at a loopback address of its own, with its agent.
+func (d *crashDeployment) startEngine(i int) {
+	host := fmt.Sprintf("127.0.0.%d", 40+i)
+	id := fmt.Sprintf("e%d", i)
+	stream := site.EventStream(4, 5*time.Millisecond, 0)
+	var engine *site.Target
+	register := func() {
+		engine.Load("m1")
+		d.store.Put("servers", id, engine.RegistryEntry("engine", "ready"))
+	}
+	ready := make(chan struct{})
+	engine = site.NewTargetAt(host+":0", id, func(conn net.Conn, request *site.ReceivedRequest) bool {
+		<-ready
+		if !strings.Contains(request.Header.Get("X-Gypsumbank-Prompt-Prefix"), "bad") {
+			return stream(conn, request)
+		}
+		d.recordCrash()
+		time.Sleep(10 * time.Millisecond)
+		engine.Crash(crashDowntime, register)
+		return false
+	})
+	close(ready)
+	register()
+	config := &settings.Config{
+		Node:   settings.Node{Name: "agent-" + id, AvailabilityZone: "zone-a"},
+		Agent:  settings.Agent{Listen: net.JoinHostPort(host, strconv.Itoa(d.agentPort)), Target: engine.Address(), Service: "engine"},
+		Store:  settings.Store{Address: d.store.Address()},
+		Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
+	}
+	d.run(agent.New(config, d.log).Run)
+	d.t.Cleanup(engine.Close)
+}
+
+// run runs a process until the returned function is called, at the latest at the end of the test.
+func (d *crashDeployment) run(process func(context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := process(ctx); err != nil {
+			d.t.Error(err)
+		}
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	d.t.Cleanup(stop)
+	return stop
+}
+
+// startGateway starts gateway i, or restarts it with an empty memory, and waits until it is ready.
+func (d *crashDeployment) startGateway(i int) {
+	ready := freeAddress(d.t)
+	config := &settings.Config{
+		Node:    settings.Node{Name: fmt.Sprintf("gateway-%d", i), AvailabilityZone: "zone-a"},
+		Gateway: settings.Gateway{Listen: freeAddress(d.t), Ready: ready, AgentPort: d.agentPort, Grace: time.Second},
+		Store:   settings.Store{Address: d.store.Address()},
+		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
+	}
+	stop := d.run(gateway.New(config, d.log).Run)
+	for range 300 {
+		if response, err := http.Get("http://" + ready + "/-/readyz"); err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if i < len(d.gateways) {
+		d.gateways[i], d.stops[i] = config.Gateway.Listen, stop
+		return
+	}
+	d.gateways, d.stops = append(d.gateways, config.Gateway.Listen), append(d.stops, stop)
+}
+
+func (d *crashDeployment) recordCrash() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crashes, d.badSends = append(d.crashes, time.Now()), append(d.badSends, time.Now())
+}
+
+// known returns when the gateways had seen crashesKnown crashes; the time is zero before that.
+func (d *crashDeployment) known() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.crashes) < crashesKnown {
+		return time.Time{}
+	}
+	return d.crashes[crashesKnown-1]
+}
+
+// request sends a request with the given middle part through the next gateway and reports whether it got a whole answer.
+func (d *crashDeployment) request(middle string) bool {
+	d.mu.Lock()
+	d.requestNo++
+	n := d.requestNo
+	address := d.gateways[n%len(d.gateways)]
+	d.mu.Unlock()
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	_, _ = fmt.Fprintf(conn, "GET /stream/%d HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nX-Gypsumbank-Request-Id: c%d\r\n%s\r\nX-Gypsumbank-Prompt-Prefix: sys:200,%s:100,own%d:50\r\n\r\n",
+		n, callerHost, n, m1Header, middle, n)
+	answer, err := io.ReadAll(conn)
+	return err == nil && strings.HasPrefix(string(answer), "HTTP/1.1 200") && strings.HasSuffix(string(answer), "0\r\n\r\n")
+}
+
+// sendEvery sends requests at an interval until ctx ends, each in a goroutine of its own, and waits for them.
+func sendEvery(ctx context.Context, interval time.Duration, send func(n int)) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for n := 0; ctx.Err() == nil; n++ {
+		group.Go(func() { send(n) })
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
+
+// TestRequestsWithAPromptPartThatCrashesEnginesAreRefused guards against requests that end one engine after the other, since
+// nothing remembers under which prompt part engines have ended. Requests with the bad part come at all gateways, beside sound
+// ones with the same first part.
+func TestRequestsWithAPromptPartThatCrashesEnginesAreRefused(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(d *crashDeployment){
+		"all processes run on":      func(*crashDeployment) {},
+		"the store is away":         func(d *crashDeployment) { d.store.SetFault(site.Down) },
+		"a gateway is replaced":     func(d *crashDeployment) { d.replaceGateways(1) },
+		"all gateways are replaced": func(d *crashDeployment) { d.replaceGateways(crashGateways) },
+	}
+	for name, disturb := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newCrashDeployment(t)
+			time.Sleep(1200 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 14*time.Second)
+			defer cancel()
+			var traffic sync.WaitGroup
+			traffic.Go(func() {
+				sendEvery(ctx, 40*time.Millisecond, func(n int) {
+					at, served := time.Now(), d.request(fmt.Sprintf("doc%d", n%5))
+					d.mu.Lock()
+					defer d.mu.Unlock()
+					d.sound = append(d.sound, soundResult{at, served})
+				})
+			})
+			time.Sleep(time.Second)
+			traffic.Go(func() { sendEvery(ctx, 170*time.Millisecond, func(int) { d.request("bad") }) })
+			for ctx.Err() == nil && d.known().IsZero() {
+				time.Sleep(20 * time.Millisecond)
+			}
+			time.Sleep(crashReaction / 2)
+			disturb(d)
+			traffic.Wait()
+			d.check()
+		})
+	}
+}
+
+// replaceGateways stops the first n gateways and starts others in their place.
+func (d *crashDeployment) replaceGateways(n int) {
+	for i := range n {
+		d.mu.Lock()
+		stop := d.stops[i]
+		d.mu.Unlock()
+		stop()
+		d.startGateway(i)
+	}
+}
+
+// check reports requests with the bad part that reached engines too late, and sound ones that were no longer served.
+func (d *crashDeployment) check() {
+	d.t.Helper()
+	known := d.known()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known.IsZero() {
+		d.t.Logf("only %d engines crashed", len(d.crashes))
+		known = d.crashes[len(d.crashes)-1]
+	}
+	late := 0
+	for _, at := range d.badSends {
+		if at.Sub(known) > crashReaction {
+			late++
+		}
+	}
+	if late > crashSendsAllowed {
+		d.t.Errorf("%d requests with the bad part reached engines later than %s after crash %d, of %d in all; %d are allowed", late, crashReaction, crashesKnown, len(d.badSends), crashSendsAllowed)
+	}
+	total, served := 0, 0
+	for _, result := range d.sound {
+		if result.at.Sub(known) > 2*crashReaction {
+			total++
+			if result.served {
+				served++
+			}
+		}
+	}
+	if total < 20 || served*10 < total*9 {
+		d.t.Errorf("%d of %d sound requests with the same first part were served from %s after the crashes, want nine in ten of at least 20", served, total, 2*crashReaction)
+	}
+}
--- a/standin/site/target.go
+++ b/standin/site/target.go
@@ -25,10 +25,11 @@
 // Target is a test double of a target. It works on the connection itself, without an HTTP server, so that tests can
 // check request lines as sent and respond with malformed or partial messages.
 type Target struct {
-	id       string
-	listener net.Listener
+	id      string
+	address string
 
 	mu               sync.Mutex
+	listener         net.Listener
 	handler          Handler
 	requests         []*ReceivedRequest
 	loaded           map[string][]string // adapters in memory by model
@@ -65,19 +66,19 @@
 	if err != nil {
 		panic(err)
 	}
-	t := &Target{id: id, listener: listener, handler: handler, loaded: map[string][]string{}, onDisk: map[string]bool{}, runNumber: 1, conns: map[net.Conn]struct{}{}}
-	go t.acceptConns()
+	t := &Target{id: id, address: listener.Addr().String(), listener: listener, handler: handler, loaded: map[string][]string{}, onDisk: map[string]bool{}, runNumber: 1, conns: map[net.Conn]struct{}{}}
+	go t.acceptConns(listener)
 	return t
 }
 
 // Address returns the host and port that the target listens on.
-func (t *Target) Address() string { return t.listener.Addr().String() }
+func (t *Target) Address() string { return t.address }
 
 // Close stops listening and closes all connections.
 func (t *Target) Close() {
-	t.listener.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.listener.Close()
 	for conn := range t.conns {
 		conn.Close()
 	}
@@ -134,6 +135,28 @@
 	t.loaded = map[string][]string{}
 }
 
+// Crash closes the listener and all connections, and after the downtime begins a new run at the same address, with an empty
+// memory. It then calls restarted unless that is nil.
+func (t *Target) Crash(downtime time.Duration, restarted func()) {
+	t.mu.Lock()
+	t.listener.Close()
+	t.mu.Unlock()
+	t.Restart()
+	time.AfterFunc(downtime, func() {
+		listener, err := net.Listen("tcp", t.Address())
+		if err != nil {
+			panic(err)
+		}
+		t.mu.Lock()
+		t.listener = listener
+		t.mu.Unlock()
+		go t.acceptConns(listener)
+		if restarted != nil {
+			restarted()
+		}
+	})
+}
+
 // ClearDisk removes all weights from the target's disk.
 func (t *Target) ClearDisk() {
 	t.mu.Lock()
@@ -186,9 +209,9 @@
 	return list
 }
 
-func (t *Target) acceptConns() {
+func (t *Target) acceptConns(listener net.Listener) {
 	for {
-		conn, err := t.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
