Refuse requests with a content under which several targets have crashed

Cause: a broken answer counted against its target only. Nothing remembered under which requests a target had ended, neither at the gateway that saw it nor at others, so each request with the part was sent to the next engine. The class of fault: evidence about the content of requests is kept nowhere, or by too narrow a key (the whole request) to be found again.

Change. crashcheck finds out whether the target of a broken answer has ended (nothing listens at its address). quarantine keeps the contents of the requests that had not begun to be answered then: each prompt part but the last, and the whole request, which covers repeats. Contents that were answered lately or are answered later are not suspects. Three crashes at least 0.25 s apart with one content in common, and no other that explains them, block it: requests with it are refused at once, with the time for which that holds, before each send, also while they wait or are to be sent again. A block lasts 10 min and returns, twice as long, at the first further crash. Gateways tell the agents that already get their demand what they saw; these add it up and tell all gateways by the states that they send anyway, so a gateway that has just started is told with the first state, and no store is needed.

Unit tests: quarantine (bursts of crashes at one time, crashes told of twice, answers between and before crashes, repeats, end and return of a block, 3 and 103 gateways, bounds), crashcheck, dispatch.

--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"gypsumbank/quarantine"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
 )
@@ -51,6 +52,8 @@
 	loadSentAt       time.Time // of the last message between states, see broadcastLoadChange
 	demandSentAt     time.Time
 	storeReads       storeReads
+	quarantine       *quarantine.Table
+	quarantineGrown  chan struct{} // holds a value after a content was blocked or unblocked
 	relayRequested   chan struct{} // receives a value when a gateway needs reads of the store and none did before
 }
 
@@ -64,6 +67,7 @@
 	queuedPromptParts []*wire.PromptPart // from other gateways, not yet sent to this one
 	targetsRevision   uint64             // of the targets last sent to it
 	holdingsRevision  uint64             // of the state last sent to it
+	quarantineSent    uint64             // revision of the quarantine up to which it has been told
 	keepsHoldings     bool               // it accepts states without unchanged holdings
 	updates           chan update
 }
@@ -76,7 +80,10 @@
 }
 
 func newWatchers(now func() time.Time) *watchers {
-	return &watchers{now: now, members: map[*watcher]struct{}{}, relayRequested: make(chan struct{}, 1)}
+	return &watchers{
+		now: now, members: map[*watcher]struct{}{}, relayRequested: make(chan struct{}, 1),
+		quarantine: quarantine.New(now), quarantineGrown: make(chan struct{}, 1),
+	}
 }
 
 // add registers a gateway and queues the last state for it.
@@ -109,6 +116,7 @@
 			each.queuePromptParts(heartbeat.GetParts())
 		}
 	}
+	w.mergeQuarantine(heartbeat.GetQuarantine())
 	w.broadcastLoadChange()
 	if heartbeat.GetHasDemand() {
 		w.requestRelay()
@@ -251,12 +259,14 @@
 		state = next.withoutHoldings
 	}
 	recipient.holdingsRevision = next.holdingsRevision
-	if len(recipient.queuedPromptParts) == 0 && reads == nil {
+	entries, revision := w.quarantine.Changes(recipient.quarantineSent, false)
+	recipient.quarantineSent = revision
+	if len(recipient.queuedPromptParts) == 0 && reads == nil && entries == nil {
 		return state
 	}
 	message := proto.Clone(state).(*wire.TargetState)
 	message.Parts, recipient.queuedPromptParts = recipient.queuedPromptParts, nil
-	message.StoreReads = reads
+	message.StoreReads, message.Quarantine = reads, entries
 	return message
 }
 
--- /dev/null
+++ b/crashcheck/checker.go
@@ -0,0 +1,190 @@
+package crashcheck
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gypsumbank/registry"
+	"gypsumbank/request"
+)
+
+const (
+	tickInterval = 20 * time.Millisecond
+	// dialTimeout bounds a check of whether anything listens at the address of a target.
+	dialTimeout  = 300 * time.Millisecond
+	maxDials     = 16 // at a time
+	maxPending   = 256
+	pendingLimit = 64 // contents of one run
+	// endedMemory is how long the end of a run is remembered for answers that are found to be broken later.
+	endedMemory = 10 * time.Second
+)
+
+// checkDelays are the times between the first broken answer and the checks. The first leaves time for the other answers of the
+// run to break.
+var checkDelays = []time.Duration{40 * time.Millisecond, 250 * time.Millisecond, time.Second, 2500 * time.Millisecond}
+
+// Crash is the end of a run of a target.
+type Crash struct {
+	Target   registry.Target
+	Contents []request.Content // of the requests that had not begun to be answered, or only just
+	Cause    string            // how the end was noticed
+}
+
+// Dial opens a connection to an address and closes it.
+type Dial func(ctx context.Context, address string) error
+
+// Checker collects broken answers by the run of their target, and reports those whose run has ended. A run has ended if nothing
+// listens at its address or if its agent says so.
+type Checker struct {
+	dial   Dial
+	report func(Crash)
+	now    func() time.Time
+
+	mu      sync.Mutex
+	pending map[run]*inquiry
+	ended   map[run]time.Time
+}
+
+// run identifies one run of a target.
+type run struct {
+	id   string
+	born int64
+}
+
+// inquiry holds the broken answers of a run that is not known to have ended.
+type inquiry struct {
+	target   registry.Target
+	contents []request.Content
+	began    time.Time
+	checks   int
+	checking bool
+}
+
+// New returns a checker that calls report for each crash; now is its clock.
+func New(dial Dial, report func(Crash), now func() time.Time) *Checker {
+	return &Checker{dial: dial, report: report, now: now, pending: map[run]*inquiry{}, ended: map[run]time.Time{}}
+}
+
+// Suspect records that an answer of a target broke off, with the contents of its request.
+func (c *Checker) Suspect(target registry.Target, contents []request.Content) {
+	if c.addPending(target, contents) {
+		return
+	}
+	c.report(Crash{Target: target, Contents: contents, Cause: "ended before"})
+}
+
+// addPending adds contents to the inquiry of a run; it returns false if the run is known to have ended.
+func (c *Checker) addPending(target registry.Target, contents []request.Content) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := run{target.ID, target.Born}
+	if _, ended := c.ended[key]; ended {
+		return false
+	}
+	q := c.pending[key]
+	if q == nil {
+		if len(c.pending) >= maxPending {
+			return true
+		}
+		q = &inquiry{target: target, began: c.now()}
+		c.pending[key] = q
+	}
+	if len(q.contents) < pendingLimit {
+		q.contents = append(q.contents, contents...)
+	}
+	return true
+}
+
+// MarkEnded records that a run of a target has ended, as its agent says.
+func (c *Checker) MarkEnded(targetID string, born int64) { c.end(run{targetID, born}, "agent") }
+
+// end records that a run has ended and reports its broken answers.
+func (c *Checker) end(key run, cause string) {
+	c.mu.Lock()
+	c.ended[key] = c.now()
+	q := c.pending[key]
+	delete(c.pending, key)
+	c.mu.Unlock()
+	if q != nil {
+		c.report(Crash{Target: q.target, Contents: q.contents, Cause: cause})
+	}
+}
+
+// Run checks the runs whose answers broke off until ctx ends.
+func (c *Checker) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var checks errgroup.Group
+	checks.SetLimit(maxDials)
+	for {
+		select {
+		case <-ctx.Done():
+			_ = checks.Wait()
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		for key, address := range c.due() {
+			if !checks.TryGo(func() error {
+				c.check(ctx, key, address)
+				return nil
+			}) {
+				c.postpone(key)
+			}
+		}
+	}
+}
+
+// due returns the addresses of the runs to check now, and drops what is too old.
+func (c *Checker) due() map[run]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for key, at := range c.ended {
+		if now.Sub(at) > endedMemory {
+			delete(c.ended, key)
+		}
+	}
+	due := map[run]string{}
+	for key, q := range c.pending {
+		switch {
+		case q.checks >= len(checkDelays):
+			if now.Sub(q.began) > endedMemory {
+				delete(c.pending, key)
+			}
+		case !q.checking && now.Sub(q.began) >= checkDelays[q.checks]:
+			q.checking = true
+			due[key] = q.target.Address
+		}
+	}
+	return due
+}
+
+// postpone has a run checked at the next tick.
+func (c *Checker) postpone(key run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if q := c.pending[key]; q != nil {
+		q.checking = false
+	}
+}
+
+// check dials the address of a run once.
+func (c *Checker) check(ctx context.Context, key run, address string) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := c.dial(ctx, address); errors.Is(err, syscall.ECONNREFUSED) {
+		c.end(key, "connection refused")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if q := c.pending[key]; q != nil {
+		q.checking = false
+		q.checks++
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -33,23 +33,34 @@
 	PushUsage(target registry.Target)
 }
 
+// Quarantine finds the contents of requests under which targets crash.
+type Quarantine interface {
+	// Blocked returns for how long requests with any of the contents are to be refused; 0 if they need not be.
+	Blocked(contents []request.Content) time.Duration
+	// Suspect records that an answer broke off before it had begun, or soon after.
+	Suspect(target registry.Target, contents []request.Content)
+	// Clear records that a request with the contents was answered.
+	Clear(contents []request.Content)
+}
+
 // Dispatcher holds the state that all dispatches of a gateway share.
 type Dispatcher struct {
-	fleet  *fleet.Fleet
-	sender Sender
-	agents AgentClient
-	budget *retrybudget.Budget
-	waits  *waitlist.List // requests that wait for room at an engine
-	log    *logrus.Entry
-	now    func() time.Time
+	fleet      *fleet.Fleet
+	sender     Sender
+	agents     AgentClient
+	budget     *retrybudget.Budget
+	quarantine Quarantine
+	waits      *waitlist.List // requests that wait for room at an engine
+	log        *logrus.Entry
+	now        func() time.Time
 
 	stopOnce sync.Once
 	stopping chan struct{} // closed by StopWaits
 }
 
 // New returns a dispatcher that reads the time from now.
-func New(f *fleet.Fleet, sender Sender, agents AgentClient, budget *retrybudget.Budget, log *logrus.Entry, now func() time.Time) *Dispatcher {
-	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, waits: waitlist.New(), log: log, now: now, stopping: make(chan struct{})}
+func New(f *fleet.Fleet, sender Sender, agents AgentClient, budget *retrybudget.Budget, quarantine Quarantine, log *logrus.Entry, now func() time.Time) *Dispatcher {
+	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, quarantine: quarantine, waits: waitlist.New(), log: log, now: now, stopping: make(chan struct{})}
 }
 
 // StopWaits refuses the requests that wait for room or for a model, and those that would begin to wait. The process is about
@@ -60,6 +71,7 @@
 type Dispatch struct {
 	*Dispatcher
 	request      *request.Request
+	contents     []request.Content // what the request may have in common with others under which targets have crashed
 	route        *route.Route
 	service      string
 	ctx          context.Context // ends when the caller disconnects, shortly before the deadline or by Close
@@ -109,7 +121,7 @@
 	deadline := req.Arrived.Add(timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-finalResponseMargin))
 	return &Dispatch{
-		Dispatcher: d, request: req, route: r, service: service,
+		Dispatcher: d, request: req, contents: req.Contents(), route: r, service: service,
 		ctx: ctx, cancel: cancel, deadline: deadline,
 		excluded: map[string]bool{},
 		log:      d.log.WithFields(logrus.Fields{"request": req.ID, "route": r.Name, "kind": r.Kind.String(), "service": service}),
@@ -157,6 +169,9 @@
 		if d.ctx.Err() != nil {
 			return fleet.Choice{}, nil
 		}
+		if refused := d.refuseQuarantined(); refused != nil {
+			return fleet.Choice{}, refused
+		}
 		now := d.now()
 		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded}, now)
 		remaining := d.firstByteDeadline().Sub(now)
@@ -198,6 +213,24 @@
 	}
 }
 
+// refuseQuarantined returns a refusal if targets have crashed under requests with the same contents.
+func (d *Dispatch) refuseQuarantined() *Refused {
+	left := d.quarantine.Blocked(d.contents)
+	if left == 0 {
+		return nil
+	}
+	d.log.WithFields(logrus.Fields{
+		"model": d.request.Model, "parts": d.request.SharedPartIDs(), "left-ms": left.Milliseconds(),
+	}).Info("targets crash under requests like this one")
+	return &Refused{Reason: CrashesTargets, RetryAfter: left}
+}
+
+// MarkAnswered records that the request was answered, so that its contents are not the cause of crashes.
+func (d *Dispatch) MarkAnswered() { d.quarantine.Clear(d.contents) }
+
+// MarkBroken records that a target's answer broke off before it had begun, or soon after.
+func (d *Dispatch) MarkBroken(target registry.Target) { d.quarantine.Suspect(target, d.contents) }
+
 // firstByteDeadline returns until when the caller waits for the answer to begin.
 func (d *Dispatch) firstByteDeadline() time.Time {
 	patience := d.route.StreamPatience()
@@ -303,6 +336,7 @@
 	}
 	assignment.End(fleet.Failed, d.now())
 	d.excluded[assignment.Target().ID] = true
+	d.MarkBroken(assignment.Target())
 	log.WithError(result.Err).WithFields(logrus.Fields{"model": d.request.Model, "parts": d.request.SharedPartIDs()}).Info("answer lost")
 	if d.canRetry() {
 		return nil, true
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -106,7 +106,7 @@
 	}
 	f.UpdateTargets(targets, false, now())
 	budget := retrybudget.New(retrybudget.Limits{PerRequest: 0.2, ExtraPerWindow: 100, Window: 10 * time.Second})
-	return New(f, s, s, budget, log.WithField("test", "dispatch"), now)
+	return New(f, s, s, budget, &scriptedQuarantine{}, log.WithField("test", "dispatch"), now)
 }
 
 func safeRoute() *route.Route {
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -56,4 +56,5 @@
 	BodyTooLarge   Reason = "body-too-large"
 	UnreadableBody Reason = "unreadable-body"
 	StreamBroken   Reason = "stream-broken"
+	CrashesTargets Reason = "crashes-targets"
 )
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -45,12 +45,13 @@
 
 // agentClients holds the connections to the agents, which run on the VMs of the engines.
 type agentClients struct {
-	name   string
-	port   string
-	dialer *dialer.Dialer
-	fleet  *fleet.Fleet
-	relay  *relayedReads
-	log    *logrus.Entry
+	name    string
+	port    string
+	dialer  *dialer.Dialer
+	fleet   *fleet.Fleet
+	relay   *relayedReads
+	crashes *crashes
+	log     *logrus.Entry
 
 	mu          sync.Mutex
 	cancelWatch map[string]context.CancelFunc
@@ -61,9 +62,9 @@
 	watchers    sync.WaitGroup
 }
 
-func newAgentClients(name string, port int, d *dialer.Dialer, f *fleet.Fleet, relay *relayedReads, log *logrus.Entry) *agentClients {
+func newAgentClients(name string, port int, d *dialer.Dialer, f *fleet.Fleet, relay *relayedReads, crashes *crashes, log *logrus.Entry) *agentClients {
 	return &agentClients{
-		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, log: log,
+		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, crashes: crashes, log: log,
 		cancelWatch: map[string]context.CancelFunc{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
 	}
 }
@@ -181,6 +182,7 @@
 // sendHeartbeats sends heartbeats with the usage, and to relay agents with the demand, until ctx ends or the stream breaks.
 func (a *agentClients) sendHeartbeats(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
 	pushUsage := a.usageChannel(address)
+	quarantineRevision := uint64(0) // up to which the agent has been told
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
 		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true}
@@ -188,6 +190,7 @@
 			for _, d := range a.fleet.Demand(time.Now()) {
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
 			}
+			update.Quarantine, quarantineRevision = a.crashes.table.Changes(quarantineRevision, true)
 		}
 		share := a.fleet.TakeLoadReport(func(t registry.Target) bool { return a.address(t.Address) == address })
 		update.UnreadMs = float32(share.PendingPrefillMs)
@@ -279,6 +282,7 @@
 		}
 		timeout.Reset(agentTimeout)
 		onState()
+		a.crashes.merge(address, state.GetQuarantine())
 		if state.GetSameHoldings() {
 			state.Models, state.InMemory, state.OnDisk = lastHoldings.GetModels(), lastHoldings.GetInMemory(), lastHoldings.GetOnDisk()
 		} else {
--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -172,6 +172,9 @@
 	d.requestNo++
 	n := d.requestNo
 	address := d.gateways[n%len(d.gateways)]
+	if address == "" {
+		address = d.gateways[(n+1)%len(d.gateways)]
+	}
 	d.mu.Unlock()
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
@@ -243,6 +246,7 @@
 	for i := range n {
 		d.mu.Lock()
 		stop := d.stops[i]
+		d.gateways[i] = "" // callers use another one while it stops
 		d.mu.Unlock()
 		stop()
 		d.startGateway(i)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	budget             *retrybudget.Budget
 	agents             *agentClients
 	relay              *relayedReads
+	crashes            *crashes
 	dialer             *dialer.Dialer
 	conns              *connections
 	started            time.Time
@@ -68,7 +69,9 @@
 	f := fleet.New(config.Node.AvailabilityZone)
 	d := dialer.New(nil)
 	relay := newRelayedReads()
-	agents := newAgentClients(config.Node.Name, config.Gateway.AgentPort, d, f, relay, log)
+	crashes := newCrashes(log)
+	agents := newAgentClients(config.Node.Name, config.Gateway.AgentPort, d, f, relay, crashes, log)
+	crashes.changed = agents.PushDemand
 	budget := retrybudget.New(retryLimits(config.Bounds))
 	replicaClient := platform.NewTargetClient(sender.New(connpool.New()))
 	return &Gateway{
@@ -76,10 +79,11 @@
 		log:        log,
 		store:      platform.NewStore(config.Store.Address),
 		fleet:      f,
-		dispatcher: dispatch.New(f, replicaClient, agents, budget, log, time.Now),
+		dispatcher: dispatch.New(f, replicaClient, agents, budget, crashes, log, time.Now),
 		budget:     budget,
 		agents:     agents,
 		relay:      relay,
+		crashes:    crashes,
 		dialer:     d,
 		conns:      newConnections(),
 		started:    time.Now(),
@@ -122,6 +126,7 @@
 	group.Go(func() error { return g.followTargets(serving) })
 	group.Go(func() error { return g.followRelay(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
+	group.Go(func() error { return g.crashes.checker.Run(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
 	group.Go(func() error { return g.conns.enforceIdleTimeout(serving, g.idleTimeout) })
 	select {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -22,6 +22,8 @@
 const (
 	defaultMaxBodyBytes = 4 << 20
 	copyBufferBytes     = 16 << 10
+	// crashOnset is how long after the first byte of an answer its request may be the cause of a crash of the target.
+	crashOnset = 500 * time.Millisecond
 )
 
 // serve handles one request of a caller.
@@ -122,7 +124,7 @@
 	headWritten bool            // the status and header of the response have been written
 
 	longestGap  time.Duration // longest wait for a chunk of the response body
-	bodyBytes   int           // bytes of response bodies received
+	bodyBytes   int           // bytes received of the body of the current response
 	firstByteAt time.Time     // when the first of these arrived; zero before
 }
 
@@ -193,6 +195,7 @@
 		e.refuseOrAbort(answered.Response.Status, dispatch.StreamBroken, 0)
 	}
 	e.writeHead(answered)
+	e.bodyBytes, e.firstByteAt = 0, time.Time{}
 	events := &eventBuffer{lastID: e.request.LastEventID}
 	err := e.copyBody(answered, events)
 	e.log().WithFields(logrus.Fields{
@@ -202,6 +205,9 @@
 	switch {
 	case err == nil:
 		answered.Assignment.End(fleet.Served, time.Now())
+		if answered.Response.Status < http.StatusInternalServerError && e.bodyBytes > 0 {
+			e.dispatch.MarkAnswered()
+		}
 		e.countOutcome("served")
 		return nil, false
 	case e.dispatch.TimedOut():
@@ -216,6 +222,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	answered.Assignment.End(fleet.Failed, time.Now())
+	if e.firstByteAt.IsZero() || time.Since(e.firstByteAt) < crashOnset {
+		e.dispatch.MarkBroken(answered.Assignment.Target())
+	}
 	e.logBrokenAnswer(answered.Assignment.Target().ID, events.lastID, err)
 	if e.route.Kind != route.Streaming || !e.route.Resumable {
 		e.countOutcome(string(dispatch.StreamBroken))
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,306 @@
+package quarantine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gypsumbank/registry"
+	"gypsumbank/request"
+)
+
+const (
+	// crashesToBlock is the number of crashes from which on a content is blocked.
+	crashesToBlock = 3
+	// minCrashSpacing separates crashes that count: targets that end at the same time have a cause outside of the requests.
+	minCrashSpacing = 250 * time.Millisecond
+	// blockTime is how long a content is blocked at first. It doubles with each further time, up to maxBlockTime.
+	blockTime    = 10 * time.Minute
+	maxBlockTime = 4 * time.Hour
+	// crashRetention is how long a crash counts.
+	crashRetention = 10 * time.Minute
+	// entryRetention is how long an entry is kept after its block has ended or it was cleared.
+	entryRetention = time.Hour
+
+	maxCrashes          = 256
+	maxContentsPerCrash = 64
+	maxEntries          = 512
+)
+
+// Table holds the latest crashes of targets with the contents of the requests in progress there, and the contents that are
+// blocked since several crashes have them in common. All state is bounded. Its methods may be called by several goroutines.
+type Table struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	crashes  map[uint64]*crash // by run
+	entries  map[uint64]*entry // by the hash of the content
+	answered answeredContents
+	revision uint64 // number of changes of crashes and entries
+
+	entriesRevision uint64 // revision at the last change of an entry
+}
+
+// crash is the end of one run of a target while requests were in progress there.
+type crash struct {
+	at       time.Time
+	contents map[uint64]uint32 // rank by hash; those that may be the cause
+	revision uint64            // of the table at the last change
+}
+
+// entry says whether a content is blocked. Of two entries for a content, the one with the higher version holds.
+type entry struct {
+	version  uint32
+	blocked  bool // false once a request with the content has been answered
+	times    uint32
+	at       time.Time // of the change to this version
+	revision uint64    // of the table at the last change
+}
+
+// New returns an empty table; now is its clock.
+func New(now func() time.Time) *Table {
+	return &Table{now: now, crashes: map[uint64]*crash{}, entries: map[uint64]*entry{}}
+}
+
+// Run returns a hash that identifies one run of a target.
+func Run(target registry.Target) uint64 {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(target.ID) // writes to a hash do not fail
+	var born [8]byte
+	for i := range born {
+		born[i] = byte(target.Born >> (8 * i))
+	}
+	_, _ = hash.Write(born[:])
+	return hash.Sum64()
+}
+
+// Blocked returns for how long requests with any of the contents are to be refused; 0 if they need not be.
+func (t *Table) Blocked(contents []request.Content) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	longest := time.Duration(0)
+	now := t.now()
+	for _, content := range contents {
+		if e := t.entries[content.Hash]; e != nil {
+			longest = max(longest, e.blockLeft(now))
+		}
+	}
+	return longest
+}
+
+// Blame records that a run of a target has crashed while requests with the contents had not begun to be answered, or only
+// just. Contents that were answered lately are left out. It returns the contents that are blocked now and were not before.
+func (t *Table) Blame(run uint64, contents []request.Content) []request.Content {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	suspects := make([]request.Content, 0, len(contents))
+	for _, content := range contents {
+		if !t.answered.has(content.Hash, now) {
+			suspects = append(suspects, content)
+		}
+	}
+	if !t.addCrash(run, suspects, now) {
+		return nil
+	}
+	return t.blockCauses(now)
+}
+
+// Clear records that a request with the contents has been answered, so that none of them is the cause of earlier crashes. It
+// returns those that were blocked.
+func (t *Table) Clear(contents []request.Content) []request.Content {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var unblocked []request.Content
+	now := t.now()
+	for _, content := range contents {
+		if !content.IsWhole() {
+			t.answered.add(content.Hash, now)
+		}
+		e := t.entries[content.Hash]
+		if !t.removeSuspect(content.Hash) && (e == nil || !e.blocked) {
+			continue
+		}
+		next := entry{version: 1, at: now}
+		if e != nil {
+			next.version, next.times = e.version+1, e.times
+			if e.blocked {
+				unblocked = append(unblocked, content)
+			}
+		}
+		t.setEntry(content.Hash, next)
+	}
+	return unblocked
+}
+
+// blockLeft returns for how long the entry blocks its content.
+func (e *entry) blockLeft(now time.Time) time.Duration {
+	if !e.blocked {
+		return 0
+	}
+	return max(0, e.blockDuration()-now.Sub(e.at))
+}
+
+// blockDuration returns how long the content is blocked in all.
+func (e *entry) blockDuration() time.Duration {
+	duration := blockTime
+	for range e.times - min(e.times, 1) {
+		duration = min(2*duration, maxBlockTime)
+	}
+	return duration
+}
+
+// addCrash adds contents to the record of a crash, which is new unless another process has told of it. It reports whether the
+// record has changed; the caller holds the lock.
+func (t *Table) addCrash(run uint64, contents []request.Content, at time.Time) bool {
+	t.dropOld()
+	c := t.crashes[run]
+	if c == nil {
+		c = &crash{at: at, contents: map[uint64]uint32{}}
+	}
+	added := false
+	for _, content := range contents {
+		if _, known := c.contents[content.Hash]; known || len(c.contents) >= maxContentsPerCrash {
+			continue
+		}
+		if e := t.entries[content.Hash]; e != nil && !e.blocked && !e.at.Before(c.at) {
+			continue // answered since the crash
+		}
+		c.contents[content.Hash], added = content.Rank, true
+	}
+	if added {
+		t.revision++
+		c.revision = t.revision
+		t.crashes[run] = c
+	}
+	return added
+}
+
+// removeSuspect removes a content from the records of all crashes and reports whether it was in any; the caller holds the lock.
+func (t *Table) removeSuspect(hash uint64) bool {
+	found := false
+	for _, c := range t.crashes {
+		if _, ok := c.contents[hash]; ok {
+			delete(c.contents, hash)
+			found = true
+		}
+	}
+	return found
+}
+
+// blockCauses blocks contents until no crash that none of them explains counts towards a further one. Each time it takes the
+// content that most crashes have in common and, of several, the one that the fewest requests share. It returns the contents
+// that are blocked now; the caller holds the lock.
+func (t *Table) blockCauses(now time.Time) []request.Content {
+	var blocked []request.Content
+	for {
+		cause, ok := t.likelyCause()
+		if !ok {
+			return blocked
+		}
+		next := entry{version: 1, blocked: true, times: 1, at: now}
+		if e := t.entries[cause.Hash]; e != nil {
+			next.version, next.times = e.version+1, e.times+1
+		}
+		t.setEntry(cause.Hash, next)
+		blocked = append(blocked, cause)
+	}
+}
+
+// likelyCause returns the content to block next; the caller holds the lock.
+func (t *Table) likelyCause() (cause request.Content, ok bool) {
+	times := map[request.Content][]time.Time{}
+	for _, c := range t.crashes {
+		if t.explained(c) {
+			continue
+		}
+		for hash, rank := range c.contents {
+			content := request.Content{Hash: hash, Rank: rank}
+			times[content] = append(times[content], c.at)
+		}
+	}
+	most := 0
+	for content, at := range times {
+		count := countSpaced(at)
+		if count < t.crashesToBlock(content.Hash) {
+			continue
+		}
+		if count > most || (count == most && content.Rank > cause.Rank) {
+			cause, most = content, count
+		}
+	}
+	return cause, most > 0
+}
+
+// crashesToBlock returns the number of crashes from which on a content is blocked: 1 if it was blocked before and has not been
+// answered since; the caller holds the lock.
+func (t *Table) crashesToBlock(hash uint64) int {
+	if e := t.entries[hash]; e != nil && e.blocked {
+		return 1
+	}
+	return crashesToBlock
+}
+
+// explained reports whether a crash has a cause that was blocked then or has been blocked since; the caller holds the lock.
+func (t *Table) explained(c *crash) bool {
+	for hash := range c.contents {
+		if e := t.entries[hash]; e != nil && e.blocked && c.at.Before(e.at.Add(e.blockDuration())) {
+			return true
+		}
+	}
+	return false
+}
+
+// setEntry replaces the entry of a content; the caller holds the lock.
+func (t *Table) setEntry(hash uint64, next entry) {
+	if t.entries[hash] == nil && len(t.entries) >= maxEntries {
+		t.evictEntry()
+	}
+	t.revision++
+	next.revision, t.entriesRevision = t.revision, t.revision
+	t.entries[hash] = &next
+}
+
+// EntriesRevision returns a number that rises when a content is blocked or unblocked.
+func (t *Table) EntriesRevision() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entriesRevision
+}
+
+// evictEntry removes the oldest entry, one that does not block if there is any; the caller holds the lock.
+func (t *Table) evictEntry() {
+	var oldest uint64
+	var found *entry
+	for hash, e := range t.entries {
+		if found == nil || (found.blocked && !e.blocked) || (found.blocked == e.blocked && e.at.Before(found.at)) {
+			oldest, found = hash, e
+		}
+	}
+	delete(t.entries, oldest)
+}
+
+// dropOld removes crashes and entries that are past their retention, and the oldest crash if there are too many; the caller
+// holds the lock.
+func (t *Table) dropOld() {
+	now := t.now()
+	var oldest uint64
+	for run, c := range t.crashes {
+		if now.Sub(c.at) > crashRetention {
+			delete(t.crashes, run)
+			continue
+		}
+		if o := t.crashes[oldest]; o == nil || c.at.Before(o.at) {
+			oldest = run
+		}
+	}
+	if len(t.crashes) >= maxCrashes {
+		delete(t.crashes, oldest)
+	}
+	for hash, e := range t.entries {
+		if now.Sub(e.at) > entryRetention+e.blockDuration() {
+			delete(t.entries, hash)
+		}
+	}
+}
