Keep agents connected to gateways while their engine is down

An agent sent its state only after its engine had answered a poll, so gateways closed the connection 1.5 s after the engine ended.

Agents now send a state that says engine-down, as a heartbeat, and which run has ended if nothing listens at its address any more; gateways take that as the sign of a crash, too, and keep what they know of the engine as it was.

--- a/agent/control.go
+++ b/agent/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,6 +14,7 @@
 	"gypsumbank/platform"
 	"gypsumbank/route"
 	"gypsumbank/weightstore"
+	"gypsumbank/wire"
 )
 
 // controlLoop handles new routes, load requests, models to restore and the fencing token, and polls the engine at the
@@ -74,6 +76,7 @@
 			a.log.WithError(err).Info("engine does not answer")
 		}
 		a.engineDown = true
+		a.watchers.publishDown(a.endedRun(err))
 		return
 	}
 	if a.engineDown {
@@ -101,6 +104,14 @@
 	}
 }
 
+// endedRun returns the engine's last known run if, by the error of a poll, its process has ended.
+func (a *Agent) endedRun(pollErr error) *wire.EndedRun {
+	if !errors.Is(pollErr, syscall.ECONNREFUSED) || a.targetID == "" {
+		return nil
+	}
+	return &wire.EndedRun{TargetId: a.targetID, Born: a.lastReport.Born}
+}
+
 // identifyEngine reads the id of the engine's current run, unless it is known already.
 func (a *Agent) identifyEngine(ctx context.Context) {
 	if a.targetID != "" || a.routingTable == nil || time.Now().Before(a.identifyAfter) {
--- a/agent/quarantine.go
+++ b/agent/quarantine.go
@@ -17,7 +17,7 @@
 	case w.quarantineGrown <- struct{}{}:
 	default:
 	}
-	if w.lastState != nil {
+	if w.lastState != nil || w.down != nil {
 		w.broadcastLast()
 	}
 }
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -124,7 +124,7 @@
 // resendIfRelay sends the last state again, with the changed reads of the store, if a gateway needs them; the caller
 // holds the lock.
 func (w *watchers) resendIfRelay() {
-	if w.lastState == nil || w.now().Sub(w.storeReads.requestedAt) >= relayRequestTTL {
+	if (w.lastState == nil && w.down == nil) || w.now().Sub(w.storeReads.requestedAt) >= relayRequestTTL {
 		return
 	}
 	w.broadcastLast()
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -47,7 +47,8 @@
 	mu               sync.Mutex
 	members          map[*watcher]struct{}
 	lastState        *wire.TargetState
-	holdingsRevision uint64 // number of changes of the models and weights that the target holds
+	down             *wire.TargetState // sent instead of lastState while the engine does not answer; nil if it does
+	holdingsRevision uint64            // number of changes of the models and weights that the target holds
 	lastSentAt       time.Time
 	loadSentAt       time.Time // of the last message between states, see broadcastLoadChange
 	demandSentAt     time.Time
@@ -92,8 +93,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.members[added] = struct{}{}
-	if w.lastState != nil {
-		added.updates <- w.newUpdate(w.lastState)
+	if w.lastState != nil || w.down != nil {
+		added.updates <- w.newestUpdate()
 	}
 	return added
 }
@@ -137,7 +138,7 @@
 	if planner := planner(live); planner != nil {
 		state.Planner = planner.node
 	}
-	if w.lastState != nil && sameUrgentState(w.lastState, state) {
+	if w.lastState != nil && w.down == nil && sameUrgentState(w.lastState, state) {
 		sinceLast := w.now().Sub(w.lastSentAt)
 		interval := heartbeatInterval
 		if len(live) <= maxFewWatchers {
@@ -153,15 +154,27 @@
 	if !sameHeldModels(w.lastState, state) {
 		w.holdingsRevision++
 	}
-	w.lastState, w.lastSentAt = state, w.now()
+	w.lastState, w.lastSentAt, w.down = state, w.now(), nil
 	w.broadcastLast()
 	w.sendDemandToPlanner()
 }
 
+// publishDown tells all gateways that the engine does not answer, and which of its runs has ended, unless ended is nil. It does
+// so again as a heartbeat: this process still reads the store and passes on what gateways tell each other.
+func (w *watchers) publishDown(ended *wire.EndedRun) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down != nil && w.now().Sub(w.lastSentAt) < fewWatchersHeartbeatInterval && proto.Equal(w.down.GetEndedRun(), ended) {
+		return
+	}
+	w.down, w.lastSentAt = &wire.TargetState{EngineDown: true, EndedRun: ended, SameHoldings: true}, w.now()
+	w.broadcastLast()
+}
+
 // broadcastLoadChange sends the last state again if, since it was sent, the pending prefill time at the target has risen by
 // pendingPrefillRiseMs or the number of requests there has changed by minRequestsChange; the caller holds the lock.
 func (w *watchers) broadcastLoadChange() {
-	if w.lastState == nil {
+	if w.lastState == nil || w.down != nil {
 		return
 	}
 	live := w.live()
@@ -185,14 +198,22 @@
 	return w.now().Sub(w.loadSentAt) >= time.Duration(gateways)*requestsIntervalPerWatcher
 }
 
-// broadcastLast sends the last state to all gateways; the caller holds the lock.
+// broadcastLast sends the last state, or that the engine does not answer, to all gateways; the caller holds the lock.
 func (w *watchers) broadcastLast() {
-	next := w.newUpdate(w.lastState)
+	next := w.newestUpdate()
 	for each := range w.members {
 		each.send(next)
 	}
 }
 
+// newestUpdate returns the last state or, while the engine does not answer, that instead; the caller holds the lock.
+func (w *watchers) newestUpdate() update {
+	if w.down != nil {
+		return update{full: w.down, withoutHoldings: w.down}
+	}
+	return w.newUpdate(w.lastState)
+}
+
 // newUpdate returns a state in both forms in which it may be sent; the caller holds the lock.
 func (w *watchers) newUpdate(state *wire.TargetState) update {
 	withoutHoldings := proto.Clone(state).(*wire.TargetState)
@@ -227,17 +248,20 @@
 func (w *watchers) sendDemandToPlanner() {
 	live := w.live()
 	recipient := planner(live)
-	if recipient == nil || w.lastState == nil || w.now().Sub(w.demandSentAt) < minDemandInterval {
+	if recipient == nil || (w.lastState == nil && w.down == nil) || w.now().Sub(w.demandSentAt) < minDemandInterval {
 		return
 	}
 	total := sumDemand(live)
 	if len(total) == 0 {
 		return
 	}
-	state := proto.Clone(w.lastState).(*wire.TargetState)
-	state.Demand, state.HasDemand = total, true
+	next := w.newestUpdate()
+	for _, state := range []**wire.TargetState{&next.full, &next.withoutHoldings} {
+		*state = proto.Clone(*state).(*wire.TargetState)
+		(*state).Demand, (*state).HasDemand = total, true
+	}
 	w.demandSentAt = w.now()
-	recipient.send(w.newUpdate(state))
+	recipient.send(next)
 }
 
 // queuePromptParts queues prompt parts for a gateway and drops the oldest above maxQueuedPromptParts.
@@ -258,7 +282,9 @@
 	if recipient.keepsHoldings && recipient.holdingsRevision == next.holdingsRevision {
 		state = next.withoutHoldings
 	}
-	recipient.holdingsRevision = next.holdingsRevision
+	if !state.GetEngineDown() {
+		recipient.holdingsRevision = next.holdingsRevision
+	}
 	entries, revision := w.quarantine.Changes(recipient.quarantineSent, false)
 	recipient.quarantineSent = revision
 	if len(recipient.queuedPromptParts) == 0 && reads == nil && entries == nil {
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -283,6 +283,10 @@
 		timeout.Reset(agentTimeout)
 		onState()
 		a.crashes.merge(address, state.GetQuarantine())
+		if state.GetEngineDown() {
+			a.applyDown(address, state)
+			continue
+		}
 		if state.GetSameHoldings() {
 			state.Models, state.InMemory, state.OnDisk = lastHoldings.GetModels(), lastHoldings.GetInMemory(), lastHoldings.GetOnDisk()
 		} else {
@@ -292,6 +296,17 @@
 	}
 }
 
+// applyDown applies what an agent sends while its engine does not answer: its reads of the store, and the end of a run.
+func (a *agentClients) applyDown(address string, state *wire.TargetState) {
+	if storeReads := state.GetStoreReads(); storeReads != nil {
+		a.relay.record(address, storeReads, time.Now())
+	}
+	if ended := state.GetEndedRun(); ended != nil {
+		a.crashes.checker.MarkEnded(ended.GetTargetId(), ended.GetBorn())
+	}
+	a.applyDemand(state)
+}
+
 // applyState updates the fleet, and the relayed reads of the store, from the state that an agent has sent.
 func (a *agentClients) applyState(address string, state *wire.TargetState) {
 	if storeReads := state.GetStoreReads(); storeReads != nil {
@@ -310,6 +325,11 @@
 		Report: report, Host: registry.Host(address), Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), PlannedHere: state.GetPlanner() == a.name,
 		AvailableAdapterSlots: int(state.GetAdapterRoom()), QueuedPrefillMs: float64(state.GetUnreadMs()), Requests: int(state.GetRequests()), Parts: decodeParts(state),
 	}, time.Now())
+	a.applyDemand(state)
+}
+
+// applyDemand applies the demand of all gateways, which some states for the planning gateway have.
+func (a *agentClients) applyDemand(state *wire.TargetState) {
 	if !state.GetHasDemand() {
 		return
 	}
