Keep blocked contents in the store for the time after all processes have ended

What is blocked was in the memory of gateways and of the agents they tell; after a loss of power everywhere engines had to crash again to find it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -127,6 +127,7 @@
 	group.Go(func() error { return a.followRoutes(ctx) })
 	group.Go(func() error { return a.followTargets(ctx) })
 	group.Go(func() error { return a.modelInventory.Run(ctx) })
+	group.Go(func() error { return a.keepBlocklist(ctx) })
 	group.Go(func() error { return a.controlLoop(ctx) })
 	group.Go(func() error { return probe.New(a.config.Agent.Metrics, func() error { return nil }).Run(ctx) })
 	err = group.Wait()
--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -42,6 +42,7 @@
 	mu        sync.Mutex
 	crashes   []time.Time // of engines
 	badSends  []time.Time // arrivals of requests with the bad part at engines
+	agents    []func()    // each ends an agent and starts another in its place
 	gateways  []string    // addresses
 	stops     []func()    // by gateway
 	requestNo int
@@ -100,7 +101,11 @@
 		Store:  settings.Store{Address: d.store.Address()},
 		Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
 	}
-	d.run(agent.New(config, d.log).Run)
+	stop := d.run(agent.New(config, d.log).Run)
+	d.agents = append(d.agents, func() {
+		stop()
+		d.run(agent.New(config, d.log).Run)
+	})
 	d.t.Cleanup(engine.Close)
 }
 
@@ -171,6 +176,10 @@
 	d.mu.Lock()
 	d.requestNo++
 	n := d.requestNo
+	if len(d.gateways) == 0 {
+		d.mu.Unlock()
+		return false
+	}
 	address := d.gateways[n%len(d.gateways)]
 	if address == "" {
 		address = d.gateways[(n+1)%len(d.gateways)]
@@ -207,10 +216,11 @@
 func TestRequestsWithAPromptPartThatCrashesEnginesAreRefused(t *testing.T) {
 	t.Parallel()
 	cases := map[string]func(d *crashDeployment){
-		"all processes run on":      func(*crashDeployment) {},
-		"the store is away":         func(d *crashDeployment) { d.store.SetFault(site.Down) },
-		"a gateway is replaced":     func(d *crashDeployment) { d.replaceGateways(1) },
-		"all gateways are replaced": func(d *crashDeployment) { d.replaceGateways(crashGateways) },
+		"all processes run on":           func(*crashDeployment) {},
+		"the store is away":              func(d *crashDeployment) { d.store.SetFault(site.Down) },
+		"a gateway is replaced":          func(d *crashDeployment) { d.replaceGateways(1) },
+		"all gateways are replaced":      func(d *crashDeployment) { d.replaceGateways(crashGateways) },
+		"everything is replaced at once": func(d *crashDeployment) { d.replaceAll() },
 	}
 	for name, disturb := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -253,6 +263,25 @@
 	}
 }
 
+// replaceAll stops all gateways and agents before it starts others, so that no memory of a process lives on.
+func (d *crashDeployment) replaceAll() {
+	var stopping sync.WaitGroup
+	d.mu.Lock()
+	stops := d.stops
+	d.gateways, d.stops = nil, nil
+	d.mu.Unlock()
+	for _, stop := range stops {
+		stopping.Go(stop)
+	}
+	stopping.Wait()
+	for _, replace := range d.agents {
+		replace()
+	}
+	for i := range crashGateways {
+		d.startGateway(i)
+	}
+}
+
 // check reports requests with the bad part that reached engines too late, and sound ones that were no longer served.
 func (d *crashDeployment) check() {
 	d.t.Helper()
