Break off streams that end inside an event or before the first

Gateways took the end of such a connection for the end of the answer on routes that are not resumable, and on both kinds if no event had come, so a stream cut by a crash looked whole to its caller.

The end of events is tracked for every stream now; a stream that ends inside an event is broken off, and one without any bytes if only its connection ended it. Such an end soon after the first byte also does not clear the contents of the request: it may be a crash.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -13,8 +13,9 @@
 
 // eventBuffer splits a stream of server-sent events, which arrives in chunks, at the ends of events.
 type eventBuffer struct {
-	incomplete []byte // bytes of an event that has arrived in part
+	incomplete []byte // bytes of an event that has arrived in part; after track, the end of these at least
 	lastID     string // id of the last complete event
+	began      bool   // any bytes have arrived
 }
 
 var (
@@ -24,6 +25,7 @@
 
 // addChunk adds a chunk and returns the bytes of the events that are now complete, or errEventTooLong.
 func (e *eventBuffer) addChunk(chunk []byte) ([]byte, error) {
+	e.began = e.began || len(chunk) > 0
 	e.incomplete = append(e.incomplete, chunk...)
 	end := bytes.LastIndex(e.incomplete, eventEnd)
 	switch {
@@ -39,6 +41,19 @@
 	return complete, nil
 }
 
+// track notes a chunk that is not to be split: whether the stream has arrived up to the end of an event.
+func (e *eventBuffer) track(chunk []byte) {
+	e.began = e.began || len(chunk) > 0
+	e.incomplete = append(e.incomplete, chunk...)
+	if bytes.HasSuffix(e.incomplete, eventEnd) {
+		e.incomplete = e.incomplete[:0]
+		return
+	}
+	if excess := len(e.incomplete) - len(eventEnd); excess > 0 {
+		e.incomplete = append(e.incomplete[:0], e.incomplete[excess:]...)
+	}
+}
+
 // hasIncomplete reports whether the last event has arrived only in part.
 func (e *eventBuffer) hasIncomplete() bool { return len(e.incomplete) > 0 }
 
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -44,3 +45,41 @@
 		})
 	}
 }
+
+// TestStreamThatEndsInsideAnEventIsBrokenOff has a target end a stream with its connection. Without a length or chunks only the
+// events tell whether the stream is whole; one that ends inside an event, or before the first, must not look whole to the caller.
+func TestStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	cases := map[string]struct {
+		parts     []string
+		wantWhole bool
+	}{
+		"whole":                     {parts: []string{first, second}, wantWhole: true},
+		"whole, in pieces":          {parts: []string{first, "id: 2\nda", "ta: b\n", "\n"}, wantWhole: true},
+		"inside an event":           {parts: []string{first, "id: 2\ndat"}},
+		"before the end of a line":  {parts: []string{first, "id: 2\ndata: b"}},
+		"before the end of a event": {parts: []string{first, "id: 2\ndata: b\n"}},
+		"before the first event":    {},
+	}
+	for _, path := range []string{"/stream/a", "/resume/a"} {
+		for name, c := range cases {
+			t.Run(path+" "+name, func(t *testing.T) {
+				d := newDeployment(t)
+				d.engineTarget.SetHandler(site.RawResponse(false, func(conn net.Conn, identityHeaders string) {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+identityHeaders+"Content-Type: text/event-stream\r\n\r\n")
+					for _, part := range c.parts {
+						_, _ = io.WriteString(conn, part)
+						time.Sleep(20 * time.Millisecond)
+					}
+				}))
+				_, body, err := d.roundTrip(getRequest(path, m1Header))
+				if whole := err == nil; whole != c.wantWhole {
+					t.Errorf("the answer looks whole: %v, want %v; body %q, %v", whole, c.wantWhole, body, err)
+				}
+				if c.wantWhole && body != first+second {
+					t.Errorf("body %q", body)
+				}
+			})
+		}
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -205,9 +205,7 @@
 	switch {
 	case err == nil:
 		answered.Assignment.End(fleet.Served, time.Now())
-		if answered.Response.Status < http.StatusInternalServerError && e.bodyBytes > 0 {
-			e.dispatch.MarkAnswered()
-		}
+		e.judgeContents(answered, true)
 		e.countOutcome("served")
 		return nil, false
 	case e.dispatch.TimedOut():
@@ -222,9 +220,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	answered.Assignment.End(fleet.Failed, time.Now())
-	if e.firstByteAt.IsZero() || time.Since(e.firstByteAt) < crashOnset {
-		e.dispatch.MarkBroken(answered.Assignment.Target())
-	}
+	e.judgeContents(answered, false)
 	e.logBrokenAnswer(answered.Assignment.Target().ID, events.lastID, err)
 	if e.route.Kind != route.Streaming || !e.route.Resumable {
 		e.countOutcome(string(dispatch.StreamBroken))
@@ -234,6 +230,20 @@
 	return e.dispatch.Resume(events.lastID), true
 }
 
+// judgeContents tells the quarantine what an answer shows of the contents of its request: one that ended soon after its begin
+// may have crashed the target, unless its length or its chunks show that it is whole.
+func (e *exchange) judgeContents(answered dispatch.Answered, whole bool) {
+	endedSoon := e.firstByteAt.IsZero() || time.Since(e.firstByteAt) < crashOnset
+	switch {
+	case whole && (!answered.Response.EndsWithConnection || !endedSoon):
+		if answered.Response.Status < http.StatusInternalServerError {
+			e.dispatch.MarkAnswered()
+		}
+	case endedSoon:
+		e.dispatch.MarkBroken(answered.Assignment.Target())
+	}
+}
+
 // writeHead writes status and header of the response, once for an exchange: a resumed stream continues the first response.
 func (e *exchange) writeHead(answered dispatch.Answered) {
 	if e.headWritten {
@@ -255,7 +265,8 @@
 // target resumes after the last one.
 func (e *exchange) copyBody(answered dispatch.Answered, events *eventBuffer) error {
 	flusher := http.NewResponseController(e.writer)
-	wholeEventsOnly := e.route.Kind == route.Streaming && e.route.Resumable && answered.Response.Status < 300
+	isStream := e.route.Kind == route.Streaming && answered.Response.Status < http.StatusMultipleChoices
+	wholeEventsOnly := isStream && e.route.Resumable
 	buffer := make([]byte, copyBufferBytes)
 	lastRead := time.Now()
 	for {
@@ -271,6 +282,8 @@
 				return tooLong
 			}
 			chunk = complete
+		} else if isStream {
+			events.track(chunk)
 		}
 		if len(chunk) > 0 {
 			if _, err := e.writer.Write(chunk); err != nil {
@@ -283,7 +296,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if wholeEventsOnly && events.hasIncomplete() {
+			if isStream && (events.hasIncomplete() || (answered.Response.EndsWithConnection && !events.began)) {
 				return io.ErrUnexpectedEOF
 			}
 			return nil
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -51,6 +51,8 @@
 	Header http.Header
 	Length int64 // length of the body in bytes; -1 if unknown
 	Body   io.ReadCloser
+	// EndsWithConnection reports that the body has neither a length nor chunks, so that its end does not show that it is whole.
+	EndsWithConnection bool
 }
 
 // Sender sends requests over pooled connections.
@@ -85,7 +87,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNoUsableResponse, err)
 	}
 	body := &responseBody{sender: s, conn: conn, response: response, writeDone: writeDone, stopAbort: stopAbort, keepConn: request.MaxConnIdle > 0}
-	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: body}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: body, EndsWithConnection: endsWithConnection(response)}, nil
 }
 
 // encodeRequest returns the bytes of a request. The response does not depend on how they are split into packets.
@@ -121,7 +123,7 @@
 		if request.ID == "" || response.Header.Get(request.IDHeader) == request.ID {
 			return response, nil
 		}
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if endsWithConnection(response) {
 			return nil, errors.New("response to another request, with no known end")
 		}
 		conn.LimitReads(maxSkippedBytes)
@@ -132,6 +134,11 @@
 	return nil, errors.New("no response with the id of the request")
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body of a response.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // responseBody is the body of a response. It returns the connection to the pool once it has been read to the end.
 type responseBody struct {
 	sender    *Sender
