--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,18 +13,12 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/dispatch"
-	"gypsumbank/fleet"
 	"gypsumbank/platform"
 	"gypsumbank/request"
 	"gypsumbank/route"
 )
 
-const (
-	defaultMaxBodyBytes = 4 << 20
-	copyBufferBytes     = 16 << 10
-	// crashOnset is how long after the first byte of an answer its request may be the cause of a crash of the target.
-	crashOnset = 500 * time.Millisecond
-)
+const defaultMaxBodyBytes = 4 << 20
 
 // serve handles one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
@@ -184,146 +178,3 @@
 		"model": e.request.Model, "adapter": e.request.Adapter,
 	})
 }
-
-// forward copies a response to the caller. An error of the target that was to resume a stream is not part of the stream:
-// forward then aborts the connection, so that the stream does not look complete. If a resumable stream breaks, it resumes it on another target and returns the
-// outcome of that and true.
-func (e *exchange) forward(answered dispatch.Answered) (dispatch.Outcome, bool) {
-	defer answered.Response.Body.Close()
-	if e.headWritten && answered.Response.Status >= http.StatusMultipleChoices {
-		answered.Assignment.End(fleet.Failed, time.Now())
-		e.refuseOrAbort(answered.Response.Status, dispatch.StreamBroken, 0)
-	}
-	e.writeHead(answered)
-	e.bodyBytes, e.firstByteAt = 0, time.Time{}
-	events := &eventBuffer{lastID: e.request.LastEventID}
-	err := e.copyBody(answered, events)
-	e.log().WithFields(logrus.Fields{
-		"target": answered.Assignment.Target().ID, "status": answered.Response.Status, "longest-gap-ms": e.longestGap.Milliseconds(),
-		"priority": e.route.Priority, "whole": err == nil,
-	}).Info("answer ends")
-	switch {
-	case err == nil:
-		answered.Assignment.End(fleet.Served, time.Now())
-		e.judgeContents(answered, true)
-		e.countOutcome("served")
-		return nil, false
-	case e.dispatch.TimedOut():
-		answered.Assignment.End(fleet.Abandoned, time.Now())
-		e.log().Info("answer cut at the timeout")
-		e.countOutcome("cut-at-timeout")
-		panic(http.ErrAbortHandler)
-	case e.callerCtx.Err() != nil:
-		answered.Assignment.End(fleet.Abandoned, time.Now())
-		e.log().WithError(err).Info("caller left")
-		e.countOutcome("caller-left")
-		panic(http.ErrAbortHandler)
-	}
-	answered.Assignment.End(fleet.Failed, time.Now())
-	e.judgeContents(answered, false)
-	e.logBrokenAnswer(answered.Assignment.Target().ID, events.lastID, err)
-	if e.route.Kind != route.Streaming || !e.route.Resumable {
-		e.countOutcome(string(dispatch.StreamBroken))
-		panic(http.ErrAbortHandler)
-	}
-	e.dispatch.Exclude(answered.Assignment.Target().ID)
-	return e.dispatch.Resume(events.lastID), true
-}
-
-// judgeContents tells the quarantine what an answer shows of the contents of its request: one that ended soon after its begin
-// may have crashed the target, unless its length or its chunks show that it is whole.
-func (e *exchange) judgeContents(answered dispatch.Answered, whole bool) {
-	endedSoon := e.firstByteAt.IsZero() || time.Since(e.firstByteAt) < crashOnset
-	switch {
-	case whole && (!answered.Response.EndsWithConnection || !endedSoon):
-		if answered.Response.Status < http.StatusInternalServerError {
-			e.dispatch.MarkAnswered()
-		}
-	case endedSoon:
-		e.dispatch.MarkBroken(answered.Assignment.Target())
-	}
-}
-
-// writeHead writes status and header of the response, once for an exchange: a resumed stream continues the first response.
-func (e *exchange) writeHead(answered dispatch.Answered) {
-	if e.headWritten {
-		return
-	}
-	e.headWritten = true
-	metrics.GetOrCreateHistogram(`gypsumbank_gateway_first_byte_seconds{kind="` + e.route.Kind.String() + `"}`).UpdateDuration(e.request.Arrived)
-	header := e.writer.Header()
-	for name, values := range platform.AnswerHeader(answered.Response) {
-		header[name] = values
-	}
-	if answered.Response.Length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(answered.Response.Length, 10))
-	}
-	e.writer.WriteHeader(answered.Response.Status)
-}
-
-// copyBody copies the body to the caller as it arrives. Of a resumable stream it copies complete events only, since another
-// target resumes after the last one.
-func (e *exchange) copyBody(answered dispatch.Answered, events *eventBuffer) error {
-	flusher := http.NewResponseController(e.writer)
-	isStream := e.route.Kind == route.Streaming && answered.Response.Status < http.StatusMultipleChoices
-	wholeEventsOnly := isStream && e.route.Resumable
-	buffer := make([]byte, copyBufferBytes)
-	lastRead := time.Now()
-	for {
-		n, err := answered.Response.Body.Read(buffer)
-		now := time.Now()
-		e.longestGap = max(e.longestGap, now.Sub(lastRead))
-		lastRead = now
-		e.recordBodyBytes(n, now)
-		chunk := buffer[:n]
-		if wholeEventsOnly {
-			complete, tooLong := events.addChunk(chunk)
-			if tooLong != nil {
-				return tooLong
-			}
-			chunk = complete
-		} else if isStream {
-			events.track(chunk)
-		}
-		if len(chunk) > 0 {
-			if _, err := e.writer.Write(chunk); err != nil {
-				return err
-			}
-			if answered.Response.Length < 0 {
-				if err := flusher.Flush(); err != nil {
-					return err
-				}
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			if isStream && (events.hasIncomplete() || (answered.Response.EndsWithConnection && !events.began)) {
-				return io.ErrUnexpectedEOF
-			}
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// recordBodyBytes records that n bytes of a response body have arrived.
-func (e *exchange) recordBodyBytes(n int, now time.Time) {
-	if n > 0 && e.firstByteAt.IsZero() {
-		e.firstByteAt = now
-	}
-	e.bodyBytes += n
-}
-
-// logBrokenAnswer logs and counts a response that its target has not completed: how much of it had arrived, since when, and
-// the prompt parts of the request, which tell whether the requests that targets crash under have one in common.
-func (e *exchange) logBrokenAnswer(targetID, lastEventID string, err error) {
-	sinceFirstByteMs := int64(-1)
-	if !e.firstByteAt.IsZero() {
-		sinceFirstByteMs = time.Since(e.firstByteAt).Milliseconds()
-	}
-	metrics.GetOrCreateCounter(`gypsumbank_gateway_answers_broken_total{begun="` + strconv.FormatBool(e.bodyBytes > 0) + `"}`).Inc()
-	e.log().WithError(err).WithFields(logrus.Fields{
-		"target": targetID, "last-event": lastEventID, "body-bytes": e.bodyBytes, "since-first-byte-ms": sinceFirstByteMs, "parts": e.request.SharedPartIDs(),
-	}).Info("answer broken off")
-}
