--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -293,6 +293,7 @@
 	if d.request.Model != "" {
 		d.agents.PushUsage(assignment.Target())
 	}
+	log = log.WithField("limit", result.Limit.String())
 	if result.Response.Status >= 500 && d.canRetry() {
 		assignment.End(fleet.Failed, d.now())
 		result.Response.Body.Close()
@@ -307,7 +308,7 @@
 // handleNotRun records why the target did not run the request and retries it up to maxSends.
 func (d *Dispatch) handleNotRun(result reply.NotRun, assignment *fleet.Assignment, log *logrus.Entry) (Outcome, bool) {
 	target := assignment.Target()
-	log.WithFields(logrus.Fields{"misplaced": result.Misdirected, "other": result.OtherTargetID}).Info("target refused")
+	log.WithFields(logrus.Fields{"misplaced": result.Misdirected, "other": result.OtherTargetID, "limit": result.Limit.String()}).Info("target refused")
 	switch {
 	case result.OtherTargetID != "":
 		assignment.End(fleet.Misdirected, d.now())
--- a/gateway/decision_log_test.go
+++ b/gateway/decision_log_test.go
@@ -15,11 +15,11 @@
 // fields that explain the decisions.
 func TestEachDecisionIsLogged(t *testing.T) {
 	wantFields := map[string][]string{
-		"answer begins":                  {"target", "expected-ms", "took-ms", "waited-ms", "report-age-ms", "candidates", "send", "status", "kind", "service"},
+		"answer begins":                  {"target", "expected-ms", "took-ms", "waited-ms", "report-age-ms", "candidates", "send", "status", "kind", "service", "limit"},
 		"answer ends":                    {"target", "status", "whole", "took-ms", "route", "priority"},
 		"answer lost":                    {"target", "expected-ms", "report-age-ms", "send", "error", "model", "parts"},
 		"answer broken off":              {"target", "last-event", "body-bytes", "since-first-byte-ms", "parts", "error"},
-		"target refused":                 {"target", "misplaced", "report-age-ms", "candidates", "send"},
+		"target refused":                 {"target", "misplaced", "report-age-ms", "candidates", "send", "limit"},
 		"not served":                     {"reason", "status", "retry-after-ms", "begun", "route", "took-ms"},
 		"refused":                        {"reason", "status", "host", "uri"},
 		"caller left":                    {"route", "took-ms"},
