--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"gypsumbank/agent"
-	"gypsumbank/gateway"
 	"gypsumbank/settings"
 	"gypsumbank/standin/site"
 )
@@ -34,19 +29,12 @@
 // crashDeployment is a store, engines with their agents, and gateways. Engines crash under requests with the prompt part
 // "bad", which have nothing else in common.
 type crashDeployment struct {
-	t         *testing.T
-	store     *site.Store
-	agentPort int
-	log       *logrus.Entry
+	*gatewayGroup
 
-	mu        sync.Mutex
-	crashes   []time.Time // of engines
-	badSends  []time.Time // arrivals of requests with the bad part at engines
-	agents    []func()    // each ends an agent and starts another in its place
-	gateways  []string    // addresses
-	stops     []func()    // by gateway
-	requestNo int
-	sound     []soundResult
+	crashes  []time.Time // of engines
+	badSends []time.Time // arrivals of requests with the bad part at engines
+	agents   []func()    // each ends an agent and starts another in its place
+	sound    []soundResult
 }
 
 // soundResult is the outcome of a request without the bad part.
@@ -56,13 +44,7 @@
 }
 
 func newCrashDeployment(t *testing.T) *crashDeployment {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	_, port, _ := net.SplitHostPort(freeAddress(t))
-	agentPort, _ := strconv.Atoi(port)
-	d := &crashDeployment{t: t, store: site.NewStore(), agentPort: agentPort, log: log.WithField("test", t.Name())}
-	t.Cleanup(d.store.Close)
-	d.store.Put("op", "config", routesDocument(1, 2000))
+	d := &crashDeployment{gatewayGroup: newGatewayGroup(t)}
 	for i := range crashEngines {
 		d.startEngine(i)
 	}
@@ -109,52 +91,6 @@
 	d.t.Cleanup(engine.Close)
 }
 
-// run runs a process until the returned function is called, at the latest at the end of the test.
-func (d *crashDeployment) run(process func(context.Context) error) (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if err := process(ctx); err != nil {
-			d.t.Error(err)
-		}
-	}()
-	stop = func() {
-		cancel()
-		<-done
-	}
-	d.t.Cleanup(stop)
-	return stop
-}
-
-// startGateway starts gateway i, or restarts it with an empty memory, and waits until it is ready.
-func (d *crashDeployment) startGateway(i int) {
-	ready := freeAddress(d.t)
-	config := &settings.Config{
-		Node:    settings.Node{Name: fmt.Sprintf("gateway-%d", i), AvailabilityZone: "zone-a"},
-		Gateway: settings.Gateway{Listen: freeAddress(d.t), Ready: ready, AgentPort: d.agentPort, Grace: time.Second},
-		Store:   settings.Store{Address: d.store.Address()},
-		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
-	}
-	stop := d.run(gateway.New(config, d.log).Run)
-	for range 300 {
-		if response, err := http.Get("http://" + ready + "/-/readyz"); err == nil {
-			response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				break
-			}
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if i < len(d.gateways) {
-		d.gateways[i], d.stops[i] = config.Gateway.Listen, stop
-		return
-	}
-	d.gateways, d.stops = append(d.gateways, config.Gateway.Listen), append(d.stops, stop)
-}
-
 func (d *crashDeployment) recordCrash() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -173,41 +109,11 @@
 
 // request sends a request with the given middle part through the next gateway and reports whether it got a whole answer.
 func (d *crashDeployment) request(middle string) bool {
-	d.mu.Lock()
-	d.requestNo++
-	n := d.requestNo
-	if len(d.gateways) == 0 {
-		d.mu.Unlock()
-		return false
-	}
-	address := d.gateways[n%len(d.gateways)]
-	if address == "" {
-		address = d.gateways[(n+1)%len(d.gateways)]
-	}
-	d.mu.Unlock()
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-	_, _ = fmt.Fprintf(conn, "GET /stream/%d HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nX-Gypsumbank-Request-Id: c%d\r\n%s\r\nX-Gypsumbank-Prompt-Prefix: sys:200,%s:100,own%d:50\r\n\r\n",
-		n, callerHost, n, m1Header, middle, n)
-	answer, err := io.ReadAll(conn)
-	return err == nil && strings.HasPrefix(string(answer), "HTTP/1.1 200") && strings.HasSuffix(string(answer), "0\r\n\r\n")
-}
-
-// sendEvery sends requests at an interval until ctx ends, each in a goroutine of its own, and waits for them.
-func sendEvery(ctx context.Context, interval time.Duration, send func(n int)) {
-	var group sync.WaitGroup
-	defer group.Wait()
-	for n := 0; ctx.Err() == nil; n++ {
-		group.Go(func() { send(n) })
-		select {
-		case <-ctx.Done():
-		case <-time.After(interval):
-		}
-	}
+	answer := d.send(func(n int) string {
+		return fmt.Sprintf("GET /stream/%d HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nX-Gypsumbank-Request-Id: c%d\r\n%s\r\nX-Gypsumbank-Prompt-Prefix: sys:200,%s:100,own%d:50\r\n\r\n",
+			n, callerHost, n, m1Header, middle, n)
+	})
+	return strings.HasPrefix(answer, "HTTP/1.1 200") && strings.HasSuffix(answer, "0\r\n\r\n")
 }
 
 // TestRequestsWithAPromptPartThatCrashesEnginesAreRefused guards against requests that end one engine after the other, since
@@ -251,18 +157,6 @@
 	}
 }
 
-// replaceGateways stops the first n gateways and starts others in their place.
-func (d *crashDeployment) replaceGateways(n int) {
-	for i := range n {
-		d.mu.Lock()
-		stop := d.stops[i]
-		d.gateways[i] = "" // callers use another one while it stops
-		d.mu.Unlock()
-		stop()
-		d.startGateway(i)
-	}
-}
-
 // replaceAll stops all gateways and agents before it starts others, so that no memory of a process lives on.
 func (d *crashDeployment) replaceAll() {
 	var stopping sync.WaitGroup
--- /dev/null
+++ b/gateway/group_test.go
@@ -0,0 +1,143 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/gateway"
+	"gypsumbank/settings"
+	"gypsumbank/standin/site"
+)
+
+// gatewayGroup is a store with several gateways before the targets that a test registers.
+type gatewayGroup struct {
+	t         *testing.T
+	store     *site.Store
+	agentPort int
+	log       *logrus.Entry
+
+	mu        sync.Mutex
+	gateways  []string // addresses; empty for one that is being replaced
+	stops     []func() // by gateway
+	requestNo int
+}
+
+// newGatewayGroup returns a group with routes in its store and no gateway yet.
+func newGatewayGroup(t *testing.T) *gatewayGroup {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	_, port, _ := net.SplitHostPort(freeAddress(t))
+	agentPort, _ := strconv.Atoi(port)
+	g := &gatewayGroup{t: t, store: site.NewStore(), agentPort: agentPort, log: log.WithField("test", t.Name())}
+	t.Cleanup(g.store.Close)
+	g.store.Put("op", "config", routesDocument(1, 2000))
+	return g
+}
+
+// run runs a process until the returned function is called, at the latest at the end of the test.
+func (g *gatewayGroup) run(process func(context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := process(ctx); err != nil {
+			g.t.Error(err)
+		}
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	g.t.Cleanup(stop)
+	return stop
+}
+
+// startGateway starts gateway i, or restarts it with an empty memory, and waits until it is ready.
+func (g *gatewayGroup) startGateway(i int) {
+	ready := freeAddress(g.t)
+	config := &settings.Config{
+		Node:    settings.Node{Name: fmt.Sprintf("gateway-%d", i), AvailabilityZone: "zone-a"},
+		Gateway: settings.Gateway{Listen: freeAddress(g.t), Ready: ready, AgentPort: g.agentPort, Grace: time.Second},
+		Store:   settings.Store{Address: g.store.Address()},
+		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
+	}
+	stop := g.run(gateway.New(config, g.log).Run)
+	for range 300 {
+		if response, err := http.Get("http://" + ready + "/-/readyz"); err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i < len(g.gateways) {
+		g.gateways[i], g.stops[i] = config.Gateway.Listen, stop
+		return
+	}
+	g.gateways, g.stops = append(g.gateways, config.Gateway.Listen), append(g.stops, stop)
+}
+
+// replaceGateways stops the first n gateways and starts others in their place.
+func (g *gatewayGroup) replaceGateways(n int) {
+	for i := range n {
+		g.mu.Lock()
+		stop := g.stops[i]
+		g.gateways[i] = "" // callers use another one while it stops
+		g.mu.Unlock()
+		stop()
+		g.startGateway(i)
+	}
+}
+
+// send sends a request through the next gateway and returns what came back. The request gets a number of its own.
+func (g *gatewayGroup) send(request func(n int) string) string {
+	g.mu.Lock()
+	g.requestNo++
+	n := g.requestNo
+	if len(g.gateways) == 0 {
+		g.mu.Unlock()
+		return ""
+	}
+	address := g.gateways[n%len(g.gateways)]
+	if address == "" {
+		address = g.gateways[(n+1)%len(g.gateways)]
+	}
+	g.mu.Unlock()
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return ""
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	_, _ = io.WriteString(conn, request(n))
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		return ""
+	}
+	return string(answer)
+}
+
+// sendEvery sends requests at an interval until ctx ends, each in a goroutine of its own, and waits for them.
+func sendEvery(ctx context.Context, interval time.Duration, send func(n int)) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for n := 0; ctx.Err() == nil; n++ {
+		group.Go(func() { send(n) })
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
