Load models of an engine whose limit binds on other engines

The planner takes an engine at which a request has found no turn in the last 3 s as one with twice its capacity in use: its models gain by a copy elsewhere, and no model is loaded there. A limit above the demand changes nothing. A known case is left: only what the planning gateway itself was told counts. TestModelOfALimitedEngineGetsACopyElsewhere fails without the change in the first of its three cases.

--- a/fleet/balance.go
+++ b/fleet/balance.go
@@ -23,9 +23,9 @@
 	load    []float64 // by engine
 }
 
-// newBalance divides the work among engines 0 to engines-1.
-func newBalance(engines int, holders map[string][]int, work map[string]float64) *balance {
-	b := &balance{work: work, holders: holders, shares: map[string][]float64{}, load: make([]float64, engines)}
+// newBalance divides the work among engines with the given loads from elsewhere.
+func newBalance(loads []float64, holders map[string][]int, work map[string]float64) *balance {
+	b := &balance{work: work, holders: holders, shares: map[string][]float64{}, load: loads}
 	models := make([]string, 0, len(work))
 	for model := range work {
 		if len(holders[model]) > 0 {
--- a/fleet/balance_test.go
+++ b/fleet/balance_test.go
@@ -44,7 +44,7 @@
 				}
 			}
 		}
-		b := newBalance(engines, holders, work)
+		b := newBalance(make([]float64, engines), holders, work)
 		total, placed := 0.0, 0.0
 		for model, held := range holders {
 			total += work[model]
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -73,6 +73,7 @@
 
 	pacer             *pacer.Pacer // of the limit that the target names; nil if it names none
 	limitNamedAt      time.Time    // when an answer last named it
+	turnMissedAt      time.Time    // when a request last found that the limit allowed none
 	latencyMs         float64      // time to the first byte at a plain target, moving average
 	performance       performance
 	connectFailures   int       // in a row
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -176,7 +176,13 @@
 			p.holders[s.loading] = append(p.holders[s.loading], i)
 		}
 	}
-	p.balance = newBalance(len(p.targets), p.holders, p.workMsPerS)
+	loads := make([]float64, len(p.targets))
+	for i, s := range p.targets {
+		if s.limitBinds(now) {
+			loads[i] = maxCongestion * engineCapacity
+		}
+	}
+	p.balance = newBalance(loads, p.holders, p.workMsPerS)
 	return p
 }
 
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -274,3 +274,41 @@
 		t.Errorf("placement %+v, %v, want a load on the idle engine e2", placement, ok)
 	}
 }
+
+// TestModelOfALimitedEngineGetsACopyElsewhere has the only holder of a model name a limit below the demand, or none. The model
+// must get a copy at another engine, and the limited engine no further model, while the limit binds and not otherwise.
+func TestModelOfALimitedEngineGetsACopyElsewhere(t *testing.T) {
+	cases := map[string]struct {
+		limit    registry.RequestLimit
+		wantLoad bool
+	}{
+		"limit below the demand": {limit: registry.RequestLimit{Named: true, PerSecond: 1}, wantLoad: true},
+		"limit above the demand": {limit: registry.RequestLimit{Named: true, PerSecond: 500}},
+		"no limit":               {},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet([]string{"cold"}, []string{"hot", "x1"}, []string{"hot", "x2"})
+			now := start
+			for range 40 {
+				now = now.Add(300 * time.Millisecond)
+				req := shortRequest("cold")
+				f.RecordDemand(service, req, now)
+				choice, ok := f.Choose(Query{Service: service, Request: req}, now)
+				if !ok || !f.TakeTurn(choice, now) {
+					continue
+				}
+				a := f.Assign(choice, req, now)
+				a.RecordLimit(c.limit, now)
+				a.End(Served, now)
+			}
+			for id := range 3 {
+				f.Observe(fmt.Sprint("e", id), newObservation(registry.Report{Born: 1, Models: f.states[fmt.Sprint("e", id)].Models}), now)
+			}
+			placement, ok := f.Plan(service, now)
+			if ok != c.wantLoad || (ok && (placement.Model != "cold" || placement.Target.ID == "e0")) {
+				t.Errorf("placement %+v, %v; want a copy of the model elsewhere: %v", placement, ok, c.wantLoad)
+			}
+		})
+	}
+}
--- a/fleet/request_limit.go
+++ b/fleet/request_limit.go
@@ -8,6 +8,9 @@
 	"gypsumbank/registry"
 )
 
+// limitBindsFor is how long after a request found no turn at a target its limit counts as lower than the demand.
+const limitBindsFor = 3 * time.Second
+
 // LimitChange says what an answer has changed of the limit that this gateway keeps for a target.
 type LimitChange int
 
@@ -64,6 +67,8 @@
 	for _, s := range usable {
 		if s.turnWait(gateways, now) == 0 {
 			open = append(open, s)
+		} else {
+			s.turnMissedAt = now
 		}
 		if s.turnWait(gateways, now) < soonest.turnWait(gateways, now) {
 			soonest = s
@@ -97,3 +102,8 @@
 	}
 	return s.pacer.Wait(gateways, now)
 }
+
+// limitBinds reports whether the target has lately had no turn for a request that it could have served.
+func (s *targetState) limitBinds(now time.Time) bool {
+	return s.pacer != nil && !s.turnMissedAt.IsZero() && now.Sub(s.turnMissedAt) < limitBindsFor
+}
