Look for the cause of crashes among the contents of the new crash

Only contents of the new record can have become frequent enough; an index holds the crashes of each.

--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -84,18 +84,13 @@
 			blocked = append(blocked, request.Content{Hash: received.GetContent()})
 		}
 	}
-	changed := false
 	for _, received := range message.GetCrashes() {
 		contents := make([]request.Content, 0, len(received.GetContents()))
 		for _, content := range received.GetContents() {
 			contents = append(contents, request.Content{Hash: content.GetHash(), Rank: content.GetRank()})
 		}
-		if t.addCrash(received.GetRun(), contents, now.Add(-milliseconds(received.GetAgeMs()))) {
-			changed = true
-		}
-	}
-	if changed {
-		blocked = append(blocked, t.blockCauses(now)...)
+		added := t.addCrash(received.GetRun(), contents, now.Add(-milliseconds(received.GetAgeMs())))
+		blocked = append(blocked, t.blockCauses(added, now)...)
 	}
 	return blocked
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 	// entryRetention is how long an entry is kept after its block has ended or it was cleared.
 	entryRetention = time.Hour
 
-	maxCrashes          = 256
+	maxCrashes          = 128
 	maxContentsPerCrash = 64
 	maxEntries          = 512
 )
@@ -34,8 +35,9 @@
 	now func() time.Time
 
 	mu       sync.Mutex
-	crashes  map[uint64]*crash // by run
-	entries  map[uint64]*entry // by the hash of the content
+	crashes  map[uint64]*crash   // by run
+	mentions map[uint64][]uint64 // runs by the hash of each content of their crashes
+	entries  map[uint64]*entry   // by the hash of the content
 	answered answeredContents
 	revision uint64 // number of changes of crashes and entries
 
@@ -60,7 +62,7 @@
 
 // New returns an empty table; now is its clock.
 func New(now func() time.Time) *Table {
-	return &Table{now: now, crashes: map[uint64]*crash{}, entries: map[uint64]*entry{}}
+	return &Table{now: now, crashes: map[uint64]*crash{}, mentions: map[uint64][]uint64{}, entries: map[uint64]*entry{}}
 }
 
 // Run returns a hash that identifies one run of a target.
@@ -101,10 +103,7 @@
 			suspects = append(suspects, content)
 		}
 	}
-	if !t.addCrash(run, suspects, now) {
-		return nil
-	}
-	return t.blockCauses(now)
+	return t.blockCauses(t.addCrash(run, suspects, now), now)
 }
 
 // Clear records that a request with the contents has been answered, so that none of them is the cause of earlier crashes. It
@@ -151,15 +150,15 @@
 	return duration
 }
 
-// addCrash adds contents to the record of a crash, which is new unless another process has told of it. It reports whether the
-// record has changed; the caller holds the lock.
-func (t *Table) addCrash(run uint64, contents []request.Content, at time.Time) bool {
+// addCrash adds contents to the record of a crash, which is new unless another process has told of it. It returns those that
+// the record did not have; the caller holds the lock.
+func (t *Table) addCrash(run uint64, contents []request.Content, at time.Time) []request.Content {
 	t.dropOld()
 	c := t.crashes[run]
 	if c == nil {
 		c = &crash{at: at, contents: map[uint64]uint32{}}
 	}
-	added := false
+	var added []request.Content
 	for _, content := range contents {
 		if _, known := c.contents[content.Hash]; known || len(c.contents) >= maxContentsPerCrash {
 			continue
@@ -167,9 +166,11 @@
 		if e := t.entries[content.Hash]; e != nil && !e.blocked && !e.at.Before(c.at) {
 			continue // answered since the crash
 		}
-		c.contents[content.Hash], added = content.Rank, true
+		c.contents[content.Hash] = content.Rank
+		t.mentions[content.Hash] = append(t.mentions[content.Hash], run)
+		added = append(added, content)
 	}
-	if added {
+	if len(added) > 0 {
 		t.revision++
 		c.revision = t.revision
 		t.crashes[run] = c
@@ -177,25 +178,34 @@
 	return added
 }
 
+// removeCrash removes the record of a crash; the caller holds the lock.
+func (t *Table) removeCrash(run uint64) {
+	for hash := range t.crashes[run].contents {
+		t.mentions[hash] = slices.DeleteFunc(t.mentions[hash], func(r uint64) bool { return r == run })
+		if len(t.mentions[hash]) == 0 {
+			delete(t.mentions, hash)
+		}
+	}
+	delete(t.crashes, run)
+}
+
 // removeSuspect removes a content from the records of all crashes and reports whether it was in any; the caller holds the lock.
 func (t *Table) removeSuspect(hash uint64) bool {
-	found := false
-	for _, c := range t.crashes {
-		if _, ok := c.contents[hash]; ok {
-			delete(c.contents, hash)
-			found = true
-		}
+	runs := t.mentions[hash]
+	for _, run := range runs {
+		delete(t.crashes[run].contents, hash)
 	}
-	return found
+	delete(t.mentions, hash)
+	return len(runs) > 0
 }
 
-// blockCauses blocks contents until no crash that none of them explains counts towards a further one. Each time it takes the
-// content that most crashes have in common and, of several, the one that the fewest requests share. It returns the contents
-// that are blocked now; the caller holds the lock.
-func (t *Table) blockCauses(now time.Time) []request.Content {
+// blockCauses blocks those of the suspects that enough crashes have in common. Each time it takes the one that most crashes have
+// and, of several, the one that the fewest requests share; the crashes that it explains do not count for the others. It returns
+// the contents that are blocked now; the caller holds the lock.
+func (t *Table) blockCauses(suspects []request.Content, now time.Time) []request.Content {
 	var blocked []request.Content
 	for {
-		cause, ok := t.likelyCause()
+		cause, ok := t.likelyCause(suspects)
 		if !ok {
 			return blocked
 		}
@@ -208,21 +218,11 @@
 	}
 }
 
-// likelyCause returns the content to block next; the caller holds the lock.
-func (t *Table) likelyCause() (cause request.Content, ok bool) {
-	times := map[request.Content][]time.Time{}
-	for _, c := range t.crashes {
-		if t.explained(c) {
-			continue
-		}
-		for hash, rank := range c.contents {
-			content := request.Content{Hash: hash, Rank: rank}
-			times[content] = append(times[content], c.at)
-		}
-	}
+// likelyCause returns the suspect to block next; the caller holds the lock.
+func (t *Table) likelyCause(suspects []request.Content) (cause request.Content, ok bool) {
 	most := 0
-	for content, at := range times {
-		count := countSpaced(at)
+	for _, content := range suspects {
+		count := countSpaced(t.unexplainedCrashes(content.Hash))
 		if count < t.crashesToBlock(content.Hash) {
 			continue
 		}
@@ -233,6 +233,18 @@
 	return cause, most > 0
 }
 
+// unexplainedCrashes returns the times of the crashes that have a content and no cause that is blocked; the caller holds the lock.
+func (t *Table) unexplainedCrashes(hash uint64) []time.Time {
+	runs := t.mentions[hash]
+	times := make([]time.Time, 0, len(runs))
+	for _, run := range runs {
+		if c := t.crashes[run]; !t.explained(c) {
+			times = append(times, c.at)
+		}
+	}
+	return times
+}
+
 // crashesToBlock returns the number of crashes from which on a content is blocked: 1 if it was blocked before and has not been
 // answered since; the caller holds the lock.
 func (t *Table) crashesToBlock(hash uint64) int {
@@ -288,7 +300,7 @@
 	var oldest uint64
 	for run, c := range t.crashes {
 		if now.Sub(c.at) > crashRetention {
-			delete(t.crashes, run)
+			t.removeCrash(run)
 			continue
 		}
 		if o := t.crashes[oldest]; o == nil || c.at.Before(o.at) {
@@ -296,7 +308,7 @@
 		}
 	}
 	if len(t.crashes) >= maxCrashes {
-		delete(t.crashes, oldest)
+		t.removeCrash(oldest)
 	}
 	for hash, e := range t.entries {
 		if now.Sub(e.at) > entryRetention+e.blockDuration() {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -251,8 +251,8 @@
 				t.Fatalf("a message has %d crashes and %d entries", len(message.GetCrashes()), len(message.GetEntries()))
 			}
 		}
-		if crashes > 256 || entries > 512 {
-			t.Errorf("%d crashes and %d entries, want at most 256 and 512", crashes, entries)
+		if crashes > 128 || entries > 512 {
+			t.Errorf("%d crashes and %d entries, want at most 128 and 512", crashes, entries)
 		}
 	})
 }
