Resume a stream only at the software version that wrote its first event

The version is decoded from the registry into a type of its own, apart from that of weights; agents pass it on; a run that only its agent has told of has none until the registry lists it. A stream with events goes on at targets of the version that wrote the first; with none to be had the answer is broken off. The answer of a target that has started again since it was chosen is not joined. An unknown version is taken for the only one while one serves, and serves means: listed within the last minute. Prompt caches are fetched from targets of the same version only.

--- a/agent/relay.go
+++ b/agent/relay.go
@@ -94,7 +94,7 @@
 	for _, t := range targets {
 		registered = append(registered, &wire.RegisteredTarget{
 			Id: t.ID, Born: t.Born, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
-			Slots: uint32(t.Slots), Draining: t.Draining, Cold: t.ColdRemaining > 0,
+			Slots: uint32(t.Slots), Draining: t.Draining, Cold: t.ColdRemaining > 0, SoftwareVersion: string(t.SoftwareVersion),
 		})
 	}
 	slices.SortFunc(registered, func(a, b *wire.RegisteredTarget) int { return cmp.Compare(a.GetId(), b.GetId()) })
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -78,11 +78,14 @@
 	cancel       context.CancelFunc
 	deadline     time.Time
 	excluded     map[string]bool
-	sendCount    int             // attempts that left this process
-	possibleRuns int             // of those, attempts that may have run
-	place        *waitlist.Place // while the request waits for room
-	wait         wait            // in progress; zero if there is none
-	log          *logrus.Entry
+	sendCount    int // attempts that left this process
+	possibleRuns int // of those, attempts that may have run
+	// streamVersion is the software version that wrote the first event of the stream, at which alone it may go on; nil for a
+	// stream without events.
+	streamVersion *registry.SoftwareVersion
+	place         *waitlist.Place // while the request waits for room
+	wait          wait            // in progress; zero if there is none
+	log           *logrus.Entry
 }
 
 const (
@@ -173,7 +176,7 @@
 			return fleet.Choice{}, refused
 		}
 		now := d.now()
-		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded}, now)
+		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded, SoftwareVersion: d.streamVersion}, now)
 		remaining := d.firstByteDeadline().Sub(now)
 		switch {
 		case !ok:
@@ -357,15 +360,6 @@
 	return d.ctx.Err() == nil && d.route.Repeatable() && d.possibleRuns < d.route.MaxAttempts && d.deadline.Sub(d.now()) > minResponseTime+finalResponseMargin
 }
 
-// Resume continues a stream on another target after the event with the given id.
-func (d *Dispatch) Resume(lastEventID string) Outcome {
-	d.request.LastEventID = lastEventID
-	if !d.canRetry() {
-		return Failed{Reason: StreamBroken}
-	}
-	return d.Run()
-}
-
 // Exclude keeps later attempts from using a target.
 func (d *Dispatch) Exclude(id string) { d.excluded[id] = true }
 
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -57,4 +57,5 @@
 	UnreadableBody Reason = "unreadable-body"
 	StreamBroken   Reason = "stream-broken"
 	CrashesTargets Reason = "crashes-targets"
+	UnknownVersion Reason = "stream-version-unknown"
 )
--- /dev/null
+++ b/dispatch/resume_test.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gypsumbank/registry"
+	"gypsumbank/reply"
+	"gypsumbank/request"
+)
+
+// registerVersions lists the two engines with the given software versions.
+func registerVersions(d *Dispatcher, first, second registry.SoftwareVersion) []registry.Target {
+	var targets []registry.Target
+	for i, version := range []registry.SoftwareVersion{first, second} {
+		id := string(rune('1' + i))
+		targets = append(targets, registry.Target{
+			ID: "e" + id, Service: engineService, Address: "10.0.1." + id + ":80", AvailabilityZone: "a", Slots: 64,
+			SoftwareVersion: version, Models: []registry.Model{{Name: "m1"}},
+		})
+	}
+	d.fleet.UpdateTargets(targets, false, time.Now())
+	return targets
+}
+
+// TestResumeKeepsTheSoftwareVersion breaks a stream of the first of two engines and resumes it.
+func TestResumeKeepsTheSoftwareVersion(t *testing.T) {
+	cases := map[string]struct {
+		versions  [2]registry.SoftwareVersion
+		lastEvent string
+		want      Outcome
+	}{
+		"one version":                   {versions: [2]registry.SoftwareVersion{"v1", "v1"}, lastEvent: "2", want: Answered{}},
+		"no version is known":           {lastEvent: "2", want: Answered{}},
+		"other version":                 {versions: [2]registry.SoftwareVersion{"v1", "v2"}, lastEvent: "2", want: Failed{Reason: NoTarget}},
+		"other version, no event yet":   {versions: [2]registry.SoftwareVersion{"v1", "v2"}, want: Answered{}},
+		"first version is not known":    {versions: [2]registry.SoftwareVersion{"", "v2"}, lastEvent: "2", want: Failed{Reason: UnknownVersion}},
+		"version of the other unknown":  {versions: [2]registry.SoftwareVersion{"v1", ""}, lastEvent: "2", want: Failed{Reason: NoTarget}},
+		"other version, same as unread": {versions: [2]registry.SoftwareVersion{"v2", "v1"}, lastEvent: "2", want: Failed{Reason: NoTarget}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &scriptedClient{replies: []func() reply.Result{respond(200)}}
+			d := newDispatcher(s, time.Now)
+			targets := registerVersions(d, c.versions[0], c.versions[1])
+			dispatch := d.Begin(t.Context(), &request.Request{ID: "r", Model: "m1", Arrived: time.Now(), Header: http.Header{}}, streamRoute(true), engineService)
+			defer dispatch.Close()
+			dispatch.possibleRuns, dispatch.sendCount = 1, 1
+			dispatch.Exclude("e1")
+			if got := dispatch.Resume(targets[0], c.lastEvent); !sameOutcome(got, c.want) {
+				t.Errorf("outcome %#v, want %#v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestAnswerOfAnotherRunIsNotJoined restarts the target to which a stream was resumed, under the same id, before its answer came.
+func TestAnswerOfAnotherRunIsNotJoined(t *testing.T) {
+	d := newDispatcher(&scriptedClient{}, time.Now)
+	targets := registerVersions(d, "v1", "v1")
+	dispatch := d.Begin(t.Context(), &request.Request{ID: "r", Model: "m1", Arrived: time.Now()}, streamRoute(true), engineService)
+	defer dispatch.Close()
+	if !dispatch.bindVersion("v1", "answer") || !dispatch.ContinuesStream(targets[1]) {
+		t.Fatal("want the answer of the target to continue the stream")
+	}
+	restarted := append([]registry.Target(nil), targets...)
+	restarted[1].Born, restarted[1].SoftwareVersion = targets[1].Born+5, "v2"
+	d.fleet.UpdateTargets(restarted, false, time.Now())
+	if dispatch.ContinuesStream(targets[1]) {
+		t.Error("an answer of a run that has ended would be joined to the stream")
+	}
+}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -70,6 +70,8 @@
 	Service string
 	Request *request.Request
 	Exclude map[string]bool // ids of targets that must not be chosen
+	// SoftwareVersion is the only one whose targets may be chosen, nil for any: that of the target which began the stream.
+	SoftwareVersion *registry.SoftwareVersion
 }
 
 // Choice is the result of Choose: a target and the estimates that it was chosen by.
@@ -95,7 +97,9 @@
 func (f *Fleet) Choose(query Query, now time.Time) (choice Choice, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usable := f.usableTargets(query.Service, now)
+	usable := slices.DeleteFunc(f.usableTargets(query.Service, now), func(s *targetState) bool {
+		return query.SoftwareVersion != nil && s.SoftwareVersion != *query.SoftwareVersion
+	})
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,6 +41,8 @@
 	plannedStoreLoads map[string][]time.Time // by service, times of recently planned loads from the weight store
 	storeBlockedUntil map[string]time.Time   // by service, earliest time of the next load from the weight store
 	registryReadAt    time.Time              // when UpdateTargets was last called
+
+	versionsSeenAt map[serviceVersion]time.Time // when the registry last listed a target of the version
 }
 
 // targetState is what is known of one run of a target, that is one start of its process.
@@ -96,6 +98,7 @@
 		ownDemand:          map[demandKey]*decayingWork{},
 		storeBlockedUntil:  map[string]time.Time{},
 		plannedStoreLoads:  map[string][]time.Time{},
+		versionsSeenAt:     map[serviceVersion]time.Time{},
 	}
 }
 
@@ -124,6 +127,7 @@
 	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		listed[t.ID] = true
+		f.versionsSeenAt[serviceVersion{t.Service, t.SoftwareVersion}] = now
 		known := f.states[t.ID]
 		if known != nil && known.Born > t.Born {
 			continue // an agent has reported a later run that the registry does not list yet
@@ -221,7 +225,7 @@
 	}
 	if report.Born > s.Born {
 		s = newState(s.Target)
-		s.Born, s.Draining = report.Born, false
+		s.Born, s.Draining, s.SoftwareVersion = report.Born, false, ""
 		f.states[id] = s
 		f.indexByService()
 	}
--- a/fleet/prefix_source.go
+++ b/fleet/prefix_source.go
@@ -33,13 +33,14 @@
 }
 
 // choose returns the address of the target from which s should fetch KV cache, and for how many tokens; uncached is the
-// number of prompt tokens that s has not cached. The address is empty if prefilling them costs less than the fetch.
+// number of prompt tokens that s has not cached. The address is empty if prefilling them costs less than the fetch, or if the
+// other target has another software version.
 func (p prefixSources) choose(s *targetState, uncached int, prefillMsPerToken float64) (address string, tokens int) {
 	source, cached := p.best, p.bestTokens
 	if source == s {
 		source, cached = p.second, p.secondTokens
 	}
-	if source == nil {
+	if source == nil || source.SoftwareVersion != s.SoftwareVersion {
 		return "", 0
 	}
 	tokens = cached - (p.promptTokens - uncached)
--- /dev/null
+++ b/fleet/software_version.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"time"
+
+	"gypsumbank/registry"
+)
+
+// versionMemory is how long a software version counts as serving after the registry last listed a target of it: its streams may
+// still be taken up.
+const versionMemory = time.Minute
+
+// serviceVersion is a software version of a service's targets.
+type serviceVersion struct {
+	service string
+	version registry.SoftwareVersion
+}
+
+// SoftwareVersions returns the versions of a service's targets, now and within versionMemory. One of them is empty if the version
+// of some target is not known.
+func (f *Fleet) SoftwareVersions(service string, now time.Time) map[registry.SoftwareVersion]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	versions := map[registry.SoftwareVersion]bool{}
+	for seen, at := range f.versionsSeenAt {
+		switch {
+		case now.Sub(at) > versionMemory:
+			delete(f.versionsSeenAt, seen)
+		case seen.service == service:
+			versions[seen.version] = true
+		}
+	}
+	for _, s := range f.byService[service] {
+		if !s.replaced {
+			versions[s.SoftwareVersion] = true
+		}
+	}
+	return versions
+}
+
+// IsCurrent reports whether no other run of a target is known than the one that a request was sent to.
+func (f *Fleet) IsCurrent(target registry.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.states[target.ID]
+	return s == nil || (s.Born == target.Born && s.SoftwareVersion == target.SoftwareVersion && !s.replaced)
+}
--- a/fleet/unregistered_run.go
+++ b/fleet/unregistered_run.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	t := previous.Target
-	t.ID, t.Born, t.Draining, t.Models = id, observation.Report.Born, false, nil
+	t.ID, t.Born, t.Draining, t.Models, t.SoftwareVersion = id, observation.Report.Born, false, nil, ""
 	next := newState(t)
 	next.unregisteredUntil = now.Add(unregisteredLifetime)
 	f.states[id] = next
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -27,7 +27,7 @@
 // outcome of that and true.
 func (e *exchange) forward(answered dispatch.Answered) (dispatch.Outcome, bool) {
 	defer answered.Response.Body.Close()
-	if e.headWritten && answered.Response.Status >= http.StatusMultipleChoices {
+	if e.headWritten && (answered.Response.Status >= http.StatusMultipleChoices || !e.dispatch.ContinuesStream(answered.Assignment.Target())) {
 		answered.Assignment.End(fleet.Failed, time.Now())
 		e.refuseOrAbort(answered.Response.Status, dispatch.StreamBroken, 0)
 	}
@@ -64,7 +64,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	e.dispatch.Exclude(answered.Assignment.Target().ID)
-	return e.dispatch.Resume(events.lastID), true
+	return e.dispatch.Resume(answered.Assignment.Target(), events.lastID), true
 }
 
 // judgeContents tells the quarantine what an answer shows of the contents of its request: one that ended soon after its begin
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -122,7 +122,7 @@
 	for _, t := range storeReads.GetTargets() {
 		target := registry.Target{
 			ID: t.GetId(), Born: t.GetBorn(), Service: t.GetService(), Address: t.GetAddress(),
-			AvailabilityZone: t.GetAvailabilityZone(), Slots: int(t.GetSlots()), Draining: t.GetDraining(),
+			AvailabilityZone: t.GetAvailabilityZone(), Slots: int(t.GetSlots()), Draining: t.GetDraining(), SoftwareVersion: registry.SoftwareVersion(t.GetSoftwareVersion()),
 		}
 		if t.GetCold() {
 			target.ColdRemaining = assumedColdTime
--- a/registry/target.go
+++ b/registry/target.go
@@ -13,6 +13,7 @@
 	Service          string
 	Address          string // IP:PORT
 	AvailabilityZone string
+	SoftwareVersion  SoftwareVersion
 	Slots            int
 	Draining         bool
 	Remaining        time.Duration // time until the target is removed; 0 if not known
@@ -20,6 +21,10 @@
 	Models           []Model
 }
 
+// SoftwareVersion is the version of a target's software, as opposed to that of the weights of a Model; empty if not known.
+// Versions have no order, and what two of them write does not fit together.
+type SoftwareVersion string
+
 // Model is a model that a target holds, with the adapters loaded for it.
 type Model struct {
 	Name     string
--- a/standin/site/answers.go
+++ b/standin/site/answers.go
@@ -40,6 +40,15 @@
 // request with a Last-Event-Id gets only the events after it. If breakAfterID is not 0, the stream ends in a truncated
 // chunk after the event with that id.
 func EventStream(count int, interval time.Duration, breakAfterID int) Handler {
+	return eventStream(count, interval, breakAfterID, "")
+}
+
+// VersionedEventStream is EventStream without pauses whose events end in "at-" and the software version that wrote them.
+func VersionedEventStream(count int, version string, breakAfterID int) Handler {
+	return eventStream(count, 0, breakAfterID, "-at-"+version)
+}
+
+func eventStream(count int, interval time.Duration, breakAfterID int, suffix string) Handler {
 	return func(conn net.Conn, request *ReceivedRequest) bool {
 		nextID := 1
 		if _, err := fmt.Sscan(request.Header.Get("Last-Event-Id"), &nextID); err == nil {
@@ -47,7 +56,7 @@
 		}
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", IdentityHeaders(request))
 		for i := nextID; i <= count; i++ {
-			event := fmt.Sprintf("id: %d\ndata: token-%d\n\n", i, i)
+			event := fmt.Sprintf("id: %d\ndata: token-%d%s\n\n", i, i, suffix)
 			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 				request.CallerLeft = true
 				return false
