Take up streams of returning callers at the software version that began them

A caller that comes back with Last-Event-Id names in Resumes the request that brought the first event. A stream of which nobody knows the version is answered 503 at once.

Met on the way: a gateway whose routes came after its targets chose its agents a read later; it does with the routes now.

--- a/agent/service.go
+++ b/agent/service.go
@@ -67,6 +67,12 @@
 	return reply, nil
 }
 
+// Origin returns at which software version a stream began, if a gateway has told this agent.
+func (s *agentServer) Origin(_ context.Context, in *wire.OriginRequest) (*wire.OriginReply, error) {
+	version, age, known := s.agent.watchers.origins.Lookup(in.GetStream())
+	return &wire.OriginReply{Known: known, SoftwareVersion: string(version), AgeMs: uint32(age.Milliseconds())}, nil
+}
+
 // targetState returns the state of the engine as sent to gateways.
 func (a *Agent) targetState() *wire.TargetState {
 	r := a.lastReport
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"gypsumbank/origin"
 	"gypsumbank/quarantine"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
@@ -54,6 +55,7 @@
 	demandSentAt     time.Time
 	storeReads       storeReads
 	quarantine       *quarantine.Table
+	origins          *origin.Table // of the streams of all gateways
 	quarantineGrown  chan struct{} // holds a value after a content was blocked or unblocked
 	relayRequested   chan struct{} // receives a value when a gateway needs reads of the store and none did before
 }
@@ -83,7 +85,7 @@
 func newWatchers(now func() time.Time) *watchers {
 	return &watchers{
 		now: now, members: map[*watcher]struct{}{}, relayRequested: make(chan struct{}, 1),
-		quarantine: quarantine.New(now), quarantineGrown: make(chan struct{}, 1),
+		quarantine: quarantine.New(now), origins: origin.New(now), quarantineGrown: make(chan struct{}, 1),
 	}
 }
 
@@ -118,6 +120,7 @@
 		}
 	}
 	w.mergeQuarantine(heartbeat.GetQuarantine())
+	w.origins.Merge(heartbeat.GetOrigins())
 	w.broadcastLoadChange()
 	if heartbeat.GetHasDemand() {
 		w.requestRelay()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/fleet"
+	"gypsumbank/origin"
 	"gypsumbank/registry"
 	"gypsumbank/reply"
 	"gypsumbank/request"
@@ -29,6 +30,9 @@
 	EnsureLoaded(ctx context.Context, target registry.Target, requestID, model, adapter, evict string) error
 	// PushDemand sends the demand of this gateway to the agents now, for the gateway that plans model loads.
 	PushDemand()
+	// FindOrigin asks the agents that gateways tell of their streams at which software version one began, and returns the age
+	// of that record; ok is false if none knows it.
+	FindOrigin(ctx context.Context, stream uint64) (version registry.SoftwareVersion, age time.Duration, ok bool)
 	// PushUsage sends the requests of this gateway that are in progress at a target to its agent.
 	PushUsage(target registry.Target)
 }
@@ -50,6 +54,7 @@
 	agents     AgentClient
 	budget     *retrybudget.Budget
 	quarantine Quarantine
+	origins    *origin.Table  // streams that began here
 	waits      *waitlist.List // requests that wait for room at an engine
 	log        *logrus.Entry
 	now        func() time.Time
@@ -59,8 +64,8 @@
 }
 
 // New returns a dispatcher that reads the time from now.
-func New(f *fleet.Fleet, sender Sender, agents AgentClient, budget *retrybudget.Budget, quarantine Quarantine, log *logrus.Entry, now func() time.Time) *Dispatcher {
-	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, quarantine: quarantine, waits: waitlist.New(), log: log, now: now, stopping: make(chan struct{})}
+func New(f *fleet.Fleet, sender Sender, agents AgentClient, budget *retrybudget.Budget, quarantine Quarantine, origins *origin.Table, log *logrus.Entry, now func() time.Time) *Dispatcher {
+	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stopping: make(chan struct{})}
 }
 
 // StopWaits refuses the requests that wait for room or for a model, and those that would begin to wait. The process is about
@@ -140,6 +145,9 @@
 // Run sends the request to one target after another until its outcome is known.
 func (d *Dispatch) Run() Outcome {
 	defer d.leaveWaitlist()
+	if refused := d.findOrigin(); refused != nil {
+		return d.finalOutcome(*refused)
+	}
 	connectFailures := 0
 	for {
 		choice, refused := d.chooseTarget()
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/fleet"
+	"gypsumbank/origin"
 	"gypsumbank/registry"
 	"gypsumbank/reply"
 	"gypsumbank/request"
@@ -27,7 +28,8 @@
 	replies     []func() reply.Result
 	sentTo      []registry.Target
 	ensureCalls int
-	ensureErr   error // returned by EnsureLoaded
+	ensureErr   error                    // returned by EnsureLoaded
+	origin      registry.SoftwareVersion // of all streams, as agents know it; empty if none does
 }
 
 func (s *scriptedClient) Send(_ context.Context, _ *request.Request, delivery registry.Delivery) reply.Result {
@@ -44,6 +46,10 @@
 	return s.ensureErr
 }
 
+func (s *scriptedClient) FindOrigin(context.Context, uint64) (registry.SoftwareVersion, time.Duration, bool) {
+	return s.origin, 0, s.origin != ""
+}
+
 func (s *scriptedClient) PushDemand()               {}
 func (s *scriptedClient) PushUsage(registry.Target) {}
 
@@ -106,7 +112,7 @@
 	}
 	f.UpdateTargets(targets, false, now())
 	budget := retrybudget.New(retrybudget.Limits{PerRequest: 0.2, ExtraPerWindow: 100, Window: 10 * time.Second})
-	return New(f, s, s, budget, &scriptedQuarantine{}, log.WithField("test", "dispatch"), now)
+	return New(f, s, s, budget, &scriptedQuarantine{}, origin.New(now), log.WithField("test", "dispatch"), now)
 }
 
 func safeRoute() *route.Route {
--- a/fleet/software_version.go
+++ b/fleet/software_version.go
@@ -45,3 +45,20 @@
 	s := f.states[target.ID]
 	return s == nil || (s.Born == target.Born && s.SoftwareVersion == target.SoftwareVersion && !s.replaced)
 }
+
+// ServesSeveralVersions reports whether any service has targets of several software versions, now or within versionMemory.
+func (f *Fleet) ServesSeveralVersions(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := map[string]registry.SoftwareVersion{}
+	for seen, at := range f.versionsSeenAt {
+		if now.Sub(at) > versionMemory {
+			continue
+		}
+		if version, ok := first[seen.service]; ok && version != seen.version {
+			return true
+		}
+		first[seen.service] = seen.version
+	}
+	return false
+}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -15,6 +15,7 @@
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
 	"gypsumbank/fleet"
+	"gypsumbank/origin"
 	"gypsumbank/pause"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
@@ -51,6 +52,7 @@
 	fleet   *fleet.Fleet
 	relay   *relayedReads
 	crashes *crashes
+	origins *origin.Table
 	log     *logrus.Entry
 
 	mu          sync.Mutex
@@ -62,9 +64,9 @@
 	watchers    sync.WaitGroup
 }
 
-func newAgentClients(name string, port int, d *dialer.Dialer, f *fleet.Fleet, relay *relayedReads, crashes *crashes, log *logrus.Entry) *agentClients {
+func newAgentClients(name string, port int, d *dialer.Dialer, f *fleet.Fleet, relay *relayedReads, crashes *crashes, origins *origin.Table, log *logrus.Entry) *agentClients {
 	return &agentClients{
-		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, crashes: crashes, log: log,
+		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, crashes: crashes, origins: origins, log: log,
 		cancelWatch: map[string]context.CancelFunc{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
 	}
 }
@@ -182,7 +184,7 @@
 // sendHeartbeats sends heartbeats with the usage, and to relay agents with the demand, until ctx ends or the stream breaks.
 func (a *agentClients) sendHeartbeats(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
 	pushUsage := a.usageChannel(address)
-	quarantineRevision := uint64(0) // up to which the agent has been told
+	var quarantineRevision, originRevision uint64 // up to which the agent has been told
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
 		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true}
@@ -191,6 +193,9 @@
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
 			}
 			update.Quarantine, quarantineRevision = a.crashes.table.Changes(quarantineRevision, true)
+			if a.fleet.ServesSeveralVersions(time.Now()) {
+				update.Origins, originRevision = a.origins.Changes(originRevision)
+			}
 		}
 		share := a.fleet.TakeLoadReport(func(t registry.Target) bool { return a.address(t.Address) == address })
 		update.UnreadMs = float32(share.PendingPrefillMs)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -13,6 +13,7 @@
 	"gypsumbank/dispatch"
 	"gypsumbank/fleet"
 	"gypsumbank/platform"
+	"gypsumbank/registry"
 	"gypsumbank/route"
 )
 
@@ -109,7 +110,7 @@
 		now := time.Now()
 		e.longestGap = max(e.longestGap, now.Sub(lastRead))
 		lastRead = now
-		e.recordBodyBytes(n, now)
+		e.recordBodyBytes(n, now, answered.Assignment.Target(), isStream)
 		chunk := buffer[:n]
 		if isStream {
 			var tooLong error
@@ -153,10 +154,13 @@
 	return http.NewResponseController(e.writer).Flush()
 }
 
-// recordBodyBytes records that n bytes of a response body have arrived.
-func (e *exchange) recordBodyBytes(n int, now time.Time) {
+// recordBodyBytes records that n bytes of a response body have arrived, and at the first of a stream which target began it.
+func (e *exchange) recordBodyBytes(n int, now time.Time, target registry.Target, isStream bool) {
 	if n > 0 && e.firstByteAt.IsZero() {
 		e.firstByteAt = now
+		if isStream {
+			e.dispatch.RecordOrigin(target)
+		}
 	}
 	e.bodyBytes += n
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"gypsumbank/dispatch"
 	"gypsumbank/fleet"
 	"gypsumbank/logs"
+	"gypsumbank/origin"
 	"gypsumbank/platform"
 	"gypsumbank/probe"
 	"gypsumbank/retrybudget"
@@ -70,7 +71,8 @@
 	d := dialer.New(nil)
 	relay := newRelayedReads()
 	crashes := newCrashes(log)
-	agents := newAgentClients(config.Node.Name, config.Gateway.AgentPort, d, f, relay, crashes, log)
+	origins := origin.New(time.Now)
+	agents := newAgentClients(config.Node.Name, config.Gateway.AgentPort, d, f, relay, crashes, origins, log)
 	crashes.changed = agents.PushDemand
 	budget := retrybudget.New(retryLimits(config.Bounds))
 	replicaClient := platform.NewTargetClient(sender.New(connpool.New()))
@@ -79,7 +81,7 @@
 		log:        log,
 		store:      platform.NewStore(config.Store.Address),
 		fleet:      f,
-		dispatcher: dispatch.New(f, replicaClient, agents, budget, crashes, log, time.Now),
+		dispatcher: dispatch.New(f, replicaClient, agents, budget, crashes, origins, log, time.Now),
 		budget:     budget,
 		agents:     agents,
 		relay:      relay,
--- a/gateway/group_test.go
+++ b/gateway/group_test.go
@@ -115,18 +115,35 @@
 		address = g.gateways[(n+1)%len(g.gateways)]
 	}
 	g.mu.Unlock()
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	answer, err := sendRaw(address, request(n))
 	if err != nil {
 		return ""
 	}
+	return answer
+}
+
+// sendTo sends a request through gateway i and returns what came back, also if that is not a whole response.
+func (g *gatewayGroup) sendTo(i int, request string) string {
+	g.mu.Lock()
+	address := g.gateways[i]
+	g.mu.Unlock()
+	answer, _ := sendRaw(address, request)
+	return answer
+}
+
+// sendRaw sends a request on a new connection and returns all bytes until its end.
+func sendRaw(address, request string) (string, error) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return "", err
+	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-	_, _ = io.WriteString(conn, request(n))
-	answer, err := io.ReadAll(conn)
-	if err != nil {
-		return ""
+	if _, err := io.WriteString(conn, request); err != nil {
+		return "", err
 	}
-	return string(answer)
+	answer, err := io.ReadAll(conn)
+	return string(answer), err
 }
 
 // sendEvery sends requests at an interval until ctx ends, each in a goroutine of its own, and waits for them.
--- a/gateway/software_version_test.go
+++ b/gateway/software_version_test.go
@@ -1,11 +1,15 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"gypsumbank/agent"
+	"gypsumbank/settings"
 	"gypsumbank/standin/site"
 )
 
@@ -61,3 +65,94 @@
 		})
 	}
 }
+
+// newVersionGroup starts two gateways before two engines of different software versions, with their agents.
+func newVersionGroup(t *testing.T) *gatewayGroup {
+	g := newGatewayGroup(t)
+	for i, version := range []string{"v1", "v2"} {
+		host, id := fmt.Sprintf("127.0.0.%d", 80+i), "e-"+version
+		engine := site.NewTargetAt(host+":0", id, breakingStream(version))
+		engine.Load("m1")
+		entry := engine.RegistryEntry("engine", "ready")
+		entry["version"] = version
+		g.store.Put("servers", id, entry)
+		t.Cleanup(engine.Close)
+		config := &settings.Config{
+			Node:   settings.Node{Name: "agent-" + id, AvailabilityZone: "zone-a"},
+			Agent:  settings.Agent{Listen: net.JoinHostPort(host, strconv.Itoa(g.agentPort)), Target: engine.Address(), Service: "engine"},
+			Store:  settings.Store{Address: g.store.Address()},
+			Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
+		}
+		g.run(agent.New(config, g.log).Run)
+	}
+	g.startGateway(0)
+	g.startGateway(1)
+	return g
+}
+
+// streamRequest returns the bytes of a request for a stream with an id of its own.
+func streamRequest(id string, headers ...string) string {
+	return "GET /resume/a HTTP/1.1\r\nHost: " + callerHost + "\r\nConnection: close\r\nX-Gypsumbank-Request-Id: " + id + "\r\n" +
+		headerLines(append(headers, m1Header)) + "\r\n"
+}
+
+// versionsOf returns the software versions that have written events of an answer.
+func versionsOf(answer string) string {
+	versions := ""
+	for _, version := range []string{"v1", "v2"} {
+		if strings.Contains(answer, "-at-"+version+"\n") {
+			versions += version
+		}
+	}
+	return versions
+}
+
+// TestCallerTakesUpAStreamAtItsSoftwareVersion guards against callers whose second try, at whichever gateway, gets events of another
+// software version than the first. Streams break after two events; the callers come back with the last one.
+func TestCallerTakesUpAStreamAtItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		disturb func(*gatewayGroup)
+		gateway int // of the second try
+	}{
+		"same gateway":                  {func(*gatewayGroup) {}, 0},
+		"other gateway":                 {func(*gatewayGroup) {}, 1},
+		"other gateway, just started":   {func(g *gatewayGroup) { g.replace(1) }, 1},
+		"first gateway, started again":  {func(g *gatewayGroup) { g.replace(0) }, 0},
+		"other gateway, store away":     {func(g *gatewayGroup) { g.store.SetFault(site.Down) }, 1},
+		"other gateway, first one lost": {func(g *gatewayGroup) { g.stops[0]() }, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newVersionGroup(t)
+			time.Sleep(1500 * time.Millisecond)
+			const streams = 8
+			var first [streams]string
+			for i := range first {
+				first[i] = versionsOf(g.sendTo(0, streamRequest(fmt.Sprint("first", i))))
+				if first[i] != "v1" && first[i] != "v2" {
+					t.Fatalf("stream %d has events of %q, want one version", i, first[i])
+				}
+			}
+			time.Sleep(300 * time.Millisecond)
+			c.disturb(g)
+			for i, want := range first {
+				answer := g.sendTo(c.gateway, streamRequest(fmt.Sprint("second", i), "Last-Event-Id: 2", fmt.Sprint("Resumes: first", i)))
+				if got := versionsOf(answer); got != want || !strings.Contains(answer, "token-6") {
+					t.Errorf("stream %d of %s went on at %q: %q", i, want, got, answer)
+				}
+			}
+			answer := g.sendTo(c.gateway, streamRequest("lost", "Last-Event-Id: 2", "Resumes: never-seen"))
+			if !strings.HasPrefix(answer, "HTTP/1.1 503") {
+				t.Errorf("a stream of which nobody knows the version was answered %q, want 503", answer)
+			}
+		})
+	}
+}
+
+// replace stops gateway i and starts another in its place.
+func (g *gatewayGroup) replace(i int) {
+	g.stops[i]()
+	g.startGateway(i)
+}
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -151,6 +151,7 @@
 	g.routeTable.Store(table)
 	g.fleet.SetServices(table.Services())
 	g.log.WithFields(logrus.Fields{"version": table.Version(), "routes": table.Len()}).Info("routes in force")
+	g.watchAgents() // the first routes may come after the first targets
 }
 
 // followTargets reads the registered targets from the store and puts them in force, until ctx ends. It does not read the
--- a/request/request.go
+++ b/request/request.go
@@ -33,6 +33,7 @@
 	LengthHint      int    // the caller's estimate of the generated tokens; 0 if absent
 	Parts           []Part // the prompt in order; the last part is not shared with other requests
 	LastEventID     string // event after which an interrupted stream resumes; empty for a new stream
+	FirstRequestID  string // id of the request that brought the first event of that stream; empty if the caller did not say
 	Priority        int    // of the route, 0 is the most urgent
 }
 
