Load a model where a stream is to go on, and send heartbeats of a down engine no more often than states

A stream that goes on at one software version waited for a load that nobody planned, as engines of the other version hold its model: its gateway now plans the load on a target of the version. TestModelIsLoadedWhereAStreamGoesOn fails without it (refused after the wait).

--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -143,13 +143,7 @@
 	}
 	if w.lastState != nil && w.down == nil && sameUrgentState(w.lastState, state) {
 		sinceLast := w.now().Sub(w.lastSentAt)
-		interval := heartbeatInterval
-		if len(live) <= maxFewWatchers {
-			interval = fewWatchersHeartbeatInterval
-		}
-		if w.now().Sub(w.storeReads.requestedAt) < relayRequestTTL {
-			interval = min(interval, relayHeartbeatInterval)
-		}
+		interval := w.heartbeatInterval(len(live))
 		if sinceLast < minLoadStateInterval || (sinceLast < interval && sameLoad(w.lastState, state)) {
 			return
 		}
@@ -167,13 +161,25 @@
 func (w *watchers) publishDown(ended *wire.EndedRun) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.down != nil && w.now().Sub(w.lastSentAt) < fewWatchersHeartbeatInterval && proto.Equal(w.down.GetEndedRun(), ended) {
+	if w.down != nil && w.now().Sub(w.lastSentAt) < w.heartbeatInterval(len(w.live())) && proto.Equal(w.down.GetEndedRun(), ended) {
 		return
 	}
 	w.down, w.lastSentAt = &wire.TargetState{EngineDown: true, EndedRun: ended, SameHoldings: true}, w.now()
 	w.broadcastLast()
 }
 
+// heartbeatInterval returns the longest pause between two states sent to each of a number of gateways; the caller holds the lock.
+func (w *watchers) heartbeatInterval(gateways int) time.Duration {
+	interval := heartbeatInterval
+	if gateways <= maxFewWatchers {
+		interval = fewWatchersHeartbeatInterval
+	}
+	if w.now().Sub(w.storeReads.requestedAt) < relayRequestTTL {
+		interval = min(interval, relayHeartbeatInterval)
+	}
+	return interval
+}
+
 // broadcastLoadChange sends the last state again if, since it was sent, the pending prefill time at the target has risen by
 // pendingPrefillRiseMs or the number of requests there has changed by minRequestsChange; the caller holds the lock.
 func (w *watchers) broadcastLoadChange() {
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -59,10 +59,22 @@
 	}
 	if d.wait.began.IsZero() {
 		d.beginWait("model", eta, remaining)
+		d.loadForStream()
 	}
 	return d.pauseWait(modelPollInterval)
 }
 
+// loadForStream has the model loaded on a target of the software version at which alone the stream goes on. Nobody else plans
+// that load, as targets of other versions hold the model.
+func (d *Dispatch) loadForStream() {
+	if d.streamVersion == nil {
+		return
+	}
+	if placement, ok := d.fleet.PlanForStream(d.service, d.request.Model, *d.streamVersion, d.now()); ok {
+		go d.LoadModel(context.WithoutCancel(d.ctx), placement)
+	}
+}
+
 // LoadModel loads a model on a target as planned, and records the result in the fleet.
 func (d *Dispatcher) LoadModel(ctx context.Context, placement fleet.Placement) {
 	ctx, cancel := context.WithTimeout(ctx, modelLoadTimeout)
--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"gypsumbank/fleet"
 	"gypsumbank/registry"
 	"gypsumbank/reply"
 	"gypsumbank/request"
@@ -71,3 +72,25 @@
 		t.Error("an answer of a run that has ended would be joined to the stream")
 	}
 }
+
+// TestModelIsLoadedWhereAStreamGoesOn takes up a stream at a software version none of whose targets holds the model, while one of
+// another version does.
+func TestModelIsLoadedWhereAStreamGoesOn(t *testing.T) {
+	s := &scriptedClient{replies: []func() reply.Result{respond(200)}, origin: "v1"}
+	d := newDispatcher(s, time.Now)
+	targets := registerVersions(d, "v1", "v2")
+	targets[0].Models = []registry.Model{}
+	d.fleet.UpdateTargets(targets, false, time.Now())
+	d.fleet.Observe("e1", fleet.Observation{Report: registry.Report{OnDisk: []string{"m1"}}, Watchers: 2}, time.Now())
+	r := streamRoute(true)
+	r.Timeout = 5 * time.Second
+	began := time.Now()
+	dispatch := d.Begin(t.Context(), &request.Request{ID: "r2", FirstRequestID: "r1", LastEventID: "2", Model: "m1", Arrived: began}, r, engineService)
+	defer dispatch.Close()
+	if got := dispatch.Run(); !sameOutcome(got, Answered{}) || len(s.sentTo) != 1 || s.sentTo[0].ID != "e1" {
+		t.Errorf("outcome %#v, sent to %v; want an answer of e1", got, s.sentTo)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the stream went on after %s", took)
+	}
+}
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -57,6 +57,9 @@
 	balance        *balance
 	now            time.Time
 	storeExhausted bool // no further load from the weight store may be planned now
+	// streamVersion is set if a load is planned for a stream that goes on only at targets of this software version, by whichever
+	// gateway has the stream.
+	streamVersion *registry.SoftwareVersion
 }
 
 // Plan returns the next load by which the held models meet the demand better, and records it as in progress; it returns
@@ -79,12 +82,17 @@
 	if best.Model == "" {
 		return Placement{}, false
 	}
-	s := f.states[best.Target.ID]
-	s.loading, s.loadingSince = best.Model, now
-	if !s.report.HasLocalWeights(best.Model) {
+	f.markPlanned(best, now)
+	return best, true
+}
+
+// markPlanned records that a planned load is in progress; the caller holds the lock.
+func (f *Fleet) markPlanned(planned Placement, now time.Time) {
+	s := f.states[planned.Target.ID]
+	s.loading, s.loadingSince = planned.Model, now
+	if service := planned.Target.Service; !s.report.HasLocalWeights(planned.Model) {
 		f.plannedStoreLoads[service] = append(f.plannedStoreLoads[service], now)
 	}
-	return best, true
 }
 
 // MarkStoreExhausted records that a planned load from the weight store was rejected because of its rate limit. No
@@ -250,12 +258,20 @@
 	return best, bestGainMs
 }
 
+// plansFor reports whether a load on the target may be planned here.
+func (p *planState) plansFor(s *targetState) bool {
+	if p.streamVersion != nil {
+		return s.SoftwareVersion == *p.streamVersion
+	}
+	return s.plannedHere
+}
+
 // targetsFor returns the targets that can begin to load a model now, at most maxTargetsCompared: those that load it
 // fastest, and of these the least loaded.
 func (p *planState) targetsFor(model string) []int {
 	var able []int
 	for i, s := range p.targets {
-		if !s.plannedHere || s.loading != "" || s.report.Busy || s.holds(model, "", p.now) || p.now.Sub(s.reportAt) > reportLifetime {
+		if !p.plansFor(s) || s.loading != "" || s.report.Busy || s.holds(model, "", p.now) || p.now.Sub(s.reportAt) > reportLifetime {
 			continue
 		}
 		if p.storeExhausted && !s.report.HasLocalWeights(model) {
--- a/fleet/software_version.go
+++ b/fleet/software_version.go
@@ -62,3 +62,29 @@
 	}
 	return false
 }
+
+// PlanForStream returns the load by which a stream that goes on only at one software version gets a target that holds its model,
+// and records it as in progress. It returns false if no target of the version can load it, or one does already.
+func (f *Fleet) PlanForStream(service, model string, version registry.SoftwareVersion, now time.Time) (Placement, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.newPlanState(service, now)
+	if p == nil {
+		return Placement{}, false
+	}
+	if _, listed := p.engine.Models[model]; !listed {
+		return Placement{}, false
+	}
+	for _, s := range p.targets {
+		if s.SoftwareVersion == version && s.loading == model {
+			return Placement{}, false
+		}
+	}
+	p.streamVersion = &version
+	planned, _ := p.bestLoad(model)
+	if planned.Model == "" {
+		return Placement{}, false
+	}
+	f.markPlanned(planned, now)
+	return planned, true
+}
