Let idle checks of crashes and of the blocked contents sleep

Each of 30 gateways woke up 50 times a second to look for answers to check, and each agent five times a second to see whether gateways rely on it. Both wait for a signal now.

--- a/agent/quarantine.go
+++ b/agent/quarantine.go
@@ -24,11 +24,16 @@
 	if w.quarantine.EntriesRevision() == before {
 		return
 	}
+	w.requestBlocklist()
+	w.broadcastQuarantine()
+}
+
+// requestBlocklist has the list of blocked contents read and written soon.
+func (w *watchers) requestBlocklist() {
 	select {
-	case w.quarantineGrown <- struct{}{}:
+	case w.blocklistDue <- struct{}{}:
 	default:
 	}
-	w.broadcastQuarantine()
 }
 
 // broadcastQuarantine sends the last state with the entries that have changed to all gateways; the caller holds the lock.
@@ -38,40 +43,40 @@
 	}
 }
 
-// keepBlocklist reads the list of blocked contents from the store once gateways rely on this agent, and stores what they have
-// blocked, until ctx ends.
+// keepBlocklist reads the list of blocked contents from the store each time that gateways begin to rely on this agent, and stores
+// what they have blocked, until ctx ends.
 func (a *Agent) keepBlocklist(ctx context.Context) error {
 	list := blocklist.New(a.store, a.watchers.quarantine, a.log)
-	ticker := time.NewTicker(relayCheckInterval)
-	defer ticker.Stop()
-	known := false
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-a.watchers.quarantineGrown:
-			known = false
-		case <-ticker.C:
-		}
-		if known || !a.watchers.isRelay() {
-			continue
+		case <-a.watchers.blocklistDue:
 		}
-		blocked, err := a.syncBlocklist(ctx, list)
-		if err != nil {
+		for {
+			blocked, err := a.syncBlocklist(ctx, list)
+			if err == nil {
+				a.publishBlocklist(len(blocked))
+				break
+			}
 			a.log.WithError(err).Info("list of blocked contents not stored, will retry")
-			_ = pause.For(ctx, blocklistRetryInterval)
-			continue
+			if err := pause.For(ctx, blocklistRetryInterval); err != nil {
+				return err
+			}
 		}
-		known = true
-		if len(blocked) > 0 {
-			a.log.WithField("contents", len(blocked)).Info("contents blocked, as stored")
-		}
-		a.watchers.mu.Lock()
-		a.watchers.broadcastQuarantine()
-		a.watchers.mu.Unlock()
 	}
 }
 
+// publishBlocklist sends the entries that were read to all gateways.
+func (a *Agent) publishBlocklist(blocked int) {
+	if blocked > 0 {
+		a.log.WithField("contents", blocked).Info("contents blocked, as stored")
+	}
+	a.watchers.mu.Lock()
+	defer a.watchers.mu.Unlock()
+	a.watchers.broadcastQuarantine()
+}
+
 // syncBlocklist reads and writes the list once.
 func (a *Agent) syncBlocklist(ctx context.Context, list *blocklist.List) ([]request.Content, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -84,6 +84,7 @@
 		case w.relayRequested <- struct{}{}:
 		default:
 		}
+		w.requestBlocklist()
 	}
 	w.storeReads.requestedAt = w.now()
 }
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -56,7 +56,7 @@
 	storeReads       storeReads
 	quarantine       *quarantine.Table
 	origins          *origin.Table // of the streams of all gateways
-	quarantineGrown  chan struct{} // holds a value after a content was blocked or unblocked
+	blocklistDue     chan struct{} // holds a value after a content was blocked or unblocked, and when gateways begin to rely on this agent
 	relayRequested   chan struct{} // receives a value when a gateway needs reads of the store and none did before
 }
 
@@ -85,7 +85,7 @@
 func newWatchers(now func() time.Time) *watchers {
 	return &watchers{
 		now: now, members: map[*watcher]struct{}{}, relayRequested: make(chan struct{}, 1),
-		quarantine: quarantine.New(now), origins: origin.New(now), quarantineGrown: make(chan struct{}, 1),
+		quarantine: quarantine.New(now), origins: origin.New(now), blocklistDue: make(chan struct{}, 1),
 	}
 }
 
--- a/crashcheck/checker.go
+++ b/crashcheck/checker.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"gypsumbank/pause"
 	"gypsumbank/registry"
 	"gypsumbank/request"
 )
@@ -45,6 +46,8 @@
 	report func(Crash)
 	now    func() time.Time
 
+	began chan struct{} // holds a value after an inquiry has begun
+
 	mu      sync.Mutex
 	pending map[run]*inquiry
 	ended   map[run]time.Time
@@ -67,7 +70,7 @@
 
 // New returns a checker that calls report for each crash; now is its clock.
 func New(dial Dial, report func(Crash), now func() time.Time) *Checker {
-	return &Checker{dial: dial, report: report, now: now, pending: map[run]*inquiry{}, ended: map[run]time.Time{}}
+	return &Checker{dial: dial, report: report, now: now, began: make(chan struct{}, 1), pending: map[run]*inquiry{}, ended: map[run]time.Time{}}
 }
 
 // Suspect records that an answer of a target broke off, with the contents of its request.
@@ -83,7 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := run{target.ID, target.Born}
-	if _, ended := c.ended[key]; ended {
+	if endedAt, ended := c.ended[key]; ended && c.now().Sub(endedAt) <= endedMemory {
 		return false
 	}
 	q := c.pending[key]
@@ -93,6 +96,10 @@
 		}
 		q = &inquiry{target: target, began: c.now()}
 		c.pending[key] = q
+		select {
+		case c.began <- struct{}{}:
+		default:
+		}
 	}
 	if len(q.contents) < pendingLimit {
 		q.contents = append(q.contents, contents...)
@@ -106,7 +113,13 @@
 // end records that a run has ended and reports its broken answers.
 func (c *Checker) end(key run, cause string) {
 	c.mu.Lock()
-	c.ended[key] = c.now()
+	now := c.now()
+	for other, at := range c.ended {
+		if now.Sub(at) > endedMemory {
+			delete(c.ended, other)
+		}
+	}
+	c.ended[key] = now
 	q := c.pending[key]
 	delete(c.pending, key)
 	c.mu.Unlock()
@@ -115,18 +128,14 @@
 	}
 }
 
-// Run checks the runs whose answers broke off until ctx ends.
+// Run checks the runs whose answers broke off until ctx ends. It sleeps while there are none.
 func (c *Checker) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	var checks errgroup.Group
 	checks.SetLimit(maxDials)
 	for {
-		select {
-		case <-ctx.Done():
+		if err := c.waitForWork(ctx); err != nil {
 			_ = checks.Wait()
-			return ctx.Err()
-		case <-ticker.C:
+			return err
 		}
 		for key, address := range c.due() {
 			if !checks.TryGo(func() error {
@@ -139,16 +148,27 @@
 	}
 }
 
+// waitForWork returns after tickInterval if there are pending runs, and else as soon as there is one.
+func (c *Checker) waitForWork(ctx context.Context) error {
+	c.mu.Lock()
+	idle := len(c.pending) == 0
+	c.mu.Unlock()
+	if !idle {
+		return pause.For(ctx, tickInterval)
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.began:
+		return nil
+	}
+}
+
 // due returns the addresses of the runs to check now, and drops what is too old.
 func (c *Checker) due() map[run]string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	for key, at := range c.ended {
-		if now.Sub(at) > endedMemory {
-			delete(c.ended, key)
-		}
-	}
 	due := map[run]string{}
 	for key, q := range c.pending {
 		switch {
