--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -287,7 +287,9 @@
 		}
 		timeout.Reset(agentTimeout)
 		onState()
-		a.crashes.merge(address, state.GetQuarantine())
+		if news := state.GetQuarantine(); news != nil {
+			a.crashes.merge(address, news)
+		}
 		if state.GetEngineDown() {
 			a.applyDown(address, state)
 			continue
--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -4,14 +4,11 @@
 	"context"
 	"fmt"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"gypsumbank/agent"
-	"gypsumbank/settings"
 	"gypsumbank/standin/site"
 )
 
@@ -77,16 +74,10 @@
 	})
 	close(ready)
 	register()
-	config := &settings.Config{
-		Node:   settings.Node{Name: "agent-" + id, AvailabilityZone: "zone-a"},
-		Agent:  settings.Agent{Listen: net.JoinHostPort(host, strconv.Itoa(d.agentPort)), Target: engine.Address(), Service: "engine"},
-		Store:  settings.Store{Address: d.store.Address()},
-		Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
-	}
-	stop := d.run(agent.New(config, d.log).Run)
+	stop := d.startAgent(id, engine)
 	d.agents = append(d.agents, func() {
 		stop()
-		d.run(agent.New(config, d.log).Run)
+		d.startAgent(id, engine)
 	})
 	d.t.Cleanup(engine.Close)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -24,8 +24,8 @@
 )
 
 // forward copies a response to the caller. An error of the target that was to resume a stream is not part of the stream:
-// forward then aborts the connection, so that the stream does not look complete. If a resumable stream breaks, it resumes it on another target and returns the
-// outcome of that and true.
+// forward then aborts the connection, so that the stream does not look complete. If a resumable stream breaks, forward resumes it
+// on another target and returns the outcome of that and true.
 func (e *exchange) forward(answered dispatch.Answered) (dispatch.Outcome, bool) {
 	defer answered.Response.Body.Close()
 	if e.headWritten && (answered.Response.Status >= http.StatusMultipleChoices || !e.dispatch.ContinuesStream(answered.Assignment.Target())) {
--- a/gateway/group_test.go
+++ b/gateway/group_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/agent"
 	"gypsumbank/gateway"
 	"gypsumbank/settings"
 	"gypsumbank/standin/site"
@@ -61,6 +62,18 @@
 	return stop
 }
 
+// startAgent starts the agent of an engine that listens at a loopback address of its own.
+func (g *gatewayGroup) startAgent(id string, engine *site.Target) (stop func()) {
+	host, _, _ := net.SplitHostPort(engine.Address())
+	config := &settings.Config{
+		Node:   settings.Node{Name: "agent-" + id, AvailabilityZone: "zone-a"},
+		Agent:  settings.Agent{Listen: net.JoinHostPort(host, strconv.Itoa(g.agentPort)), Target: engine.Address(), Service: "engine"},
+		Store:  settings.Store{Address: g.store.Address()},
+		Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
+	}
+	return g.run(agent.New(config, g.log).Run)
+}
+
 // startGateway starts gateway i, or restarts it with an empty memory, and waits until it is ready.
 func (g *gatewayGroup) startGateway(i int) {
 	ready := freeAddress(g.t)
--- a/gateway/request_limit_test.go
+++ b/gateway/request_limit_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"time"
 
-	"gypsumbank/agent"
-	"gypsumbank/settings"
 	"gypsumbank/standin/site"
 )
 
@@ -93,26 +91,14 @@
 		g.store.Put("servers", id, entry)
 		t.Cleanup(standin.Close)
 		if service == "engine" {
-			config := &settings.Config{
-				Node:   settings.Node{Name: "agent-" + id, AvailabilityZone: "zone-a"},
-				Agent:  settings.Agent{Listen: net.JoinHostPort(host, strconv.Itoa(g.agentPort)), Target: standin.Address(), Service: "engine"},
-				Store:  settings.Store{Address: g.store.Address()},
-				Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
-			}
-			g.run(agent.New(config, g.log).Run)
+			g.startAgent(id, standin)
 		}
 	}
 	if service != "engine" { // gateways learn their number from agents
 		engine := site.NewTargetAt("127.0.0.62:0", "e", (&limitedTarget{}).handle(""))
 		g.store.Put("servers", "e", engine.RegistryEntry("engine", "ready"))
 		t.Cleanup(engine.Close)
-		config := &settings.Config{
-			Node:   settings.Node{Name: "agent-e", AvailabilityZone: "zone-a"},
-			Agent:  settings.Agent{Listen: net.JoinHostPort("127.0.0.62", strconv.Itoa(g.agentPort)), Target: engine.Address(), Service: "engine"},
-			Store:  settings.Store{Address: g.store.Address()},
-			Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
-		}
-		g.run(agent.New(config, g.log).Run)
+		g.startAgent("e", engine)
 	}
 	for i := range limitGateways {
 		g.startGateway(i)
--- a/gateway/software_version_test.go
+++ b/gateway/software_version_test.go
@@ -3,13 +3,10 @@
 import (
 	"fmt"
 	"net"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"gypsumbank/agent"
-	"gypsumbank/settings"
 	"gypsumbank/standin/site"
 )
 
@@ -77,13 +74,7 @@
 		entry["version"] = version
 		g.store.Put("servers", id, entry)
 		t.Cleanup(engine.Close)
-		config := &settings.Config{
-			Node:   settings.Node{Name: "agent-" + id, AvailabilityZone: "zone-a"},
-			Agent:  settings.Agent{Listen: net.JoinHostPort(host, strconv.Itoa(g.agentPort)), Target: engine.Address(), Service: "engine"},
-			Store:  settings.Store{Address: g.store.Address()},
-			Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
-		}
-		g.run(agent.New(config, g.log).Run)
+		g.startAgent(id, engine)
 	}
 	g.startGateway(0)
 	g.startGateway(1)
