Resume a stream at targets of its version also while these are in backoff

Targets were filtered by version after those in backoff had been left out for others, which may be of another version: the stream was broken off though a target of its version might answer.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -97,9 +97,7 @@
 func (f *Fleet) Choose(query Query, now time.Time) (choice Choice, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usable := slices.DeleteFunc(f.usableTargets(query.Service, now), func(s *targetState) bool {
-		return query.SoftwareVersion != nil && s.SoftwareVersion != *query.SoftwareVersion
-	})
+	usable := f.usableTargets(query.Service, query.SoftwareVersion, now)
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
@@ -122,13 +120,14 @@
 	return f.applyLimit(f.chooseHolder(usable, query.Request, now), now), true
 }
 
-// usableTargets returns the targets that accept requests. Those in backoff are only returned if there are no others.
-func (f *Fleet) usableTargets(service string, now time.Time) []*targetState {
+// usableTargets returns the targets that accept requests, of one software version unless that is nil. Those in backoff are only
+// returned if there are no others.
+func (f *Fleet) usableTargets(service string, version *registry.SoftwareVersion, now time.Time) []*targetState {
 	available := make([]*targetState, 0, len(f.byService[service]))
 	var backingOff []*targetState
 	for _, s := range f.byService[service] {
 		switch {
-		case s.drainingOrReplaced():
+		case s.drainingOrReplaced(), version != nil && s.SoftwareVersion != *version:
 		case now.Before(s.backoffUntil):
 			backingOff = append(backingOff, s)
 		default:
