Name the only version of a service, and a bound of broken answers, by what they are

Last read of the change: the loop that took the only version of a set read as if it searched, and pendingLimit bounded contents. No behaviour changes; tests of crashcheck, dispatch and of streams, crashes at the gateways pass.

--- a/crashcheck/checker.go
+++ b/crashcheck/checker.go
@@ -17,10 +17,10 @@
 const (
 	tickInterval = 20 * time.Millisecond
 	// dialTimeout bounds a check of whether anything listens at the address of a target.
-	dialTimeout  = 300 * time.Millisecond
-	maxDials     = 16 // at a time
-	maxPending   = 256
-	pendingLimit = 64 // contents of one run
+	dialTimeout = 300 * time.Millisecond
+	maxDials    = 16 // at a time
+	maxPending  = 256
+	maxContents = 64 // of one run, from which on no request is added
 	// endedMemory is how long the end of a run is remembered for answers that are found to be broken later.
 	endedMemory = 10 * time.Second
 )
@@ -101,7 +101,7 @@
 		default:
 		}
 	}
-	if len(q.contents) < pendingLimit {
+	if len(q.contents) < maxContents {
 		q.contents = append(q.contents, contents...)
 	}
 	return true
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -51,15 +51,21 @@
 	if !bound {
 		return false
 	}
-	for only := range versions {
-		if version == "" {
-			version = only
-		}
+	if version == "" {
+		version = onlyVersion(versions)
 	}
 	d.streamVersion = &version
 	return true
 }
 
+// onlyVersion returns the version in a set that has at most one; empty if it has none.
+func onlyVersion(versions map[registry.SoftwareVersion]bool) registry.SoftwareVersion {
+	for version := range versions {
+		return version
+	}
+	return ""
+}
+
 // streamID returns the id of the request that brought, or is to bring, the first event of the stream.
 func (d *Dispatch) streamID() string {
 	if d.request.LastEventID != "" && d.request.FirstRequestID != "" {
