Log the epoch of the store, and when agents lose and regain it

The store's answers name their epoch; its rise is logged and recorded, and nothing is decided by it yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/connpool"
+	"gypsumbank/epoch"
 	"gypsumbank/holder"
 	"gypsumbank/inventory"
 	"gypsumbank/logs"
@@ -56,6 +57,7 @@
 type Agent struct {
 	config         *settings.Config
 	store          *platform.Store
+	epochs         *epoch.Tracker
 	engine         *platform.TargetClient
 	log            *logrus.Entry
 	watchers       *watchers
@@ -87,11 +89,13 @@
 
 // New returns an agent for the engine that config names as its target.
 func New(config *settings.Config, log *logrus.Entry) *Agent {
-	store := platform.NewStore(config.Store.Address)
+	epochs := epoch.New()
+	store := platform.NewStore(config.Store.Address, epochs, log)
 	return &Agent{
 		modelInventory: inventory.New(store, config.Agent.Target, log),
 		config:         config,
 		store:          store,
+		epochs:         epochs,
 		engine:         platform.NewTargetClient(sender.New(connpool.New())),
 		log:            log,
 		watchers:       newWatchers(time.Now),
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -43,6 +43,7 @@
 // followTargets reads the registry of targets regularly while a gateway needs this agent to.
 func (a *Agent) followTargets(ctx context.Context) error {
 	started := time.Now()
+	storeLost := false
 	for ctx.Err() == nil {
 		if !a.watchers.isRelay() {
 			if err := pause.For(ctx, relayCheckInterval); err != nil {
@@ -53,9 +54,14 @@
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		targets, _, err := a.store.Targets(callCtx)
 		cancel()
-		if err != nil {
-			a.log.WithError(err).Debug("targets could not be read from the store")
-		} else {
+		switch {
+		case err != nil && !storeLost:
+			a.log.WithError(err).Warn("store lost while following targets")
+		case err == nil && storeLost:
+			a.log.WithField("targets", len(targets)).Info("store regained while following targets")
+		}
+		storeLost = err != nil
+		if err == nil {
 			a.watchers.setTargets(targets)
 		}
 		interval := targetsReadInterval
--- /dev/null
+++ b/epoch/doc.go
@@ -0,0 +1,3 @@
+// Package epoch tracks the epoch of the platform's store, which rises by one each time that the store has come back from an older
+// copy.
+package epoch
--- /dev/null
+++ b/epoch/tracker.go
@@ -0,0 +1,38 @@
+package epoch
+
+import "sync"
+
+// Epoch numbers the times that the store has come back from an older copy; 0 stands for an epoch that is not known.
+type Epoch uint64
+
+// Tracker holds the highest epoch of the store that a process has learnt of. Its methods may be called by several goroutines.
+type Tracker struct {
+	mu      sync.Mutex
+	highest Epoch
+	changed chan struct{} // closed and replaced when highest rises
+}
+
+// New returns a tracker that knows no epoch yet.
+func New() *Tracker { return &Tracker{changed: make(chan struct{})} }
+
+// Observe records an epoch that the store, or another process, has named. It reports whether it is the highest one so far and
+// not the first, so that the store has come back from an older copy.
+func (t *Tracker) Observe(named Epoch) (restored bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if named <= t.highest {
+		return false
+	}
+	restored = t.highest != 0
+	t.highest = named
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return restored
+}
+
+// Current returns the highest epoch so far and a channel that is closed when it rises.
+func (t *Tracker) Current() (Epoch, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.highest, t.changed
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"gypsumbank/connpool"
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
+	"gypsumbank/epoch"
 	"gypsumbank/fleet"
 	"gypsumbank/logs"
 	"gypsumbank/origin"
@@ -48,6 +49,7 @@
 	config             *settings.Config
 	log                *logrus.Entry
 	store              *platform.Store
+	epochs             *epoch.Tracker
 	fleet              *fleet.Fleet
 	dispatcher         *dispatch.Dispatcher
 	budget             *retrybudget.Budget
@@ -72,6 +74,7 @@
 	relay := newRelayedReads()
 	crashes := newCrashes(log)
 	origins := origin.New(time.Now)
+	epochs := epoch.New()
 	agents := newAgentClients(config.Node.Name, config.Gateway.AgentPort, d, f, relay, crashes, origins, log)
 	crashes.changed = agents.PushDemand
 	budget := retrybudget.New(retryLimits(config.Bounds))
@@ -79,7 +82,8 @@
 	return &Gateway{
 		config:     config,
 		log:        log,
-		store:      platform.NewStore(config.Store.Address),
+		store:      platform.NewStore(config.Store.Address, epochs, log),
+		epochs:     epochs,
 		fleet:      f,
 		dispatcher: dispatch.New(f, replicaClient, agents, budget, crashes, origins, log, time.Now),
 		budget:     budget,
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -87,7 +87,7 @@
 			continue
 		case err != nil:
 			if !storeLost {
-				g.log.WithError(err).Warn("store lost while following routes")
+				g.log.WithError(err).WithField("store-version", version).Warn("store lost while following routes")
 			}
 			storeLost = true
 			_ = g.waitForRetry(ctx, retry.NextBackOff())
@@ -95,7 +95,8 @@
 		}
 		retry.Reset()
 		if storeLost {
-			g.log.Info("store regained while following routes")
+			current, _ := g.epochs.Current()
+			g.log.WithFields(logrus.Fields{"store-version": newVersion, "after": version, "epoch": current}).Info("store regained while following routes")
 			storeLost = false
 		}
 		g.installRoutes(table)
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/epoch"
 	"gypsumbank/inventory"
 	"gypsumbank/platform"
 	"gypsumbank/standin/site"
@@ -22,12 +23,19 @@
 	writeWait = 6500 * time.Millisecond
 )
 
+// newStoreClient returns a client of a store that logs nothing.
+func newStoreClient(t *testing.T, store *site.Store) *platform.Store {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return platform.NewStore(store.Address(), epoch.New(), log.WithField("test", t.Name()))
+}
+
 // startInventory runs an inventory until the test ends and returns it with the models that it read from the store.
 func startInventory(t *testing.T, store *site.Store) (*inventory.Inventory, []inventory.Model) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	inv := inventory.New(platform.NewStore(store.Address()), target, log.WithField("test", t.Name()))
+	inv := inventory.New(newStoreClient(t, store), target, log.WithField("test", t.Name()))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- inv.Run(ctx) }()
@@ -95,7 +103,7 @@
 	store := site.NewStore()
 	defer store.Close()
 	row := platform.Row{Table: "inventories", Part: target, Key: "models", Value: []byte("{")}
-	if _, err := platform.NewStore(store.Address()).CompareAndSwap(t.Context(), row); err != nil {
+	if _, err := newStoreClient(t, store).CompareAndSwap(t.Context(), row); err != nil {
 		t.Fatal(err)
 	}
 	inv, previous := startInventory(t, store)
--- a/jsonclient/client.go
+++ b/jsonclient/client.go
@@ -49,6 +49,12 @@
 // Do sends in as JSON once, without retries, and decodes the answer into out; both may be nil. The call fails at the deadline
 // of ctx, or after defaultTimeout if ctx has none; cancelling ctx does not end it earlier.
 func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
+	_, err := c.DoWithHeader(ctx, method, path, "", in, out)
+	return err
+}
+
+// DoWithHeader is Do and returns a header field of the answer, also if that is a refusal; it is empty if there is none.
+func (c *Client) DoWithHeader(ctx context.Context, method, path, header string, in, out any) (string, error) {
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -56,21 +62,22 @@
 	request.SetRequestURI(c.baseURL + path)
 	request.Header.SetMethod(method)
 	if err := setBody(request, in); err != nil {
-		return err
+		return "", err
 	}
 	if err := c.http.DoDeadline(request, response, deadlineOrDefault(ctx)); err != nil {
-		return fmt.Errorf("%s %s: %w", method, path, err)
+		return "", fmt.Errorf("%s %s: %w", method, path, err)
 	}
+	field := string(response.Header.Peek(header))
 	if response.StatusCode() >= fasthttp.StatusBadRequest {
-		return fmt.Errorf("%s %s: %w", method, path, statusError(response))
+		return field, fmt.Errorf("%s %s: %w", method, path, statusError(response))
 	}
 	if out == nil {
-		return nil
+		return field, nil
 	}
 	if err := json.Unmarshal(response.Body(), out); err != nil {
-		return fmt.Errorf("%s %s: decode answer: %w", method, path, err)
+		return field, fmt.Errorf("%s %s: decode answer: %w", method, path, err)
 	}
-	return nil
+	return field, nil
 }
 
 // GetIfChanged sends a conditional GET and decodes the answer into out unless the ETag of the resource is still etag. It
