--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -44,6 +46,7 @@
 
 	mu        sync.Mutex
 	fault     Fault
+	epoch     int64 // number of restores, counted from 1
 	version   int64
 	rows      map[string]Row // by storeKey
 	changeLog []Row
@@ -53,7 +56,7 @@
 
 // NewStore starts a store without rows on a free port.
 func NewStore() *Store {
-	s := &Store{startTime: time.Now(), rows: map[string]Row{}, changed: make(chan struct{})}
+	s := &Store{startTime: time.Now(), epoch: 1, rows: map[string]Row{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/rows-get", s.handleGet)
 	mux.HandleFunc("GET /-/rows-feed", s.handleFeed)
@@ -113,6 +116,50 @@
 	return row, ok
 }
 
+// Snapshot is a copy of the content of a store.
+type Snapshot struct {
+	version   int64
+	rows      map[string]Row
+	changeLog []Row
+}
+
+// Snapshot returns a copy of the current content.
+func (s *Store) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{version: s.version, rows: maps.Clone(s.rows), changeLog: slices.Clone(s.changeLog)}
+}
+
+// Restore replaces the content by an earlier copy and begins the next epoch. Versions above that of the copy are given out
+// again; a read of the change feed from one of them gets status 410 until then. Rows of the tables in kept are written again at
+// once, as operators and targets do with what they have written since the copy, and those that they have removed are removed.
+func (s *Store) Restore(copied Snapshot, kept ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := s.rows
+	s.version, s.rows, s.changeLog = copied.version, maps.Clone(copied.rows), slices.Clone(copied.changeLog)
+	s.epoch++
+	for key, row := range lost {
+		if slices.Contains(kept, row.Table) && s.rows[key].Version != row.Version {
+			s.writeLocked(row)
+		}
+	}
+	for key, row := range copied.rows {
+		if _, ok := lost[key]; !ok && slices.Contains(kept, row.Table) {
+			row.Removed = true
+			s.writeLocked(row)
+		}
+	}
+	s.notifyWaiters()
+}
+
+// Touch writes a row that nobody reads, so that the version of the store rises.
+func (s *Store) Touch(times int) {
+	for range times {
+		s.Put("touched", "row", nil)
+	}
+}
+
 func storeKey(table, part, key string) string { return table + "\x00" + part + "\x00" + key }
 
 // writeLocked applies a write or a removal under the next version of the store; the caller holds mu.
@@ -139,10 +186,11 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.requests++
-		fault := s.fault
+		fault, epoch := s.fault, s.epoch
 		s.mu.Unlock()
 		switch {
 		case fault == Down:
+			w.Header().Set(headerEpoch, strconv.FormatInt(epoch, 10))
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case fault == Silent:
 			for s.currentFault() == Silent && r.Context().Err() == nil {
@@ -220,7 +268,8 @@
 	for {
 		s.mu.Lock()
 		rows, changed, fault := s.changesAfter(query.Get("table"), after), s.changed, s.fault
-		if fault == LoseHistory {
+		if fault == LoseHistory || after > s.version {
+			s.writeEpoch(w)
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -285,10 +334,19 @@
 	s.writeResponse(w, http.StatusOK, map[string]any{})
 }
 
+// headerEpoch is the header field of all answers with the epoch of the store.
+const headerEpoch = "Store-Era"
+
+// writeEpoch sets the epoch of an answer; the caller holds mu.
+func (s *Store) writeEpoch(w http.ResponseWriter) {
+	w.Header().Set(headerEpoch, strconv.FormatInt(s.epoch, 10))
+}
+
 // writeResponse adds the store's version and clock to body and writes it as JSON; the caller holds mu.
 func (s *Store) writeResponse(w http.ResponseWriter, status int, body map[string]any) {
 	body["ver"] = s.version
 	body["nowMs"] = time.Since(s.startTime).Milliseconds()
+	s.writeEpoch(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body) // if the write fails, the caller sees a truncated response
