--- a/gateway/restored_store_test.go
+++ b/gateway/restored_store_test.go
@@ -35,6 +35,26 @@
 	store.SetFault(site.NoFault)
 }
 
+// addPlainTarget starts and registers a plain target.
+func (g *gatewayGroup) addPlainTarget(id string) *site.Target {
+	target := site.NewTarget(id, site.TextResponse(200, id))
+	g.t.Cleanup(target.Close)
+	g.store.Put("servers", id, target.RegistryEntry("plain", "ready"))
+	return target
+}
+
+// startEngines starts and registers n engines with their agents, at loopback addresses from 127.0.0.first on.
+func (g *gatewayGroup) startEngines(n, first int) {
+	for i := range n {
+		host, id := fmt.Sprintf("127.0.0.%d", first+i), fmt.Sprint("e", i)
+		engine := site.NewTargetAt(host+":0", id, site.EventStream(3, 0, 0))
+		engine.Load("m1")
+		g.t.Cleanup(engine.Close)
+		g.store.Put("servers", id, engine.RegistryEntry("engine", "ready"))
+		g.startAgent(id, engine)
+	}
+}
+
 // TestRoutesAreFollowedAfterAStoreIsRestored guards against gateways that go on in the change feed of a restored store where they
 // stopped in the one before it: routes that were confirmed in between are never in force.
 func TestRoutesAreFollowedAfterAStoreIsRestored(t *testing.T) {
@@ -54,17 +74,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := newGatewayGroup(t)
-			plain := site.NewTarget("p1", site.TextResponse(200, "ok"))
-			t.Cleanup(plain.Close)
-			g.store.Put("servers", "p1", plain.RegistryEntry("plain", "ready"))
-			for i := range c.agents {
-				host, id := fmt.Sprintf("127.0.0.%d", 120+i), fmt.Sprint("e", i)
-				engine := site.NewTargetAt(host+":0", id, site.EventStream(3, 0, 0))
-				engine.Load("m1")
-				t.Cleanup(engine.Close)
-				g.store.Put("servers", id, engine.RegistryEntry("engine", "ready"))
-				g.startAgent(id, engine)
-			}
+			g.addPlainTarget("p1")
+			g.startEngines(c.agents, 120)
 			for i := range c.gateways {
 				g.startGateway(i)
 			}
@@ -93,3 +104,53 @@
 		})
 	}
 }
+
+// answeredBy sends requests to a gateway and returns how many of them a plain target has answered.
+func (g *gatewayGroup) answeredBy(gateway int, target string, requests int) int {
+	answered := 0
+	for i := range requests {
+		request := fmt.Sprintf("GET /safe/x HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nX-Gypsumbank-Request-Id: r%d\r\n\r\n", callerHost, i)
+		if strings.HasSuffix(g.sendTo(gateway, request), "\r\n\r\n"+target) {
+			answered++
+		}
+	}
+	return answered
+}
+
+// TestTargetThatLeavesAfterAnOutageIsNotKept guards against targets that stay in use after their entry has been removed, since the
+// store was away some time before: only entries that are missing at its return may be on their way back.
+func TestTargetThatLeavesAfterAnOutageIsNotKept(t *testing.T) {
+	t.Parallel()
+	for name, agents := range map[string]int{"gateway reads": 0, "an agent reads": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newGatewayGroup(t)
+			g.addPlainTarget("p1")
+			g.addPlainTarget("p2")
+			g.startEngines(agents, 124)
+			const gateways = 4
+			for i := range gateways {
+				g.startGateway(i)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			g.store.SetFault(site.Down)
+			time.Sleep(5 * time.Second)
+			g.store.SetFault(site.NoFault)
+			time.Sleep(3500 * time.Millisecond)
+			before := 0
+			for i := range gateways {
+				before += g.answeredBy(i, "p1", 20)
+			}
+			if before == 0 {
+				t.Error("no request went to the target while it was registered")
+			}
+			g.store.Remove("servers", "p1")
+			time.Sleep(1200 * time.Millisecond)
+			for i := range gateways {
+				if n := g.answeredBy(i, "p1", 20); n > 0 {
+					t.Errorf("gateway %d: %d of 20 requests went to a target whose entry was removed 1.2 s ago", i, n)
+				}
+			}
+		})
+	}
+}
