Begin the grace of missing targets at the return of the store

Cause: the time for which missing entries are kept began, and ended, only when a list that differed was installed. A gateway whose own read had failed and for which agents read since saw the outage end at the first change, which was the target leaving. A later read of an unchanged list is now installed as well, and only a read made after the failure ends the outage.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,10 +61,10 @@
 	started            time.Time
 	routeTable         atomic.Pointer[route.Table]
 	targetsKnown       atomic.Bool
-	storeLost          atomic.Bool  // a read of the targets has failed since targets were last known
-	draining           atomic.Bool  // reports itself as not ready, so that the platform sends no new callers
-	drainDeadlineNanos atomic.Int64 // Unix time by which requests that arrive while draining get a final response; 0 if not draining
-	refusingRequests   atomic.Bool  // refuses all new requests
+	storeLostAt        atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
+	draining           atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
+	drainDeadlineNanos atomic.Int64              // Unix time by which requests that arrive while draining get a final response; 0 if not draining
+	refusingRequests   atomic.Bool               // refuses all new requests
 }
 
 // New returns a gateway with the given settings, which does nothing until Run.
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -17,6 +17,7 @@
 	mu           sync.Mutex
 	reads        map[string]*storeRead // by agent address
 	lastReturned readKey
+	returnedAt   time.Time     // time of the last read that was returned
 	changed      chan struct{} // holds a value after a change of targets or of the version of the routes
 }
 
@@ -81,16 +82,16 @@
 	return latest != nil && now.Sub(latest.readAt) < relayMaxAge
 }
 
-// newTargets returns the targets of the latest read and its time. ok is false if there is no read or its targets were the
-// last ones returned.
+// newTargets returns the targets of the latest read and its time, also if they have not changed: a later read shows that they
+// still hold. ok is false if there is no read or it was the last one returned.
 func (r *relayedReads) newTargets() (targets []registry.Target, readAt time.Time, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	agent, latest := r.latest()
-	if latest == nil || r.lastReturned == (readKey{agent, latest.revision}) {
+	if latest == nil || (r.lastReturned == (readKey{agent, latest.revision}) && !latest.readAt.After(r.returnedAt)) {
 		return nil, time.Time{}, false
 	}
-	r.lastReturned = readKey{agent, latest.revision}
+	r.lastReturned, r.returnedAt = readKey{agent, latest.revision}, latest.readAt
 	return latest.targets, latest.readAt, true
 }
 
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -124,7 +124,7 @@
 		case <-time.After(targetsPollInterval):
 		}
 		if targets, readAt, ok := g.relay.newTargets(); ok {
-			g.installTargets(targets, g.storeLost.Load(), readAt)
+			g.installTargets(targets, readAt)
 		}
 	}
 }
@@ -170,7 +170,8 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case err != nil:
-			if !g.storeLost.Swap(true) {
+			failedAt := time.Now()
+			if g.storeLostAt.CompareAndSwap(nil, &failedAt) {
 				g.log.WithError(err).Warn("store lost while following targets")
 			}
 			_ = g.waitForRetry(ctx, retry.NextBackOff())
@@ -180,7 +181,7 @@
 		if len(invalidIDs) > 0 {
 			g.log.WithField("entries", invalidIDs).Debug("registry entries that cannot be decoded as targets")
 		}
-		g.installTargets(targets, g.storeLost.Load(), time.Now())
+		g.installTargets(targets, time.Now())
 		if time.Since(g.started) < startupPhase {
 			_ = pause.For(ctx, startupPollInterval)
 			continue
@@ -191,10 +192,12 @@
 }
 
 // installTargets updates the fleet with the registered targets, as read from the store at readAt, and watches the agents of
-// its engines.
-func (g *Gateway) installTargets(targets []registry.Target, storeWasUnavailable bool, readAt time.Time) {
-	change := g.fleet.UpdateTargets(targets, storeWasUnavailable, time.Now())
-	if g.storeLost.Swap(false) {
+// its engines. The first read after reads have failed shows what is missing at the return of the store.
+func (g *Gateway) installTargets(targets []registry.Target, readAt time.Time) {
+	lostAt := g.storeLostAt.Load()
+	regained := lostAt != nil && readAt.After(*lostAt)
+	change := g.fleet.UpdateTargets(targets, regained, time.Now())
+	if regained && g.storeLostAt.CompareAndSwap(lostAt, nil) {
 		g.log.WithField("targets", len(targets)).Info("store regained while following targets")
 	}
 	log := g.log.WithField("age-ms", time.Since(readAt).Milliseconds())
