Show with a test that targets that left are used again after a restore

Entries of a restored store say ready for a target that had said that it leaves, or list one that had been removed.

--- a/gateway/restored_store_test.go
+++ b/gateway/restored_store_test.go
@@ -154,3 +154,45 @@
 		})
 	}
 }
+
+// TestTargetsThatLeftStayOutAfterAStoreIsRestored guards against targets that are used again as a restored store has their entries
+// from before they said that they leave.
+func TestTargetsThatLeftStayOutAfterAStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	leaves := map[string]func(store *site.Store, target *site.Target){
+		"draining": func(store *site.Store, target *site.Target) {
+			store.Put("servers", "p1", target.RegistryEntry("plain", "draining"))
+		},
+		"removed": func(store *site.Store, _ *site.Target) { store.Remove("servers", "p1") },
+	}
+	for leaving, leave := range leaves {
+		for reader, agents := range map[string]int{"gateways read": 0, "agents read": 2} {
+			t.Run(leaving+", "+reader, func(t *testing.T) {
+				t.Parallel()
+				g := newGatewayGroup(t)
+				p1 := g.addPlainTarget("p1")
+				g.addPlainTarget("p2")
+				g.startEngines(agents, 128)
+				for i := range 2 {
+					g.startGateway(i)
+				}
+				time.Sleep(1500 * time.Millisecond)
+				copied := g.store.Snapshot()
+				leave(g.store, p1)
+				time.Sleep(1500 * time.Millisecond)
+				g.store.SetFault(site.Down)
+				time.Sleep(700 * time.Millisecond)
+				g.store.Restore(copied, "op")
+				g.store.SetFault(site.NoFault)
+				for range 4 {
+					time.Sleep(time.Second)
+					for i := range 2 {
+						if n := g.answeredBy(i, "p1", 10); n > 0 {
+							t.Errorf("gateway %d: %d of 10 requests went to a target that had left", i, n)
+						}
+					}
+				}
+			})
+		}
+	}
+}
