Keep targets that left out of use when the store comes back from an older copy

Cause: the newest read was taken for the truth, also one of a store that has gone back. Agents and gateways now remember runs that drain or have left; for 10 s after a restore these hold against the entries, and entries that the copy lacks get the grace of an outage. Agents tell the epoch of their reads, gateways the one they know.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/connpool"
+	"gypsumbank/departure"
 	"gypsumbank/epoch"
 	"gypsumbank/holder"
 	"gypsumbank/inventory"
@@ -60,6 +61,7 @@
 	config         *settings.Config
 	store          *platform.Store
 	epochs         *epoch.Tracker
+	departures     *departure.Table
 	engine         *platform.TargetClient
 	log            *logrus.Entry
 	watchers       *watchers
@@ -98,6 +100,7 @@
 		config:         config,
 		store:          store,
 		epochs:         epochs,
+		departures:     departure.New(time.Now),
 		engine:         platform.NewTargetClient(sender.New(connpool.New())),
 		log:            log,
 		watchers:       newWatchers(time.Now),
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -8,7 +8,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"gypsumbank/epoch"
 	"gypsumbank/pause"
+	"gypsumbank/platform"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
 )
@@ -36,8 +38,9 @@
 	routesReadAt    time.Time
 	targets         []*wire.RegisteredTarget
 	targetsReadAt   time.Time
-	targetsRevision uint64    // number of changes of targets
-	requestedAt     time.Time // when a gateway last requested the reads
+	targetsRevision uint64      // number of changes of targets
+	targetsEpoch    epoch.Epoch // of the store that targets were read from
+	requestedAt     time.Time   // when a gateway last requested the reads
 }
 
 // followTargets reads the registry of targets regularly while a gateway needs this agent to.
@@ -52,17 +55,17 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		targets, _, err := a.store.Targets(callCtx)
+		read, err := a.store.Targets(callCtx)
 		cancel()
 		switch {
 		case err != nil && !storeLost:
 			a.log.WithError(err).Warn("store lost while following targets")
 		case err == nil && storeLost:
-			a.log.WithField("targets", len(targets)).Info("store regained while following targets")
+			a.log.WithField("targets", len(read.Targets)).Info("store regained while following targets")
 		}
 		storeLost = err != nil
 		if err == nil {
-			a.watchers.setTargets(targets)
+			a.installTargets(read)
 		}
 		interval := targetsReadInterval
 		if time.Since(started) < startupPeriod {
@@ -75,6 +78,16 @@
 	return ctx.Err()
 }
 
+// installTargets passes the targets of a read of the registry to the gateways.
+func (a *Agent) installTargets(read platform.Registry) {
+	targets, _, ok := a.departures.Correct(read.Targets, read.Epoch)
+	if !ok {
+		a.log.WithField("epoch", read.Epoch).Info("targets read before the store came back from an older copy, not used")
+		return
+	}
+	a.watchers.setTargets(targets, read.Epoch)
+}
+
 // isRelay reports whether a gateway has requested reads of the store within relayRequestTTL.
 func (w *watchers) isRelay() bool {
 	w.mu.Lock()
@@ -96,7 +109,7 @@
 }
 
 // setTargets records the targets just read from the registry and sends them to the gateways if they have changed.
-func (w *watchers) setTargets(targets []registry.Target) {
+func (w *watchers) setTargets(targets []registry.Target, readIn epoch.Epoch) {
 	registered := make([]*wire.RegisteredTarget, 0, len(targets))
 	for _, t := range targets {
 		registered = append(registered, &wire.RegisteredTarget{
@@ -108,7 +121,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.storeReads.targetsReadAt = w.now()
-	if w.storeReads.targetsRevision > 0 && slices.EqualFunc(registered, w.storeReads.targets, func(a, b *wire.RegisteredTarget) bool { return proto.Equal(a, b) }) {
+	sameEpoch := w.storeReads.targetsEpoch == readIn
+	w.storeReads.targetsEpoch = readIn
+	if sameEpoch && w.storeReads.targetsRevision > 0 && slices.EqualFunc(registered, w.storeReads.targets, func(a, b *wire.RegisteredTarget) bool { return proto.Equal(a, b) }) {
 		return
 	}
 	w.storeReads.targets = registered
@@ -151,7 +166,7 @@
 	if reads.targetsReadAt.Before(oldest) {
 		oldest = reads.targetsReadAt
 	}
-	message := &wire.StoreReads{RoutesVersion: reads.routesVersion, Revision: reads.targetsRevision, AgeMs: uint32(max(0, w.now().Sub(oldest)).Milliseconds())}
+	message := &wire.StoreReads{RoutesVersion: reads.routesVersion, Revision: reads.targetsRevision, StoreEpoch: uint64(reads.targetsEpoch), AgeMs: uint32(max(0, w.now().Sub(oldest)).Milliseconds())}
 	if recipient.targetsRevision != reads.targetsRevision {
 		message.HasTargets, message.Targets = true, reads.targets
 		recipient.targetsRevision = reads.targetsRevision
--- a/agent/service.go
+++ b/agent/service.go
@@ -5,6 +5,9 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/epoch"
 	"gypsumbank/occupancy"
 	"gypsumbank/wire"
 )
@@ -25,6 +28,7 @@
 			if err != nil {
 				return
 			}
+			s.agent.observeEpoch(epoch.Epoch(heartbeat.GetStoreEpoch()), heartbeat.GetNode())
 			s.agent.watchers.handleHeartbeat(watcher, heartbeat)
 		}
 	}()
@@ -40,6 +44,13 @@
 	}
 }
 
+// observeEpoch records the epoch of the store that a gateway knows.
+func (a *Agent) observeEpoch(known epoch.Epoch, gateway string) {
+	if a.epochs.Observe(known) {
+		a.log.WithFields(logrus.Fields{"epoch": known, "known-from": gateway}).Warn("store has come back from an older copy")
+	}
+}
+
 // Ensure requests that the target load a model and adapter, and returns once it holds them or the request has failed.
 func (s *agentServer) Ensure(ctx context.Context, in *wire.EnsureRequest) (*wire.EnsureReply, error) {
 	err := s.agent.ensureHeld(ctx, in.GetModel(), in.GetAdapter(), in.GetEvict())
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -14,6 +14,7 @@
 
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
+	"gypsumbank/epoch"
 	"gypsumbank/fleet"
 	"gypsumbank/origin"
 	"gypsumbank/pause"
@@ -53,6 +54,7 @@
 	relay   *relayedReads
 	crashes *crashes
 	origins *origin.Table
+	epochs  *epoch.Tracker
 	log     *logrus.Entry
 
 	mu          sync.Mutex
@@ -64,9 +66,9 @@
 	watchers    sync.WaitGroup
 }
 
-func newAgentClients(name string, port int, d *dialer.Dialer, f *fleet.Fleet, relay *relayedReads, crashes *crashes, origins *origin.Table, log *logrus.Entry) *agentClients {
+func newAgentClients(name string, port int, d *dialer.Dialer, f *fleet.Fleet, relay *relayedReads, crashes *crashes, origins *origin.Table, epochs *epoch.Tracker, log *logrus.Entry) *agentClients {
 	return &agentClients{
-		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, crashes: crashes, origins: origins, log: log,
+		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, crashes: crashes, origins: origins, epochs: epochs, log: log,
 		cancelWatch: map[string]context.CancelFunc{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
 	}
 }
@@ -187,7 +189,8 @@
 	var quarantineRevision, originRevision uint64 // up to which the agent has been told
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
-		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true}
+		storeEpoch, _ := a.epochs.Current()
+		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true, StoreEpoch: uint64(storeEpoch)}
 		if isRelay {
 			for _, d := range a.fleet.Demand(time.Now()) {
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/connpool"
+	"gypsumbank/departure"
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
 	"gypsumbank/epoch"
@@ -50,6 +51,7 @@
 	log                *logrus.Entry
 	store              *platform.Store
 	epochs             *epoch.Tracker
+	departures         *departure.Table
 	fleet              *fleet.Fleet
 	dispatcher         *dispatch.Dispatcher
 	budget             *retrybudget.Budget
@@ -75,7 +77,7 @@
 	crashes := newCrashes(log)
 	origins := origin.New(time.Now)
 	epochs := epoch.New()
-	agents := newAgentClients(config.Node.Name, config.Gateway.AgentPort, d, f, relay, crashes, origins, log)
+	agents := newAgentClients(config.Node.Name, config.Gateway.AgentPort, d, f, relay, crashes, origins, epochs, log)
 	crashes.changed = agents.PushDemand
 	budget := retrybudget.New(retryLimits(config.Bounds))
 	replicaClient := platform.NewTargetClient(sender.New(connpool.New()))
@@ -84,6 +86,7 @@
 		log:        log,
 		store:      platform.NewStore(config.Store.Address, epochs, log),
 		epochs:     epochs,
+		departures: departure.New(time.Now),
 		fleet:      f,
 		dispatcher: dispatch.New(f, replicaClient, agents, budget, crashes, origins, log, time.Now),
 		budget:     budget,
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"gypsumbank/epoch"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
 )
@@ -21,12 +22,18 @@
 	changed      chan struct{} // holds a value after a change of targets or of the version of the routes
 }
 
+// targetsRead is one read of the registered targets.
+type targetsRead struct {
+	targets []registry.Target
+	readAt  time.Time
+	epoch   epoch.Epoch // of the store that they were read from
+}
+
 // storeRead is what one agent has read from the store.
 type storeRead struct {
-	readAt        time.Time
+	targetsRead
 	routesVersion int64
 	revision      uint64
-	targets       []registry.Target
 }
 
 // readKey identifies the targets that an agent has read.
@@ -54,7 +61,9 @@
 	if read.revision != storeReads.GetRevision() {
 		return // the message with the targets of this revision is missing
 	}
-	hasChanges := read.routesVersion != storeReads.GetRoutesVersion() || storeReads.GetHasTargets()
+	readIn := epoch.Epoch(storeReads.GetStoreEpoch())
+	hasChanges := read.routesVersion != storeReads.GetRoutesVersion() || storeReads.GetHasTargets() || read.epoch != readIn
+	read.epoch = readIn
 	read.readAt, read.routesVersion = now.Add(-time.Duration(storeReads.GetAgeMs())*time.Millisecond), storeReads.GetRoutesVersion()
 	if hasChanges {
 		select {
@@ -82,17 +91,17 @@
 	return latest != nil && now.Sub(latest.readAt) < relayMaxAge
 }
 
-// newTargets returns the targets of the latest read and its time, also if they have not changed: a later read shows that they
-// still hold. ok is false if there is no read or it was the last one returned.
-func (r *relayedReads) newTargets() (targets []registry.Target, readAt time.Time, ok bool) {
+// newTargets returns the latest read of the targets, also if they have not changed: a later read shows that they still hold. ok
+// is false if there is no read or it was the last one returned.
+func (r *relayedReads) newTargets() (read targetsRead, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	agent, latest := r.latest()
 	if latest == nil || (r.lastReturned == (readKey{agent, latest.revision}) && !latest.readAt.After(r.returnedAt)) {
-		return nil, time.Time{}, false
+		return targetsRead{}, false
 	}
 	r.lastReturned, r.returnedAt = readKey{agent, latest.revision}, latest.readAt
-	return latest.targets, latest.readAt, true
+	return latest.targetsRead, true
 }
 
 // routesVersion returns the highest version of the routes that any agent has read.
--- a/gateway/relayed_test.go
+++ b/gateway/relayed_test.go
@@ -23,19 +23,19 @@
 	}
 	relay.record("late", newStoreReads(9, 100*time.Millisecond, true), now)
 	relay.record("early", newStoreReads(4, 600*time.Millisecond, false), now)
-	targets, _, ok := relay.newTargets()
-	if !ok || !targets[0].Draining {
-		t.Errorf("targets %+v, %v; want the draining target of the later read", targets, ok)
+	read, ok := relay.newTargets()
+	if !ok || !read.targets[0].Draining {
+		t.Errorf("targets %+v, %v; want the draining target of the later read", read.targets, ok)
 	}
-	if _, _, again := relay.newTargets(); again {
+	if _, again := relay.newTargets(); again {
 		t.Error("the same targets were returned twice")
 	}
 	if !relay.isFresh(now.Add(time.Second)) || relay.isFresh(now.Add(2*time.Second)) {
 		t.Error("want isFresh to be true until 1.5 s after the latest read and false afterwards")
 	}
 	relay.remove("late")
-	if targets, _, ok := relay.newTargets(); !ok || targets[0].Draining {
-		t.Errorf("targets %+v, %v; want those of the agent that is left", targets, ok)
+	if read, ok := relay.newTargets(); !ok || read.targets[0].Draining {
+		t.Errorf("targets %+v, %v; want those of the agent that is left", read.targets, ok)
 	}
 }
 
@@ -57,12 +57,12 @@
 	now := time.Unix(1000, 0)
 	relay := newRelayedReads()
 	relay.record("a", newStoreReads(1, 0, false), now)
-	if _, _, ok := relay.newTargets(); !ok {
+	if _, ok := relay.newTargets(); !ok {
 		t.Fatal("the first list was not returned")
 	}
 	relay.remove("a")
 	relay.record("a", newStoreReads(1, 0, true), now.Add(time.Second))
-	if targets, _, ok := relay.newTargets(); !ok || !targets[0].Draining {
-		t.Errorf("targets %+v, %v; want those that the restarted agent has read", targets, ok)
+	if read, ok := relay.newTargets(); !ok || !read.targets[0].Draining {
+		t.Errorf("targets %+v, %v; want those that the restarted agent has read", read.targets, ok)
 	}
 }
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -8,9 +8,9 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/epoch"
 	"gypsumbank/pause"
 	"gypsumbank/platform"
-	"gypsumbank/registry"
 	"gypsumbank/route"
 )
 
@@ -123,8 +123,9 @@
 		case <-g.relay.changed:
 		case <-time.After(targetsPollInterval):
 		}
-		if targets, readAt, ok := g.relay.newTargets(); ok {
-			g.installTargets(targets, readAt)
+		if read, ok := g.relay.newTargets(); ok {
+			g.observeEpoch(read.epoch)
+			g.installTargets(read)
 		}
 	}
 }
@@ -164,7 +165,7 @@
 			continue
 		}
 		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		targets, invalidIDs, err := g.store.Targets(readCtx)
+		read, err := g.store.Targets(readCtx)
 		cancel()
 		switch {
 		case ctx.Err() != nil:
@@ -178,10 +179,10 @@
 			continue
 		}
 		retry.Reset()
-		if len(invalidIDs) > 0 {
-			g.log.WithField("entries", invalidIDs).Debug("registry entries that cannot be decoded as targets")
+		if len(read.InvalidIDs) > 0 {
+			g.log.WithField("entries", read.InvalidIDs).Debug("registry entries that cannot be decoded as targets")
 		}
-		g.installTargets(targets, time.Now())
+		g.installTargets(targetsRead{targets: read.Targets, readAt: time.Now(), epoch: read.Epoch})
 		if time.Since(g.started) < startupPhase {
 			_ = pause.For(ctx, startupPollInterval)
 			continue
@@ -191,16 +192,28 @@
 	return ctx.Err()
 }
 
-// installTargets updates the fleet with the registered targets, as read from the store at readAt, and watches the agents of
-// its engines. The first read after reads have failed shows what is missing at the return of the store.
-func (g *Gateway) installTargets(targets []registry.Target, readAt time.Time) {
+// observeEpoch records an epoch of the store that an agent has read from.
+func (g *Gateway) observeEpoch(read epoch.Epoch) {
+	if g.epochs.Observe(read) {
+		g.log.WithFields(logrus.Fields{"epoch": read, "known-from": "agent"}).Warn("store has come back from an older copy")
+	}
+}
+
+// installTargets updates the fleet with the targets of a read of the registry and watches the agents of its engines. The first
+// read after others have failed, or after the store has come back from an older copy, shows what is missing at its return.
+func (g *Gateway) installTargets(read targetsRead) {
+	targets, restored, ok := g.departures.Correct(read.targets, read.epoch)
+	if !ok {
+		g.log.WithField("epoch", read.epoch).Info("targets read before the store came back from an older copy, not used")
+		return
+	}
 	lostAt := g.storeLostAt.Load()
-	regained := lostAt != nil && readAt.After(*lostAt)
-	change := g.fleet.UpdateTargets(targets, regained, time.Now())
+	regained := lostAt != nil && read.readAt.After(*lostAt)
+	change := g.fleet.UpdateTargets(targets, regained || restored, time.Now())
 	if regained && g.storeLostAt.CompareAndSwap(lostAt, nil) {
 		g.log.WithField("targets", len(targets)).Info("store regained while following targets")
 	}
-	log := g.log.WithField("age-ms", time.Since(readAt).Milliseconds())
+	log := g.log.WithField("age-ms", time.Since(read.readAt).Milliseconds())
 	for _, t := range change.Added {
 		log.WithFields(logrus.Fields{"target": t.ID, "address": t.Address, "service": t.Service, "zone": t.AvailabilityZone}).Info("target added")
 	}
