Show with a test that fencing tokens are given out again after a restore

The same class as the position in the change feed: the next token is one above what is stored, and a restored store has a lower one or none. The stand-in of a row learns to come back from an older copy.

--- a/agent/service.go
+++ b/agent/service.go
@@ -44,9 +44,9 @@
 	}
 }
 
-// observeEpoch records the epoch of the store that a gateway knows.
+// observeEpoch records the epoch of the store that a gateway knows; it is 0 before the gateway has read the store.
 func (a *Agent) observeEpoch(known epoch.Epoch, gateway string) {
-	if a.epochs.Observe(known) {
+	if known != 0 && a.epochs.Observe(known) {
 		a.log.WithFields(logrus.Fields{"epoch": known, "known-from": gateway}).Warn("store has come back from an older copy")
 	}
 }
--- a/departure/table.go
+++ b/departure/table.go
@@ -24,6 +24,7 @@
 	now func() time.Time
 
 	mu         sync.Mutex
+	read       bool        // there was a read before
 	epoch      epoch.Epoch // of the last read
 	restoredAt time.Time   // of the first read in this epoch; zero if there was none before it
 	runs       map[run]record
@@ -54,11 +55,11 @@
 		return nil, false, false
 	}
 	now := t.now()
-	restored = t.epoch != 0 && readIn > t.epoch
+	restored = t.read && readIn > t.epoch
 	if restored {
 		t.restoredAt = now
 	}
-	t.epoch = readIn
+	t.read, t.epoch = true, readIn
 	holds := !t.restoredAt.IsZero() && now.Sub(t.restoredAt) < holdTime
 	corrected = make([]registry.Target, 0, len(targets))
 	listed := make(map[run]bool, len(targets))
--- a/epoch/tracker.go
+++ b/epoch/tracker.go
@@ -2,12 +2,13 @@
 
 import "sync"
 
-// Epoch numbers the times that the store has come back from an older copy; 0 stands for an epoch that is not known.
+// Epoch numbers the times that the store has come back from an older copy.
 type Epoch uint64
 
 // Tracker holds the highest epoch of the store that a process has learnt of. Its methods may be called by several goroutines.
 type Tracker struct {
 	mu      sync.Mutex
+	known   bool // an epoch has been observed
 	highest Epoch
 	changed chan struct{} // closed and replaced when highest rises
 }
@@ -20,17 +21,17 @@
 func (t *Tracker) Observe(named Epoch) (restored bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if named <= t.highest {
+	if t.known && named <= t.highest {
 		return false
 	}
-	restored = t.highest != 0
-	t.highest = named
+	restored = t.known
+	t.known, t.highest = true, named
 	close(t.changed)
 	t.changed = make(chan struct{})
 	return restored
 }
 
-// Current returns the highest epoch so far and a channel that is closed when it rises.
+// Current returns the highest epoch so far, 0 before the first, and a channel that is closed when it rises.
 func (t *Tracker) Current() (Epoch, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -194,7 +194,7 @@
 
 // observeEpoch records an epoch of the store that an agent has read from.
 func (g *Gateway) observeEpoch(read epoch.Epoch) {
-	if g.epochs.Observe(read) {
+	if read != 0 && g.epochs.Observe(read) {
 		g.log.WithFields(logrus.Fields{"epoch": read, "known-from": "agent"}).Warn("store has come back from an older copy")
 	}
 }
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -105,6 +105,27 @@
 	machine  string
 	faults   []row.Fault
 	lifetime time.Duration
+	restore  int // number of writes that the store has lost when the agent starts; 0 if it has not been restored
+}
+
+// TestNumbersRiseAcrossRestores guards against fencing tokens that are given out a second time, or to another machine within the
+// lease, as the store has come back from a copy without the last ones. No process of before the restore writes its row again.
+func TestNumbersRiseAcrossRestores(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		starts := make([]agentStart, rapid.IntRange(2, 8).Draw(r, "starts"))
+		for i := range starts {
+			starts[i] = agentStart{
+				machine:  fmt.Sprint("agent-", rapid.IntRange(1, 2).Draw(r, "machine")),
+				lifetime: time.Duration(rapid.IntRange(100, 9000).Draw(r, "ms")) * time.Millisecond,
+				restore:  rapid.IntRange(0, 3).Draw(r, "restore"),
+			}
+		}
+		violation := ""
+		synctest.Test(t, func(*testing.T) { violation = runStarts(starts) })
+		if violation != "" {
+			r.Fatal(violation)
+		}
+	})
 }
 
 // TestNumbersRiseAndTakeoversWait draws starts on two machines and faults of the store's writes, and checks that fencing tokens
@@ -132,6 +153,9 @@
 	store := newStore()
 	highestToken, lastOrderAt := int64(0), map[string]time.Time{} // lastOrderAt is when each machine could last send orders
 	for index, start := range starts {
+		if start.restore > 0 {
+			store.Restore(start.restore)
+		}
 		startedAt := time.Now()
 		token, ok := start.acquire(store, int64(index+1))
 		if !ok {
--- a/standin/row/store.go
+++ b/standin/row/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 
+	"gypsumbank/epoch"
 	"gypsumbank/platform"
 )
 
@@ -30,6 +31,9 @@
 	mu          sync.Mutex
 	row         platform.Row
 	exists      bool
+	history     []platform.Row // earlier states of the row, the first written first
+	versions    int64          // highest version given out since the last restore
+	epoch       epoch.Epoch
 	faults      []Fault       // of the next writes, in this order
 	lateRow     *platform.Row // write to apply after the next read; a later one with the fault LateWrite replaces it
 	beforeWrite func()
@@ -45,6 +49,20 @@
 	s.faults = faults
 }
 
+// Restore brings the row back as it was a number of writes earlier, at most to where it did not exist, and begins the next epoch.
+func (s *Store) Restore(writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.lateRow = nil
+	for ; writes > 0 && s.exists; writes-- {
+		last := len(s.history) - 1
+		s.row, s.exists = s.history[last], last > 0
+		s.history = s.history[:last]
+	}
+	s.versions = s.row.Version
+}
+
 // BeforeNextWrite sets a function that runs once just before the next write, in place of another process whose write
 // comes between the caller's read and write.
 func (s *Store) BeforeNextWrite(hook func()) {
@@ -65,8 +83,9 @@
 		_, _ = s.replaceLocked(row) // without effect if the version has changed
 	}
 	if !exists {
-		return platform.Row{}, s.nowMs(), platform.ErrNotFound
+		return platform.Row{Epoch: s.epoch}, s.nowMs(), platform.ErrNotFound
 	}
+	current.Epoch = s.epoch
 	return current, s.nowMs(), nil
 }
 
@@ -117,7 +136,9 @@
 	if row.Version != s.row.Version {
 		return 0, platform.ErrConflict
 	}
+	s.history = append(s.history, s.row)
+	s.versions++
 	s.row, s.exists = row, true
-	s.row.Version++
+	s.row.Version = s.versions
 	return s.row.Version, nil
 }
