Keep fencing tokens rising when the store comes back from an older copy

Cause: the next token was one above what is stored. Tokens of an epoch are now above all of earlier ones. A record of an earlier epoch, or none while the engine has accepted orders, counts as that of another machine. Running agents learn the epoch from gateways' heartbeats and record their token again, spread over 2 s; one whose place was taken orders no more.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -48,6 +49,9 @@
 	firstRoutesWait = 10 * time.Second
 	// routesRetryInterval is the pause after a failed read by such an agent if it has read the routes before.
 	routesRetryInterval = 3 * time.Second
+	// maxRewriteDelay spreads the writes of all agents after a restore of the store. It ends before the delay of a holder that
+	// takes over.
+	maxRewriteDelay = 2 * time.Second
 	// historyLostDelay bounds the reads of all routes from a store that keeps no history.
 	historyLostDelay      = 200 * time.Millisecond
 	budgetRetryInterval   = 250 * time.Millisecond
@@ -132,7 +136,7 @@
 	a.log.WithFields(logrus.Fields{"target": a.config.Agent.Target, "listen": a.config.Agent.Listen}).Info("agent starts")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Run(ctx, listener) })
-	group.Go(func() error { return a.acquireFencingToken(ctx) })
+	group.Go(func() error { return a.holdOrders(ctx) })
 	group.Go(func() error { return a.followRoutes(ctx) })
 	group.Go(func() error { return a.followTargets(ctx) })
 	group.Go(func() error { return a.modelInventory.Run(ctx) })
@@ -147,14 +151,38 @@
 	return err
 }
 
-// acquireFencingToken acquires the fencing token for this start of the agent and passes it to controlLoop.
-func (a *Agent) acquireFencingToken(ctx context.Context) error {
-	token, err := holder.New(a.store, a.config.Agent.Target, a.config.Node.Name, a.runID, a.log).Acquire(ctx)
+// holdOrders acquires the fencing token for this start of the agent, passes it to controlLoop and records it again each time that
+// the store has come back from an older copy. If a later start has taken over, this process sends no more orders.
+func (a *Agent) holdOrders(ctx context.Context) error {
+	orders := holder.New(a.store, a.config.Agent.Target, a.config.Node.Name, a.runID, a.hasOrdered, a.log)
+	_, restored := a.epochs.Current()
+	token, err := orders.Acquire(ctx)
 	if err != nil {
 		return err
 	}
 	a.fencingTokens <- token
-	return nil
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-restored:
+		}
+		_, restored = a.epochs.Current()
+		if err := pause.For(ctx, rand.N(maxRewriteDelay)); err != nil {
+			return err
+		}
+		if err := orders.Confirm(ctx, token); errors.Is(err, holder.ErrReplaced) {
+			a.log.WithError(err).Warn("no more orders are sent")
+			a.fencingTokens <- 0
+			return nil
+		}
+	}
+}
+
+// hasOrdered reports whether the engine may have accepted orders since its start.
+func (a *Agent) hasOrdered(ctx context.Context) bool {
+	report, err := a.engine.Report(ctx, a.config.Agent.Target)
+	return err != nil || report.Sequence > 0
 }
 
 // followRoutes passes each new routing table to controlLoop, and its version to the gateways. The agent itself needs
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/epoch"
 	"gypsumbank/pause"
 	"gypsumbank/platform"
 )
@@ -28,13 +29,20 @@
 	CompareAndSwap(ctx context.Context, row platform.Row) (int64, error)
 }
 
+// ErrReplaced is returned if a later start of an agent has acquired a fencing token.
+var ErrReplaced = errors.New("a later start of an agent has acquired a fencing token")
+
+// epochBits is the number of low bits of a token that count the tokens given out in one epoch of the store.
+const epochBits = 20
+
 // Holder acquires fencing tokens for a process that sends orders to one target.
 type Holder struct {
-	store  Store
-	target string
-	name   string
-	runID  int64
-	log    *logrus.Entry
+	store      Store
+	target     string
+	name       string
+	runID      int64
+	hasOrdered func(context.Context) bool
+	log        *logrus.Entry
 }
 
 // record is the value of a target's row in the store.
@@ -45,11 +53,14 @@
 	// TakeoverMs is the time on the store's clock of the last takeover from a holder on another machine; 0 if there was none.
 	// It is kept when the holder restarts, so that a restart does not shorten the delay.
 	TakeoverMs int64 `json:"taken-ms,omitempty"`
+	// Epoch is that of the store at the last write. If it is an earlier one, later writes of the row may be lost.
+	Epoch epoch.Epoch `json:"epoch,omitempty"`
 }
 
-// New returns a Holder for the target at an address; name identifies the machine and runID the start of the process.
-func New(store Store, target, name string, runID int64, log *logrus.Entry) *Holder {
-	return &Holder{store: store, target: target, name: name, runID: runID, log: log}
+// New returns a Holder for the target at an address; name identifies the machine and runID the start of the process. hasOrdered
+// reports whether the current run of the target may have accepted orders; it is called only if there is no row.
+func New(store Store, target, name string, runID int64, hasOrdered func(context.Context) bool, log *logrus.Entry) *Holder {
+	return &Holder{store: store, target: target, name: name, runID: runID, hasOrdered: hasOrdered, log: log}
 }
 
 // Acquire returns a fencing token above all earlier ones of the target, once a holder that it takes over from may send no more
@@ -68,40 +79,105 @@
 	}
 }
 
+// Confirm writes the row again after the store has come back from an older copy, with the token that this process has acquired.
+// It retries until ctx ends. The error wraps ErrReplaced if a later start has acquired one.
+func (h *Holder) Confirm(ctx context.Context, token int64) error {
+	for {
+		err := h.tryConfirm(ctx, token)
+		if err == nil {
+			h.log.WithField("fence", token).Info("fencing number recorded again")
+			return nil
+		}
+		if errors.Is(err, ErrReplaced) {
+			return err
+		}
+		h.log.WithError(err).Info("fencing number could not be recorded again, will retry")
+		if err := pause.For(ctx, retryInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// tryConfirm makes one attempt to confirm a token.
+func (h *Holder) tryConfirm(ctx context.Context, token int64) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	row, stored, _, err := h.read(ctx)
+	if err != nil {
+		return err
+	}
+	if stored.FencingToken > token {
+		return fmt.Errorf("%w: %s with %d", ErrReplaced, stored.Holder, stored.FencingToken)
+	}
+	if stored.FencingToken == token && stored.Epoch == row.Epoch {
+		return nil
+	}
+	return h.write(ctx, row, record{Holder: h.name, RunID: h.runID, FencingToken: token, TakeoverMs: stored.TakeoverMs, Epoch: row.Epoch})
+}
+
 // tryAcquire makes one attempt: it raises the token in the store by a compare-and-swap and waits for the takeover delay. If
 // an earlier write of this run was performed, its token is returned again.
 func (h *Holder) tryAcquire(ctx context.Context) (int64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	row, nowMs, err := h.store.Row(callCtx, holdersTable, h.target, "holder")
-	var stored record
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		row = platform.Row{Table: holdersTable, Part: h.target, Key: "holder"}
-	case err != nil:
+	row, stored, nowMs, err := h.read(callCtx)
+	if err != nil {
 		return 0, err
-	default:
-		if err := json.Unmarshal(row.Value, &stored); err != nil {
-			return 0, fmt.Errorf("decode order holder of target %s: %w", h.target, err)
-		}
 	}
-	if stored.Holder == h.name && stored.RunID == h.runID {
+	if stored.Holder == h.name && stored.RunID == h.runID && stored.Epoch == row.Epoch {
 		return stored.FencingToken, h.waitForTakeover(ctx, stored, nowMs) // written by an earlier attempt whose answer was lost or late
 	}
-	claim := record{Holder: h.name, RunID: h.runID, FencingToken: stored.FencingToken + 1, TakeoverMs: stored.TakeoverMs}
-	if stored.Holder != "" && stored.Holder != h.name {
-		h.log.WithField("previous", stored.Holder).Info("taking over the target from another order holder")
+	claim := record{Holder: h.name, RunID: h.runID, FencingToken: nextToken(stored, row.Epoch), TakeoverMs: stored.TakeoverMs, Epoch: row.Epoch}
+	if h.mayTakeOver(callCtx, stored, row.Epoch) {
+		h.log.WithFields(logrus.Fields{"previous": stored.Holder, "epoch": row.Epoch, "recorded-in": stored.Epoch}).Info("taking over the target from another order holder")
 		claim.TakeoverMs = nowMs
 	}
-	if row.Value, err = json.Marshal(claim); err != nil {
-		return 0, err
-	}
-	if _, err := h.store.CompareAndSwap(callCtx, row); err != nil {
+	if err := h.write(callCtx, row, claim); err != nil {
 		return 0, err
 	}
 	return claim.FencingToken, h.waitForTakeover(ctx, claim, nowMs)
 }
 
+// nextToken returns the token after a record. Tokens of an epoch of the store are above all of earlier ones, as a record may be
+// older than the last token that was given out.
+func nextToken(stored record, current epoch.Epoch) int64 {
+	return max(stored.FencingToken+1, int64(current)<<epochBits)
+}
+
+// mayTakeOver reports whether a holder on another machine may have sent orders before: the recorded one, or one whose record is
+// lost.
+func (h *Holder) mayTakeOver(ctx context.Context, stored record, current epoch.Epoch) bool {
+	if stored.Holder == "" {
+		return h.hasOrdered(ctx)
+	}
+	return stored.Holder != h.name || stored.Epoch != current
+}
+
+// read returns the row, its value and the time on the store's clock; the value is zero if there is no row.
+func (h *Holder) read(ctx context.Context) (platform.Row, record, int64, error) {
+	row, nowMs, err := h.store.Row(ctx, holdersTable, h.target, "holder")
+	var stored record
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return platform.Row{Table: holdersTable, Part: h.target, Key: "holder", Epoch: row.Epoch}, stored, nowMs, nil
+	case err != nil:
+		return row, stored, nowMs, err
+	}
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return row, stored, nowMs, fmt.Errorf("decode order holder of target %s: %w", h.target, err)
+	}
+	return row, stored, nowMs, nil
+}
+
+// write replaces the row as it was read.
+func (h *Holder) write(ctx context.Context, row platform.Row, next record) (err error) {
+	if row.Value, err = json.Marshal(next); err != nil {
+		return err
+	}
+	_, err = h.store.CompareAndSwap(ctx, row)
+	return err
+}
+
 // waitForTakeover waits until takeoverDelay has passed since the last takeover; nowMs is the time on the store's clock.
 func (h *Holder) waitForTakeover(ctx context.Context, r record, nowMs int64) error {
 	if r.TakeoverMs == 0 {
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"testing"
@@ -24,7 +25,8 @@
 func newHolder(store *row.Store, machine string, runID int64) *holder.Holder {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return holder.New(store, "10.0.0.1:80", machine, runID, log.WithField("test", "holder"))
+	hasOrdered := func(context.Context) bool { return runID > 1 }
+	return holder.New(store, "10.0.0.1:80", machine, runID, hasOrdered, log.WithField("test", "holder"))
 }
 
 // acquire returns the fencing token that a holder acquires.
@@ -183,3 +185,40 @@
 	token, err := newHolder(store, s.machine, runID).Acquire(ctx)
 	return token, err == nil
 }
+
+// TestTokenIsRecordedAgainAfterARestore guards against a process that goes on to order with a token that the store has lost: the
+// next start must get a higher one, and of two processes that meet the later start must win.
+func TestTokenIsRecordedAgainAfterARestore(t *testing.T) {
+	tests := map[string]struct {
+		restore     int  // number of writes that are lost
+		startsFirst bool // another machine acquires before the running process confirms
+		wantErr     error
+	}{
+		"row lost":                  {restore: 1},
+		"nothing lost":              {restore: 0},
+		"replaced in the meanwhile": {restore: 1, startsFirst: true, wantErr: holder.ErrReplaced},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newStore()
+				running := newHolder(store, "agent-1", 1)
+				token := acquire(t, running)
+				store.Restore(test.restore)
+				if test.startsFirst {
+					acquire(t, newHolder(store, "agent-2", 2))
+				}
+				if err := running.Confirm(t.Context(), token); !errors.Is(err, test.wantErr) {
+					t.Fatalf("Confirm: %v, want %v", err, test.wantErr)
+				}
+				started := time.Now()
+				if next := acquire(t, newHolder(store, "agent-1", 3)); next <= token {
+					t.Errorf("fencing token %d after %d", next, token)
+				}
+				if waited := time.Since(started); !test.startsFirst && waited > time.Second {
+					t.Errorf("a restart on the same machine waited %s", waited)
+				}
+			})
+		})
+	}
+}
