Show with tests that the budget of loads forgets loads after a restore

The same class: the row says when the bucket is full again, and a restored store says so from before the last loads. With a clock that runs behind, the row stops all loads instead.

--- a/weightstore/budget_test.go
+++ b/weightstore/budget_test.go
@@ -56,11 +56,52 @@
 	}
 }
 
+// TestNoWindowHasMoreLoadsThanAllowedAfterARestore guards against loads that are forgotten, and begin once more, as the store has
+// come back from a copy without them.
+func TestNoWindowHasMoreLoadsThanAllowedAfterARestore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, clock := newTestStore()
+		store.Restore(0)
+		var loadTimesMs []int64
+		for range rapid.IntRange(1, 100).Draw(t, "tries") {
+			clock.ms += int64(rapid.IntRange(0, 700).Draw(t, "ms"))
+			if rapid.IntRange(0, 9).Draw(t, "restored") == 0 {
+				store.Restore(rapid.IntRange(0, 5).Draw(t, "lost writes"))
+			}
+			if weightstore.New(store, "llm").Take(context.Background(), limit) == nil {
+				loadTimesMs = append(loadTimesMs, clock.ms)
+			}
+		}
+		checkWindows(t, loadTimesMs)
+	})
+}
+
+// TestLoadsGoOnAfterARestore guards against a record of a restored store that stops all loads.
+func TestLoadsGoOnAfterARestore(t *testing.T) {
+	store, clock := newTestStore()
+	budget := weightstore.New(store, "llm")
+	for range 20 {
+		clock.ms += 500
+		_ = budget.Take(context.Background(), limit) // takes what the budget allows
+	}
+	store.Restore(5)
+	clock.ms -= 100_000 // the clock of the restored store runs behind
+	loads := 0
+	for range 20 {
+		clock.ms += 500
+		if budget.Take(context.Background(), limit) == nil {
+			loads++
+		}
+	}
+	if loads < 15 {
+		t.Errorf("%d loads in the 10 s after a restore, want 15 or more at 2 a second", loads)
+	}
+}
+
 // TestNoWindowHasMoreLoadsThanAllowed draws the times of loads of several agents, with lost answers and late writes, and counts
 // the loads in every window of 5 s.
 func TestNoWindowHasMoreLoadsThanAllowed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const windowMs = 5000
 		store, clock := newTestStore()
 		var loadTimesMs []int64
 		for range rapid.IntRange(1, 200).Draw(t, "tries") {
@@ -70,16 +111,22 @@
 				loadTimesMs = append(loadTimesMs, clock.ms)
 			}
 		}
-		for i, windowStart := range loadTimesMs {
-			loads := 0
-			for _, at := range loadTimesMs[i:] {
-				if at < windowStart+windowMs {
-					loads++
-				}
-			}
-			if allowed := int(limit.LoadsPerSecond*windowMs/1000 + limit.Burst); loads > allowed {
-				t.Fatalf("%d loads began within a window of 5 s, %d are allowed", loads, allowed)
+		checkWindows(t, loadTimesMs)
+	})
+}
+
+// checkWindows fails if more loads than allowed began within any window of 5 s.
+func checkWindows(t *rapid.T, loadTimesMs []int64) {
+	const windowMs = 5000
+	for i, windowStart := range loadTimesMs {
+		loads := 0
+		for _, at := range loadTimesMs[i:] {
+			if at < windowStart+windowMs {
+				loads++
 			}
 		}
-	})
+		if allowed := int(limit.LoadsPerSecond*windowMs/1000 + limit.Burst); loads > allowed {
+			t.Fatalf("%d loads began within a window of 5 s, %d are allowed", loads, allowed)
+		}
+	}
 }
