Count the bucket of loads as empty after a restore of the store

More loads from the weight store could begin than allowed (CEILING): the row of a restored store says that the bucket is fuller than it is; a clock that runs behind stopped all loads. The record has the epoch of the store; with that of another one the bucket counts as empty, whatever the row says, and the clock of the row is not compared. A row that is missing counts the same, which delays loads in the first second of a deployment.

--- a/weightstore/budget.go
+++ b/weightstore/budget.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"gypsumbank/epoch"
 	"gypsumbank/platform"
 )
 
@@ -44,7 +45,8 @@
 
 // record holds the time, in ms on the store's clock, at which the token bucket will be full again.
 type record struct {
-	FullMs float64 `json:"whole-ms"`
+	FullMs float64     `json:"whole-ms"`
+	Epoch  epoch.Epoch `json:"epoch,omitempty"` // of the store at the write; loads after that of an earlier one are not known
 }
 
 // New returns the budget of a service.
@@ -58,7 +60,7 @@
 	var stored record
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		row = platform.Row{Table: budgetTable, Part: b.service, Key: "loads"}
+		row = platform.Row{Table: budgetTable, Part: b.service, Key: "loads", Epoch: row.Epoch}
 	case err != nil:
 		return err
 	default:
@@ -66,10 +68,28 @@
 			return fmt.Errorf("decode load budget of service %s: %w", b.service, err)
 		}
 	}
+	if stored.Epoch != row.Epoch {
+		return b.begin(ctx, row, float64(nowMs), limit)
+	}
 	next, waitMs := stored.reserve(float64(nowMs), limit)
 	if waitMs > 0 {
-		return &ExhaustedError{Wait: time.Duration(waitMs * float64(time.Millisecond))}
+		return exhausted(waitMs)
 	}
+	return b.write(ctx, row, next)
+}
+
+// begin replaces the row after the store has come back from an older copy: as it is not known how many loads began since the copy,
+// the token bucket counts as empty. The error is an ExhaustedError unless the write fails.
+func (b *Budget) begin(ctx context.Context, row platform.Row, nowMs float64, limit Limit) error {
+	intervalMs := limit.intervalMs()
+	if err := b.write(ctx, row, record{FullMs: nowMs + limit.Burst*intervalMs, Epoch: row.Epoch}); err != nil {
+		return err
+	}
+	return exhausted(intervalMs)
+}
+
+// write replaces the row as it was read.
+func (b *Budget) write(ctx context.Context, row platform.Row, next record) (err error) {
 	if row.Value, err = json.Marshal(next); err != nil {
 		return err
 	}
@@ -77,13 +97,22 @@
 	return err
 }
 
+func exhausted(waitMs float64) error {
+	return &ExhaustedError{Wait: time.Duration(waitMs * float64(time.Millisecond))}
+}
+
+// intervalMs returns the time in ms in which the token bucket gains one load.
+func (l Limit) intervalMs() float64 {
+	const msPerSecond = 1000
+	return msPerSecond / l.LoadsPerSecond
+}
+
 // reserve returns the record after one more load at nowMs, or how many ms to wait if that load would exceed the limit.
 func (r record) reserve(nowMs float64, limit Limit) (next record, waitMs float64) {
-	const msPerSecond = 1000
-	intervalMs := msPerSecond / limit.LoadsPerSecond
+	intervalMs := limit.intervalMs()
 	fullMs := max(r.FullMs, nowMs) + intervalMs
 	if excessMs := fullMs - nowMs - limit.Burst*intervalMs; excessMs > 0 {
 		return r, excessMs
 	}
-	return record{FullMs: fullMs}, 0
+	return record{FullMs: fullMs, Epoch: r.Epoch}, 0
 }
