Write inventories and blocked contents again after a restore of the store

What an engine held, and which contents are blocked, stayed lost after a restore until it changed the next time: both are written on change only. Their owners now write them again when they learn of the epoch, from their own reads or from a gateway, spread over a second.

TestRowsAreWrittenAgainAfterARestore failed before for both rows (12 s after the restore: no row) and passes now.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -100,7 +100,7 @@
 	epochs := epoch.New()
 	store := platform.NewStore(config.Store.Address, epochs, log)
 	return &Agent{
-		modelInventory: inventory.New(store, config.Agent.Target, log),
+		modelInventory: inventory.New(store, config.Agent.Target, epochs, log),
 		config:         config,
 		store:          store,
 		epochs:         epochs,
--- a/agent/quarantine.go
+++ b/agent/quarantine.go
@@ -44,14 +44,20 @@
 }
 
 // keepBlocklist reads the list of blocked contents from the store each time that gateways begin to rely on this agent, and stores
-// what they have blocked, until ctx ends.
+// what they have blocked, until ctx ends. If the store has come back from an older copy, it stores that again.
 func (a *Agent) keepBlocklist(ctx context.Context) error {
 	list := blocklist.New(a.store, a.watchers.quarantine, a.log)
+	_, restored := a.epochs.Current()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-a.watchers.blocklistDue:
+		case <-restored:
+			_, restored = a.epochs.Current()
+			if a.watchers.quarantine.EntriesRevision() == 0 {
+				continue
+			}
 		}
 		for {
 			blocked, err := a.syncBlocklist(ctx, list)
--- /dev/null
+++ b/agent/restored_store_test.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/request"
+	"gypsumbank/settings"
+	"gypsumbank/standin/site"
+)
+
+// TestRowsAreWrittenAgainAfterARestore guards against rows that nobody writes again once the store has come back from a copy without
+// them: the holder of an engine's orders, the models that it holds and the blocked contents. The agent learns of it from a gateway.
+func TestRowsAreWrittenAgainAfterARestore(t *testing.T) {
+	store := site.NewStore()
+	defer store.Close()
+	engine := site.NewTarget("e1", site.EventStream(3, 0, 0))
+	defer engine.Close()
+	engine.Load("m1")
+	store.Put("op", "config", map[string]any{"version": 1, "services": []any{map[string]any{
+		"name": "llm", "healthPath": "/healthz", "engine": map[string]any{"slots": 8, "weightsMb": 100.0, "models": []any{map[string]any{"name": "m1", "weightsMb": 50.0}}},
+	}}})
+	store.Put("servers", "e1", engine.RegistryEntry("llm", "ready"))
+	copied := store.Snapshot()
+	a := New(&settings.Config{
+		Node:  settings.Node{Name: "agent-1"},
+		Agent: settings.Agent{Listen: freeAddress(t), Target: engine.Address(), Service: "llm"},
+		Store: settings.Store{Address: store.Address()},
+	}, testLogger(t))
+	ctx, stop := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- a.Run(ctx) }()
+	defer func() {
+		stop()
+		if err := <-result; err != nil {
+			t.Error(err)
+		}
+	}()
+	content := request.Content{Hash: 77}
+	for run := range uint64(3) {
+		a.watchers.quarantine.Blame(run, []request.Content{content})
+		time.Sleep(300 * time.Millisecond)
+	}
+	a.watchers.requestBlocklist()
+	rows := map[string][3]string{
+		"fence":    {"order-holders", engine.Address(), "holder"},
+		`"m1"`:     {"inventories", engine.Address(), "models"},
+		`"blocked`: {"quarantine", "", "blocked"},
+	}
+	waitForRows(t, store, rows, "its start")
+	store.Restore(copied, "op", "servers")
+	a.observeEpoch(2, "gateway-1")
+	waitForRows(t, store, rows, "the restore")
+}
+
+// testLogger returns a logger whose lines are shown if the test fails.
+func testLogger(t *testing.T) *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	return log.WithField("test", t.Name())
+}
+
+// waitForRows waits until the store has rows, each with a text in its value.
+func waitForRows(t *testing.T, store *site.Store, rows map[string][3]string, since string) {
+	t.Helper()
+	deadline := time.Now().Add(12 * time.Second)
+	for text, key := range rows {
+		for {
+			row, ok := store.Row(key[0], key[1], key[2])
+			if ok && strings.Contains(string(row.Value), text) {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Errorf("row of %s 12 s after %s: %q, want one with %s", key[0], since, row.Value, text)
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/epoch"
 	"gypsumbank/pause"
 	"gypsumbank/platform"
 )
@@ -21,6 +23,8 @@
 	readRetryDelay = 500 * time.Millisecond
 	// writeDelay is the time from a change to its write, so that several changes in a row cost one write.
 	writeDelay = 6 * time.Second
+	// writeJitter spreads the writes of all agents after a restore of the store.
+	writeJitter = time.Second
 )
 
 // Store is the subset of the platform's store client that an inventory needs.
@@ -33,6 +37,7 @@
 type Inventory struct {
 	store         Store
 	targetAddress string
+	epochs        *epoch.Tracker
 	log           *logrus.Entry
 	version       int64        // of the stored row, 0 if there is none
 	versionKnown  bool         // false after a write that failed, perhaps only after the store applied it; the row must be read again
@@ -51,9 +56,10 @@
 	Models []Model `json:"models"`
 }
 
-// New returns an inventory for the target at the given address; it does nothing before Run is called.
-func New(store Store, targetAddress string, log *logrus.Entry) *Inventory {
-	return &Inventory{store: store, targetAddress: targetAddress, log: log, changes: make(chan []Model, 1), previous: make(chan []Model, 1)}
+// New returns an inventory for the target at the given address; it does nothing before Run is called. epochs tells when the store
+// has come back from an older copy.
+func New(store Store, targetAddress string, epochs *epoch.Tracker, log *logrus.Entry) *Inventory {
+	return &Inventory{store: store, targetAddress: targetAddress, epochs: epochs, log: log, changes: make(chan []Model, 1), previous: make(chan []Model, 1)}
 }
 
 // Previous returns a channel that receives one value: the models that an earlier process recorded, as soon as Run has
@@ -76,8 +82,10 @@
 	}
 }
 
-// Run reads the stored record and then writes changes until ctx ends. It returns the error of ctx.
+// Run reads the stored record and then writes changes until ctx ends, and what it has written once more after the store has come
+// back from an older copy. It returns the error of ctx.
 func (i *Inventory) Run(ctx context.Context) error {
+	_, restored := i.epochs.Current()
 	written, err := i.readWithRetries(ctx)
 	if err != nil {
 		return err
@@ -85,12 +93,17 @@
 	i.previous <- written
 	for {
 		var models []Model
+		delay := writeDelay
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case models = <-i.changes:
+		case <-restored:
+			_, restored = i.epochs.Current()
+			models, written, i.versionKnown = written, nil, false
+			delay += rand.N(writeJitter)
 		}
-		if err := pause.For(ctx, writeDelay); err != nil {
+		if err := pause.For(ctx, delay); err != nil {
 			return err
 		}
 		models = i.latest(models)
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -35,7 +35,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	inv := inventory.New(newStoreClient(t, store), target, log.WithField("test", t.Name()))
+	inv := inventory.New(newStoreClient(t, store), target, epoch.New(), log.WithField("test", t.Name()))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- inv.Run(ctx) }()
