Answer 503 on an unknown route while agents know newer routes

A gateway that starts on a restored store, before the operator has written the latest routes again, answered 404 on a route that all others serve (DENIED, CONFIG). It knows from the agents that newer routes exist: for 10 s it answers 503 with a Retry-After instead.

TestGatewayOnOlderRoutesDeniesNothing failed before (404), passes now.

--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -9,6 +9,10 @@
 	"gypsumbank/wire"
 )
 
+// maxRoutesLag is how long this gateway is assumed to get the newer routes that an agent has read; the operator may have withdrawn them
+// if it takes longer.
+const maxRoutesLag = 10 * time.Second
+
 // relayMaxAge is the age up to which a gateway relies on reads of the store by agents, which are at most a second apart.
 const relayMaxAge = 1500 * time.Millisecond
 
@@ -19,6 +23,7 @@
 	reads        map[string]*storeRead // by agent address
 	lastReturned readKey
 	returnedAt   time.Time     // time of the last read that was returned
+	routesRoseAt time.Time     // when the highest version of the routes that an agent has read was first reported
 	changed      chan struct{} // holds a value after a change of targets or of the version of the routes
 }
 
@@ -62,6 +67,9 @@
 		return // the message with the targets of this revision is missing
 	}
 	readIn := epoch.Epoch(storeReads.GetStoreEpoch())
+	if storeReads.GetRoutesVersion() > r.highestRoutes() {
+		r.routesRoseAt = now
+	}
 	hasChanges := read.routesVersion != storeReads.GetRoutesVersion() || storeReads.GetHasTargets() || read.epoch != readIn
 	read.epoch = readIn
 	read.readAt, read.routesVersion = now.Add(-time.Duration(storeReads.GetAgeMs())*time.Millisecond), storeReads.GetRoutesVersion()
@@ -108,6 +116,18 @@
 func (r *relayedReads) routesVersion() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.highestRoutes()
+}
+
+// expectsRoutesAfter reports whether an agent has lately read a newer version of the routes than the given one.
+func (r *relayedReads) expectsRoutesAfter(version int64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.highestRoutes() > version && now.Sub(r.routesRoseAt) < maxRoutesLag
+}
+
+// highestRoutes is routesVersion for callers that hold the lock.
+func (r *relayedReads) highestRoutes() int64 {
 	version := int64(0)
 	for _, read := range r.reads {
 		version = max(version, read.routesVersion)
--- a/gateway/restored_store_test.go
+++ b/gateway/restored_store_test.go
@@ -196,3 +196,35 @@
 		}
 	}
 }
+
+// TestGatewayOnOlderRoutesDeniesNothing guards against a gateway that starts on a restored store, before the operator has written the
+// latest routes again, and answers 404 on a route that the others serve.
+func TestGatewayOnOlderRoutesDeniesNothing(t *testing.T) {
+	t.Parallel()
+	g := newGatewayGroup(t)
+	g.addPlainTarget("p1")
+	g.startEngines(1, 132)
+	g.startGateway(0)
+	time.Sleep(1500 * time.Millisecond)
+	copied := g.store.Snapshot()
+	addRoute(g.store, 5)
+	time.Sleep(time.Second)
+	g.store.Restore(copied, "servers")
+	g.startGateway(1)
+	time.Sleep(time.Second)
+	request := "GET /added-5/x HTTP/1.1\r\nHost: " + callerHost + "\r\nConnection: close\r\nX-Gypsumbank-Request-Id: r1\r\n\r\n"
+	for gateway, want := range []string{"HTTP/1.1 200", "HTTP/1.1 503"} {
+		if answer := g.sendTo(gateway, request); !strings.HasPrefix(answer, want) {
+			t.Errorf("gateway %d answers %q, want %s", gateway, answer, want)
+		}
+	}
+	unknown := strings.Replace(request, "added-5", "never-added", 1)
+	if answer := g.sendTo(0, unknown); !strings.HasPrefix(answer, "HTTP/1.1 404") {
+		t.Errorf("gateway on the latest routes answers %q to a request without a route, want 404", answer)
+	}
+	addRoute(g.store, 5)
+	time.Sleep(configApplyTime)
+	if answer := g.sendTo(1, request); !strings.HasPrefix(answer, "HTTP/1.1 200") {
+		t.Errorf("answer %q %s after the routes were written again", answer, configApplyTime)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -18,7 +18,11 @@
 	"gypsumbank/route"
 )
 
-const defaultMaxBodyBytes = 4 << 20
+const (
+	defaultMaxBodyBytes = 4 << 20
+	// newRoutesRetryAfter is short, as newer routes are usually in force within 100 ms.
+	newRoutesRetryAfter = 200 * time.Millisecond
+)
 
 // serve handles one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
@@ -42,6 +46,10 @@
 	}
 	req := platform.DecodeRequest(r, arrived)
 	matchedRoute := table.Match(req.Host, req.Path)
+	if matchedRoute == nil && g.relay.expectsRoutesAfter(table.Version(), arrived) {
+		g.refuse(w, r, id, dispatch.NoRoutes, http.StatusServiceUnavailable, newRoutesRetryAfter)
+		return
+	}
 	if matchedRoute == nil {
 		g.refuse(w, r, id, dispatch.NoRoute, http.StatusNotFound, 0)
 		return
