Drop log lines that are written after the writer is closed

An agent ended with exit status 2 at a planned stop (soak): the goroutine of a long poll, which the HTTP client cannot cancel, logged a restore of the store after the writer was closed, and sent on a closed channel. The writer now drops such lines.

TestLineAfterCloseIsDropped panicked before, passes now.

--- a/logs/writer.go
+++ b/logs/writer.go
@@ -27,13 +27,14 @@
 	limiter *rate.Limiter
 	lines   chan []byte
 	dropped atomic.Int64
+	closing chan struct{} // closed by Close
 	done    chan struct{}
 }
 
 // NewWriter returns a writer that writes to out until Close is called.
 func NewWriter(out io.Writer) *Writer {
 	w := &Writer{
-		out: out, limiter: rate.NewLimiter(maxLinesPerSecond, maxBurstLines), lines: make(chan []byte, maxQueuedLines), done: make(chan struct{}),
+		out: out, limiter: rate.NewLimiter(maxLinesPerSecond, maxBurstLines), lines: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{}),
 	}
 	go w.run()
 	return w
@@ -53,9 +54,10 @@
 	return len(line), nil
 }
 
-// Close waits until the queued lines are written, but no longer than flushTimeout. Write must not be called afterwards.
+// Close waits until the queued lines are written, but no longer than flushTimeout. Lines written afterwards are dropped: goroutines
+// that wait for an answer of the store may end later than the process's other parts.
 func (w *Writer) Close() {
-	close(w.lines)
+	close(w.closing)
 	select {
 	case <-w.done:
 	case <-time.After(flushTimeout):
@@ -69,10 +71,33 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		if n := w.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(w.out, "{\"level\":\"warning\",\"lines\":%d,\"msg\":\"log lines dropped\"}\n", n)
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeLine(line)
+		case <-w.closing:
+			w.flush()
+			return
 		}
-		_, _ = w.out.Write(line) // an error of the log output can't be reported anywhere
 	}
 }
+
+// flush writes the lines that are queued now.
+func (w *Writer) flush() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeLine(line)
+		default:
+			return
+		}
+	}
+}
+
+// writeLine writes a line, after one that tells how many were dropped before it.
+func (w *Writer) writeLine(line []byte) {
+	if n := w.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w.out, "{\"level\":\"warning\",\"lines\":%d,\"msg\":\"log lines dropped\"}\n", n)
+	}
+	_, _ = w.out.Write(line) // an error of the log output can't be reported anywhere
+}
--- a/logs/writer_test.go
+++ b/logs/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -57,3 +58,12 @@
 		t.Errorf("wrote %q", out.String())
 	}
 }
+
+// TestLineAfterCloseIsDropped guards against a process that ends with a panic since a goroutine logs after the writer was closed.
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	w := NewWriter(io.Discard)
+	w.Close()
+	if _, err := w.Write([]byte("late\n")); err != nil {
+		t.Errorf("Write after Close: %v", err)
+	}
+}
