--- a/gateway/software_version_test.go
+++ b/gateway/software_version_test.go
@@ -66,19 +66,26 @@
 // newVersionGroup starts two gateways before two engines of different software versions, with their agents.
 func newVersionGroup(t *testing.T) *gatewayGroup {
 	g := newGatewayGroup(t)
-	for i, version := range []string{"v1", "v2"} {
-		host, id := fmt.Sprintf("127.0.0.%d", 80+i), "e-"+version
+	g.startVersions(80, "v1", "v2")
+	g.startGateway(0)
+	g.startGateway(1)
+	return g
+}
+
+// startVersions starts and registers engines of the given software versions, at loopback addresses from 127.0.0.first on, and
+// returns functions that end their agents.
+func (g *gatewayGroup) startVersions(first int, versions ...string) (stopAgents []func()) {
+	for i, version := range versions {
+		host, id := fmt.Sprintf("127.0.0.%d", first+i), fmt.Sprintf("e%d-%s", i, version)
 		engine := site.NewTargetAt(host+":0", id, breakingStream(version))
 		engine.Load("m1")
 		entry := engine.RegistryEntry("engine", "ready")
 		entry["version"] = version
 		g.store.Put("servers", id, entry)
-		t.Cleanup(engine.Close)
-		g.startAgent(id, engine)
+		g.t.Cleanup(engine.Close)
+		stopAgents = append(stopAgents, g.startAgent(id, engine))
 	}
-	g.startGateway(0)
-	g.startGateway(1)
-	return g
+	return stopAgents
 }
 
 // streamRequest returns the bytes of a request for a stream with an id of its own.
@@ -147,3 +154,100 @@
 	g.stops[i]()
 	g.startGateway(i)
 }
+
+// TestTakenUpStreamIsNotJoinedAfterItsVersionLeft guards against gateways that have just started and take the only software version
+// that they see for that of a stream that nobody knows: all gateways are killed, and meanwhile the last engine of the old version
+// leaves.
+func TestTakenUpStreamIsNotJoinedAfterItsVersionLeft(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		firstEngine int // of the loopback addresses
+		agentLeaves bool
+	}{
+		"agent of the old engine stays":  {firstEngine: 84},
+		"agent of the old engine leaves": {firstEngine: 86, agentLeaves: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newGatewayGroup(t)
+			stopAgents := g.startVersions(c.firstEngine, "v1")
+			g.startGateway(0)
+			g.startGateway(1)
+			time.Sleep(1500 * time.Millisecond)
+			const streams = 8
+			for i := range streams {
+				if began := versionsOf(g.sendTo(i%2, streamRequest(fmt.Sprint("first", i)))); began != "v1" {
+					t.Errorf("stream %d began at %q", i, began)
+				}
+			}
+			g.startVersions(c.firstEngine+1, "v2")
+			time.Sleep(1500 * time.Millisecond)
+			g.stops[0]()
+			g.stops[1]()
+			g.store.Remove("servers", "e0-v1")
+			if c.agentLeaves {
+				stopAgents[0]()
+			}
+			time.Sleep(time.Second) // until no agent lists it
+			g.startGateway(0)
+			g.startGateway(1)
+			for i := range streams {
+				answer := g.sendTo(i%2, streamRequest(fmt.Sprint("second", i), "Last-Event-Id: 2", fmt.Sprint("Resumes: first", i)))
+				if went := versionsOf(answer); went == "v2" {
+					t.Errorf("stream %d of v1 went on at v2", i)
+				}
+			}
+		})
+	}
+}
+
+// TestTakenUpStreamsGoOnAfterAllGatewaysWereKilled guards against streams that are refused, as nobody knows their software version
+// after all gateways have been killed.
+func TestTakenUpStreamsGoOnAfterAllGatewaysWereKilled(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		firstEngine int
+		versions    []string
+		wait        time.Duration // from the first try to the kill
+	}{
+		"one version":                  {firstEngine: 92, versions: []string{"v1", "v1"}, wait: 400 * time.Millisecond},
+		"one version, killed at once":  {firstEngine: 94, versions: []string{"v1", "v1"}, wait: 50 * time.Millisecond},
+		"two versions":                 {firstEngine: 96, versions: []string{"v1", "v2"}, wait: 400 * time.Millisecond},
+		"two versions, killed at once": {firstEngine: 98, versions: []string{"v1", "v2"}, wait: 50 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newGatewayGroup(t)
+			g.startVersions(c.firstEngine, c.versions...)
+			g.startGateway(0)
+			g.startGateway(1)
+			time.Sleep(1500 * time.Millisecond)
+			const streams = 8
+			var first [streams]string
+			for i := range first {
+				first[i] = versionsOf(g.sendTo(i%2, streamRequest(fmt.Sprint("first", i))))
+			}
+			time.Sleep(c.wait)
+			g.stops[0]()
+			g.stops[1]()
+			g.startGateway(0)
+			g.startGateway(1)
+			wentOn := 0
+			for i, began := range first {
+				answer := g.sendTo(i%2, streamRequest(fmt.Sprint("second", i), "Last-Event-Id: 2", fmt.Sprint("Resumes: first", i)))
+				went := versionsOf(answer)
+				if went != "" && went != began {
+					t.Errorf("stream %d of %s went on at %s", i, began, went)
+				}
+				if went == began && strings.Contains(answer, "token-6") {
+					wentOn++
+				}
+			}
+			if wentOn != streams {
+				t.Errorf("%d of %d streams went on", wentOn, streams)
+			}
+		})
+	}
+}
