Go on with a stream only where its software version is known

Cause: a gateway that has just started took the only version it saw for that of a stream it did not know, and asked nobody while it saw one. What is not known was joined.

A stream that nobody knows is refused with 503, unless this gateway has read the registry for a minute without a gap and has seen one version, or no target names one. An agent that has restarted is told again what it keeps. Before, three relays were told with a heartbeat, and lost the last second with a kill.

TestKeepers: 99 % of records are found by a process that knows one agent less.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -35,6 +35,8 @@
 	FindOrigin(ctx context.Context, stream uint64) (version registry.SoftwareVersion, age time.Duration, ok bool)
 	// PushUsage sends the requests of this gateway that are in progress at a target to its agent.
 	PushUsage(target registry.Target)
+	// PushOrigin tells agents at which software version a stream has begun.
+	PushOrigin(stream uint64)
 }
 
 // Quarantine finds the contents of requests under which targets crash.
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -52,6 +52,7 @@
 
 func (s *scriptedClient) PushDemand()               {}
 func (s *scriptedClient) PushUsage(registry.Target) {}
+func (s *scriptedClient) PushOrigin(uint64)         {}
 
 func respond(status int) func() reply.Result {
 	return func() reply.Result {
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -33,21 +33,19 @@
 }
 
 // bindVersion binds the stream to the software version at which it began, as known from source. It returns false if that is not
-// known while targets of several versions serve.
+// known and another version may have served than the one that does.
 func (d *Dispatch) bindVersion(version registry.SoftwareVersion, source string, age time.Duration) bool {
-	versions := d.fleet.SoftwareVersions(d.service, d.now())
-	bound := version != "" || len(versions) <= 1
+	versions, complete := d.fleet.SoftwareVersions(d.service, d.now())
+	// Targets that name no version at all can't be told apart.
+	bound := version != "" || (len(versions) <= 1 && (complete || onlyVersion(versions) == ""))
 	outcome := "bound"
 	if !bound {
 		outcome = "unknown"
 	}
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_resumed_streams_total{version="` + outcome + `"}`).Inc()
 	d.log.WithFields(logrus.Fields{
-		"software-version": version, "known-from": source, "age-ms": age.Milliseconds(), "resumed": d.streamID(), "versions": len(versions), "last-event": d.request.LastEventID, "outcome": outcome,
+		"software-version": version, "known-from": source, "age-ms": age.Milliseconds(), "resumed": d.streamID(), "versions": len(versions), "versions-complete": complete, "last-event": d.request.LastEventID, "outcome": outcome,
 	}).Info("stream to be resumed")
-	if len(versions) > 1 {
-		d.agents.PushDemand() // its caller may come back at another gateway soon
-	}
 	if !bound {
 		return false
 	}
@@ -75,7 +73,7 @@
 }
 
 // findOrigin binds a stream that the caller takes up to the software version at which it began. It returns a refusal if that
-// is not known while targets of several versions serve.
+// is not known and another version may have served than the one that does.
 func (d *Dispatch) findOrigin() *Refused {
 	if d.route.Kind != route.Streaming || d.request.LastEventID == "" || d.streamVersion != nil {
 		return nil
@@ -88,7 +86,7 @@
 }
 
 // lookUpOrigin returns the software version at which the stream began, the age of that record and where it was known from. The
-// version is empty if nobody knows it. Agents are asked only while targets of several versions serve.
+// version is empty if nobody knows it.
 func (d *Dispatch) lookUpOrigin() (version registry.SoftwareVersion, age time.Duration, source string) {
 	if d.request.FirstRequestID == "" {
 		return "", 0, "not named"
@@ -97,9 +95,6 @@
 	if version, age, ok := d.origins.Lookup(stream); ok {
 		return version, age, "gateway"
 	}
-	if len(d.fleet.SoftwareVersions(d.service, d.now())) <= 1 {
-		return "", 0, "nobody"
-	}
 	ctx, cancel := context.WithTimeout(d.ctx, originTimeout)
 	defer cancel()
 	if version, age, ok := d.agents.FindOrigin(ctx, stream); ok {
@@ -114,9 +109,12 @@
 	if d.streamVersion != nil {
 		version = *d.streamVersion
 	}
-	if version != "" {
-		d.origins.Add(origin.Stream(d.streamID()), version)
+	if version == "" || !d.route.Resumable {
+		return
 	}
+	stream := origin.Stream(d.streamID())
+	d.origins.Add(stream, version)
+	d.agents.PushOrigin(stream)
 }
 
 // ContinuesStream reports whether an answer may be joined to the events that the caller has: its target must still be the run
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,6 +41,7 @@
 	plannedStoreLoads map[string][]time.Time // by service, times of recently planned loads from the weight store
 	storeBlockedUntil map[string]time.Time   // by service, earliest time of the next load from the weight store
 	registryReadAt    time.Time              // when UpdateTargets was last called
+	registryReadSince time.Time              // of the first read since when there was no gap above maxRegistryGap
 
 	versionsSeenAt map[serviceVersion]time.Time // when the registry last listed a target of the version
 }
@@ -123,6 +124,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var change Change
+	if f.registryReadSince.IsZero() || now.Sub(f.registryReadAt) > maxRegistryGap {
+		f.registryReadSince = now
+	}
 	f.registryReadAt = now
 	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
--- a/fleet/software_version.go
+++ b/fleet/software_version.go
@@ -16,12 +16,16 @@
 	version registry.SoftwareVersion
 }
 
+// maxRegistryGap is the time between two reads of the registry from which on a version may have come and gone unseen.
+const maxRegistryGap = 5 * time.Second
+
 // SoftwareVersions returns the versions of a service's targets, now and within versionMemory. One of them is empty if the version
-// of some target is not known.
-func (f *Fleet) SoftwareVersions(service string, now time.Time) map[registry.SoftwareVersion]bool {
+// of some target is not known. complete is false if the registry has not been read for that long, so that there may have been
+// others.
+func (f *Fleet) SoftwareVersions(service string, now time.Time) (versions map[registry.SoftwareVersion]bool, complete bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	versions := map[registry.SoftwareVersion]bool{}
+	versions = map[registry.SoftwareVersion]bool{}
 	for seen, at := range f.versionsSeenAt {
 		switch {
 		case now.Sub(at) > versionMemory:
@@ -35,7 +39,7 @@
 			versions[s.SoftwareVersion] = true
 		}
 	}
-	return versions
+	return versions, !f.registryReadSince.IsZero() && now.Sub(f.registryReadSince) >= versionMemory
 }
 
 // IsCurrent reports whether no other run of a target is known than the one that a request was sent to.
@@ -46,23 +50,6 @@
 	return s == nil || (s.Born == target.Born && s.SoftwareVersion == target.SoftwareVersion && !s.replaced)
 }
 
-// ServesSeveralVersions reports whether any service has targets of several software versions, now or within versionMemory.
-func (f *Fleet) ServesSeveralVersions(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	first := map[string]registry.SoftwareVersion{}
-	for seen, at := range f.versionsSeenAt {
-		if now.Sub(at) > versionMemory {
-			continue
-		}
-		if version, ok := first[seen.service]; ok && version != seen.version {
-			return true
-		}
-		first[seen.service] = seen.version
-	}
-	return false
-}
-
 // PlanForStream returns the load by which a stream that goes on only at one software version gets a target that holds its model,
 // and records it as in progress. It returns false if no target of the version can load it, or one does already.
 func (f *Fleet) PlanForStream(service, model string, version registry.SoftwareVersion, now time.Time) (Placement, bool) {
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -57,19 +59,21 @@
 	epochs  *epoch.Tracker
 	log     *logrus.Entry
 
-	mu          sync.Mutex
-	cancelWatch map[string]context.CancelFunc
-	relayAgents map[string]bool          // addresses of the agents that receive the demand and read the store
-	connected   map[string]bool          // addresses of the agents whose states arrive
-	pushDemand  chan struct{}            // closed and replaced to send the demand now
-	pushUsage   map[string]chan struct{} // by agent address; holds a value if the requests in progress at its target have changed
-	watchers    sync.WaitGroup
+	mu             sync.Mutex
+	cancelWatch    map[string]context.CancelFunc
+	agentAddresses []string                 // of all agents; replaced, never changed
+	relayAgents    map[string]bool          // addresses of the agents that receive the demand and read the store
+	queuedOrigins  map[string][]uint64      // by agent address: streams whose records are to be sent to it
+	connected      map[string]bool          // addresses of the agents whose states arrive
+	pushDemand     chan struct{}            // closed and replaced to send the demand now
+	pushUsage      map[string]chan struct{} // by agent address; holds a value if the requests in progress at its target have changed
+	watchers       sync.WaitGroup
 }
 
 func newAgentClients(name string, port int, d *dialer.Dialer, f *fleet.Fleet, relay *relayedReads, crashes *crashes, origins *origin.Table, epochs *epoch.Tracker, log *logrus.Entry) *agentClients {
 	return &agentClients{
 		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, crashes: crashes, origins: origins, epochs: epochs, log: log,
-		cancelWatch: map[string]context.CancelFunc{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
+		cancelWatch: map[string]context.CancelFunc{}, queuedOrigins: map[string][]uint64{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
 	}
 }
 
@@ -86,11 +90,13 @@
 func (a *agentClients) setAddresses(addresses map[string]bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.agentAddresses = slices.Sorted(maps.Keys(addresses))
 	a.relayAgents = selectRelays(addresses)
 	for address, stop := range a.cancelWatch {
 		if !addresses[address] {
 			stop()
 			delete(a.cancelWatch, address)
+			delete(a.queuedOrigins, address)
 		}
 	}
 	for address := range addresses {
@@ -159,9 +165,12 @@
 }
 
 // PushUsage sends the requests of this gateway that are in progress at a target to its agent now.
-func (a *agentClients) PushUsage(target registry.Target) {
+func (a *agentClients) PushUsage(target registry.Target) { a.push(a.address(target.Address)) }
+
+// push sends a heartbeat to an agent now.
+func (a *agentClients) push(address string) {
 	select {
-	case a.usageChannel(a.address(target.Address)) <- struct{}{}:
+	case a.usageChannel(address) <- struct{}{}:
 	default:
 	}
 }
@@ -186,7 +195,8 @@
 // sendHeartbeats sends heartbeats with the usage, and to relay agents with the demand, until ctx ends or the stream breaks.
 func (a *agentClients) sendHeartbeats(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
 	pushUsage := a.usageChannel(address)
-	var quarantineRevision, originRevision uint64 // up to which the agent has been told
+	var quarantineRevision uint64 // up to which the agent has been told
+	a.queueKeptOrigins(address)
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
 		storeEpoch, _ := a.epochs.Current()
@@ -196,10 +206,8 @@
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
 			}
 			update.Quarantine, quarantineRevision = a.crashes.table.Changes(quarantineRevision, true)
-			if a.fleet.ServesSeveralVersions(time.Now()) {
-				update.Origins, originRevision = a.origins.Changes(originRevision)
-			}
 		}
+		update.Origins = a.takeOrigins(address)
 		share := a.fleet.TakeLoadReport(func(t registry.Target) bool { return a.address(t.Address) == address })
 		update.UnreadMs = float32(share.PendingPrefillMs)
 		for _, use := range share.Uses {
--- a/gateway/find_origin.go
+++ b/gateway/find_origin.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"gypsumbank/origin"
 	"gypsumbank/pause"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
@@ -16,18 +18,27 @@
 	known   bool
 }
 
-// FindOrigin asks the relays at which software version a stream began, and returns the age of that record. The first that knows
-// it decides; ok is false if none does before ctx ends.
+const (
+	// originCopies is the number of agents that keep the record of a stream, and originQuestions that of those asked: the agents
+	// may have changed since.
+	originCopies    = 2
+	originQuestions = 3
+	// maxQueuedOrigins bounds the records that wait to be sent to one agent.
+	maxQueuedOrigins = 4096
+)
+
+// FindOrigin asks the agents that keep the record of a stream at which software version it began, and returns the age of that
+// record. The first that knows it decides; ok is false if none does before ctx ends.
 func (a *agentClients) FindOrigin(ctx context.Context, stream uint64) (version registry.SoftwareVersion, age time.Duration, ok bool) {
-	relays := a.relayAddresses()
-	for len(relays) == 0 && pause.For(ctx, relayPollInterval) == nil {
-		relays = a.relayAddresses() // this gateway has just started
+	keepers := origin.Keepers(stream, a.addresses(), originQuestions)
+	for len(keepers) == 0 && pause.For(ctx, relayPollInterval) == nil {
+		keepers = origin.Keepers(stream, a.addresses(), originQuestions) // this gateway has just started
 	}
-	answers := make(chan originAnswer, len(relays))
-	for _, address := range relays {
+	answers := make(chan originAnswer, len(keepers))
+	for _, address := range keepers {
 		go func() { answers <- a.askOrigin(ctx, address, stream) }()
 	}
-	for range relays {
+	for range keepers {
 		if answer := <-answers; answer.known {
 			a.origins.Add(stream, answer.version)
 			return answer.version, answer.age, true
@@ -36,6 +47,44 @@
 	return "", 0, false
 }
 
+// PushOrigin tells the agents that keep the record of a stream, which was just recorded, of it.
+func (a *agentClients) PushOrigin(stream uint64) {
+	for _, address := range origin.Keepers(stream, a.addresses(), originCopies) {
+		a.queueOrigins(address, stream)
+		a.push(address)
+	}
+}
+
+// queueOrigins queues the records of streams for an agent, and drops the oldest above maxQueuedOrigins.
+func (a *agentClients) queueOrigins(address string, streams ...uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	queued := append(a.queuedOrigins[address], streams...)
+	a.queuedOrigins[address] = queued[max(0, len(queued)-maxQueuedOrigins):]
+}
+
+// queueKeptOrigins queues all records that an agent keeps: it may have just started.
+func (a *agentClients) queueKeptOrigins(address string) {
+	addresses := a.addresses()
+	kept := slices.DeleteFunc(a.origins.Recent(), func(stream uint64) bool {
+		return !slices.Contains(origin.Keepers(stream, addresses, originCopies), address)
+	})
+	a.queueOrigins(address, kept...)
+}
+
+// takeOrigins returns the records to be sent to an agent in the next message.
+func (a *agentClients) takeOrigins(address string) []*wire.StreamOrigins {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	message, left := a.origins.Encode(a.queuedOrigins[address])
+	if len(left) == 0 {
+		delete(a.queuedOrigins, address)
+		return message
+	}
+	a.queuedOrigins[address] = left
+	return message
+}
+
 // askOrigin asks one agent.
 func (a *agentClients) askOrigin(ctx context.Context, address string, stream uint64) originAnswer {
 	conn := a.dialer.Conn(ctx, address)
@@ -49,13 +98,9 @@
 	return originAnswer{registry.SoftwareVersion(reply.GetSoftwareVersion()), time.Duration(reply.GetAgeMs()) * time.Millisecond, reply.GetKnown()}
 }
 
-// relayAddresses returns the addresses of the agents that gateways tell of their streams.
-func (a *agentClients) relayAddresses() []string {
+// addresses returns the addresses of all agents.
+func (a *agentClients) addresses() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	addresses := make([]string, 0, len(a.relayAgents))
-	for address := range a.relayAgents {
-		addresses = append(addresses, address)
-	}
-	return addresses
+	return a.agentAddresses
 }
--- a/origin/table.go
+++ b/origin/table.go
@@ -1,8 +1,6 @@
 package origin
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
@@ -93,33 +91,40 @@
 	t.recent = t.recent[drop:]
 }
 
-// Changes returns the streams recorded after a revision, as far as they fit into one message, and the revision to continue from.
-func (t *Table) Changes(after uint64) ([]*wire.StreamOrigins, uint64) {
+// Recent returns the streams that are recorded, the latest last.
+func (t *Table) Recent() []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	byVersion := map[registry.SoftwareVersion]*wire.StreamOrigins{}
-	var all []*wire.StreamOrigins
-	count := 0
-	first, _ := slices.BinarySearchFunc(t.recent, after+1, func(e entry, revision uint64) int { return cmp.Compare(e.revision, revision) })
-	for _, e := range t.recent[first:] {
-		r, ok := t.records[e.stream]
-		if !ok || r.revision != e.revision {
-			continue // recorded again since
+	t.dropOld()
+	streams := make([]uint64, 0, len(t.recent))
+	for _, e := range t.recent {
+		if r, ok := t.records[e.stream]; ok && r.revision == e.revision {
+			streams = append(streams, e.stream)
 		}
-		if count == maxPerMessage {
-			break
+	}
+	return streams
+}
+
+// Encode returns a message with the versions of as many of the streams as fit into one, and the streams that are left.
+func (t *Table) Encode(streams []uint64) (message []*wire.StreamOrigins, left []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byVersion := map[registry.SoftwareVersion]*wire.StreamOrigins{}
+	count := min(len(streams), maxPerMessage)
+	for _, stream := range streams[:count] {
+		r, ok := t.records[stream]
+		if !ok {
+			continue
 		}
 		group := byVersion[r.version]
 		if group == nil {
 			group = &wire.StreamOrigins{SoftwareVersion: string(r.version)}
 			byVersion[r.version] = group
-			all = append(all, group)
+			message = append(message, group)
 		}
-		group.Streams = append(group.Streams, e.stream)
-		after = e.revision
-		count++
+		group.Streams = append(group.Streams, stream)
 	}
-	return all, after
+	return message, streams[count:]
 }
 
 // Merge records streams that another process has sent.
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -1,11 +1,14 @@
 package origin_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gypsumbank/origin"
 	"gypsumbank/registry"
+	"gypsumbank/wire"
 )
 
 // fakeClock is a clock that moves only when a test sets it.
@@ -16,14 +19,12 @@
 // exchange sends all that from holds to another table and returns the number of messages.
 func exchange(from, to *origin.Table) int {
 	messages := 0
-	for revision := uint64(0); ; messages++ {
-		origins, next := from.Changes(revision)
-		if len(origins) == 0 {
-			return messages
-		}
+	for streams := from.Recent(); len(streams) > 0; messages++ {
+		var origins []*wire.StreamOrigins
+		origins, streams = from.Encode(streams)
 		to.Merge(origins)
-		revision = next
 	}
+	return messages
 }
 
 func TestLookup(t *testing.T) {
@@ -71,3 +72,40 @@
 		t.Errorf("%d messages for %d streams", messages, known)
 	}
 }
+
+// TestKeepers guards against records that are looked for where they are not kept: a process that knows one agent more, or less, than
+// the one that told of a stream must find most of the records.
+func TestKeepers(t *testing.T) {
+	const streams, agents, copies = 2000, 40, 2
+	var all []string
+	for i := range agents {
+		all = append(all, fmt.Sprint("10.0.0.", i, ":80"))
+	}
+	load := map[string]int{}
+	found := 0
+	for stream := range uint64(streams) {
+		stream := origin.Stream(fmt.Sprint(stream))
+		kept := origin.Keepers(stream, all, copies)
+		if len(kept) != copies || kept[0] == kept[1] {
+			t.Fatalf("keepers %v, want %d different ones", kept, copies)
+		}
+		for _, address := range kept {
+			load[address]++
+		}
+		asked := origin.Keepers(stream, all[1:], copies)
+		if slices.ContainsFunc(asked, func(address string) bool { return slices.Contains(kept, address) }) {
+			found++
+		}
+	}
+	if found < streams*99/100 {
+		t.Errorf("%d of %d records are found by a process that knows one agent less", found, streams)
+	}
+	for address, n := range load {
+		if mean := streams * copies / agents; n > 2*mean {
+			t.Errorf("%s keeps %d records, the mean is %d", address, n, mean)
+		}
+	}
+	if got := origin.Keepers(1, all[:1], copies); len(got) != 1 {
+		t.Errorf("keepers %v of a single agent", got)
+	}
+}
