Wait for another holder while the only holder of a stream's model has ended

For requests that have their model loaded, an excluded holder now counts as none.

TestTakenUpStreamWaitsForAnotherHolder failed before (no-target after 0.4 s), passes now.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -186,7 +186,7 @@
 			return fleet.Choice{}, refused
 		}
 		now := d.now()
-		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded, SoftwareVersion: d.streamVersion}, now)
+		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded, SoftwareVersion: d.streamVersion, LoadsModel: d.streamVersion != nil}, now)
 		remaining := d.firstByteDeadline().Sub(now)
 		switch {
 		case !ok:
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -29,6 +29,7 @@
 	sentTo      []registry.Target
 	ensureCalls int
 	ensureErr   error                    // returned by EnsureLoaded
+	ensureTime  time.Duration            // after which EnsureLoaded returns
 	origin      registry.SoftwareVersion // of all streams, as agents know it; empty if none does
 }
 
@@ -40,6 +41,7 @@
 }
 
 func (s *scriptedClient) EnsureLoaded(context.Context, registry.Target, string, string, string, string) error {
+	time.Sleep(s.ensureTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ensureCalls++
--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -94,3 +94,21 @@
 		t.Errorf("the stream went on after %s", took)
 	}
 }
+
+// TestTakenUpStreamWaitsForAnotherHolder guards against streams that are refused as their only holder has just ended, although a load
+// on another target of their version is on its way: many callers come back at once after a crash.
+func TestTakenUpStreamWaitsForAnotherHolder(t *testing.T) {
+	s := &scriptedClient{replies: []func() reply.Result{notSent, respond(200)}, origin: "v1", ensureTime: 700 * time.Millisecond}
+	d := newDispatcher(s, time.Now)
+	targets := registerVersions(d, "v1", "v1")
+	targets[1].Models = []registry.Model{}
+	d.fleet.UpdateTargets(targets, false, time.Now())
+	d.fleet.Observe("e2", fleet.Observation{Report: registry.Report{OnDisk: []string{"m1"}}, Watchers: 2}, time.Now())
+	r := streamRoute(true)
+	r.Timeout = 5 * time.Second
+	dispatch := d.Begin(t.Context(), &request.Request{ID: "r2", FirstRequestID: "r1", LastEventID: "2", Model: "m1", Arrived: time.Now()}, r, engineService)
+	defer dispatch.Close()
+	if got := dispatch.Run(); !sameOutcome(got, Answered{}) || len(s.sentTo) != 2 || s.sentTo[1].ID != "e2" {
+		t.Errorf("outcome %#v, sent to %v; want an answer of e2", got, s.sentTo)
+	}
+}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -72,6 +72,8 @@
 	Exclude map[string]bool // ids of targets that must not be chosen
 	// SoftwareVersion is the only one whose targets may be chosen, nil for any: that of the target which began the stream.
 	SoftwareVersion *registry.SoftwareVersion
+	// LoadsModel tells that the model will be loaded for the request if all targets that hold it are excluded.
+	LoadsModel bool
 }
 
 // Choice is the result of Choose: a target and the estimates that it was chosen by.
@@ -102,14 +104,20 @@
 		return Choice{}, false
 	}
 	engine := f.services[query.Service].Engine
+	isExcluded := func(s *targetState) bool { return query.Exclude[s.ID] }
+	if query.LoadsModel && !slices.ContainsFunc(usable, func(s *targetState) bool { return !isExcluded(s) }) {
+		return Choice{}, false
+	}
 	if engine != nil && query.Request.Model != "" {
 		usableCount := len(usable)
-		usable = slices.DeleteFunc(usable, func(s *targetState) bool { return !s.holds(query.Request.Model, "", now) })
+		usable = slices.DeleteFunc(usable, func(s *targetState) bool {
+			return !s.holds(query.Request.Model, "", now) || (query.LoadsModel && isExcluded(s))
+		})
 		if len(usable) == 0 {
 			return Choice{LacksModel: true, Candidates: usableCount}, true
 		}
 	}
-	usable = slices.DeleteFunc(usable, func(s *targetState) bool { return query.Exclude[s.ID] })
+	usable = slices.DeleteFunc(usable, isExcluded)
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
