Serve streams that have begun before new requests

Many callers come back at once after a crash or a kill, each with a part of its answer. A stream that has begun now waits ahead of those that have not.

The case of TestOrder failed before, passes now.

--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -11,6 +11,7 @@
 
 // Rank decides the order of the requests that wait for the same targets.
 type Rank struct {
+	Begun     bool      // the caller has a part of the answer already
 	Priority  int       // of the route, 0 is the most urgent
 	Objective time.Time // by when the answer has to begin to have its full value
 }
@@ -18,6 +19,9 @@
 // before reports whether a request of rank r is served before one of rank other: requests that can still meet their
 // objective come first, of these the more urgent ones, and of equally urgent ones that with the earlier objective.
 func (r Rank) before(other Rank, now time.Time) bool {
+	if r.Begun != other.Begun {
+		return r.Begun
+	}
 	missed, otherMissed := now.After(r.Objective), now.After(other.Objective)
 	if missed != otherMissed {
 		return otherMissed
