Refuse a taken-up stream at once if its caller leaves before it can go on

Callers leave a stream after two seconds (or more, by the route) without an event, also one that they take up again; such a request waited for a model or for room until its deadline instead, up to 10 s.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -90,6 +90,7 @@
 	// streamVersion is the software version that wrote the first event of the stream, at which alone it may go on; nil for a
 	// stream without events.
 	streamVersion *registry.SoftwareVersion
+	waitsSince    time.Time       // since when the caller has had no event
 	place         *waitlist.Place // while the request waits for room
 	wait          wait            // in progress; zero if there is none
 	log           *logrus.Entry
@@ -133,8 +134,8 @@
 	return &Dispatch{
 		Dispatcher: d, request: req, contents: req.Contents(), route: r, service: service,
 		ctx: ctx, cancel: cancel, deadline: deadline,
-		excluded: map[string]bool{},
-		log:      d.log.WithFields(logrus.Fields{"request": req.ID, "route": r.Name, "kind": r.Kind.String(), "service": service}),
+		excluded: map[string]bool{}, waitsSince: req.Arrived,
+		log: d.log.WithFields(logrus.Fields{"request": req.ID, "route": r.Name, "kind": r.Kind.String(), "service": service}),
 	}
 }
 
@@ -244,13 +245,13 @@
 // MarkBroken records that a target's answer broke off before it had begun, or soon after.
 func (d *Dispatch) MarkBroken(target registry.Target) { d.quarantine.Suspect(target, d.contents) }
 
-// firstByteDeadline returns until when the caller waits for the answer to begin.
+// firstByteDeadline returns until when the caller waits for the answer to begin, or to go on.
 func (d *Dispatch) firstByteDeadline() time.Time {
 	patience := d.route.StreamPatience()
-	if patience == 0 || d.request.LastEventID != "" {
+	if patience == 0 {
 		return d.deadline
 	}
-	if by := d.request.Arrived.Add(patience); by.Before(d.deadline) {
+	if by := d.waitsSince.Add(patience); by.Before(d.deadline) {
 		return by
 	}
 	return d.deadline
--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -16,8 +16,8 @@
 	Objective time.Time // by when the answer has to begin to have its full value
 }
 
-// before reports whether a request of rank r is served before one of rank other: requests that can still meet their
-// objective come first, of these the more urgent ones, and of equally urgent ones that with the earlier objective.
+// before reports whether a request of rank r is served before one of rank other: streams that have begun come first, then requests
+// that can still meet their objective, of these the more urgent ones, and of equally urgent ones that with the earlier objective.
 func (r Rank) before(other Rank, now time.Time) bool {
 	if r.Begun != other.Begun {
 		return r.Begun
