--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -90,6 +90,7 @@
 	// streamVersion is the software version that wrote the first event of the stream, at which alone it may go on; nil for a
 	// stream without events.
 	streamVersion *registry.SoftwareVersion
+	loadOrdered   bool            // loadForStream has been called
 	waitsSince    time.Time       // since when the caller has had no event
 	place         *waitlist.Place // while the request waits for room
 	wait          wait            // in progress; zero if there is none
