--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -90,8 +90,6 @@
 	// streamVersion is the software version that wrote the first event of the stream, at which alone it may go on; nil for a
 	// stream without events.
 	streamVersion *registry.SoftwareVersion
-	loadOrdered   bool            // loadForStream has been called
-	waitsSince    time.Time       // since when the caller has had no event
 	place         *waitlist.Place // while the request waits for room
 	wait          wait            // in progress; zero if there is none
 	log           *logrus.Entry
@@ -135,8 +133,8 @@
 	return &Dispatch{
 		Dispatcher: d, request: req, contents: req.Contents(), route: r, service: service,
 		ctx: ctx, cancel: cancel, deadline: deadline,
-		excluded: map[string]bool{}, waitsSince: req.Arrived,
-		log: d.log.WithFields(logrus.Fields{"request": req.ID, "route": r.Name, "kind": r.Kind.String(), "service": service}),
+		excluded: map[string]bool{},
+		log:      d.log.WithFields(logrus.Fields{"request": req.ID, "route": r.Name, "kind": r.Kind.String(), "service": service}),
 	}
 }
 
@@ -246,13 +244,13 @@
 // MarkBroken records that a target's answer broke off before it had begun, or soon after.
 func (d *Dispatch) MarkBroken(target registry.Target) { d.quarantine.Suspect(target, d.contents) }
 
-// firstByteDeadline returns until when the caller waits for the answer to begin, or to go on.
+// firstByteDeadline returns until when the caller waits for the answer to begin.
 func (d *Dispatch) firstByteDeadline() time.Time {
 	patience := d.route.StreamPatience()
-	if patience == 0 {
+	if patience == 0 || d.request.LastEventID != "" {
 		return d.deadline
 	}
-	if by := d.waitsSince.Add(patience); by.Before(d.deadline) {
+	if by := d.request.Arrived.Add(patience); by.Before(d.deadline) {
 		return by
 	}
 	return d.deadline
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -50,30 +50,26 @@
 // waitForModel waits for one poll interval, or refuses the request if no target is expected to load its model within the
 // remaining time.
 func (d *Dispatch) waitForModel(remaining time.Duration) *Refused {
-	d.loadForStream()
 	eta, known := d.fleet.LoadETA(d.service, d.request.Model, d.now())
 	if !known || eta+minResponseTime > remaining {
 		d.log.WithFields(logrus.Fields{
 			"model": d.request.Model, "listed": known, "expected-ms": eta.Milliseconds(), "left-ms": remaining.Milliseconds(),
 		}).Info("model will not be held in time")
-		if d.streamVersion != nil {
-			remaining = d.deadline.Sub(d.now()) // the load goes on, and the caller may come back when the model is held
-		}
 		return &Refused{Reason: NoModel, RetryAfter: max(defaultRetryAfter, min(eta, remaining/3))}
 	}
 	if d.wait.began.IsZero() {
 		d.beginWait("model", eta, remaining)
+		d.loadForStream()
 	}
 	return d.pauseWait(modelPollInterval)
 }
 
-// loadForStream has the model loaded on a target of the software version at which alone the stream goes on, once for a request.
-// Nobody else plans that load, as targets of other versions hold the model.
+// loadForStream has the model loaded on a target of the software version at which alone the stream goes on. Nobody else plans
+// that load, as targets of other versions hold the model.
 func (d *Dispatch) loadForStream() {
-	if d.streamVersion == nil || d.loadOrdered {
+	if d.streamVersion == nil {
 		return
 	}
-	d.loadOrdered = true
 	if placement, ok := d.fleet.PlanForStream(d.service, d.request.Model, *d.streamVersion, d.now()); ok {
 		go d.LoadModel(context.WithoutCancel(d.ctx), placement)
 	}
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -23,9 +23,6 @@
 // version that wrote its first event.
 func (d *Dispatch) Resume(broken registry.Target, lastEventID string) Outcome {
 	d.request.LastEventID = lastEventID
-	if lastEventID != "" {
-		d.waitsSince = d.now()
-	}
 	if !d.canRetry() {
 		return Failed{Reason: StreamBroken}
 	}
