--- a/gateway/software_version_test.go
+++ b/gateway/software_version_test.go
@@ -25,7 +25,7 @@
 		if request.Header.Get("Last-Event-Id") != "" {
 			breakAfter = 0
 		}
-		return site.VersionedEventStream(6, version, breakAfter)(conn, request)
+		return site.VersionedEventStream(6, 0, version, breakAfter)(conn, request)
 	}
 }
 
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -95,6 +96,24 @@
 	}
 }
 
+// CheckStream checks the data of the events that a caller got of a stream, over all its tries: they must be numbered without a gap
+// and from one software version.
+func (c *Checker) CheckStream(id string, events []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	firstVersion := ""
+	for i, event := range events {
+		number, version, _ := strings.Cut(event, "-at-")
+		if firstVersion == "" {
+			firstVersion = version
+		}
+		if number != fmt.Sprintf("token-%d", i+1) || version != firstVersion {
+			c.addViolation("stream %s: event %d is %q, in a stream of version %s", id, i+1, event, firstVersion)
+			return
+		}
+	}
+}
+
 // CheckRoutesVersion checks that a gateway process does not return to older routes: a request sent after the response to an
 // earlier one arrived must be routed by the same or a newer version. Requests that overlap in time may differ either way.
 func (c *Checker) CheckRoutesVersion(process string, version int, sentAt, receivedAt time.Time) {
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -31,8 +31,11 @@
 		observe       func(c *soak.Checker)
 		wantViolation string // substring of the only reported violation; empty if none may be reported
 	}{
-		"at-most-once request run twice": {func(c *soak.Checker) { c.RecordRequest("a", true); c.RecordRun("a"); c.RecordRun("a") }, "request a ran 2 times"},
-		"repeatable request run twice":   {func(c *soak.Checker) { c.RecordRequest("a", false); c.RecordRun("a"); c.RecordRun("a") }, ""},
+		"stream of two software versions": {func(c *soak.Checker) { c.CheckStream("a", []string{"token-1-at-v1", "token-2-at-v2"}) }, "stream a: event 2"},
+		"stream with a gap":               {func(c *soak.Checker) { c.CheckStream("a", []string{"token-1-at-v1", "token-3-at-v1"}) }, "stream a: event 2"},
+		"stream that breaks off":          {func(c *soak.Checker) { c.CheckStream("a", []string{"token-1-at-v1", "token-2-at-v1"}) }, ""},
+		"at-most-once request run twice":  {func(c *soak.Checker) { c.RecordRequest("a", true); c.RecordRun("a"); c.RecordRun("a") }, "request a ran 2 times"},
+		"repeatable request run twice":    {func(c *soak.Checker) { c.RecordRequest("a", false); c.RecordRun("a"); c.RecordRun("a") }, ""},
 		"request refused with status 503 but run": {func(c *soak.Checker) {
 			c.RecordRequest("a", true)
 			c.RecordRun("a")
--- a/soak_test.go
+++ b/soak_test.go
@@ -149,7 +149,7 @@
 }
 
 func (s *soakDeployment) addTarget(id, service, ip, agentPort string) {
-	target := &soakTarget{id: id, service: service, Target: site.NewTargetAt(ip+":"+s.freePort(), id, s.respond)}
+	target := &soakTarget{id: id, service: service, Target: site.NewTargetAt(ip+":"+s.freePort(), id, func(conn net.Conn, seen *site.ReceivedRequest) bool { return s.respond(id, conn, seen) })}
 	s.t.Cleanup(target.Close)
 	target.link = s.startLink(ip+":"+s.freePort(), target.Address())
 	s.targets = append(s.targets, target)
@@ -161,17 +161,22 @@
 }
 
 func (s *soakDeployment) registerTarget(target *soakTarget, state string) {
-	s.store.Put("servers", target.id, target.RegistryEntryAt(target.link.Address(), target.service, state))
+	entry := target.RegistryEntryAt(target.link.Address(), target.service, state)
+	entry["version"] = softwareVersion(target.id)
+	s.store.Put("servers", target.id, entry)
 }
 
 // respond records that a target runs a request and answers it: with text that holds the request id, or with a stream of
 // events if the request names a model.
-func (s *soakDeployment) respond(conn net.Conn, seen *site.ReceivedRequest) bool {
+func (s *soakDeployment) respond(target string, conn net.Conn, seen *site.ReceivedRequest) bool {
 	id := seen.Header.Get("X-Gypsumbank-Request-Id")
 	s.checker.RecordRun(id)
 	if seen.Header.Get("X-Gypsumbank-Model") == "" {
 		return site.TextResponse(http.StatusOK, "for "+id)(conn, seen)
 	}
+	if strings.Contains(seen.RequestLine, " /resumable/") {
+		return site.VersionedEventStream(eventsPerStream, streamEventInterval, softwareVersion(target), 0)(conn, seen)
+	}
 	return site.EventStream(eventsPerStream, streamEventInterval, 0)(conn, seen)
 }
 
@@ -196,6 +201,8 @@
 			"targetLatencyMs": 300, "priority": 1, "service": service, "maxAttempts": maxAttempts, "resumable": false, "gapAimMs": 300,
 		}
 	}
+	resumable := route("/resumable/", "streaming", "engine", 2)
+	resumable["resumable"] = true
 	models := []any{}
 	for _, name := range []string{"m1", "m2", "m3"} {
 		models = append(models, map[string]any{"name": name, "weightsMb": 50.0, "adapters": 3, "adapterMb": 1.0, "loadS": 0.1})
@@ -204,7 +211,7 @@
 		"version": version,
 		"routes": []any{
 			route("/safe/", "safe", "plain", 2), route("/unsafe/", "unsafe", "plain", 1), route("/stream/", "streaming", "engine", 1),
-			route(fmt.Sprintf("/version-%d/", version), "safe", "plain", 2),
+			route(fmt.Sprintf("/version-%d/", version), "safe", "plain", 2), resumable,
 		},
 		"services": []any{
 			map[string]any{"name": "plain", "healthPath": "/healthz", "maxConns": 100},
--- a/standin/site/answers.go
+++ b/standin/site/answers.go
@@ -43,9 +43,9 @@
 	return eventStream(count, interval, breakAfterID, "")
 }
 
-// VersionedEventStream is EventStream without pauses whose events end in "at-" and the software version that wrote them.
-func VersionedEventStream(count int, version string, breakAfterID int) Handler {
-	return eventStream(count, 0, breakAfterID, "-at-"+version)
+// VersionedEventStream is EventStream whose events end in "at-" and the software version that wrote them.
+func VersionedEventStream(count int, interval time.Duration, version string, breakAfterID int) Handler {
+	return eventStream(count, interval, breakAfterID, "-at-"+version)
 }
 
 func eventStream(count int, interval time.Duration, breakAfterID int, suffix string) Handler {
