--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -233,7 +233,7 @@
 		return nil
 	}
 	d.log.WithFields(logrus.Fields{
-		"model": d.request.Model, "parts": d.request.SharedPartIDs(), "left-ms": left.Milliseconds(),
+		"model": d.request.Model, "parts": d.request.SharedPartIDs(), "content": d.contents[len(d.contents)-1], "left-ms": left.Milliseconds(),
 	}).Info("targets crash under requests like this one")
 	return &Refused{Reason: CrashesTargets, RetryAfter: left}
 }
@@ -358,7 +358,9 @@
 	assignment.End(fleet.Failed, d.now())
 	d.excluded[assignment.Target().ID] = true
 	d.MarkBroken(assignment.Target())
-	log.WithError(result.Err).WithFields(logrus.Fields{"model": d.request.Model, "parts": d.request.SharedPartIDs()}).Info("answer lost")
+	log.WithError(result.Err).WithFields(logrus.Fields{
+		"model": d.request.Model, "parts": d.request.SharedPartIDs(), "content": d.contents[len(d.contents)-1],
+	}).Info("answer lost")
 	if d.canRetry() {
 		return nil, true
 	}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"time"
 
@@ -53,7 +52,7 @@
 // Clear records that a request was answered, so that its contents crash no targets.
 func (c *crashes) Clear(contents []request.Content) {
 	for _, content := range c.table.Clear(contents) {
-		c.log.WithField("content", formatContent(content)).Info("content unblocked, a request with it was answered")
+		c.log.WithField("content", content).Info("content unblocked, a request with it was answered")
 		c.changed()
 	}
 }
@@ -61,10 +60,13 @@
 // recordCrash blames the contents of the requests that a target has crashed under.
 func (c *crashes) recordCrash(crash crashcheck.Crash) {
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_crashes_total`).Inc()
+	blocked := c.table.Blame(quarantine.Run(crash.Target), crash.Contents)
+	leading := c.table.Leading(crash.Contents)
 	c.log.WithFields(logrus.Fields{
-		"target": crash.Target.ID, "born": crash.Target.Born, "noticed-by": crash.Cause, "contents": len(crash.Contents),
+		"target": crash.Target.ID, "born": crash.Target.Born, "service": crash.Target.Service, "noticed-by": crash.Cause, "contents": len(crash.Contents),
+		"leading": leading.Content, "crashes": leading.Crashes, "counted": leading.Counted,
 	}).Info("target crashed under requests")
-	c.logBlocked(c.table.Blame(quarantine.Run(crash.Target), crash.Contents), "crashes seen here")
+	c.logBlocked(blocked, "crashes seen here")
 	c.changed()
 }
 
@@ -78,10 +80,7 @@
 	for _, content := range blocked {
 		metrics.GetOrCreateCounter(`gypsumbank_gateway_contents_blocked_total`).Inc()
 		c.log.WithFields(logrus.Fields{
-			"content": formatContent(content), "source": source, "for-ms": c.table.Blocked([]request.Content{content}).Milliseconds(),
+			"content": content, "source": source, "for-ms": c.table.Blocked([]request.Content{content}).Milliseconds(),
 		}).Warn("content blocked, targets crash under requests with it")
 	}
 }
-
-// formatContent returns the form of a content in logs.
-func formatContent(content request.Content) string { return fmt.Sprintf("%016x", content.Hash) }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -106,6 +106,27 @@
 	return t.blockCauses(t.addCrash(run, suspects, now), now)
 }
 
+// Evidence is what is known against a content.
+type Evidence struct {
+	Content request.Content
+	Crashes int // that the content was in progress at and that no blocked content explains
+	Counted int // of these, that count towards a block
+}
+
+// Leading returns the evidence against the one of the contents that the most crashes have in common.
+func (t *Table) Leading(contents []request.Content) Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var leading Evidence
+	for _, content := range contents {
+		times := t.unexplainedCrashes(content.Hash)
+		if len(times) > leading.Crashes || (len(times) == leading.Crashes && content.Rank > leading.Content.Rank) {
+			leading = Evidence{Content: content, Crashes: len(times), Counted: countSpaced(times)}
+		}
+	}
+	return leading
+}
+
 // Clear records that a request with the contents has been answered, so that none of them is the cause of earlier crashes. It
 // returns those that were blocked.
 func (t *Table) Clear(contents []request.Content) []request.Content {
--- a/request/content.go
+++ b/request/content.go
@@ -1,6 +1,10 @@
 package request
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Content identifies something that requests may have in common: a prompt part or, for repeats, the whole request.
 type Content struct {
@@ -12,6 +16,12 @@
 // wholeRequestRank is the rank of a whole request, above those of prompt parts.
 const wholeRequestRank = 1 << 16
 
+// String returns the hash in hexadecimal, as logs show it.
+func (c Content) String() string { return fmt.Sprintf("%016x", c.Hash) }
+
+// MarshalText returns what String does.
+func (c Content) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
 // IsWhole reports whether the content is a whole request.
 func (c Content) IsWhole() bool { return c.Rank >= wholeRequestRank }
 
