--- a/standin/site/target.go
+++ b/standin/site/target.go
@@ -40,6 +40,7 @@
 	orders           []Order
 	unansweredOrders int // next orders that get no response
 	conns            map[net.Conn]struct{}
+	down             bool // after a crash, until its next run
 }
 
 // Order is an order to load or unload a model or an adapter that a target has received.
@@ -136,9 +137,14 @@
 }
 
 // Crash closes the listener and all connections, and after the downtime begins a new run at the same address, with an empty
-// memory. It then calls restarted unless that is nil.
+// memory. It then calls restarted unless that is nil. A target that is down already is not affected.
 func (t *Target) Crash(downtime time.Duration, restarted func()) {
 	t.mu.Lock()
+	if t.down {
+		t.mu.Unlock()
+		return
+	}
+	t.down = true
 	t.listener.Close()
 	t.mu.Unlock()
 	t.Restart()
@@ -148,7 +154,7 @@
 			panic(err)
 		}
 		t.mu.Lock()
-		t.listener = listener
+		t.listener, t.down = listener, false
 		t.mu.Unlock()
 		go t.acceptConns(listener)
 		if restarted != nil {
