Count each target that ends under the same whole request

Callers saw a whole plain service end, again each time that it was back, with all their requests refused meanwhile. The class: evidence for a cause that is in one place at a time was weighed like evidence for one that is everywhere.

A request is in progress at several targets only if it was sent again, so each end counts for a whole request; for prompt parts, which many requests share, the spacing stays. What guards a popular request in an outage is now that it was answered a moment before, which is remembered for whole requests, too, within the same bound (4,096 a second).

The count of sound requests in that test sent some to a gateway that was just being replaced, which callers don't; they take another one now.

--- a/gateway/group_test.go
+++ b/gateway/group_test.go
@@ -151,10 +151,14 @@
 	return answer
 }
 
-// sendTo sends a request through gateway i and returns what came back, also if that is not a whole response.
+// sendTo sends a request through gateway i, or the next one while that is being replaced, and returns what came back, also if that
+// is not a whole response.
 func (g *gatewayGroup) sendTo(i int, request string) string {
 	g.mu.Lock()
 	address := g.gateways[i]
+	if address == "" {
+		address = g.gateways[(i+1)%len(g.gateways)]
+	}
 	g.mu.Unlock()
 	answer, _ := sendRaw(address, request)
 	return answer
--- a/quarantine/answered.go
+++ b/quarantine/answered.go
@@ -1,12 +1,16 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"gypsumbank/request"
+)
 
 const (
 	// answeredMemory is how long, at least, a content that was answered is remembered. It is short: from the moment at which a
 	// content begins to crash targets, its crashes do not count for this long.
 	answeredMemory = time.Second
-	// maxAnswered bounds the contents that are remembered in each of two periods of answeredMemory.
+	// maxAnswered bounds the prompt parts, and the whole requests, that are remembered in each of two periods of answeredMemory.
 	maxAnswered = 4096
 )
 
@@ -14,14 +18,21 @@
 type answeredContents struct {
 	began             time.Time
 	current, previous map[uint64]struct{}
+	parts, wholes     int // in current
 }
 
-// add adds a content unless there are maxAnswered in the period already.
-func (a *answeredContents) add(hash uint64, now time.Time) {
+// add adds a content unless there are maxAnswered of its kind in the period already.
+func (a *answeredContents) add(content request.Content, now time.Time) {
 	a.rotate(now)
-	if len(a.current) < maxAnswered {
-		a.current[hash] = struct{}{}
+	count := &a.parts
+	if content.IsWhole() {
+		count = &a.wholes
+	}
+	if _, known := a.current[content.Hash]; known || *count >= maxAnswered {
+		return
 	}
+	a.current[content.Hash] = struct{}{}
+	*count++
 }
 
 // has reports whether a content was answered in the current period or in the one before.
@@ -44,5 +55,5 @@
 	if age >= 2*answeredMemory {
 		a.previous = nil
 	}
-	a.current, a.began = map[uint64]struct{}{}, now
+	a.current, a.began, a.parts, a.wholes = map[uint64]struct{}{}, now, 0, 0
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -14,7 +14,8 @@
 const (
 	// crashesToBlock is the number of crashes from which on a content is blocked.
 	crashesToBlock = 3
-	// minCrashSpacing separates crashes that count: targets that end at the same time have a cause outside of the requests.
+	// minCrashSpacing separates crashes that count against a prompt part: targets that end at the same time may have a cause outside
+	// of the requests, and a part may be in progress at many of them.
 	minCrashSpacing = 250 * time.Millisecond
 	// blockTime is how long a content is blocked at first. It doubles with each further time, up to maxBlockTime.
 	blockTime    = 10 * time.Minute
@@ -121,7 +122,7 @@
 	for _, content := range contents {
 		times := t.unexplainedCrashes(content.Hash)
 		if len(times) > leading.Crashes || (len(times) == leading.Crashes && content.Rank > leading.Content.Rank) {
-			leading = Evidence{Content: content, Crashes: len(times), Counted: countSpaced(times)}
+			leading = Evidence{Content: content, Crashes: len(times), Counted: countCrashes(content, times)}
 		}
 	}
 	return leading
@@ -135,9 +136,7 @@
 	var unblocked []request.Content
 	now := t.now()
 	for _, content := range contents {
-		if !content.IsWhole() {
-			t.answered.add(content.Hash, now)
-		}
+		t.answered.add(content, now)
 		e := t.entries[content.Hash]
 		if !t.removeSuspect(content.Hash) && (e == nil || !e.blocked) {
 			continue
@@ -220,6 +219,15 @@
 	return len(runs) > 0
 }
 
+// countCrashes returns how many crashes at the given times count against a content. Against a whole request each of them does, as
+// it is at several targets only if it was sent again.
+func countCrashes(content request.Content, times []time.Time) int {
+	if content.IsWhole() {
+		return len(times)
+	}
+	return countSpaced(times)
+}
+
 // blockCauses blocks those of the suspects that enough crashes have in common. Each time it takes the one that most crashes have
 // and, of several, the one that the fewest requests share; the crashes that it explains do not count for the others. It returns
 // the contents that are blocked now; the caller holds the lock.
@@ -243,7 +251,7 @@
 func (t *Table) likelyCause(suspects []request.Content) (cause request.Content, ok bool) {
 	most := 0
 	for _, content := range suspects {
-		count := countSpaced(t.unexplainedCrashes(content.Hash))
+		count := countCrashes(content, t.unexplainedCrashes(content.Hash))
 		if count < t.crashesToBlock(content.Hash) {
 			continue
 		}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -26,6 +26,12 @@
 	return req.Contents()
 }
 
+// plainRequest returns the contents of a request of a plain service.
+func plainRequest(uri string) []request.Content {
+	req := &request.Request{Host: "callers.example", URI: uri}
+	return req.Contents()
+}
+
 // TestPartThatTargetsCrashUnderIsBlocked has targets crash under requests with one part, no two alike, and sound requests in
 // progress beside them. The part must be blocked after three crashes and no other content.
 func TestPartThatTargetsCrashUnderIsBlocked(t *testing.T) {
@@ -123,6 +129,58 @@
 	}
 }
 
+// TestRequestThatEndsTargetsAtOneMomentIsBlocked guards against ends within a moment that count as one although a request was sent
+// on from one target to the next. Requests beside it that share its parts must go on.
+func TestRequestThatEndsTargetsAtOneMomentIsBlocked(t *testing.T) {
+	cases := map[string]struct{ repeated, sound []request.Content }{
+		"plain":  {plainRequest("/lookup/7"), plainRequest("/lookup/8")},
+		"engine": {promptRequest("sys", "doc", "own"), promptRequest("sys", "doc", "other")},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := &fakeClock{at: time.Unix(1000, 0)}
+			table := quarantine.New(clock.now)
+			for run := range uint64(3) {
+				clock.advance(30 * time.Millisecond)
+				table.Blame(run, c.repeated)
+			}
+			if table.Blocked(c.repeated) == 0 {
+				t.Error("the request is not blocked")
+			}
+			if table.Blocked(c.sound) > 0 {
+				t.Error("another request is blocked")
+			}
+		})
+	}
+}
+
+// TestPopularRequestIsNotBlamedForAnOutage has many targets end at the same time while a request is in progress at each of them that
+// was answered a moment before, at the gateway that sees the ends or at another.
+func TestPopularRequestIsNotBlamedForAnOutage(t *testing.T) {
+	popular := plainRequest("/prices")
+	for name, elsewhere := range map[string]bool{"answered here": false, "answered at another gateway": true} {
+		t.Run(name, func(t *testing.T) {
+			clock := &fakeClock{at: time.Unix(1000, 0)}
+			table, other := quarantine.New(clock.now), quarantine.New(clock.now)
+			answering := table
+			if elsewhere {
+				answering = other
+			}
+			answering.Clear(popular)
+			clock.advance(300 * time.Millisecond)
+			for run := range uint64(12) {
+				clock.advance(10 * time.Millisecond)
+				table.Blame(run, popular)
+			}
+			exchange(table, other)
+			exchange(other, table)
+			if left := table.Blocked(popular); left > 0 {
+				t.Errorf("blocked for %s", left)
+			}
+		})
+	}
+}
+
 // TestBlockEndsAndReturnsAtTheFirstCrash lets a block end. The content must be sent again then, and be blocked for longer
 // after a single further crash.
 func TestBlockEndsAndReturnsAtTheFirstCrash(t *testing.T) {
@@ -195,12 +253,20 @@
 				gateway.Blame(run, promptRequest("sys", "bad", fmt.Sprint(run))[1:])
 				exchange(gateway, relay)
 			}
+			for run := range uint64(3) { // all at the same time
+				gateway := tables[int(run)%gateways]
+				gateway.Blame(100+run, plainRequest("/ends-targets"))
+				exchange(gateway, relay)
+			}
 			bytes := 0
 			for _, table := range tables {
 				exchange(relay, table)
 				if table.Blocked(promptRequest("sys", "bad", "new")) == 0 {
 					t.Fatal("a gateway does not block the part")
 				}
+				if table.Blocked(plainRequest("/ends-targets")) == 0 {
+					t.Fatal("a gateway does not block the request")
+				}
 				before := revisionOf(relay)
 				exchange(table, relay)
 				if after := revisionOf(relay); after != before {
