Count the end of a target that is back before it was checked

A request that ended plain targets went on for ever where they were back soon: 104 and 105 sends later than 3 s after the third end, 3 are allowed. Cause: an end counted only if a connection was refused 40 ms, 250 ms, 1 s or 2.5 s after the broken answer, or an agent said so; plain services have none. The class: an event is looked for at moments instead of by what it leaves behind. A later run at the address or with the id, from the registry, an agent or a target's own answer (421), now shows that the earlier one has ended.

TestEndsOfTargetsThatAreBackSoonCount: 104 late sends before, within the bound of 3 now.

--- a/crashcheck/checker.go
+++ b/crashcheck/checker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,7 +41,7 @@
 type Dial func(ctx context.Context, address string) error
 
 // Checker collects broken answers by the run of their target, and reports those whose run has ended. A run has ended if nothing
-// listens at its address or if its agent says so.
+// listens at its address, if its agent says so or if a later run is known.
 type Checker struct {
 	dial   Dial
 	report func(Crash)
@@ -107,8 +108,33 @@
 	return true
 }
 
-// MarkEnded records that a run of a target has ended, as its agent says.
-func (c *Checker) MarkEnded(targetID string, born int64) { c.end(run{targetID, born}, "agent") }
+// MarkEnded records that a run of a target has ended, as source says.
+func (c *Checker) MarkEnded(targetID string, born int64, source string) {
+	c.end(run{targetID, born}, source)
+}
+
+// MarkRuns records which runs of targets there are, as source says. Earlier runs at the same addresses or with the same ids have
+// ended, also if no check has found it: a target may be back before the next one.
+func (c *Checker) MarkRuns(current []registry.Target, source string) {
+	for _, key := range c.replaced(current) {
+		c.end(key, source)
+	}
+}
+
+// replaced returns the runs with broken answers that later ones have replaced.
+func (c *Checker) replaced(current []registry.Target) []run {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var replaced []run
+	for key, q := range c.pending {
+		if slices.ContainsFunc(current, func(t registry.Target) bool {
+			return t.Born > key.born && (t.ID == key.id || t.Address == q.target.Address)
+		}) {
+			replaced = append(replaced, key)
+		}
+	}
+	return replaced
+}
 
 // end records that a run has ended and reports its broken answers.
 func (c *Checker) end(key run, cause string) {
--- a/crashcheck/checker_test.go
+++ b/crashcheck/checker_test.go
@@ -23,6 +23,7 @@
 	cases := map[string]struct {
 		dialErrs   []error // of the checks in turn, the last one repeated
 		agentSays  bool
+		laterRun   registry.Target // that becomes known meanwhile
 		wantReport bool
 	}{
 		"nothing listens":                {dialErrs: []error{refused}, wantReport: true},
@@ -30,6 +31,11 @@
 		"listens":                        {dialErrs: []error{nil}},
 		"can't be reached":               {dialErrs: []error{errors.New("timeout")}},
 		"started again, its agent knows": {dialErrs: []error{nil}, agentSays: true, wantReport: true},
+		"started again with its id":      {dialErrs: []error{nil}, laterRun: registry.Target{ID: target.ID, Born: 8, Address: "127.0.0.1:10"}, wantReport: true},
+		"another has its address":        {dialErrs: []error{nil}, laterRun: registry.Target{ID: "e2", Born: 8, Address: target.Address}, wantReport: true},
+		"it is still listed":             {dialErrs: []error{nil}, laterRun: target},
+		"another has another address":    {dialErrs: []error{nil}, laterRun: registry.Target{ID: "e2", Born: 8, Address: "127.0.0.1:10"}},
+		"an earlier one had its address": {dialErrs: []error{nil}, laterRun: registry.Target{ID: "e0", Born: 6, Address: target.Address}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -54,7 +60,10 @@
 			checker.Suspect(target, []request.Content{first})
 			checker.Suspect(target, []request.Content{second})
 			if test.agentSays {
-				time.AfterFunc(300*time.Millisecond, func() { checker.MarkEnded(target.ID, target.Born) })
+				time.AfterFunc(300*time.Millisecond, func() { checker.MarkEnded(target.ID, target.Born, "agent") })
+			}
+			if test.laterRun.ID != "" {
+				time.AfterFunc(300*time.Millisecond, func() { checker.MarkRuns([]registry.Target{test.laterRun}, "registry") })
 			}
 			if err := checker.Run(ctx); !errors.Is(err, context.DeadlineExceeded) {
 				t.Fatal(err)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -47,6 +47,8 @@
 	Suspect(target registry.Target, contents []request.Content)
 	// Clear records that a request with the contents was answered.
 	Clear(contents []request.Content)
+	// MarkReplaced records that another run has the address of a target, so that this one has ended.
+	MarkReplaced(target registry.Target)
 }
 
 // Dispatcher holds the state that all dispatches of a gateway share.
@@ -333,6 +335,7 @@
 	case result.OtherTargetID != "":
 		assignment.End(fleet.Misdirected, d.now())
 		d.fleet.MarkReplaced(target.ID)
+		d.quarantine.MarkReplaced(target)
 	case result.Misdirected:
 		assignment.End(fleet.Misdirected, d.now())
 		d.fleet.MarkNotHeld(target.ID, d.request.Model, d.request.Adapter)
--- a/dispatch/quarantine_test.go
+++ b/dispatch/quarantine_test.go
@@ -16,6 +16,7 @@
 	mu        sync.Mutex
 	blockFrom time.Time // zero to block none
 	suspected []registry.Target
+	replaced  []registry.Target
 }
 
 func (q *scriptedQuarantine) Blocked([]request.Content) time.Duration {
@@ -35,6 +36,27 @@
 
 func (q *scriptedQuarantine) Clear([]request.Content) {}
 
+func (q *scriptedQuarantine) MarkReplaced(target registry.Target) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.replaced = append(q.replaced, target)
+}
+
+// TestAnotherRunAtTheAddressEndsTheOneBefore has a target say that it is not the one that a request was sent to. Its broken answers
+// then count as its end.
+func TestAnotherRunAtTheAddressEndsTheOneBefore(t *testing.T) {
+	q := &scriptedQuarantine{}
+	another := func() reply.Result { return reply.NotRun{Misdirected: true, OtherTargetID: "other"} }
+	d := newDispatcher(&scriptedClient{replies: []func() reply.Result{another, respond(200)}}, time.Now)
+	d.quarantine = q
+	dispatch := d.Begin(t.Context(), &request.Request{ID: "r1", Arrived: time.Now()}, unsafeRoute(), plainService)
+	defer dispatch.Close()
+	dispatch.Run()
+	if len(q.replaced) != 1 {
+		t.Errorf("ended runs %v, want the one that the request was sent to", q.replaced)
+	}
+}
+
 // TestQuarantinedRequestIsNotSent has targets crash under requests like one that arrives, waits for its model or is to be sent
 // a second time. It must be refused with the time for which that holds, and not be sent.
 func TestQuarantinedRequestIsNotSent(t *testing.T) {
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -320,7 +320,7 @@
 		a.relay.record(address, storeReads, time.Now())
 	}
 	if ended := state.GetEndedRun(); ended != nil {
-		a.crashes.checker.MarkEnded(ended.GetTargetId(), ended.GetBorn())
+		a.crashes.checker.MarkEnded(ended.GetTargetId(), ended.GetBorn(), "agent")
 	}
 	a.applyDemand(state)
 }
@@ -339,6 +339,7 @@
 	for _, m := range state.GetModels() {
 		report.Models = append(report.Models, registry.Model{Name: m.GetName(), Adapters: m.GetAdapters()})
 	}
+	a.crashes.checker.MarkRuns([]registry.Target{{ID: state.GetTargetId(), Born: report.Born}}, "agent")
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
 		Report: report, Host: registry.Host(address), Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), PlannedHere: state.GetPlanner() == a.name,
 		AvailableAdapterSlots: int(state.GetAdapterRoom()), QueuedPrefillMs: float64(state.GetUnreadMs()), Requests: int(state.GetRequests()), Parts: decodeParts(state),
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -49,6 +49,11 @@
 	c.checker.Suspect(target, contents)
 }
 
+// MarkReplaced records that another run has the address of a target.
+func (c *crashes) MarkReplaced(target registry.Target) {
+	c.checker.MarkEnded(target.ID, target.Born, "another run at its address")
+}
+
 // Clear records that a request was answered, so that its contents crash no targets.
 func (c *crashes) Clear(contents []request.Content) {
 	for _, content := range c.table.Clear(contents) {
--- a/gateway/repeated_crash_test.go
+++ b/gateway/repeated_crash_test.go
@@ -156,6 +156,19 @@
 	}
 }
 
+// TestEndsOfTargetsThatAreBackSoonCount guards against targets that are back before anything has checked whether they have ended, so that
+// the request that ends them goes on for ever.
+func TestEndsOfTargetsThatAreBackSoonCount(t *testing.T) {
+	t.Parallel()
+	cases := map[string]repeatCase{
+		"back at once":       {downtime: 5 * time.Millisecond},
+		"between two checks": {downtime: 100 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, c.run)
+	}
+}
+
 // check reports repeats that reached targets too late, and sound requests that were not served once targets are back.
 func (d *repeatDeployment) check() {
 	d.t.Helper()
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -207,6 +207,7 @@
 		g.log.WithField("epoch", read.epoch).Info("targets read before the store came back from an older copy, not used")
 		return
 	}
+	g.crashes.checker.MarkRuns(targets, "registry")
 	lostAt := g.storeLostAt.Load()
 	regained := lostAt != nil && read.readAt.After(*lostAt)
 	change := g.fleet.UpdateTargets(targets, regained || restored, time.Now())
