Share ends of targets through the store while no agent is connected

Gateways told each other of ends through agents of engines only. Where none is connected, each waited for three ends of its own, so a request ended three targets for each gateway: 4 to 8 sends later than 3 s after the third end with three gateways, in four of five cases of the new test; with more gateways the excess grows with their number. The class: state that all gateways must have is passed on by one kind of process only. While no relay agent is connected, a gateway reads and writes the row of blocked contents itself, at once after an end and about every 0.8 s; the row also has the latest crashes, so that they add up. One read a second and gateway at most, none while an agent is connected.

TestRowIsBounded: a full row is under 64 KiB. Not covered: no agent and no store at the same time.

--- a/blocklist/list.go
+++ b/blocklist/list.go
@@ -1,6 +1,7 @@
 package blocklist
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -8,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -20,8 +22,12 @@
 const (
 	table = "quarantine"
 	key   = "blocked"
-	// maxEntries bounds the row to about 40 KB.
-	maxEntries = 400
+	// maxEntries, maxCrashes and maxContentsPerCrash bound the row to about 55 KB.
+	maxEntries          = 400
+	maxCrashes          = 24
+	maxContentsPerCrash = 12
+	// crashRetention is the age up to which crashes are stored: they are for processes that count the same ones now.
+	crashRetention = time.Minute
 )
 
 // Store is the part of the platform's store that a List uses.
@@ -30,7 +36,7 @@
 	CompareAndSwap(ctx context.Context, row platform.Row) (int64, error)
 }
 
-// List is the row with the entries of a quarantine that are or were blocked. All processes share one row.
+// List is the row with the entries of a quarantine that are or were blocked, and the latest crashes. All processes share one row.
 type List struct {
 	store      Store
 	quarantine *quarantine.Table
@@ -40,6 +46,7 @@
 // record is the value of the row.
 type record struct {
 	Entries []storedEntry `json:"entries"`
+	Crashes []storedCrash `json:"crashes,omitempty"`
 }
 
 // storedEntry is one entry of the quarantine.
@@ -51,13 +58,20 @@
 	AtMs    int64  `json:"at-ms"` // time of the last change on the store's clock
 }
 
+// storedCrash is one of the latest crashes of the quarantine.
+type storedCrash struct {
+	Run      string            `json:"run"`      // hash in hexadecimal
+	Contents map[string]uint32 `json:"contents"` // rank by hash in hexadecimal; those that may be the cause
+	AtMs     int64             `json:"at-ms"`    // on the store's clock
+}
+
 // New returns the list of a quarantine; it does nothing until Sync.
 func New(store Store, table *quarantine.Table, log *logrus.Entry) *List {
 	return &List{store: store, quarantine: table, log: log}
 }
 
-// Sync adds the stored entries to the quarantine, stores those that the row lacks and returns the contents that are blocked
-// now and were not before. The error wraps platform.ErrConflict if another process wrote the row at the same time.
+// Sync adds what is stored to the quarantine, stores what the row lacks and returns the contents that are blocked now and were not
+// before. The error wraps platform.ErrConflict if another process wrote the row at the same time.
 func (l *List) Sync(ctx context.Context) ([]request.Content, error) {
 	row, nowMs, err := l.store.Row(ctx, table, "", key)
 	var stored record
@@ -86,26 +100,52 @@
 	return blocked, nil
 }
 
-// message returns the record as another process would send it, without entries whose content can't be decoded.
+// message returns the record as another process would send it, without what can't be decoded.
 func (r *record) message(nowMs int64) *wire.Quarantine {
 	message := &wire.Quarantine{}
 	for _, e := range r.Entries {
-		content, err := strconv.ParseUint(e.Content, 16, 64)
+		content, err := parseHash(e.Content)
 		if err != nil {
 			continue
 		}
 		message.Entries = append(message.Entries, &wire.QuarantineEntry{
-			Content: content, Version: e.Version, Blocked: e.Blocked, Times: e.Times, AgeMs: uint32(max(0, nowMs-e.AtMs)),
+			Content: content, Version: e.Version, Blocked: e.Blocked, Times: e.Times, AgeMs: ageMs(e.AtMs, nowMs),
 		})
 	}
+	for _, c := range r.Crashes {
+		if crash := c.message(nowMs); crash != nil {
+			message.Crashes = append(message.Crashes, crash)
+		}
+	}
 	return message
 }
 
-// currentRecord returns the entries of the quarantine that are or were blocked, the latest first if there are too many.
+// message returns the crash as another process would send it, nil if it can't be decoded.
+func (c *storedCrash) message(nowMs int64) *wire.Crash {
+	run, err := parseHash(c.Run)
+	if err != nil {
+		return nil
+	}
+	crash := &wire.Crash{Run: run, AgeMs: ageMs(c.AtMs, nowMs)}
+	for text, rank := range c.Contents {
+		if hash, err := parseHash(text); err == nil {
+			crash.Contents = append(crash.Contents, &wire.RequestContent{Hash: hash, Rank: rank})
+		}
+	}
+	return crash
+}
+
+func parseHash(text string) (uint64, error) { return strconv.ParseUint(text, 16, 64) }
+
+func formatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
+
+func ageMs(atMs, nowMs int64) uint32 { return uint32(max(0, nowMs-atMs)) }
+
+// currentRecord returns what is to be stored of the quarantine, the latest first if there is too much.
 func (l *List) currentRecord(nowMs int64) record {
 	var current record
 	for revision := uint64(0); ; {
-		message, next := l.quarantine.Changes(revision, false)
+		message, next := l.quarantine.Changes(revision, true)
 		if message == nil {
 			break
 		}
@@ -113,26 +153,58 @@
 		for _, e := range message.GetEntries() {
 			if e.GetTimes() > 0 {
 				current.Entries = append(current.Entries, storedEntry{
-					Content: strconv.FormatUint(e.GetContent(), 16), Version: e.GetVersion(), Blocked: e.GetBlocked(), Times: e.GetTimes(), AtMs: nowMs - int64(e.GetAgeMs()),
+					Content: formatHash(e.GetContent()), Version: e.GetVersion(), Blocked: e.GetBlocked(), Times: e.GetTimes(), AtMs: nowMs - int64(e.GetAgeMs()),
 				})
 			}
 		}
+		for _, c := range message.GetCrashes() {
+			if time.Duration(c.GetAgeMs())*time.Millisecond < crashRetention && len(c.GetContents()) > 0 {
+				current.Crashes = append(current.Crashes, newStoredCrash(c, nowMs))
+			}
+		}
 	}
 	slices.SortFunc(current.Entries, func(a, b storedEntry) int {
-		if a.AtMs != b.AtMs {
-			return int(b.AtMs - a.AtMs)
-		}
-		return strings.Compare(a.Content, b.Content)
+		return cmp.Or(cmp.Compare(b.AtMs, a.AtMs), strings.Compare(a.Content, b.Content))
+	})
+	slices.SortFunc(current.Crashes, func(a, b storedCrash) int {
+		return cmp.Or(cmp.Compare(b.AtMs, a.AtMs), strings.Compare(a.Run, b.Run))
 	})
 	current.Entries = current.Entries[:min(len(current.Entries), maxEntries)]
+	current.Crashes = current.Crashes[:min(len(current.Crashes), maxCrashes)]
 	return current
 }
 
-// covers reports whether the record has all entries of other, in the same or a later version.
+// newStoredCrash returns a crash with those of its contents that the fewest requests share.
+func newStoredCrash(crash *wire.Crash, nowMs int64) storedCrash {
+	contents := slices.SortedFunc(slices.Values(crash.GetContents()), func(a, b *wire.RequestContent) int {
+		return cmp.Or(cmp.Compare(b.GetRank(), a.GetRank()), cmp.Compare(a.GetHash(), b.GetHash()))
+	})
+	stored := storedCrash{Run: formatHash(crash.GetRun()), Contents: map[string]uint32{}, AtMs: nowMs - int64(crash.GetAgeMs())}
+	for _, content := range contents[:min(len(contents), maxContentsPerCrash)] {
+		stored.Contents[formatHash(content.GetHash())] = content.GetRank()
+	}
+	return stored
+}
+
+// covers reports whether the record has all entries of other, in the same or a later version, and all its crashes.
 func (r *record) covers(other record) bool {
 	versions := make(map[string]uint32, len(r.Entries))
 	for _, e := range r.Entries {
 		versions[e.Content] = e.Version
 	}
-	return !slices.ContainsFunc(other.Entries, func(e storedEntry) bool { return versions[e.Content] < e.Version })
+	if slices.ContainsFunc(other.Entries, func(e storedEntry) bool { return versions[e.Content] < e.Version }) {
+		return false
+	}
+	contents := make(map[string]map[string]uint32, len(r.Crashes))
+	for _, c := range r.Crashes {
+		contents[c.Run] = c.Contents
+	}
+	return !slices.ContainsFunc(other.Crashes, func(c storedCrash) bool {
+		for hash := range c.Contents {
+			if _, ok := contents[c.Run][hash]; !ok {
+				return true
+			}
+		}
+		return false
+	})
 }
--- a/blocklist/list_test.go
+++ b/blocklist/list_test.go
@@ -124,3 +124,55 @@
 		t.Errorf("an entry is missing, %v", err)
 	}
 }
+
+// TestCrashesAddUpThroughTheStore has each of three crashes be seen by another process, which share the row only.
+func TestCrashesAddUpThroughTheStore(t *testing.T) {
+	ctx := context.Background()
+	store := row.New(func() int64 { return 1000 })
+	clock := time.Unix(1000, 0)
+	whole := (&request.Request{Host: "callers.example", URI: "/ends-targets"}).Contents()
+	processes := []process{newProcess(store, &clock), newProcess(store, &clock), newProcess(store, &clock)}
+	for run, p := range processes {
+		p.table.Blame(uint64(run), whole)
+		if _, err := p.list.Sync(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, p := range processes {
+		if _, err := p.list.Sync(ctx); err != nil || !p.blocks(whole[0]) {
+			t.Errorf("process %d does not block the content, %v", i, err)
+		}
+	}
+}
+
+// TestRowIsBounded fills a quarantine. The row must stay below the 64 KiB that the store accepts, and not be written again if
+// nothing has changed.
+func TestRowIsBounded(t *testing.T) {
+	const maxRowBytes = 64 << 10
+	ctx := context.Background()
+	store := row.New(func() int64 { return 1_700_000_000_000 })
+	clock := time.Unix(1_700_000_000, 0)
+	p := newProcess(store, &clock)
+	for run := range uint64(2000) {
+		clock = clock.Add(time.Millisecond)
+		whole := request.Content{Hash: ^(run / 3), Rank: 1 << 16}
+		contents := []request.Content{whole}
+		for part := range uint64(40) {
+			contents = append(contents, request.Content{Hash: ^(run<<20 | part<<10), Rank: uint32(part)})
+		}
+		p.table.Blame(^run, contents)
+	}
+	if _, err := p.list.Sync(ctx); err != nil {
+		t.Fatal(err)
+	}
+	stored, _, err := store.Row(ctx, "quarantine", "", "blocked")
+	if err != nil || len(stored.Value) > maxRowBytes || len(stored.Value) < maxRowBytes/4 {
+		t.Fatalf("a row of %d bytes, %v; want at most %d and a full one", len(stored.Value), err, maxRowBytes)
+	}
+	if _, err := p.list.Sync(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if again, _, err := store.Row(ctx, "quarantine", "", "blocked"); err != nil || again.Version != stored.Version {
+		t.Errorf("written again at version %d after %d, %v", again.Version, stored.Version, err)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,7 @@
 	agents             *agentClients
 	relay              *relayedReads
 	crashes            *crashes
+	blocked            *blockedContents
 	dialer             *dialer.Dialer
 	conns              *connections
 	started            time.Time
@@ -77,14 +78,19 @@
 	crashes := newCrashes(log)
 	origins := origin.New(time.Now)
 	epochs := epoch.New()
+	store := platform.NewStore(config.Store.Address, epochs, log)
 	agents := newAgentClients(config.Node.Name, config.Gateway.AgentPort, d, f, relay, crashes, origins, epochs, log)
-	crashes.changed = agents.PushDemand
+	blockedContents := newBlockedContents(store, crashes, agents, log)
+	crashes.changed = func() {
+		agents.PushDemand()
+		blockedContents.changed()
+	}
 	budget := retrybudget.New(retryLimits(config.Bounds))
 	replicaClient := platform.NewTargetClient(sender.New(connpool.New()))
 	return &Gateway{
 		config:     config,
 		log:        log,
-		store:      platform.NewStore(config.Store.Address, epochs, log),
+		store:      store,
 		epochs:     epochs,
 		departures: departure.New(time.Now),
 		fleet:      f,
@@ -93,6 +99,7 @@
 		agents:     agents,
 		relay:      relay,
 		crashes:    crashes,
+		blocked:    blockedContents,
 		dialer:     d,
 		conns:      newConnections(),
 		started:    time.Now(),
@@ -136,6 +143,7 @@
 	group.Go(func() error { return g.followRelay(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
+	group.Go(func() error { return g.blocked.run(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
 	group.Go(func() error { return g.conns.enforceIdleTimeout(serving, g.idleTimeout) })
 	select {
--- a/gateway/repeated_crash_test.go
+++ b/gateway/repeated_crash_test.go
@@ -169,6 +169,26 @@
 	}
 }
 
+// TestGatewaysWithoutAgentsStopARequestTogether guards against gateways that each wait for ends of targets of their own where there is no
+// agent to tell each other through.
+func TestGatewaysWithoutAgentsStopARequestTogether(t *testing.T) {
+	t.Parallel()
+	cases := map[string]repeatCase{
+		"a safe request":        {},
+		"an unsafe request":     {method: "POST", route: "/unsafe"},
+		"a gateway is replaced": {disturb: func(d *repeatDeployment) { d.replaceGateways(1) }},
+		"all are replaced":      {disturb: func(d *repeatDeployment) { d.replaceGateways(repeatGateways) }},
+		"the store stops answering for a while": {disturb: func(d *repeatDeployment) {
+			d.store.SetFault(site.Down)
+			time.AfterFunc(time.Second, func() { d.store.SetFault(site.NoFault) })
+		}},
+	}
+	for name, c := range cases {
+		c.downtime, c.withoutAgents = repeatDowntime, true
+		t.Run(name, c.run)
+	}
+}
+
 // check reports repeats that reached targets too late, and sound requests that were not served once targets are back.
 func (d *repeatDeployment) check() {
 	d.t.Helper()
