Refuse calls of plain services under which replicas crash, in the own interface

The same class in the own interface: crashes were counted for completions only. A call that crashes a replica came again, also under another idempotency key, and crashed the next one. Calls have a fingerprint now (customer, service, method, path, body); the sidecar finds out whether its service has ended under a call that got no answer, the entry tells the other entries before its caller gets an answer, and from the second crash on the call is refused (422, not run).

The ledger stand-in can crash and comes back at its address.

--- a/deployment/answers_test.go
+++ b/deployment/answers_test.go
@@ -15,6 +15,7 @@
 	"gypsumbank/link"
 	"gypsumbank/standin/engine"
 	"gypsumbank/standin/fault"
+	"gypsumbank/standin/ledger"
 	"gypsumbank/timeline"
 )
 
@@ -166,6 +167,40 @@
 	}
 }
 
+// TestCrashingCallTakesDownTwoTargetsAtMost guards against a call of a plain service that crashes a replica each time that it comes,
+// also under another idempotency key. Other calls must be answered.
+func TestCrashingCallTakesDownTwoTargetsAtMost(t *testing.T) {
+	cases := map[string]func(submission int) map[string]string{
+		"without a key":  func(int) map[string]string { return nil },
+		"under new keys": func(n int) map[string]string { return map[string]string{"Idempotency-Key": fmt.Sprint("key", n)} },
+	}
+	for name, headers := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := startDeployment(t, deployment.Small())
+			last := 0
+			for i := range 6 {
+				response, text := post(t, d, i%2, "/services/ledger/events", `{"id":"`+ledger.CrashingID+`"}`, headers(i))
+				last = response.StatusCode
+				t.Logf("submission %d: status %d: %s", i, response.StatusCode, text)
+				time.Sleep(600 * time.Millisecond)
+			}
+			if last != http.StatusUnprocessableEntity {
+				t.Errorf("the last submission got status %d, want %d", last, http.StatusUnprocessableEntity)
+			}
+			crashes := 0
+			for _, l := range d.Ledgers() {
+				crashes += l.Crashes()
+			}
+			if crashes > 2 || crashes == 0 {
+				t.Errorf("targets crashed %d times, want 1 or 2", crashes)
+			}
+			if response, text := post(t, d, 0, "/services/ledger/events", `{"id":"sound"}`, headers(99)); response.StatusCode != http.StatusCreated {
+				t.Errorf("another call got status %d: %s", response.StatusCode, text)
+			}
+		})
+	}
+}
+
 // TestNeighboursOfACrashAreNotBlamedForLong crashes a target twice while the same prompts run, though none of them is
 // the cause. The prompts become crash suspects and must still be answered, and not be refused as the cause.
 func TestNeighboursOfACrashAreNotBlamedForLong(t *testing.T) {
--- a/entry/call.go
+++ b/entry/call.go
@@ -13,6 +13,7 @@
 	"gypsumbank/dialer"
 	"gypsumbank/idempotency"
 	"gypsumbank/pause"
+	"gypsumbank/suspect"
 	"gypsumbank/timeline"
 	"gypsumbank/vmlist"
 	"gypsumbank/wire"
@@ -73,6 +74,7 @@
 		Body:           append([]byte(nil), ctx.PostBody()...),
 		IdempotencyKey: key,
 	}}
+	c.request.Fingerprint = suspect.Fingerprint(c.request.GetCustomer(), serviceName, c.request.GetMethod(), path, string(c.request.GetBody()))
 	if contentType := ctx.Request.Header.ContentType(); len(contentType) > 0 {
 		c.request.Headers = append(c.request.Headers, &wire.Header{Name: "Content-Type", Value: string(contentType)})
 	}
@@ -98,6 +100,10 @@
 	tried := map[string]bool{}
 	lastReply := &wire.CallReply{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Detail: "no replica of the service is available"}
 	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if e.node.Suspects().Blocked(c.request.GetFingerprint()) {
+			lastReply = suspectReply()
+			break
+		}
 		vm, ok := e.pickReplica(c, tried)
 		if !ok {
 			clear(tried)
@@ -116,6 +122,7 @@
 			e.forgetSlotOwner(c)
 			continue
 		}
+		e.recordCrashes(ctx, c, reply)
 		if reply.GetOutcome() != wire.Outcome_OUTCOME_NOT_RUN {
 			return reply
 		}
@@ -124,18 +131,44 @@
 			break
 		}
 	}
-	if c.mayHaveRun {
+	switch {
+	case c.mayHaveRun && lastReply.GetRefused().GetReason() == wire.RefusalReason_REFUSAL_SUSPECT:
+		lastReply.Outcome = wire.Outcome_OUTCOME_UNKNOWN
+	case c.mayHaveRun:
 		return &wire.CallReply{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Detail: lastReply.GetDetail()}
 	}
 	return lastReply
 }
 
+// suspectReply refuses a call under whose content targets have crashed.
+func suspectReply() *wire.CallReply {
+	return &wire.CallReply{
+		Outcome: wire.Outcome_OUTCOME_NOT_RUN, Detail: "targets crashed while they ran this call",
+		Refused: &wire.Refused{Reason: wire.RefusalReason_REFUSAL_SUSPECT},
+	}
+}
+
+// recordCrashes records what a reply shows of the call's content. A crash is told to the other entries before the caller gets an
+// answer, so that they recognize the content if it comes again.
+func (e *Entry) recordCrashes(ctx context.Context, c *serviceCall, reply *wire.CallReply) {
+	fingerprint := c.request.GetFingerprint()
+	switch {
+	case reply.GetCrashCount() > 0:
+		e.node.Suspects().Raise(fingerprint, reply.GetCrashCount())
+		e.node.SendSuspectsToEntries(context.WithoutCancel(ctx))
+	case reply.GetRefused().GetReason() == wire.RefusalReason_REFUSAL_SUSPECT:
+		e.node.Suspects().Raise(fingerprint, suspect.BlockAfterCrashes)
+	case reply.GetOutcome() == wire.Outcome_OUTCOME_RUN && !reply.GetReplayed():
+		e.node.Suspects().Clear(fingerprint)
+	}
+}
+
 // handleCallRefusal records why a replica did not run a call, pauses if the next attempt should wait, and reports
 // whether every other replica would refuse the call as well.
 func (e *Entry) handleCallRefusal(ctx context.Context, c *serviceCall, vm vmlist.VM, reply *wire.CallReply, tried map[string]bool) bool {
 	e.recordCallEvent(timeline.RequestRefused, c, vm.Name, reply.GetDetail())
 	switch reply.GetRefused().GetReason() {
-	case wire.RefusalReason_REFUSAL_KEY_REUSED:
+	case wire.RefusalReason_REFUSAL_KEY_REUSED, wire.RefusalReason_REFUSAL_SUSPECT:
 		return true
 	case wire.RefusalReason_REFUSAL_LEAVING:
 		e.node.Roster().SetLeaving(vm.Name, true)
@@ -192,7 +225,7 @@
 		ctx, cancel = context.WithTimeout(ctx, callAttemptTimeout)
 		defer cancel()
 	}
-	c.request.Clock = e.node.Ring().NextClock()
+	c.request.Clock, c.request.KnownCrashes = e.node.Ring().NextClock(), e.node.Suspects().Crashes(c.request.GetFingerprint())
 	e.recordCallEvent(timeline.RequestRouted, c, vm.Name, "")
 	conn, err := e.replicaConn(ctx, c, vm)
 	if err != nil {
@@ -273,6 +306,9 @@
 
 // callErrorResponse turns a reply without an answer of the service into an error.
 func callErrorResponse(reply *wire.CallReply, outcome string) *errorResponse {
+	if reply.GetRefused().GetReason() == wire.RefusalReason_REFUSAL_SUSPECT {
+		return crashingRequestError(outcome)
+	}
 	failed := serverError("service_unavailable", reply.GetDetail(), time.Duration(reply.GetRefused().GetRetryAfterMs())*time.Millisecond)
 	failed.outcome = outcome
 	switch {
--- a/service/client.go
+++ b/service/client.go
@@ -69,6 +69,16 @@
 	return answer, nil
 }
 
+// Dial opens a connection to the service and closes it; it returns why that failed.
+func (c *Client) Dial(ctx context.Context) error {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // roundTrip sends call on conn with automatic retries disabled.
 func (c *Client) roundTrip(conn net.Conn, call Call) (Answer, error) {
 	client := fasthttp.HostClient{
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"syscall"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,9 +31,12 @@
 	if s.draining.Load() {
 		return s.refusedReply(wire.RefusalReason_REFUSAL_LEAVING, errDraining.Error())
 	}
+	if s.node.Suspects().Blocked(request.GetFingerprint()) {
+		return s.refusedReply(wire.RefusalReason_REFUSAL_SUSPECT, "targets crashed while they ran this call")
+	}
 	if request.GetIdempotencyKey() == "" {
 		answer, err := s.callTarget(ctx, request)
-		return s.targetReply(answer, err)
+		return s.ranReply(ctx, request, answer, err)
 	}
 	key := idempotency.NewKey(request.GetCustomer(), request.GetIdempotencyKey())
 	return s.applyDecision(ctx, request, s.registry.Begin(ctx, key, requestDigest(request)))
@@ -67,7 +72,28 @@
 	answer, err := s.callTarget(ctx, request)
 	s.registry.Finish(ctx, run, answer, err)
 	s.recordCallEvent(timeline.CallRun, request, "")
-	return s.targetReply(answer, err)
+	return s.ranReply(ctx, request, answer, err)
+}
+
+// ranReply is targetReply for a call that was sent now. If the service has ended under it, its content may be the cause.
+func (s *Sidecar) ranReply(ctx context.Context, request *wire.CallRequest, answer service.Answer, err error) *wire.CallReply {
+	reply := s.targetReply(answer, err)
+	switch {
+	case err == nil:
+		s.node.Suspects().Clear(request.GetFingerprint())
+	case errors.Is(err, service.ErrNoAnswer) && s.serviceEnded(ctx):
+		reply.CrashCount = request.GetKnownCrashes() + 1
+		s.node.Suspects().Raise(request.GetFingerprint(), reply.GetCrashCount())
+		s.recordCallEvent(timeline.SuspectSeen, request, fmt.Sprintf("%d crashes", reply.GetCrashCount()))
+	}
+	return reply
+}
+
+// serviceEnded reports whether nothing listens at the address of the service.
+func (s *Sidecar) serviceEnded(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
+	defer cancel()
+	return errors.Is(s.service.Dial(ctx), syscall.ECONNREFUSED)
 }
 
 // replayReply returns the stored answer of an earlier call with the same key, if it was kept.
--- a/standin/ledger/server.go
+++ b/standin/ledger/server.go
@@ -3,13 +3,21 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"gypsumbank/standin/host"
 )
 
+// CrashingID is how the ids of events begin under which a replica crashes. It is back after crashDowntime.
+const (
+	CrashingID    = "crash"
+	crashDowntime = 500 * time.Millisecond
+)
+
 // Server is one replica of the service. It counts the runs of each event and doesn't remove duplicates, so that tests
 // can see requests that were executed twice.
 type Server struct {
@@ -71,6 +79,10 @@
 		return
 	}
 	runs := s.counts.increment(event.ID)
+	if strings.HasPrefix(event.ID, CrashingID) {
+		s.Crash(crashDowntime)
+		return
+	}
 	ctx.SetStatusCode(fasthttp.StatusCreated)
 	ctx.SetContentType("application/json")
 	ctx.SetBodyString(fmt.Sprintf(`{"id":%q,"runs":%d}`, event.ID, runs))
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -38,9 +38,10 @@
 	return &Table{now: now, entries: map[uint64]entry{}}
 }
 
-// Fingerprint returns a hash that is the same for each submission of the same content by the same customer.
-func Fingerprint(customer, model, adapter, prompt string) uint64 {
-	return xxhash.Sum64String(strings.Join([]string{customer, model, adapter, prompt}, "\x00"))
+// Fingerprint returns a hash that is the same for each submission of the same content by the same customer: of a completion the
+// model, adapter and prompt, of a call the service, method, path and body.
+func Fingerprint(customer string, content ...string) uint64 {
+	return xxhash.Sum64String(customer + "\x00" + strings.Join(content, "\x00"))
 }
 
 // Crashes returns the number of targets that crashed while they ran the content.
