Keep what targets say of themselves in one table, and decode that they leave or want a rest

Until now each answer's Server-Limit changed the state of a target in the fleet, which goes with the registry's entry; Server-Leaving and Retry-After were not read. Now an answer's notice is decoded once in the adapter, and notice.Table holds what each run of a target has said, bounded in number and time, whether the registry lists it or not. Leaving and rests are recorded, counted and logged only: with these lines a log tells whether a gateway knew. Limits are kept as before (tests of limits unchanged but for names).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -311,8 +311,8 @@
 	if d.request.Model != "" {
 		d.agents.PushUsage(assignment.Target())
 	}
-	d.recordLimit(assignment, result.Limit)
-	log = log.WithField("limit", result.Limit.String())
+	d.recordNotice(assignment, result.Notice)
+	log = log.WithField("limit", result.Notice.Limit.String())
 	if result.Response.Status >= 500 && d.canRetry() {
 		assignment.End(fleet.Failed, d.now())
 		result.Response.Body.Close()
@@ -328,9 +328,11 @@
 func (d *Dispatch) handleNotRun(result reply.NotRun, assignment *fleet.Assignment, log *logrus.Entry) (Outcome, bool) {
 	target := assignment.Target()
 	if result.OtherTargetID == "" {
-		d.recordLimit(assignment, result.Limit)
+		d.recordNotice(assignment, result.Notice)
 	}
-	log.WithFields(logrus.Fields{"misplaced": result.Misdirected, "other": result.OtherTargetID, "limit": result.Limit.String()}).Info("target refused")
+	log.WithFields(logrus.Fields{
+		"misplaced": result.Misdirected, "other": result.OtherTargetID, "limit": result.Notice.Limit.String(), "rest-ms": result.Notice.Rest.Milliseconds(),
+	}).Info("target refused")
 	switch {
 	case result.OtherTargetID != "":
 		assignment.End(fleet.Misdirected, d.now())
--- a/dispatch/limits_test.go
+++ b/dispatch/notices_test.go
@@ -19,7 +19,7 @@
 	return func() reply.Result {
 		return reply.Answered{
 			Response: &sender.Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok"))},
-			Limit:    registry.RequestLimit{Named: true, PerSecond: perSecond},
+			Notice:   registry.Notice{Limit: registry.RequestLimit{Named: true, PerSecond: perSecond}},
 		}
 	}
 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -87,8 +87,9 @@
 	FetchTokens   int           // tokens whose KV cache is fetched from there instead of prefilled
 	ReportAge     time.Duration // age of the agent's last report, or for a plain service of the last read of the registry; negative without a report
 	Candidates    int           // number of targets that were compared
-	HasRoom       bool          // the target can begin to serve the request at once; for a plain service: its limit allows it now
+	HasRoom       bool          // the target can begin to serve the request at once; for a plain service: it accepts one now by what it has said of itself
 	SlotInterval  time.Duration // average time between two free slots of all holders of the model while all slots are taken, or between two turns by a limit
+	TurnWait      time.Duration // until the target accepts a request, by what it has said of itself; part of Expected
 	prefillMs     float64       // expected time to prefill and fetch those tokens
 	baselineMs    float64       // expected time to the first byte at a target of usual speed that need not load the adapter
 }
@@ -123,9 +124,9 @@
 	}
 	usable = f.withTurns(usable, now)
 	if engine == nil || query.Request.Model == "" {
-		return f.applyLimit(f.choosePlain(usable, now), now), true
+		return f.applyTurn(f.choosePlain(usable, now), now), true
 	}
-	return f.applyLimit(f.chooseHolder(usable, query.Request, now), now), true
+	return f.applyTurn(f.chooseHolder(usable, query.Request, now), now), true
 }
 
 // usableTargets returns the targets that accept requests, of one software version unless that is nil. Those in backoff are only
@@ -135,7 +136,7 @@
 	var backingOff []*targetState
 	for _, s := range f.byService[service] {
 		switch {
-		case s.drainingOrReplaced(), version != nil && s.SoftwareVersion != *version:
+		case f.mustNotUse(s), version != nil && s.SoftwareVersion != *version:
 		case now.Before(s.backoffUntil):
 			backingOff = append(backingOff, s)
 		default:
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -62,7 +62,7 @@
 	d.msPerS = d.valueAt(now) + workMs/demandTimeConstant.Seconds()
 	d.updatedAt = now
 	for _, s := range f.byService[service] {
-		if !s.drainingOrReplaced() && s.holds(req.Model, "", now) {
+		if !f.mustNotUse(s) && s.holds(req.Model, "", now) {
 			return false
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"gypsumbank/pacer"
+	"gypsumbank/notice"
 	"gypsumbank/registry"
 	"gypsumbank/route"
 )
@@ -24,7 +24,8 @@
 
 // Fleet is a gateway's view of all targets. Its methods may be called by several goroutines.
 type Fleet struct {
-	zone string
+	zone    string
+	notices *notice.Table
 
 	mu                  sync.Mutex
 	services            map[string]route.Service    // by name
@@ -74,10 +75,7 @@
 	requestsByAdapter map[registry.Adapter]int // this gateway's requests by adapter
 	promptCache       *promptCache             // estimate of what the target's KV cache holds
 
-	pacer             *pacer.Pacer // of the limit that the target names; nil if it names none
-	limitNamedAt      time.Time    // when an answer last named it
-	turnMissedAt      time.Time    // when a request last found that the limit allowed none
-	latencyMs         float64      // time to the first byte at a plain target, moving average
+	latencyMs         float64 // time to the first byte at a plain target, moving average
 	performance       performance
 	connectFailures   int       // in a row
 	backoffUntil      time.Time // until when the target gets requests only if all others are in backoff, too
@@ -90,6 +88,7 @@
 func New(zone string) *Fleet {
 	return &Fleet{
 		zone:               zone,
+		notices:            notice.New(),
 		services:           map[string]route.Service{},
 		states:             map[string]*targetState{},
 		byService:          map[string][]*targetState{},
@@ -325,5 +324,7 @@
 	}
 }
 
-// drainingOrReplaced reports whether the target must not get new requests or loads.
-func (s *targetState) drainingOrReplaced() bool { return s.Draining || s.report.Draining || s.replaced }
+// mustNotUse reports whether a target must not get new requests or loads, as it leaves or another one has its address.
+func (f *Fleet) mustNotUse(s *targetState) bool {
+	return s.Draining || s.report.Draining || s.replaced
+}
--- a/fleet/request_limit_test.go
+++ b/fleet/notices_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gypsumbank/notice"
 	"gypsumbank/registry"
 	"gypsumbank/request"
 	"gypsumbank/route"
@@ -36,7 +37,7 @@
 	}
 	a := f.Assign(choice, plainQuery.Request, now)
 	a.Start(now.Add(10 * time.Millisecond))
-	a.RecordLimit(limits[choice.Target.ID], now.Add(10*time.Millisecond))
+	a.RecordNotice(registry.Notice{Limit: limits[choice.Target.ID]}, now.Add(10*time.Millisecond))
 	a.End(Served, now.Add(20*time.Millisecond))
 	return choice.Target.ID
 }
@@ -104,17 +105,17 @@
 	steps := []struct {
 		assignment *Assignment
 		limit      registry.RequestLimit
-		want       LimitChange
+		want       notice.LimitChange
 	}{
-		{naming, limited, LimitSet},
-		{early, none, LimitSame},
-		{assign(start.Add(2 * time.Second)), limited, LimitSame},
-		{assign(start.Add(3 * time.Second)), registry.RequestLimit{Named: true, PerSecond: 2}, LimitSet},
-		{assign(start.Add(9 * time.Second)), none, LimitLifted},
-		{assign(start.Add(9 * time.Second)), none, LimitSame},
+		{naming, limited, notice.LimitSet},
+		{early, none, notice.LimitSame},
+		{assign(start.Add(2 * time.Second)), limited, notice.LimitSame},
+		{assign(start.Add(3 * time.Second)), registry.RequestLimit{Named: true, PerSecond: 2}, notice.LimitSet},
+		{assign(start.Add(9 * time.Second)), none, notice.LimitLifted},
+		{assign(start.Add(9 * time.Second)), none, notice.LimitSame},
 	}
 	for i, step := range steps {
-		if got := step.assignment.RecordLimit(step.limit, start.Add(time.Duration(i+1)*time.Second)); got != step.want {
+		if got := step.assignment.RecordNotice(registry.Notice{Limit: step.limit}, start.Add(time.Duration(i+1)*time.Second)).Limit; got != step.want {
 			t.Errorf("step %d: change %d, want %d", i, got, step.want)
 		}
 	}
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -144,7 +144,7 @@
 	}
 	eta := spec.StoreLoadTime + unloadTime
 	for _, s := range f.byService[service] {
-		if s.drainingOrReplaced() {
+		if f.mustNotUse(s) {
 			continue
 		}
 		if s.loading == model {
@@ -167,7 +167,7 @@
 	}
 	p := &planState{engine: engine, now: now, holders: map[string][]int{}, workMsPerS: f.workByModel(service, now), storeExhausted: now.Before(f.storeBlockedUntil[service]) || f.storeRateExhausted(service, engine, now)}
 	for _, s := range f.byService[service] {
-		if s.drainingOrReplaced() || now.Before(s.backoffUntil) {
+		if f.mustNotUse(s) || now.Before(s.backoffUntil) {
 			continue
 		}
 		if s.loading != "" && now.Sub(s.loadingSince) > unreportedLoadLifetime && now.Sub(s.reportAt) > reportLifetime {
@@ -186,7 +186,7 @@
 	}
 	loads := make([]float64, len(p.targets))
 	for i, s := range p.targets {
-		if s.limitBinds(now) {
+		if f.notices.Binds(s.Target, now) {
 			loads[i] = maxCongestion * engineCapacity
 		}
 	}
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -299,7 +299,7 @@
 					continue
 				}
 				a := f.Assign(choice, req, now)
-				a.RecordLimit(c.limit, now)
+				a.RecordNotice(registry.Notice{Limit: c.limit}, now)
 				a.End(Served, now)
 			}
 			for id := range 3 {
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -11,7 +11,7 @@
 // Answered is a response that the target itself gave; its body is yet to be read.
 type Answered struct {
 	Response *sender.Response
-	Limit    registry.RequestLimit
+	Notice   registry.Notice
 }
 
 // NotRun is a response in which the target declares that it has not run the request and will not run it.
@@ -20,8 +20,8 @@
 	Misdirected bool
 	// OtherTargetID is the id of the target that responded, if it is not the intended one; empty otherwise.
 	OtherTargetID string
-	// Limit is what the intended target says of its limit.
-	Limit registry.RequestLimit
+	// Notice is what the intended target says of itself.
+	Notice registry.Notice
 }
 
 // NotSent reports that no part of the request left this process.
