Send no requests, models or orders to a target that says that it leaves

Callers' requests reached a target that had said in its answers that it was leaving, while the store was away or where the registry still listed it as ready. Cause: only the registry and the reports of agents told that a target leaves; a plain target has no agent. The class: a statement of a target about itself is believed only if it comes the long way round.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -324,7 +324,8 @@
 	}
 }
 
-// mustNotUse reports whether a target must not get new requests or loads, as it leaves or another one has its address.
+// mustNotUse reports whether a target must not get new requests or loads, as it leaves, by whatever source, or another one has its
+// address.
 func (f *Fleet) mustNotUse(s *targetState) bool {
-	return s.Draining || s.report.Draining || s.replaced
+	return s.Draining || s.report.Draining || s.replaced || f.notices.Leaving(s.Target)
 }
--- a/fleet/notices_test.go
+++ b/fleet/notices_test.go
@@ -123,3 +123,36 @@
 		t.Error("the target is still limited")
 	}
 }
+
+// TestEngineThatSaysThatItLeavesGetsNeitherRequestsNorModels has an engine say in an answer that it leaves. Reads of the registry and
+// reports of its agent that do not know it change nothing; its next run is used again.
+func TestEngineThatSaysThatItLeavesGetsNeitherRequestsNorModels(t *testing.T) {
+	f := newTestFleet([]string{"m", "x1", "x2"}, nil)
+	now := start
+	demand := func() {
+		for range 40 {
+			now = now.Add(15 * time.Millisecond)
+			f.RecordDemand(service, longRequest("m", "s"), now)
+			f.RecordDemand(service, longRequest("cold", "s"), now)
+		}
+	}
+	query := Query{Service: service, Request: shortRequest("m")}
+	choice, _ := f.Choose(query, now)
+	a := f.Assign(choice, query.Request, now)
+	if change := a.RecordNotice(registry.Notice{Leaving: true}, now); choice.Target.ID != "e0" || !change.Leaving {
+		t.Fatalf("target %s, change %+v", choice.Target.ID, change)
+	}
+	f.UpdateTargets(f.Targets(), false, now)
+	demand()
+	f.Observe("e0", newObservation(registry.Report{Born: 1, Models: []registry.Model{{Name: "m"}}}), now)
+	if choice, ok := f.Choose(query, now); ok && choice.Target.ID == "e0" {
+		t.Error("the leaving engine was chosen")
+	}
+	if placement, ok := f.Plan(service, now); ok && placement.Target.ID == "e0" {
+		t.Errorf("%s is to be loaded on the leaving engine", placement.Model)
+	}
+	f.Observe("e0", newObservation(registry.Report{Born: 2, Models: []registry.Model{{Name: "m"}}}), now)
+	if choice, ok := f.Choose(query, now); !ok || choice.Target.ID != "e0" {
+		t.Errorf("choice %+v, want the next run of the engine", choice)
+	}
+}
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -55,7 +55,7 @@
 	o.mu.Unlock()
 	header := site.IdentityHeaders(request)
 	if leaving {
-		header += "Server-Leaving: 1\r\n"
+		header += site.LeavingHeader
 	}
 	if rest > 0 {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%sX-Gypsumbank-Not-Executed: 1\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", header, rest.Seconds())
--- a/standin/site/target.go
+++ b/standin/site/target.go
@@ -41,6 +41,7 @@
 	unansweredOrders int // next orders that get no response
 	conns            map[net.Conn]struct{}
 	down             bool // after a crash, until its next run
+	leaving          bool // says so in the answers to its control paths
 }
 
 // Order is an order to load or unload a model or an adapter that a target has received.
@@ -163,6 +164,26 @@
 	})
 }
 
+// SetLeaving makes the target say, or not, that it leaves in its answers to reports, health checks and orders.
+func (t *Target) SetLeaving(leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = leaving
+}
+
+// controlHeaders returns the headers of answers to control paths.
+func (t *Target) controlHeaders() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leaving {
+		return LeavingHeader
+	}
+	return ""
+}
+
+// LeavingHeader is the header line of a target that leaves.
+const LeavingHeader = "Server-Leaving: 1\r\n"
+
 // ClearDisk removes all weights from the target's disk.
 func (t *Target) ClearDisk() {
 	t.mu.Lock()
@@ -280,7 +301,7 @@
 func (t *Target) serveControl(conn net.Conn, request *http.Request, body []byte) bool {
 	switch request.URL.Path {
 	case "/healthz":
-		writeResponse(conn, http.StatusOK, "X-Gypsumbank-Instance-Id: "+t.id+"\r\n", "")
+		writeResponse(conn, http.StatusOK, "X-Gypsumbank-Instance-Id: "+t.id+"\r\n"+t.controlHeaders(), "")
 	case "/-/report":
 		report, err := json.Marshal(map[string]any{
 			"models": t.loadedModels(), "busy": false, "sequence": t.orderSequence(), "waiting": 0, "running": 0, "kvUsed": 0,
@@ -289,7 +310,7 @@
 		if err != nil {
 			return false
 		}
-		writeResponse(conn, http.StatusOK, "", string(report))
+		writeResponse(conn, http.StatusOK, t.controlHeaders(), string(report))
 	case "/-/order":
 		t.handleOrder(conn, body)
 	default:
@@ -356,9 +377,9 @@
 	case unanswered:
 		time.Sleep(time.Second)
 	case order.Accepted:
-		writeResponse(conn, http.StatusAccepted, "", "")
+		writeResponse(conn, http.StatusAccepted, t.controlHeaders(), "")
 	default:
-		writeResponse(conn, http.StatusConflict, "", "")
+		writeResponse(conn, http.StatusConflict, t.controlHeaders(), "")
 	}
 }
 
