Send a target that wants a rest nothing for that time

A target that turned a request away with 503 and Retry-After got more from the same gateway, up to 40 within a rest; callers were sent back with all-targets-refused and no-retry-budget beside targets with room. Cause: a refusal was taken for a full queue whatever it said, and followed by a fixed 30 or 100 ms. A rest is kept by the table of notices now, like a limit: requests go to the targets that accept one; where all rest, a caller waits if the rest ends in time and is told at once otherwise, with the rest as Retry-After. After a rest one request tries the target, and others follow only when it is accepted. Models that only resting engines hold are loaded elsewhere, as with limits.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -203,7 +203,7 @@
 				"target": choice.Target.ID, "expected-ms": choice.Expected.Milliseconds(), "left-ms": remaining.Milliseconds(),
 				"candidates": choice.Candidates, "report-age-ms": choice.ReportAge.Milliseconds(),
 			}).Info("no target answers in time")
-			return choice, &Refused{Reason: Overload, RetryAfter: choice.Expected / 2}
+			return choice, &Refused{Reason: Overload, RetryAfter: max(choice.Expected/2, choice.TurnWait)}
 		}
 		mayBegin, refused := d.waitForTurn(choice, now)
 		if refused != nil {
--- a/notice/table.go
+++ b/notice/table.go
@@ -9,7 +9,9 @@
 )
 
 const (
-	// bindsFor is how long after a request found no turn at a target its limit counts as lower than the demand.
+	// trialTimeout is how long the first request after a rest is waited for before another one may be sent.
+	trialTimeout = 500 * time.Millisecond
+	// bindsFor is how long after a request found no turn at a target its limit or rest counts as lower than the demand.
 	bindsFor = 3 * time.Second
 	// retention is how long a notice is kept after it was last given, and maxRest the longest rest that is kept.
 	retention = 10 * time.Minute
@@ -38,6 +40,7 @@
 	pacer        *pacer.Pacer // of the limit; nil if it names none
 	limitNamedAt time.Time
 	restUntil    time.Time // zero if it has asked for no rest, or has accepted a request since
+	trialUntil   time.Time // until when the outcome of the first request after a rest is awaited
 	missedAt     time.Time // when a request last found no turn
 }
 
@@ -109,7 +112,7 @@
 func (s *statement) recordRest(rest time.Duration, sentAt, now time.Time) bool {
 	if rest <= 0 {
 		if !s.restUntil.IsZero() && !sentAt.Before(s.restUntil) {
-			s.restUntil = time.Time{}
+			s.restUntil, s.trialUntil = time.Time{}, time.Time{}
 		}
 		return false
 	}
@@ -117,7 +120,7 @@
 	if !until.After(s.restUntil) {
 		return false
 	}
-	s.restUntil = until
+	s.restUntil, s.trialUntil = until, time.Time{}
 	return true
 }
 
@@ -140,10 +143,11 @@
 	if s == nil {
 		return 0
 	}
+	wait := max(s.restUntil.Sub(now), s.trialUntil.Sub(now), 0)
 	if s.pacer != nil {
-		return s.pacer.Wait(gateways, now)
+		wait = max(wait, s.pacer.Wait(gateways, now))
 	}
-	return 0
+	return wait
 }
 
 // Interval returns the time between two requests that the limit of a target allows one of a number of gateways; 0 without a limit.
@@ -156,7 +160,8 @@
 	return 0
 }
 
-// Take reports whether one of a number of gateways may send a target a request now and, if so, counts it.
+// Take reports whether one of a number of gateways may send a target a request now and, if so, counts it. After a rest it may send one
+// and, only when the target has accepted it, further ones.
 func (t *Table) Take(target registry.Target, gateways int, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -164,7 +169,13 @@
 	if s == nil {
 		return true
 	}
-	return s.pacer == nil || s.pacer.Take(gateways, now)
+	if s.wait(gateways, now) > 0 || (s.pacer != nil && !s.pacer.Take(gateways, now)) {
+		return false
+	}
+	if !s.restUntil.IsZero() {
+		s.trialUntil = now.Add(trialTimeout)
+	}
+	return true
 }
 
 // Miss records that a request found no turn at a target.
@@ -176,12 +187,12 @@
 	}
 }
 
-// Binds reports whether the limit of a target has lately kept a request from it that it could have served.
+// Binds reports whether the limit or the rest of a target has lately kept a request from it that it could have served.
 func (t *Table) Binds(target registry.Target, now time.Time) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	s := t.lookup(target)
-	return s != nil && s.pacer != nil && !s.missedAt.IsZero() && now.Sub(s.missedAt) < bindsFor
+	return s != nil && (s.pacer != nil || !s.restUntil.IsZero()) && !s.missedAt.IsZero() && now.Sub(s.missedAt) < bindsFor
 }
 
 // Empty reports whether no target has said anything that holds.
