Make no calls to an engine that wants a rest

The adapter turns such a refusal into an error with the time, whichever call got it, and the agent calls the engine again after that; meanwhile gateways are told that nothing new is known.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,8 @@
 	// orderTimeout is short because the engine is on the same VM and an unanswered order is sent again.
 	orderTimeout = 150 * time.Millisecond
 	storeTimeout = 700 * time.Millisecond
+	// maxRest bounds the time for which an engine is not asked because it wants no calls.
+	maxRest = 10 * time.Minute
 	// routesReadInterval is the interval between reads of the routes by an agent on which no gateway relies: what they say of
 	// engines rarely changes. A request for a model that is not listed leads to a read at once.
 	routesReadInterval = 30 * time.Second
@@ -87,6 +89,7 @@
 	lastReportAt    time.Time
 	engineDown      bool
 	fencingToken    int64
+	restUntil       time.Time // until when the engine wants no calls
 	unansweredOrder *platform.Order
 	modelsToRestore []inventory.Model  // held by the engine before its current run and not yet restored
 	recordedModels  []inventory.Model  // last passed to modelInventory
--- a/agent/control.go
+++ b/agent/control.go
@@ -66,12 +66,18 @@
 	}
 }
 
-// pollEngine reads the engine's report, updates the agent's state from it and publishes it to the gateways.
+// pollEngine reads the engine's report, updates the agent's state from it and publishes it to the gateways. An engine that wants no
+// calls is not asked; gateways are told that nothing new is known.
 func (a *Agent) pollEngine(ctx context.Context) {
+	if a.engineRests() {
+		a.watchers.publishDown(nil)
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := a.engine.Report(callCtx, a.config.Agent.Target)
 	if err != nil {
+		a.recordRest(err)
 		if !a.engineDown {
 			a.log.WithError(err).Info("engine does not answer")
 		}
@@ -104,6 +110,18 @@
 	}
 }
 
+// engineRests reports whether the engine wants no calls now.
+func (a *Agent) engineRests() bool { return time.Now().Before(a.restUntil) }
+
+// recordRest records for how long the engine wants no calls, if the error of a call says so.
+func (a *Agent) recordRest(err error) {
+	var resting *platform.RestError
+	if errors.As(err, &resting) {
+		a.restUntil = time.Now().Add(min(resting.Wait, maxRest))
+		a.log.WithField("rest-ms", resting.Wait.Milliseconds()).Info("engine asks for a rest")
+	}
+}
+
 // endedRun returns the engine's last known run if, by the error of a poll, its process has ended.
 func (a *Agent) endedRun(pollErr error) *wire.EndedRun {
 	if !errors.Is(pollErr, syscall.ECONNREFUSED) || a.targetID == "" {
@@ -114,7 +132,7 @@
 
 // identifyEngine reads the id of the engine's current run, unless it is known already.
 func (a *Agent) identifyEngine(ctx context.Context) {
-	if a.targetID != "" || a.routingTable == nil || time.Now().Before(a.identifyAfter) {
+	if a.targetID != "" || a.routingTable == nil || a.engineRests() || time.Now().Before(a.identifyAfter) {
 		return
 	}
 	s, ok := a.routingTable.Service(a.serviceName)
@@ -125,6 +143,7 @@
 	defer cancel()
 	id, err := a.engine.TargetID(callCtx, a.config.Agent.Target, s.HealthPath)
 	if err != nil {
+		a.recordRest(err)
 		a.identifyAfter = time.Now().Add(identifyRetryInterval)
 		a.log.WithError(err).Info("engine id could not be read")
 		return
@@ -137,7 +156,7 @@
 // fencing token, nor to an engine that is down, draining or not yet identified.
 func (a *Agent) sendOrders(ctx context.Context) {
 	a.occupancy.SetActiveRequests(a.watchers.requestsByAdapter(), time.Now())
-	for a.fencingToken != 0 && !a.engineDown && a.targetID != "" && !a.lastReport.Draining {
+	for a.fencingToken != 0 && !a.engineDown && !a.engineRests() && a.targetID != "" && !a.lastReport.Draining {
 		if a.unansweredOrder != nil {
 			if !a.sendOrder(ctx, *a.unansweredOrder) {
 				return
@@ -178,6 +197,7 @@
 		"report-age-ms": started.Sub(a.lastReportAt).Milliseconds(), "took-ms": time.Since(started).Milliseconds(),
 	})
 	a.unansweredOrder = nil
+	a.recordRest(err)
 	metrics.GetOrCreateCounter(`gypsumbank_agent_orders_total{result="` + result.String() + `"}`).Inc()
 	switch result {
 	case platform.OrderAccepted, platform.OrderAlreadyDone:
--- a/standin/site/target.go
+++ b/standin/site/target.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -40,8 +41,10 @@
 	orders           []Order
 	unansweredOrders int // next orders that get no response
 	conns            map[net.Conn]struct{}
-	down             bool // after a crash, until its next run
-	leaving          bool // says so in the answers to its control paths
+	down             bool          // after a crash, until its next run
+	leaving          bool          // says so in the answers to its control paths
+	rest             time.Duration // that refusals of its control paths ask for; 0 if it refuses none
+	controlCalls     []time.Time
 }
 
 // Order is an order to load or unload a model or an adapter that a target has received.
@@ -171,6 +174,33 @@
 	t.leaving = leaving
 }
 
+// SetRest makes the target refuse calls of its control paths and ask for a rest, or accept them again if that is 0.
+func (t *Target) SetRest(rest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rest = rest
+}
+
+// ControlCalls returns the times of the calls of its control paths.
+func (t *Target) ControlCalls() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.controlCalls...)
+}
+
+// refuseControl records a call of a control path and returns the rest that its refusal asks for, 0 if it is accepted.
+func (t *Target) refuseControl() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.controlCalls = append(t.controlCalls, time.Now())
+	return t.rest
+}
+
+// isControlPath reports whether a path is one of those that serveControl responds to.
+func isControlPath(path string) bool {
+	return path == "/healthz" || path == "/-/report" || path == "/-/order"
+}
+
 // controlHeaders returns the headers of answers to control paths.
 func (t *Target) controlHeaders() string {
 	t.mu.Lock()
@@ -299,6 +329,13 @@
 
 // serveControl responds to health checks, requests for a report and orders; it returns false for other requests.
 func (t *Target) serveControl(conn net.Conn, request *http.Request, body []byte) bool {
+	if !isControlPath(request.URL.Path) {
+		return false
+	}
+	if rest := t.refuseControl(); rest > 0 {
+		writeResponse(conn, http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %.3f\r\n", rest.Seconds()), "")
+		return true
+	}
 	switch request.URL.Path {
 	case "/healthz":
 		writeResponse(conn, http.StatusOK, "X-Gypsumbank-Instance-Id: "+t.id+"\r\n"+t.controlHeaders(), "")
@@ -313,8 +350,6 @@
 		writeResponse(conn, http.StatusOK, t.controlHeaders(), string(report))
 	case "/-/order":
 		t.handleOrder(conn, body)
-	default:
-		return false
 	}
 	return true
 }
