Join only what goes on with a stream

Report of another operator, which can happen here in part: a stream broke off, and what the next target answered was joined to it. The class: an answer was taken for the rest of a stream by its status alone. It is joined now only if it has the media type of the first answer, and each event only if its id comes after the last one; anything else breaks the stream off.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,13 +3,18 @@
 import (
 	"bytes"
 	"errors"
+	"strconv"
 )
 
 // maxEventBytes bounds an event of a stream.
 const maxEventBytes = 1 << 20
 
-// errEventTooLong reports bytes without the end of an event.
-var errEventTooLong = errors.New("event of the stream does not end")
+var (
+	// errEventTooLong reports bytes without the end of an event.
+	errEventTooLong = errors.New("event of the stream does not end")
+	// errNotContinued reports bytes that are no event of the stream after the last one.
+	errNotContinued = errors.New("target does not go on with the stream")
+)
 
 // eventBuffer splits a stream of server-sent events, which arrives in chunks, at the ends of events.
 type eventBuffer struct {
@@ -23,7 +28,8 @@
 	idField  = []byte("id:")
 )
 
-// addChunk adds a chunk and returns the bytes of the events that are now complete, or errEventTooLong.
+// addChunk adds a chunk and returns the bytes of the events that are now complete. The error is errEventTooLong, or errNotContinued if
+// these are followed by something that does not go on with the stream.
 func (e *eventBuffer) addChunk(chunk []byte) ([]byte, error) {
 	e.began = e.began || len(chunk) > 0
 	e.incomplete = append(e.incomplete, chunk...)
@@ -37,10 +43,47 @@
 	end += len(eventEnd)
 	complete := append([]byte(nil), e.incomplete[:end]...)
 	e.incomplete = append(e.incomplete[:0], e.incomplete[end:]...)
-	e.recordLastID(complete)
+	passed := 0
+	for passed < len(complete) {
+		length := bytes.Index(complete[passed:], eventEnd) + len(eventEnd)
+		if !e.accept(complete[passed : passed+length]) {
+			return complete[:passed], errNotContinued
+		}
+		passed += length
+	}
 	return complete, nil
 }
 
+// accept reports whether an event goes on with the stream after the last one, and records its id. Once the stream has ids, each event
+// must have a higher one, unless it consists of comments.
+func (e *eventBuffer) accept(event []byte) bool {
+	id, onlyComments := "", true
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\n")
+		onlyComments = onlyComments && (len(line) == 0 || line[0] == ':')
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	if e.lastID != "" && !onlyComments && !follows(id, e.lastID) {
+		return false
+	}
+	if id != "" {
+		e.lastID = id
+	}
+	return true
+}
+
+// follows reports whether an event with an id may come after one with another: numbers must rise, and other ids differ.
+func follows(id, last string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	if err == nil && lastErr == nil {
+		return number > lastNumber
+	}
+	return id != "" && id != last
+}
+
 // track notes a chunk that is not to be split: whether the stream has arrived up to the end of an event.
 func (e *eventBuffer) track(chunk []byte) {
 	e.began = e.began || len(chunk) > 0
@@ -56,12 +99,3 @@
 
 // hasIncomplete reports whether the last event has arrived only in part.
 func (e *eventBuffer) hasIncomplete() bool { return len(e.incomplete) > 0 }
-
-// recordLastID sets lastID to the last id in complete events.
-func (e *eventBuffer) recordLastID(complete []byte) {
-	for line := range bytes.Lines(complete) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			e.lastID = string(bytes.TrimSpace(value))
-		}
-	}
-}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,7 +29,7 @@
 // on another target and returns the outcome of that and true.
 func (e *exchange) forward(answered dispatch.Answered) (dispatch.Outcome, bool) {
 	defer answered.Response.Body.Close()
-	if e.headWritten && (answered.Response.Status >= http.StatusMultipleChoices || !e.dispatch.ContinuesStream(answered.Assignment.Target())) {
+	if e.headWritten && !e.continuesStream(answered) {
 		answered.Assignment.End(fleet.Failed, time.Now())
 		e.refuseOrAbort(answered.Response.Status, dispatch.StreamBroken, 0)
 	}
@@ -68,6 +69,18 @@
 	return e.dispatch.Resume(answered.Assignment.Target(), events.lastID), true
 }
 
+// continuesStream reports whether an answer may be joined to the one that has begun: a success of the same run and of the same kind.
+func (e *exchange) continuesStream(answered dispatch.Answered) bool {
+	return answered.Response.Status < http.StatusMultipleChoices && mediaType(answered.Response.Header) == e.mediaType &&
+		e.dispatch.ContinuesStream(answered.Assignment.Target())
+}
+
+// mediaType returns the media type of an answer without its parameters; empty if it names none.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // judgeContents tells the quarantine what an answer shows of the contents of its request: one that ended soon after its begin
 // may have crashed the target, unless its length or its chunks show that it is whole.
 func (e *exchange) judgeContents(answered dispatch.Answered, whole bool) {
@@ -87,7 +100,7 @@
 	if e.headWritten {
 		return
 	}
-	e.headWritten = true
+	e.headWritten, e.mediaType = true, mediaType(answered.Response.Header)
 	metrics.GetOrCreateHistogram(`gypsumbank_gateway_first_byte_seconds{kind="` + e.route.Kind.String() + `"}`).UpdateDuration(e.request.Arrived)
 	header := e.writer.Header()
 	for name, values := range platform.AnswerHeader(answered.Response) {
@@ -112,15 +125,16 @@
 		lastRead = now
 		e.recordBodyBytes(n, now, answered.Assignment.Target(), isStream)
 		chunk := buffer[:n]
+		var invalid error
 		if isStream {
-			var tooLong error
-			if chunk, tooLong = e.passableEvents(chunk, events); tooLong != nil {
-				return tooLong
-			}
+			chunk, invalid = e.passableEvents(chunk, events)
 		}
 		if err := e.writeChunk(chunk, answered.Response.Length < 0); err != nil {
 			return err
 		}
+		if invalid != nil {
+			return invalid
+		}
 		if errors.Is(err, io.EOF) {
 			if isStream && (events.hasIncomplete() || (answered.Response.EndsWithConnection && !events.began)) {
 				return io.ErrUnexpectedEOF
@@ -134,7 +148,7 @@
 }
 
 // passableEvents returns the bytes of a stream to pass on now that a chunk has arrived: of a resumable stream the events that
-// are complete, else the chunk.
+// are complete, else the chunk. The error reports what follows these and must not be passed on.
 func (e *exchange) passableEvents(chunk []byte, events *eventBuffer) ([]byte, error) {
 	if e.route.Resumable {
 		return events.addChunk(chunk)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -124,6 +124,7 @@
 	dispatch    *dispatch.Dispatch
 	callerCtx   context.Context // ends when the caller disconnects
 	headWritten bool            // the status and header of the response have been written
+	mediaType   string          // of that response
 
 	longestGap  time.Duration // longest wait for a chunk of the response body
 	bodyBytes   int           // bytes received of the body of the current response
