Let the soak spoil answers, and check what targets say of themselves

The checker records which process has forwarded a request to which run of a target, and reports requests later than 2 s after the process had passed on that the target leaves, more than two within a rest, and more than three of undisturbed processes later than 3 s after the third end of a target.

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -26,8 +26,8 @@
 	keepAliveProbes   = 2
 	maxIdlePerTarget  = 16
 	// rememberedIDs is the number of requests on a connection whose ids are remembered. A late copy of an answer comes within fewer.
-	rememberedIDs = 16
-	readBufferBytes   = 4 << 10
+	rememberedIDs   = 16
+	readBufferBytes = 4 << 10
 )
 
 // Pool holds idle connections by target address. Its methods are safe for concurrent use.
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -48,6 +48,7 @@
 	highestRoutes map[string]routesResponse // by process: the first response that used the highest version of the routes
 	violations    []string
 	statusCounts  map[int]int // responses by HTTP status
+	notices       notices
 }
 
 // routesResponse is a response that a gateway routed by a version of the routes.
@@ -58,7 +59,7 @@
 
 // New returns a checker without records.
 func New(limits Limits) *Checker {
-	return &Checker{limits: limits, runsByRequest: map[string]int{}, atMostOnce: map[string]bool{}, highestRoutes: map[string]routesResponse{}, statusCounts: map[int]int{}}
+	return &Checker{limits: limits, runsByRequest: map[string]int{}, atMostOnce: map[string]bool{}, highestRoutes: map[string]routesResponse{}, statusCounts: map[int]int{}, notices: newNotices()}
 }
 
 // RecordRequest records that a caller sends a request. With atMostOnce set, a second run of it is a violation.
@@ -203,7 +204,7 @@
 	for _, n := range c.runsByRequest {
 		retries += max(0, n-1)
 	}
-	violations = slices.Clone(c.violations)
+	violations = append(slices.Clone(c.violations), c.notices.violations()...)
 	if maxRetries := c.limits.RetryRatio*float64(c.requestCount) + float64(c.limits.RetryExtra); float64(retries) > maxRetries {
 		violations = append(violations, fmt.Sprintf("%d retries for %d requests, limit %.0f", retries, c.requestCount, maxRetries))
 	}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -17,6 +17,18 @@
 
 func atMs(ms int) time.Time { return startTime.Add(time.Duration(ms) * time.Millisecond) }
 
+// recordRest records a refusal and a number of requests of the same process within its rest.
+func recordRest(c *soak.Checker, requests int) {
+	for i := range requests + 1 {
+		c.RecordSender(fmt.Sprint(i), "g-1")
+		arrival := soak.Arrival{RequestID: fmt.Sprint(i), Target: "t", Run: "t/1", At: atMs(i * 600)}
+		if i == 0 {
+			arrival.Rest = 3 * time.Second
+		}
+		c.RecordArrival(arrival)
+	}
+}
+
 // TestCheckerReportsEachViolation feeds the checker one violation at a time, and next to each the closest sequence that is
 // allowed.
 func TestCheckerReportsEachViolation(t *testing.T) {
@@ -34,8 +46,38 @@
 		"stream of two software versions": {func(c *soak.Checker) { c.CheckStream("a", []string{"token-1-at-v1", "token-2-at-v2"}) }, "stream a: event 2"},
 		"stream with a gap":               {func(c *soak.Checker) { c.CheckStream("a", []string{"token-1-at-v1", "token-3-at-v1"}) }, "stream a: event 2"},
 		"stream that breaks off":          {func(c *soak.Checker) { c.CheckStream("a", []string{"token-1-at-v1", "token-2-at-v1"}) }, ""},
-		"at-most-once request run twice":  {func(c *soak.Checker) { c.RecordRequest("a", true); c.RecordRun("a"); c.RecordRun("a") }, "request a ran 2 times"},
-		"repeatable request run twice":    {func(c *soak.Checker) { c.RecordRequest("a", false); c.RecordRun("a"); c.RecordRun("a") }, ""},
+		"request to a target that leaves": {func(c *soak.Checker) {
+			c.RecordSender("a", "g-1")
+			c.RecordLeaving("g-1", "t/1", atMs(0))
+			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(2100)})
+		}, "request a reached t/1 from g-1 2.1s after"},
+		"request to a target that leaves, through another process": {func(c *soak.Checker) {
+			c.RecordSender("a", "h-1")
+			c.RecordLeaving("g-1", "t/1", atMs(0))
+			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(2100)})
+		}, ""},
+		"request to a target that leaves, after a freeze": {func(c *soak.Checker) {
+			c.RecordSender("a", "g-1")
+			c.RecordLeaving("g-1", "t/1", atMs(0))
+			c.RecordDisturbance("g", atMs(100), atMs(1500))
+			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(2100)})
+		}, ""},
+		"three requests within a rest": {func(c *soak.Checker) { recordRest(c, 3) }, "t/1 got 3 requests from g-1 within a rest of 3s"},
+		"two requests within a rest":   {func(c *soak.Checker) { recordRest(c, 2) }, ""},
+		"a request that ends targets": {func(c *soak.Checker) {
+			c.RecordSender("a", "g-1")
+			for i := range 7 {
+				c.RecordEnd("content", "a", atMs(i/3*3100))
+			}
+		}, "7 targets ended under content, 4 of them late"},
+		"a request that ends targets is stopped in time": {func(c *soak.Checker) {
+			c.RecordSender("a", "g-1")
+			for i := range 9 {
+				c.RecordEnd("content", "a", atMs(i*360))
+			}
+		}, ""},
+		"at-most-once request run twice": {func(c *soak.Checker) { c.RecordRequest("a", true); c.RecordRun("a"); c.RecordRun("a") }, "request a ran 2 times"},
+		"repeatable request run twice":   {func(c *soak.Checker) { c.RecordRequest("a", false); c.RecordRun("a"); c.RecordRun("a") }, ""},
 		"request refused with status 503 but run": {func(c *soak.Checker) {
 			c.RecordRequest("a", true)
 			c.RecordRun("a")
--- a/soak_faults_test.go
+++ b/soak_faults_test.go
@@ -72,10 +72,16 @@
 	}
 	f := faults[s.rng.IntN(len(faults))]
 	s.logFault("%s for %s", f.name, duration)
+	began := time.Now()
 	f.begin()
 	s.activeFaults.Go(func() {
 		time.Sleep(duration)
 		f.end()
+		for _, name := range []string{target.id, node.name} {
+			if strings.HasSuffix(f.name, name) {
+				s.checker.RecordDisturbance(name, began, time.Now())
+			}
+		}
 	})
 }
 
--- a/soak_series_test.go
+++ b/soak_series_test.go
@@ -62,7 +62,11 @@
 			if n.role == "gateway" {
 				p, _ := n.currentProcess()
 				p.signal(syscall.SIGKILL)
-				restarts.Go(func() { s.restart(n, p) })
+				restarts.Go(func() {
+					began := time.Now()
+					s.restart(n, p)
+					s.checker.RecordDisturbance(n.name, began, time.Now())
+				})
 			}
 		}
 		restarts.Wait()
--- a/soak_test.go
+++ b/soak_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,11 +55,12 @@
 		"hangup in a drain": {seed: 30007}, "hangup in a second drain": {seed: 30001}, // SIGHUP terminated a gateway while it drained
 		"second stop": {seed: 40012}, // a second SIGTERM terminated an agent that had stopped but not yet exited
 		"restores":    {seed: 29001, series: allSeries},
+		"answers":     {seed: 32001, series: answerSeries},
 	}
 	if os.Getenv(soakSeedVariable) != "" {
 		clear(cases)
 		given := cases["given"]
-		given.seed, given.series = envUint(t, soakSeedVariable, 1), allSeries
+		given.seed, given.series = envUint(t, soakSeedVariable, 1), append(slices.Clone(allSeries), answerSeries...)
 		cases["given"] = given
 	}
 	for name, c := range cases {
@@ -99,6 +101,7 @@
 	*site.Target
 	id, service string
 	link        *link.Link
+	answers     soakAnswers
 }
 
 func newSoakDeployment(t *testing.T, seed uint64) *soakDeployment {
@@ -149,7 +152,8 @@
 }
 
 func (s *soakDeployment) addTarget(id, service, ip, agentPort string) {
-	target := &soakTarget{id: id, service: service, Target: site.NewTargetAt(ip+":"+s.freePort(), id, func(conn net.Conn, seen *site.ReceivedRequest) bool { return s.respond(id, conn, seen) })}
+	target := &soakTarget{id: id, service: service}
+	target.Target = site.NewTargetAt(ip+":"+s.freePort(), id, func(conn net.Conn, seen *site.ReceivedRequest) bool { return s.respond(target, conn, seen) })
 	s.t.Cleanup(target.Close)
 	target.link = s.startLink(ip+":"+s.freePort(), target.Address())
 	s.targets = append(s.targets, target)
@@ -168,14 +172,17 @@
 
 // respond records that a target runs a request and answers it: with text that holds the request id, or with a stream of
 // events if the request names a model.
-func (s *soakDeployment) respond(target string, conn net.Conn, seen *site.ReceivedRequest) bool {
+func (s *soakDeployment) respond(target *soakTarget, conn net.Conn, seen *site.ReceivedRequest) bool {
 	id := seen.Header.Get("X-Gypsumbank-Request-Id")
+	if done, keepOpen := s.respondFaulty(target, conn, seen); done {
+		return keepOpen
+	}
 	s.checker.RecordRun(id)
 	if seen.Header.Get("X-Gypsumbank-Model") == "" {
 		return site.TextResponse(http.StatusOK, "for "+id)(conn, seen)
 	}
 	if strings.Contains(seen.RequestLine, " /resumable/") {
-		return site.VersionedEventStream(eventsPerStream, streamEventInterval, softwareVersion(target), 0)(conn, seen)
+		return site.VersionedEventStream(eventsPerStream, streamEventInterval, softwareVersion(target.id), 0)(conn, seen)
 	}
 	return site.EventStream(eventsPerStream, streamEventInterval, 0)(conn, seen)
 }
@@ -340,12 +347,14 @@
 	}
 	s.checker.RecordRequest(id, method == http.MethodPost)
 	_, processName := gateway.currentProcess()
+	s.checker.RecordSender(id, processName)
 	sentAt := time.Now()
 	response, err := client.Do(request)
 	if err == nil {
 		defer response.Body.Close()
 		body, err := io.ReadAll(response.Body)
 		result.Status, result.Body, result.Complete = response.StatusCode, string(body), err == nil
+		s.recordLeaving(processName, response.Header)
 	}
 	s.checker.CheckResponse(result)
 	if version, ok := strings.CutPrefix(path, "/version-"); ok && result.Status == http.StatusOK {
--- a/standin/site/answers.go
+++ b/standin/site/answers.go
@@ -14,9 +14,10 @@
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), headers, len(body), body)
 }
 
-// IdentityHeaders returns the response headers that match an answer to its request: the request's id and a stamp.
+// IdentityHeaders returns the response headers that match an answer to its request, the request's id and a stamp, and those that the
+// request's AnswerHeaders name.
 func IdentityHeaders(request *ReceivedRequest) string {
-	return "X-Gypsumbank-Request-Id: " + request.Header.Get("X-Gypsumbank-Request-Id") + "\r\nX-Gypsumbank-Response-Stamp: stamp\r\n"
+	return "X-Gypsumbank-Request-Id: " + request.Header.Get("X-Gypsumbank-Request-Id") + "\r\nX-Gypsumbank-Response-Stamp: stamp\r\n" + request.AnswerHeaders
 }
 
 // TextResponse responds with a status and a body and keeps the connection open.
--- a/standin/site/target.go
+++ b/standin/site/target.go
@@ -18,6 +18,8 @@
 	Header      http.Header
 	Body        []byte
 	CallerLeft  bool // the caller closed the connection before the response was complete
+
+	AnswerHeaders string // header lines that the answer has in addition, each ending in CRLF
 }
 
 // Handler writes the response to a request to its connection and reports whether the connection stays open.
@@ -251,7 +253,7 @@
 func (t *Target) RegistryEntryAt(address, service, state string) map[string]any {
 	return map[string]any{
 		"service": service, "address": address, "zone": "zone-a", "version": "v1", "slots": 8, "state": state,
-		"coldRemainingMs": 0, "sequence": 1, "born": t.currentRun(), "models": t.loadedModels(),
+		"coldRemainingMs": 0, "sequence": 1, "born": t.Run(), "models": t.loadedModels(),
 	}
 }
 
@@ -342,7 +344,7 @@
 	case "/-/report":
 		report, err := json.Marshal(map[string]any{
 			"models": t.loadedModels(), "busy": false, "sequence": t.orderSequence(), "waiting": 0, "running": 0, "kvUsed": 0,
-			"kvTotal": 1000000, "state": "ready", "born": t.currentRun(), "coming": []string{}, "atHand": map[string]any{"inMemory": []string{}, "onDisk": t.modelsOnDisk()},
+			"kvTotal": 1000000, "state": "ready", "born": t.Run(), "coming": []string{}, "atHand": map[string]any{"inMemory": []string{}, "onDisk": t.modelsOnDisk()},
 		})
 		if err != nil {
 			return false
@@ -354,7 +356,8 @@
 	return true
 }
 
-func (t *Target) currentRun() int64 {
+// Run returns the number of the current run.
+func (t *Target) Run() int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.runNumber
