Wait for changes of the blocked contents instead of reading them all the time

Without agents each gateway read the whole row about every 0.8 s: 69 KB a second with a full row, where a node may spend 12 KB a second for control at the planned size. It waits for a change now, up to 5 s a call, and reads the row only then; its own crashes end the wait.

--- a/blocklist/list.go
+++ b/blocklist/list.go
@@ -19,9 +19,11 @@
 	"gypsumbank/wire"
 )
 
+// Table is the table of the store that holds the row.
+const Table = "quarantine"
+
 const (
-	table = "quarantine"
-	key   = "blocked"
+	key = "blocked"
 	// maxEntries, maxCrashes and maxContentsPerCrash bound the row to about 55 KB.
 	maxEntries          = 400
 	maxCrashes          = 24
@@ -73,11 +75,11 @@
 // Sync adds what is stored to the quarantine, stores what the row lacks and returns the contents that are blocked now and were not
 // before. The error wraps platform.ErrConflict if another process wrote the row at the same time.
 func (l *List) Sync(ctx context.Context) ([]request.Content, error) {
-	row, nowMs, err := l.store.Row(ctx, table, "", key)
+	row, nowMs, err := l.store.Row(ctx, Table, "", key)
 	var stored record
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		row = platform.Row{Table: table, Key: key}
+		row = platform.Row{Table: Table, Key: key}
 	case err != nil:
 		return nil, fmt.Errorf("read list of blocked contents: %w", err)
 	default:
--- a/gateway/blocked_contents.go
+++ b/gateway/blocked_contents.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// blockedReadInterval is the interval between reads of the list of blocked contents while no agent passes it on, before jitter.
-	blockedReadInterval = 800 * time.Millisecond
-	// blockedCheckInterval is the interval at which the gateway checks whether agents do.
+	// blockedLongPoll bounds a wait for changes of the list of blocked contents while no agent passes it on.
+	blockedLongPoll = 5 * time.Second
+	// blockedRetryInterval is the pause after a failed read or write, before jitter.
+	blockedRetryInterval = 800 * time.Millisecond
+	// blockedCheckInterval is the interval at which the gateway checks whether agents are connected.
 	blockedCheckInterval = 200 * time.Millisecond
 	// maxConflictDelay bounds the pause after another gateway has written the list at the same time.
 	maxConflictDelay = 100 * time.Millisecond
@@ -25,6 +27,7 @@
 // blockedContents shares crashes and blocked contents with other gateways through the store while no agent that would pass them on
 // is connected.
 type blockedContents struct {
+	store   *platform.Store
 	list    *blocklist.List
 	crashes *crashes
 	agents  *agentClients
@@ -32,8 +35,8 @@
 	due     chan struct{} // holds a value after a crash
 }
 
-func newBlockedContents(store blocklist.Store, crashes *crashes, agents *agentClients, log *logrus.Entry) *blockedContents {
-	return &blockedContents{list: blocklist.New(store, crashes.table, log), crashes: crashes, agents: agents, log: log, due: make(chan struct{}, 1)}
+func newBlockedContents(store *platform.Store, crashes *crashes, agents *agentClients, log *logrus.Entry) *blockedContents {
+	return &blockedContents{store: store, list: blocklist.New(store, crashes.table, log), crashes: crashes, agents: agents, log: log, due: make(chan struct{}, 1)}
 }
 
 // changed has the list written soon if no agent is connected.
@@ -44,33 +47,62 @@
 	}
 }
 
-// run reads and writes the list while no agent is connected, until ctx ends.
+// run reads and writes the list as it changes, while no agent is connected, until ctx ends.
 func (b *blockedContents) run(ctx context.Context) error {
+	var position platform.Position
 	lost := false
 	for ctx.Err() == nil {
 		if b.agents.connectedRelays() > 0 {
-			lost = false
+			position, lost = platform.Position{}, false
 			_ = pause.For(ctx, blockedCheckInterval)
 			continue
 		}
-		err := b.sync(ctx)
-		if errors.Is(err, platform.ErrConflict) {
-			_ = pause.For(ctx, rand.N(maxConflictDelay))
+		changed, next, err := b.waitForChange(ctx, position)
+		position = next
+		for err == nil && changed {
+			err = b.sync(ctx)
+			changed = errors.Is(err, platform.ErrConflict)
+			if changed {
+				err = pause.For(ctx, rand.N(maxConflictDelay))
+			}
+		}
+		if err == nil {
+			lost = false
 			continue
 		}
-		if err != nil && !lost && ctx.Err() == nil {
+		if !lost && ctx.Err() == nil && !errors.Is(err, platform.ErrHistoryLost) {
 			b.log.WithError(err).Warn("blocked contents are not shared: no agent is connected and the store does not answer")
+			lost = true
 		}
-		lost = err != nil
-		select {
-		case <-ctx.Done():
-		case <-b.due:
-		case <-time.After(blockedReadInterval/2 + rand.N(blockedReadInterval)):
-		}
+		position = platform.Position{}
+		_ = pause.For(ctx, blockedRetryInterval/2+rand.N(blockedRetryInterval))
 	}
 	return ctx.Err()
 }
 
+// waitForChange waits until the list has changed after a position or a crash is to be written, and returns the position to go on from.
+func (b *blockedContents) waitForChange(ctx context.Context, after platform.Position) (changed bool, next platform.Position, err error) {
+	timeout := storeTimeout
+	if after != (platform.Position{}) {
+		timeout += blockedLongPoll
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		changed, next, err = b.store.WaitForChange(ctx, blocklist.Table, after, blockedLongPoll)
+	}()
+	select {
+	case <-done:
+		return changed, next, err
+	case <-b.due:
+		cancel()
+		<-done
+		return true, after, nil
+	}
+}
+
 // sync reads and writes the list once.
 func (b *blockedContents) sync(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
--- a/notice/table_test.go
+++ b/notice/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -131,3 +132,24 @@
 		t.Errorf("%d runs are kept an hour later", n)
 	}
 }
+
+// TestFullTableIsSmall measures a full table. A node may spend 256 MB for control; a hundredth of that is for this.
+func TestFullTableIsSmall(t *testing.T) {
+	const runs, maxTableBytes = 4096, 256 << 20 / 100
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	table := notice.New()
+	for i := range runs {
+		said := registry.Notice{Leaving: true, Rest: time.Minute, Limit: registry.RequestLimit{Named: true, PerSecond: 1}}
+		table.Record(registry.Target{ID: fmt.Sprintf("i-%010x", i)}, said, at(i), 3, at(i))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("a full table takes %d KB", used>>10)
+	if used > maxTableBytes {
+		t.Errorf("a full table takes %d bytes, want at most %d", used, maxTableBytes)
+	}
+	runtime.KeepAlive(table)
+}
