--- a/soak_answers_test.go
+++ b/soak_answers_test.go
@@ -27,14 +27,20 @@
 type soakAnswers struct {
 	mu     sync.Mutex
 	faults answerFaults
-	copies map[net.Conn]string // of refusals, to be written before the next answer on their connection
+	copies map[copyKey]string // of refusals, to be written before an answer to the same request on the same connection
+}
+
+// copyKey is a refused request on a connection.
+type copyKey struct {
+	conn      net.Conn
+	requestID string
 }
 
 // answerFaults are the faults of a target's answers.
 type answerFaults struct {
 	leaving        bool          // says that it leaves
 	rest           time.Duration // refuses and asks for a rest
-	refuses        bool          // refuses every second request and writes the refusal once more before the next answer
+	refuses        bool          // refuses every second request and writes the refusal once more before the answer to the next send
 	cutHead        bool          // closes in the middle of the head of every second answer
 	errorsOnResume bool          // answers a stream that is to go on with an error
 	answered       int
@@ -54,30 +60,30 @@
 	a.faults.leaving = leaving
 }
 
-// next returns the faults of the next answer, and the copy of a refusal that comes before it on its connection.
-func (a *soakAnswers) next(conn net.Conn) (faults answerFaults, refusalCopy string) {
+// next returns the faults of the next answer, and the copy of a refusal that comes before it.
+func (a *soakAnswers) next(key copyKey) (faults answerFaults, refusalCopy string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.faults.answered++
-	refusalCopy = a.copies[conn]
-	delete(a.copies, conn)
+	refusalCopy = a.copies[key]
+	delete(a.copies, key)
 	return a.faults, refusalCopy
 }
 
-// keepCopy has a refusal be written again before the next answer on its connection.
-func (a *soakAnswers) keepCopy(conn net.Conn, refusal string) {
+// keepCopy has a refusal be written again before the answer to the same request on the same connection.
+func (a *soakAnswers) keepCopy(key copyKey, refusal string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.copies == nil {
-		a.copies = map[net.Conn]string{}
+		a.copies = map[copyKey]string{}
 	}
-	a.copies[conn] = refusal
+	a.copies[key] = refusal
 }
 
 // respondFaulty answers a request if the target has a fault that concerns it; done is false if it is to be answered as usual.
 func (s *soakDeployment) respondFaulty(target *soakTarget, conn net.Conn, seen *site.ReceivedRequest) (done, keepOpen bool) {
 	id := seen.Header.Get("X-Gypsumbank-Request-Id")
-	faults, refusalCopy := target.answers.next(conn)
+	faults, refusalCopy := target.answers.next(copyKey{conn, id})
 	run := fmt.Sprintf("%s/%d", target.id, target.Run())
 	s.checker.RecordArrival(soak.Arrival{RequestID: id, Target: target.id, Run: run, At: time.Now(), Rest: faults.rest})
 	_, _ = io.WriteString(conn, refusalCopy)
@@ -93,7 +99,7 @@
 		return true, err == nil
 	case faults.refuses && second:
 		refusal += "Content-Length: 0\r\n\r\n"
-		target.answers.keepCopy(conn, refusal)
+		target.answers.keepCopy(copyKey{conn, id}, refusal)
 		_, err := io.WriteString(conn, refusal)
 		return true, err == nil
 	case strings.Contains(seen.RequestLine, endingPath):
@@ -124,11 +130,11 @@
 // that some are asked again, until ctx ends.
 func (s *soakDeployment) spoilAnswers(ctx context.Context) {
 	rng := s.seriesRand(20)
-	for ctx.Err() == nil {
+	for turn := rng.IntN(4); ctx.Err() == nil; turn++ {
 		target := s.targets[rng.IntN(len(s.targets))]
 		duration := between(rng, time.Second, 3*time.Second)
 		rest := between(rng, 700*time.Millisecond, 2500*time.Millisecond).Round(time.Millisecond)
-		faults := []answerFaults{{rest: rest}, {refuses: true}, {cutHead: true}, {errorsOnResume: true}}[rng.IntN(4)]
+		faults := []answerFaults{{rest: rest}, {refuses: true}, {cutHead: true}, {errorsOnResume: true}}[turn%4]
 		spoiled := []*soakTarget{target}
 		if faults.refuses {
 			spoiled = s.targets
