--- a/agent/rest_test.go
+++ b/agent/rest_test.go
@@ -1,12 +1,8 @@
 package agent
 
 import (
-	"context"
 	"testing"
 	"time"
-
-	"gypsumbank/settings"
-	"gypsumbank/standin/site"
 )
 
 // TestEngineThatWantsARestIsNotCalled guards against reports, health checks and orders to an engine that has refused one with the time
@@ -17,29 +13,7 @@
 		reaction = 500 * time.Millisecond // after a refusal, from which on allowed calls may still come
 		allowed  = 2
 	)
-	store := site.NewStore()
-	defer store.Close()
-	engine := site.NewTarget("e1", site.EventStream(3, 0, 0))
-	defer engine.Close()
-	engine.Load("m1")
-	store.Put("op", "config", map[string]any{"version": 1, "services": []any{map[string]any{
-		"name": "llm", "healthPath": "/healthz", "engine": map[string]any{"slots": 8, "weightsMb": 100.0, "models": []any{map[string]any{"name": "m1", "weightsMb": 50.0}}},
-	}}})
-	store.Put("servers", "e1", engine.RegistryEntry("llm", "ready"))
-	a := New(&settings.Config{
-		Node:  settings.Node{Name: "agent-1"},
-		Agent: settings.Agent{Listen: freeAddress(t), Target: engine.Address(), Service: "llm"},
-		Store: settings.Store{Address: store.Address()},
-	}, testLogger(t))
-	ctx, stop := context.WithCancel(t.Context())
-	result := make(chan error, 1)
-	go func() { result <- a.Run(ctx) }()
-	defer func() {
-		stop()
-		if err := <-result; err != nil {
-			t.Error(err)
-		}
-	}()
+	_, _, engine, _ := startTestAgent(t)
 	time.Sleep(time.Second)
 	began := time.Now()
 	engine.SetRest(rest)
--- a/agent/restored_store_test.go
+++ b/agent/restored_store_test.go
@@ -16,45 +16,53 @@
 // TestRowsAreWrittenAgainAfterARestore guards against rows that nobody writes again once the store has come back from a copy without
 // them: the holder of an engine's orders, the models that it holds and the blocked contents. The agent learns of it from a gateway.
 func TestRowsAreWrittenAgainAfterARestore(t *testing.T) {
+	a, store, engine, copied := startTestAgent(t)
+	content := request.Content{Hash: 77}
+	for run := range uint64(3) {
+		a.watchers.quarantine.Blame(run, []request.Content{content})
+		time.Sleep(300 * time.Millisecond)
+	}
+	a.watchers.requestBlocklist()
+	rows := map[string][3]string{
+		"fence":    {"order-holders", engine.Address(), "holder"},
+		`"m1"`:     {"inventories", engine.Address(), "models"},
+		`"blocked`: {"quarantine", "", "blocked"},
+	}
+	waitForRows(t, store, rows, "its start")
+	store.Restore(copied, "op", "servers")
+	a.observeEpoch(2, "gateway-1")
+	waitForRows(t, store, rows, "the restore")
+}
+
+// startTestAgent runs an agent until the end of the test, before an engine that holds a model, and returns it with its store and engine and
+// what the store held before.
+func startTestAgent(t *testing.T) (*Agent, *site.Store, *site.Target, site.Snapshot) {
+	t.Helper()
 	store := site.NewStore()
-	defer store.Close()
+	t.Cleanup(store.Close)
 	engine := site.NewTarget("e1", site.EventStream(3, 0, 0))
-	defer engine.Close()
+	t.Cleanup(engine.Close)
 	engine.Load("m1")
 	store.Put("op", "config", map[string]any{"version": 1, "services": []any{map[string]any{
 		"name": "llm", "healthPath": "/healthz", "engine": map[string]any{"slots": 8, "weightsMb": 100.0, "models": []any{map[string]any{"name": "m1", "weightsMb": 50.0}}},
 	}}})
 	store.Put("servers", "e1", engine.RegistryEntry("llm", "ready"))
-	copied := store.Snapshot()
+	before := store.Snapshot()
 	a := New(&settings.Config{
 		Node:  settings.Node{Name: "agent-1"},
 		Agent: settings.Agent{Listen: freeAddress(t), Target: engine.Address(), Service: "llm"},
 		Store: settings.Store{Address: store.Address()},
 	}, testLogger(t))
-	ctx, stop := context.WithCancel(t.Context())
+	ctx, stop := context.WithCancel(context.Background())
 	result := make(chan error, 1)
 	go func() { result <- a.Run(ctx) }()
-	defer func() {
+	t.Cleanup(func() {
 		stop()
 		if err := <-result; err != nil {
 			t.Error(err)
 		}
-	}()
-	content := request.Content{Hash: 77}
-	for run := range uint64(3) {
-		a.watchers.quarantine.Blame(run, []request.Content{content})
-		time.Sleep(300 * time.Millisecond)
-	}
-	a.watchers.requestBlocklist()
-	rows := map[string][3]string{
-		"fence":    {"order-holders", engine.Address(), "holder"},
-		`"m1"`:     {"inventories", engine.Address(), "models"},
-		`"blocked`: {"quarantine", "", "blocked"},
-	}
-	waitForRows(t, store, rows, "its start")
-	store.Restore(copied, "op", "servers")
-	a.observeEpoch(2, "gateway-1")
-	waitForRows(t, store, rows, "the restore")
+	})
+	return a, store, engine, before
 }
 
 // testLogger returns a logger whose lines are shown if the test fails.
