Bound the rate at which a gateway without agents asks for changes of the blocked contents

Found in the last read: a store that answers a waiting read at once without a change would have been asked without a pause. At least 200 ms are between two calls now, as for the routes.

--- a/gateway/blocked_contents.go
+++ b/gateway/blocked_contents.go
@@ -57,6 +57,7 @@
 			_ = pause.For(ctx, blockedCheckInterval)
 			continue
 		}
+		started := time.Now()
 		changed, next, err := b.waitForChange(ctx, position)
 		position = next
 		for err == nil && changed {
@@ -68,6 +69,7 @@
 		}
 		if err == nil {
 			lost = false
+			_ = pause.For(ctx, minStoreInterval-time.Since(started)) // a store may answer at once without a change
 			continue
 		}
 		if !lost && ctx.Err() == nil && !errors.Is(err, platform.ErrHistoryLost) {
