Log how an answer was framed, how far its request was written and where it ended

Package framing names the three framings in place of a flag that was worked out from two fields. No behaviour changes but that an answer to HEAD without a length is no longer taken for one without an end.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -13,6 +13,7 @@
 
 	"gypsumbank/dispatch"
 	"gypsumbank/fleet"
+	"gypsumbank/framing"
 	"gypsumbank/platform"
 	"gypsumbank/registry"
 	"gypsumbank/route"
@@ -39,7 +40,8 @@
 	err := e.copyBody(answered, events)
 	e.log().WithFields(logrus.Fields{
 		"target": answered.Assignment.Target().ID, "status": answered.Response.Status, "longest-gap-ms": e.longestGap.Milliseconds(),
-		"priority": e.route.Priority, "whole": err == nil,
+		"priority": e.route.Priority, "whole": err == nil, "framing": answered.Response.Framing.String(), "request-written": answered.Response.WriteState().String(),
+		"body-bytes": e.bodyBytes, "within-event": events.hasIncomplete(), "protocol": e.protocol,
 	}).Info("answer ends")
 	switch {
 	case err == nil:
@@ -86,7 +88,7 @@
 func (e *exchange) judgeContents(answered dispatch.Answered, whole bool) {
 	endedSoon := e.firstByteAt.IsZero() || time.Since(e.firstByteAt) < crashOnset
 	switch {
-	case whole && (!answered.Response.EndsWithConnection || !endedSoon):
+	case whole && (answered.Response.Framing != framing.Connection || !endedSoon):
 		if answered.Response.Status < http.StatusInternalServerError {
 			e.dispatch.MarkAnswered()
 		}
@@ -136,7 +138,7 @@
 			return invalid
 		}
 		if errors.Is(err, io.EOF) {
-			if isStream && (events.hasIncomplete() || (answered.Response.EndsWithConnection && !events.began)) {
+			if isStream && (events.hasIncomplete() || (answered.Response.Framing == framing.Connection && !events.began)) {
 				return io.ErrUnexpectedEOF
 			}
 			return nil
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,7 +61,7 @@
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
 	d := g.dispatcher.Begin(r.Context(), req, matchedRoute, service)
 	defer d.Close()
-	ex := &exchange{gateway: g, writer: w, request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context()}
+	ex := &exchange{gateway: g, writer: w, request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context(), protocol: r.Proto}
 	ex.run()
 }
 
@@ -123,6 +123,7 @@
 	route       *route.Route
 	dispatch    *dispatch.Dispatch
 	callerCtx   context.Context // ends when the caller disconnects
+	protocol    string          // of the request, such as HTTP/1.1
 	headWritten bool            // the status and header of the response have been written
 	mediaType   string          // of that response
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gypsumbank/connpool"
+	"gypsumbank/framing"
 )
 
 var (
@@ -47,14 +48,18 @@
 
 // Response is the HTTP response of a target. Its body must be closed.
 type Response struct {
-	Status int
-	Header http.Header
-	Length int64 // length of the body in bytes; -1 if unknown
-	Body   io.ReadCloser
-	// EndsWithConnection reports that the body has neither a length nor chunks, so that its end does not show that it is whole.
-	EndsWithConnection bool
+	Status  int
+	Header  http.Header
+	Length  int64 // length of the body in bytes; -1 if unknown
+	Framing framing.Framing
+	Body    io.ReadCloser
+
+	write *requestWrite
 }
 
+// WriteState returns how far the request of the response has been written.
+func (r *Response) WriteState() WriteState { return r.write.state() }
+
 // Sender sends requests over pooled connections.
 type Sender struct {
 	pool *connpool.Pool
@@ -75,19 +80,15 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
 	stopAbort := context.AfterFunc(ctx, conn.Abort)
-	writeDone := make(chan error, 1)
-	go func() {
-		_, err := conn.Write(encodeRequest(request))
-		writeDone <- err
-	}()
+	write := startWrite(conn, encodeRequest(request))
 	response, err := readResponse(conn, request) //nolint:bodyclose // closed by the body of the returned response
 	if err != nil {
 		stopAbort()
 		conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoUsableResponse, err)
 	}
-	body := &responseBody{sender: s, conn: conn, response: response, writeDone: writeDone, stopAbort: stopAbort, keepConn: request.MaxConnIdle > 0}
-	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: body, EndsWithConnection: endsWithConnection(response)}, nil
+	body := &responseBody{sender: s, conn: conn, response: response, write: write, stopAbort: stopAbort, keepConn: request.MaxConnIdle > 0}
+	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framing.Of(response), Body: body, write: write}, nil
 }
 
 // encodeRequest returns the bytes of a request. The response does not depend on how they are split into packets.
@@ -123,7 +124,7 @@
 		if request.ID == "" || response.Header.Get(request.IDHeader) == request.ID {
 			return response, nil
 		}
-		if endsWithConnection(response) {
+		if framing.Of(response) == framing.Connection {
 			return nil, errors.New("response to another request, with no known end")
 		}
 		conn.LimitReads(maxSkippedBytes)
@@ -134,17 +135,12 @@
 	return nil, errors.New("no response with the id of the request")
 }
 
-// endsWithConnection reports whether only the end of the connection ends the body of a response.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // responseBody is the body of a response. It returns the connection to the pool once it has been read to the end.
 type responseBody struct {
 	sender    *Sender
 	conn      *connpool.Conn
 	response  *http.Response
-	writeDone chan error
+	write     *requestWrite
 	stopAbort func() bool
 	keepConn  bool
 	done      bool
@@ -174,23 +170,13 @@
 // release returns the connection to the pool, or closes it if it is not fit for reuse.
 func (b *responseBody) release() {
 	b.done = true
-	if !b.stopAbort() || !b.keepConn || b.response.Close || !b.requestWritten() {
+	if !b.stopAbort() || !b.keepConn || b.response.Close || b.write.state() != Written {
 		b.conn.Close()
 		return
 	}
 	b.sender.pool.Put(b.conn, keepAliveTime(b.response.Header))
 }
 
-// requestWritten reports whether the whole request has been written. A target may respond before it has read all of it.
-func (b *responseBody) requestWritten() bool {
-	select {
-	case err := <-b.writeDone:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // keepAliveTime returns how long to keep an idle connection, based on the Keep-Alive header of the last response.
 func keepAliveTime(header http.Header) time.Duration {
 	_, after, found := strings.Cut(header.Get("Keep-Alive"), "timeout=")
