Read a reset that the write of the request is told of as a reset

What callers saw: an answer without length and chunks whose target resets the connection before it has read the whole request ended in order, and so looked complete.

At the end of such a body the write is stopped and asked how it ended: ECONNRESET came without an end in order; after an end in order the kernel says EPIPE, so that an answer that a target gives early and ends soundly stays one (TestEarlyAnswerThatEndsInOrderIsNoReset).

--- a/sender/request_write.go
+++ b/sender/request_write.go
@@ -1,12 +1,14 @@
 package sender
 
 import (
+	"errors"
 	"net"
-	"sync/atomic"
+	"syscall"
+	"time"
 )
 
 // WriteState is how far a request has been written to its connection. A target may respond before it has read all of it.
-type WriteState int32
+type WriteState int
 
 // States of a write.
 const (
@@ -19,19 +21,38 @@
 func (s WriteState) String() string { return [...]string{"pending", "done", "failed"}[s] }
 
 // requestWrite is the write of a request beside the read of its response.
-type requestWrite struct{ current atomic.Int32 }
+type requestWrite struct {
+	conn net.Conn
+	done chan struct{} // closed at the end of the write
+	err  error         // of the write; set before done is closed
+}
 
 // startWrite begins to write data to conn; the write ends when all is written or the connection is closed.
 func startWrite(conn net.Conn, data []byte) *requestWrite {
-	w := &requestWrite{}
+	w := &requestWrite{conn: conn, done: make(chan struct{})}
 	go func() {
-		if _, err := conn.Write(data); err != nil {
-			w.current.Store(int32(WriteFailed))
-			return
-		}
-		w.current.Store(int32(Written))
+		defer close(w.done)
+		_, w.err = conn.Write(data)
 	}()
 	return w
 }
 
-func (w *requestWrite) state() WriteState { return WriteState(w.current.Load()) }
+func (w *requestWrite) state() WriteState {
+	select {
+	case <-w.done:
+	default:
+		return Writing
+	}
+	if w.err != nil {
+		return WriteFailed
+	}
+	return Written
+}
+
+// stoppedByReset ends the write if it is still in progress and reports whether the connection was reset under it. The kernel tells one call of
+// a reset: if that is the write, a read beside it returns io.EOF. After an end in order the write fails with EPIPE instead.
+func (w *requestWrite) stoppedByReset() bool {
+	_ = w.conn.SetWriteDeadline(time.Now()) // fails only if the connection is closed, which ends the write too
+	<-w.done
+	return errors.Is(w.err, syscall.ECONNRESET)
+}
--- a/sender/reset_test.go
+++ b/sender/reset_test.go
@@ -53,3 +53,40 @@
 		t.Errorf("%d of %d answers that were reset end in order", endsInOrder, rounds)
 	}
 }
+
+// answerEarly accepts a connection, reads little of a request, answers without length or chunks, ends its side in order and closes the
+// connection, whose unread bytes then have it reset.
+func answerEarly(listener net.Listener) {
+	conn, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	_, _ = conn.Read(make([]byte, 100))
+	_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\n\r\ntoo large")
+	_ = conn.(*net.TCPConn).CloseWrite()
+	time.Sleep(5 * time.Millisecond)
+	conn.Close()
+}
+
+// TestEarlyAnswerThatEndsInOrderIsNoReset sends a request that is answered before it has been read. The answer ends in order, though the
+// rest of the request then has the connection reset.
+func TestEarlyAnswerThatEndsInOrderIsNoReset(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 16<<20)
+	for range 20 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go answerEarly(listener)
+		response, err := sender.New(connpool.New()).Send(t.Context(), listener.Addr().String(), &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Body: body})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(response.Body)
+		if err != nil || string(got) != "too large" {
+			t.Errorf("body %q, %v; want all of it", got, err)
+		}
+		response.Body.Close()
+		listener.Close()
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -87,8 +87,9 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoUsableResponse, err)
 	}
-	body := &responseBody{sender: s, conn: conn, response: response, write: write, stopAbort: stopAbort, keepConn: request.MaxConnIdle > 0}
-	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framing.Of(response), Body: body, write: write}, nil
+	bodyFraming := framing.Of(response)
+	body := &responseBody{sender: s, conn: conn, response: response, framing: bodyFraming, write: write, stopAbort: stopAbort, keepConn: request.MaxConnIdle > 0}
+	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: bodyFraming, Body: body, write: write}, nil
 }
 
 // encodeRequest returns the bytes of a request. The response does not depend on how they are split into packets.
@@ -140,6 +141,7 @@
 	sender    *Sender
 	conn      *connpool.Conn
 	response  *http.Response
+	framing   framing.Framing
 	write     *requestWrite
 	stopAbort func() bool
 	keepConn  bool
@@ -151,12 +153,19 @@
 		return 0, io.EOF
 	}
 	n, err := b.response.Body.Read(p)
-	if err == io.EOF {
-		b.release()
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if b.framing == framing.Connection && b.write.stoppedByReset() {
+		return n, errReset
+	}
+	b.release()
+	return n, io.EOF
 }
 
+// errReset reports a body whose end only the end of its connection marks, and whose connection was reset.
+var errReset = fmt.Errorf("%w: connection was reset", io.ErrUnexpectedEOF)
+
 // Close closes the connection unless the body has been read to the end.
 func (b *responseBody) Close() error {
 	if b.done {
