Reset the connection of a caller whose answer without chunks is broken off

Cause: to break off is to close the connection, and for these callers that is how a whole answer ends. The caller's connection is now set to be reset by any close from the head on until the answer has ended in order, so also when the gateway is killed or reaches the end of its grace.

The caller's side of an exchange has a type of its own, callerAnswer.

--- /dev/null
+++ b/gateway/caller_answer.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"gypsumbank/framing"
+	"gypsumbank/platform"
+	"gypsumbank/sender"
+)
+
+// callerAnswer is the answer to a caller, as far as it has been written.
+type callerAnswer struct {
+	writer    http.ResponseWriter
+	conn      net.Conn // of the caller; nil if it is not known
+	hasChunks bool     // the caller's protocol knows chunks
+	begun     bool     // the status and header have been written
+	framing   framing.Framing
+	mediaType string
+}
+
+func newCallerAnswer(w http.ResponseWriter, r *http.Request) *callerAnswer {
+	return &callerAnswer{writer: w, conn: connFromContext(r.Context()), hasChunks: r.ProtoAtLeast(1, 1)}
+}
+
+// begin writes the status and header of a target's answer.
+func (a *callerAnswer) begin(response *sender.Response) {
+	a.begun, a.mediaType, a.framing = true, mediaType(response.Header), framing.Chunks
+	header := a.writer.Header()
+	for name, values := range platform.AnswerHeader(response) {
+		header[name] = values
+	}
+	switch {
+	case response.Length >= 0:
+		a.framing = framing.Length
+		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
+	case !a.hasChunks:
+		a.framing = framing.Connection
+		a.resetOnClose(true)
+	}
+	a.writer.WriteHeader(response.Status)
+}
+
+// write writes a part of the body, at once unless the answer has a length.
+func (a *callerAnswer) write(chunk []byte) error {
+	if len(chunk) == 0 {
+		return nil
+	}
+	if _, err := a.writer.Write(chunk); err != nil || a.framing == framing.Length {
+		return err
+	}
+	return a.flush()
+}
+
+// finish has the answer end in order.
+func (a *callerAnswer) finish() error {
+	if a.framing != framing.Connection {
+		return nil
+	}
+	err := a.flush()
+	a.resetOnClose(false)
+	return err
+}
+
+func (a *callerAnswer) flush() error { return http.NewResponseController(a.writer).Flush() }
+
+// resetOnClose makes any close of the caller's connection reset it, also that by the end of this process: only a reset tells the caller of an
+// answer without length and chunks that it is broken off.
+func (a *callerAnswer) resetOnClose(reset bool) {
+	conn, ok := a.conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	const discardUnsent, keepUnsent = 0, -1
+	linger := keepUnsent
+	if reset {
+		linger = discardUnsent
+	}
+	_ = conn.SetLinger(linger) // fails only if the connection is closed already
+}
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -41,13 +41,16 @@
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
+// connFromContext returns the connection of a request; nil if the context names none.
+func connFromContext(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connContextKey{}).(net.Conn)
+	return conn
+}
+
 // closedWhileIdle reports whether the connection of a request was closed as idle just as the request arrived. Such a request
 // must not be forwarded: its caller gets no response and may send it again.
 func (c *connections) closedWhileIdle(ctx context.Context) bool {
-	conn, ok := ctx.Value(connContextKey{}).(net.Conn)
-	if !ok {
-		return false
-	}
+	conn := connFromContext(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closedIdle[conn]
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -14,7 +14,6 @@
 	"gypsumbank/dispatch"
 	"gypsumbank/fleet"
 	"gypsumbank/framing"
-	"gypsumbank/platform"
 	"gypsumbank/registry"
 	"gypsumbank/route"
 )
@@ -30,18 +29,18 @@
 // on another target and returns the outcome of that and true.
 func (e *exchange) forward(answered dispatch.Answered) (dispatch.Outcome, bool) {
 	defer answered.Response.Body.Close()
-	if e.headWritten && !e.continuesStream(answered) {
+	if e.answer.begun && !e.continuesStream(answered) {
 		answered.Assignment.End(fleet.Failed, time.Now())
 		e.refuseOrAbort(answered.Response.Status, dispatch.StreamBroken, 0)
 	}
-	e.writeHead(answered)
+	e.begin(answered)
 	e.bodyBytes, e.firstByteAt = 0, time.Time{}
 	events := &eventBuffer{lastID: e.request.LastEventID}
 	err := e.copyBody(answered, events)
 	e.log().WithFields(logrus.Fields{
 		"target": answered.Assignment.Target().ID, "status": answered.Response.Status, "longest-gap-ms": e.longestGap.Milliseconds(),
 		"priority": e.route.Priority, "whole": err == nil, "framing": answered.Response.Framing.String(), "request-written": answered.Response.WriteState().String(),
-		"body-bytes": e.bodyBytes, "within-event": events.hasIncomplete(), "protocol": e.protocol,
+		"body-bytes": e.bodyBytes, "within-event": events.hasIncomplete(), "to-caller": e.answer.framing.String(),
 	}).Info("answer ends")
 	switch {
 	case err == nil:
@@ -73,7 +72,7 @@
 
 // continuesStream reports whether an answer may be joined to the one that has begun: a success of the same run and of the same kind.
 func (e *exchange) continuesStream(answered dispatch.Answered) bool {
-	return answered.Response.Status < http.StatusMultipleChoices && mediaType(answered.Response.Header) == e.mediaType &&
+	return answered.Response.Status < http.StatusMultipleChoices && mediaType(answered.Response.Header) == e.answer.mediaType &&
 		e.dispatch.ContinuesStream(answered.Assignment.Target())
 }
 
@@ -97,21 +96,13 @@
 	}
 }
 
-// writeHead writes status and header of the response, once for an exchange: a resumed stream continues the first response.
-func (e *exchange) writeHead(answered dispatch.Answered) {
-	if e.headWritten {
+// begin writes status and header of the response, once for an exchange: a resumed stream continues the first response.
+func (e *exchange) begin(answered dispatch.Answered) {
+	if e.answer.begun {
 		return
 	}
-	e.headWritten, e.mediaType = true, mediaType(answered.Response.Header)
 	metrics.GetOrCreateHistogram(`gypsumbank_gateway_first_byte_seconds{kind="` + e.route.Kind.String() + `"}`).UpdateDuration(e.request.Arrived)
-	header := e.writer.Header()
-	for name, values := range platform.AnswerHeader(answered.Response) {
-		header[name] = values
-	}
-	if answered.Response.Length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(answered.Response.Length, 10))
-	}
-	e.writer.WriteHeader(answered.Response.Status)
+	e.answer.begin(answered.Response)
 }
 
 // copyBody copies the body to the caller as it arrives. Of a resumable stream it copies complete events only, since another
@@ -131,7 +122,7 @@
 		if isStream {
 			chunk, invalid = e.passableEvents(chunk, events)
 		}
-		if err := e.writeChunk(chunk, answered.Response.Length < 0); err != nil {
+		if err := e.answer.write(chunk); err != nil {
 			return err
 		}
 		if invalid != nil {
@@ -141,7 +132,7 @@
 			if isStream && (events.hasIncomplete() || (answered.Response.Framing == framing.Connection && !events.began)) {
 				return io.ErrUnexpectedEOF
 			}
-			return nil
+			return e.answer.finish()
 		}
 		if err != nil {
 			return err
@@ -159,17 +150,6 @@
 	return chunk, nil
 }
 
-// writeChunk writes a part of the body to the caller, at once if flush is set.
-func (e *exchange) writeChunk(chunk []byte, flush bool) error {
-	if len(chunk) == 0 {
-		return nil
-	}
-	if _, err := e.writer.Write(chunk); err != nil || !flush {
-		return err
-	}
-	return http.NewResponseController(e.writer).Flush()
-}
-
 // recordBodyBytes records that n bytes of a response body have arrived, and at the first of a stream which target began it.
 func (e *exchange) recordBodyBytes(n int, now time.Time, target registry.Target, isStream bool) {
 	if n > 0 && e.firstByteAt.IsZero() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,7 +61,7 @@
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
 	d := g.dispatcher.Begin(r.Context(), req, matchedRoute, service)
 	defer d.Close()
-	ex := &exchange{gateway: g, writer: w, request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context(), protocol: r.Proto}
+	ex := &exchange{gateway: g, answer: newCallerAnswer(w, r), request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context()}
 	ex.run()
 }
 
@@ -117,15 +117,12 @@
 
 // exchange is one dispatched request with the response to its caller.
 type exchange struct {
-	gateway     *Gateway
-	writer      http.ResponseWriter
-	request     *request.Request
-	route       *route.Route
-	dispatch    *dispatch.Dispatch
-	callerCtx   context.Context // ends when the caller disconnects
-	protocol    string          // of the request, such as HTTP/1.1
-	headWritten bool            // the status and header of the response have been written
-	mediaType   string          // of that response
+	gateway   *Gateway
+	answer    *callerAnswer
+	request   *request.Request
+	route     *route.Route
+	dispatch  *dispatch.Dispatch
+	callerCtx context.Context // ends when the caller disconnects
 
 	longestGap  time.Duration // longest wait for a chunk of the response body
 	bodyBytes   int           // bytes received of the body of the current response
@@ -172,13 +169,13 @@
 // refuseOrAbort writes an error response, or aborts the connection if a response has begun.
 func (e *exchange) refuseOrAbort(status int, reason dispatch.Reason, retryAfter time.Duration) {
 	e.log().WithFields(logrus.Fields{
-		"status": status, "reason": reason, "retry-after-ms": retryAfter.Milliseconds(), "begun": e.headWritten,
+		"status": status, "reason": reason, "retry-after-ms": retryAfter.Milliseconds(), "begun": e.answer.begun,
 	}).Info("not served")
 	e.countOutcome(string(reason))
-	if e.headWritten {
+	if e.answer.begun {
 		panic(http.ErrAbortHandler)
 	}
-	writeRefusal(e.writer, reason, status, retryAfter)
+	writeRefusal(e.answer.writer, reason, status, retryAfter)
 }
 
 // log returns a log entry with the fields that all messages about the request share.
