Claim no more of an answer to its caller than is known of it

Cause (hypothesis 1): an answer that has neither a length nor chunks ends with its connection, which a target that crashes may close in order. The gateway took that for the end of a whole answer and framed it anew, in chunks with a last one: it added a claim that nobody had made. The class: how far an answer is known to be whole was a bool of one place, and the places after it each had their own idea.

Package completeness has the three degrees (broken, unproven, whole), decided once, where the body of the target's answer ends; what comes after goes by it: the end of the caller's answer, which must not claim more than the degree allows, streams that are taken up, the contents of crashes, logs, metrics and traces. An answer without length and chunks is passed on as one, and its caller's connection closes with it; the target's end in order, reset or silence are then the caller's. A stream begun in chunks whose last part is unproven goes on at another target or breaks off.

TestSoundAnswersAreServedInEachFraming: sound answers are served at once in each framing. TestJoinedStreamClaimsNoMoreThanItsLastPart: joined streams.

--- a/gateway/caller_answer.go
+++ b/gateway/caller_answer.go
@@ -35,8 +35,9 @@
 	case response.Length >= 0:
 		a.framing = framing.Length
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
-	case !a.hasChunks:
+	case response.Framing == framing.Connection || !a.hasChunks:
 		a.framing = framing.Connection
+		header.Set("Transfer-Encoding", "identity") // has net/http send the body without chunks, and not this field
 		a.resetOnClose(true)
 	}
 	a.writer.WriteHeader(response.Status)
--- a/gateway/cut_answers_test.go
+++ b/gateway/cut_answers_test.go
@@ -183,3 +183,79 @@
 // TestCutAnswerToACallerWithoutChunksIsReset guards against an answer that the gateway breaks off and that seems to end in order to a caller
 // which gets it without chunks, as HTTP/1.0 has none.
 func TestCutAnswerToACallerWithoutChunksIsReset(t *testing.T) { checkCuts(t, "HTTP/1.0") }
+
+// TestSoundAnswersAreServedInEachFraming has targets answer in each framing, some of them slowly. The caller must get each part at once and, at
+// its end, a whole answer that claims as much as the target's.
+func TestSoundAnswersAreServedInEachFraming(t *testing.T) {
+	const maxDelay = 150 * time.Millisecond
+	d := cutDeployment(t)
+	for name, kind := range cutKinds {
+		for _, f := range allFramings {
+			t.Run(fmt.Sprintf("%s/%s", name, f), func(t *testing.T) {
+				start := time.Now()
+				result, err := d.requestCutUntilSent("HTTP/1.1", kind, f, len(site.FrameBody(f, kind.pieces)), site.EndClose)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if took := time.Since(start); took > maxDelay {
+					t.Errorf("the answer took %s, want at most %s", took, maxDelay)
+				}
+				if whole := strings.Join(kind.pieces, ""); result.err != nil || result.status != kind.status || result.body != whole {
+					t.Errorf("status %d, body %q, %v; want %d with %q", result.status, result.body, result.err, kind.status, whole)
+				}
+				if want := f != framing.Connection; result.claimed != want {
+					t.Errorf("the caller's answer is framed as complete: %v, want %v", result.claimed, want)
+				}
+			})
+		}
+	}
+}
+
+// TestJoinedStreamClaimsNoMoreThanItsLastPart breaks a stream off after its first event and has the target that takes it up answer in
+// each framing. The caller's stream may look complete only if the last part is known to be whole.
+func TestJoinedStreamClaimsNoMoreThanItsLastPart(t *testing.T) {
+	first := len(streamPieces[0])
+	cases := map[string]struct {
+		first, rest framing.Framing
+		wantClaimed bool
+		wantErr     bool
+	}{
+		"chunks, then chunks":         {framing.Chunks, framing.Chunks, true, false},
+		"chunks, then a length":       {framing.Chunks, framing.Length, true, false},
+		"chunks, then connection":     {framing.Chunks, framing.Connection, false, true},
+		"connection, then chunks":     {framing.Connection, framing.Chunks, false, false},
+		"connection, then connection": {framing.Connection, framing.Connection, false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			other := site.NewTarget("e2", site.EventStream(3, 0, 0))
+			t.Cleanup(other.Close)
+			other.Load("m1")
+			d.store.Put("servers", "e2", other.RegistryEntry("engine", "ready"))
+			d.waitForTargets(2)
+			handler := func(conn net.Conn, request *site.ReceivedRequest) bool {
+				if request.Header.Get("Last-Event-Id") == "" {
+					cut := len(site.FrameBody(c.first, streamPieces[:1])) + first/2
+					if c.first == framing.Chunks {
+						cut = len(site.FrameBody(c.first, streamPieces[:1])) - len("0\r\n\r\n")
+					}
+					return site.CutResponse(http.StatusOK, c.first, "text/event-stream", streamPieces, cut, site.EndReset)(conn, request)
+				}
+				return site.CutResponse(http.StatusOK, c.rest, "text/event-stream", streamPieces[1:], len(site.FrameBody(c.rest, streamPieces[1:])), site.EndClose)(conn, request)
+			}
+			d.engineTarget.SetHandler(handler)
+			other.SetHandler(handler)
+			response, body, err := d.roundTrip(getRequest("/resume/a", m1Header))
+			if response == nil {
+				t.Fatal(err)
+			}
+			if whole := strings.Join(streamPieces, ""); body != whole || (err != nil) != c.wantErr {
+				t.Errorf("body %q, %v; want %q, an error: %v", body, err, whole, c.wantErr)
+			}
+			if claimed := err == nil && framing.Of(response) != framing.Connection; claimed != c.wantClaimed {
+				t.Errorf("framed as complete: %v, want %v", claimed, c.wantClaimed)
+			}
+		})
+	}
+}
--- a/gateway/decision_log_test.go
+++ b/gateway/decision_log_test.go
@@ -16,7 +16,7 @@
 func TestEachDecisionIsLogged(t *testing.T) {
 	wantFields := map[string][]string{
 		"answer begins":                  {"target", "expected-ms", "took-ms", "waited-ms", "report-age-ms", "candidates", "send", "status", "kind", "service", "limit"},
-		"answer ends":                    {"target", "status", "whole", "took-ms", "route", "priority"},
+		"answer ends":                    {"target", "status", "whole", "completeness", "framing", "to-caller", "request-written", "body-bytes", "within-event", "took-ms", "route", "priority"},
 		"answer lost":                    {"target", "expected-ms", "report-age-ms", "send", "error", "model", "parts"},
 		"answer broken off":              {"target", "last-event", "body-bytes", "since-first-byte-ms", "parts", "error"},
 		"target refused":                 {"target", "misplaced", "report-age-ms", "candidates", "send", "limit"},
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -11,9 +11,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/completeness"
 	"gypsumbank/dispatch"
 	"gypsumbank/fleet"
-	"gypsumbank/framing"
 	"gypsumbank/registry"
 	"gypsumbank/route"
 )
@@ -36,17 +36,17 @@
 	e.begin(answered)
 	e.bodyBytes, e.firstByteAt = 0, time.Time{}
 	events := &eventBuffer{lastID: e.request.LastEventID}
-	err := e.copyBody(answered, events)
+	known, err := e.copyBody(answered, events)
 	e.log().WithFields(logrus.Fields{
 		"target": answered.Assignment.Target().ID, "status": answered.Response.Status, "longest-gap-ms": e.longestGap.Milliseconds(),
-		"priority": e.route.Priority, "whole": err == nil, "framing": answered.Response.Framing.String(), "request-written": answered.Response.WriteState().String(),
+		"priority": e.route.Priority, "whole": known == completeness.Whole, "completeness": known.String(), "framing": answered.Response.Framing.String(), "request-written": answered.Response.WriteState().String(),
 		"body-bytes": e.bodyBytes, "within-event": events.hasIncomplete(), "to-caller": e.answer.framing.String(),
 	}).Info("answer ends")
 	switch {
 	case err == nil:
 		answered.Assignment.End(fleet.Served, time.Now())
-		e.judgeContents(answered, true)
-		e.countOutcome("served")
+		e.judgeContents(answered, known)
+		e.countOutcome(servedOutcome(known))
 		return nil, false
 	case e.dispatch.TimedOut():
 		answered.Assignment.End(fleet.Abandoned, time.Now())
@@ -60,7 +60,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	answered.Assignment.End(fleet.Failed, time.Now())
-	e.judgeContents(answered, false)
+	e.judgeContents(answered, known)
 	e.logBrokenAnswer(answered.Assignment.Target().ID, events.lastID, err)
 	if e.route.Kind != route.Streaming || !e.route.Resumable {
 		e.countOutcome(string(dispatch.StreamBroken))
@@ -82,12 +82,20 @@
 	return strings.ToLower(strings.TrimSpace(name))
 }
 
+// servedOutcome names the outcome of a request whose answer was passed on to its end.
+func servedOutcome(known completeness.Completeness) string {
+	if known == completeness.Unproven {
+		return "served-unproven"
+	}
+	return "served"
+}
+
 // judgeContents tells the quarantine what an answer shows of the contents of its request: one that ended soon after its begin
-// may have crashed the target, unless its length or its chunks show that it is whole.
-func (e *exchange) judgeContents(answered dispatch.Answered, whole bool) {
+// may have crashed the target, unless it is known to be whole.
+func (e *exchange) judgeContents(answered dispatch.Answered, known completeness.Completeness) {
 	endedSoon := e.firstByteAt.IsZero() || time.Since(e.firstByteAt) < crashOnset
 	switch {
-	case whole && (answered.Response.Framing != framing.Connection || !endedSoon):
+	case known == completeness.Whole, known == completeness.Unproven && !endedSoon:
 		if answered.Response.Status < http.StatusInternalServerError {
 			e.dispatch.MarkAnswered()
 		}
@@ -106,8 +114,8 @@
 }
 
 // copyBody copies the body to the caller as it arrives. Of a resumable stream it copies complete events only, since another
-// target resumes after the last one.
-func (e *exchange) copyBody(answered dispatch.Answered, events *eventBuffer) error {
+// target resumes after the last one. It returns how far the body is known to be whole, and an error if the caller's answer has not ended.
+func (e *exchange) copyBody(answered dispatch.Answered, events *eventBuffer) (completeness.Completeness, error) {
 	isStream := e.route.Kind == route.Streaming && answered.Response.Status < http.StatusMultipleChoices
 	buffer := make([]byte, copyBufferBytes)
 	lastRead := time.Now()
@@ -123,23 +131,32 @@
 			chunk, invalid = e.passableEvents(chunk, events)
 		}
 		if err := e.answer.write(chunk); err != nil {
-			return err
+			return completeness.Broken, err
 		}
 		if invalid != nil {
-			return invalid
+			return completeness.Broken, invalid
 		}
 		if errors.Is(err, io.EOF) {
-			if isStream && (events.hasIncomplete() || (answered.Response.Framing == framing.Connection && !events.began)) {
-				return io.ErrUnexpectedEOF
-			}
-			return e.answer.finish()
+			partial := isStream && events.isPartial(answered.Response.Framing)
+			return e.end(completeness.Of(answered.Response.Framing, partial))
 		}
 		if err != nil {
-			return err
+			return completeness.Broken, err
 		}
 	}
 }
 
+// errNotKnownWhole reports an answer that can't be passed on to its end without saying more than is known of it.
+var errNotKnownWhole = errors.New("answer is not known to be whole")
+
+// end has the caller's answer end in order if that claims no more than is known of the target's, whose body has ended.
+func (e *exchange) end(known completeness.Completeness) (completeness.Completeness, error) {
+	if !known.MayEnd(e.answer.framing) {
+		return known, errNotKnownWhole
+	}
+	return known, e.answer.finish()
+}
+
 // passableEvents returns the bytes of a stream to pass on now that a chunk has arrived: of a resumable stream the events that
 // are complete, else the chunk. The error reports what follows these and must not be passed on.
 func (e *exchange) passableEvents(chunk []byte, events *eventBuffer) ([]byte, error) {
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"gypsumbank/completeness"
 )
 
 // noticeablePause is the shortest pause within an answer that a person notices.
@@ -13,8 +15,11 @@
 	last := t.requestLines[len(t.requestLines)-1]
 	switch last.message {
 	case "answer ends":
-		if last.field("whole") == "true" {
+		switch {
+		case last.field("whole") == "true":
 			return "served completely with status " + last.field("status")
+		case last.field("completeness") == completeness.Unproven.String():
+			return "served with status " + last.field("status") + " up to the end of the target's connection, which does not show that the answer is whole"
 		}
 		return "answer incomplete"
 	case "not served", "refused":
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -35,6 +35,10 @@
 			log:  answerBegins("01.500", "e1", "0", "700") + answerEnds("02.000", "40"),
 			want: []string{"served completely", "700ms to the first byte of target e1", "prefill (900 tokens)"},
 		},
+		"answer without length and chunks": {
+			log:  answerBegins("01.500", "e1", "0", "60") + logLine("02.000", "g1", `"msg":"answer ends",`+requestField+`,"target":"e1","status":200,"whole":false,"completeness":"unproven","longest-gap-ms":40`),
+			want: []string{"served with status 200 up to the end of the target's connection", "does not show that the answer is whole"},
+		},
 		"pause within the answer": {
 			log:  answerBegins("01.500", "e1", "0", "60") + answerEnds("02.000", "450"),
 			want: []string{"longest pause 450ms", "paused within the answer"},
