Keep apart whole and unproven answers of plain services in the own interface

The class of unframed-cut elsewhere: the client of plain services took an answer without length and chunks for whole wherever its connection ended; it was kept under its idempotency key and went to callers with a length.

The client of services uses the sender of targets now, so that framing and resets are read in one place, and its answers have their completeness. The sidecar, beside its service, checks that it still listens after an unproven answer; if not, the call has no answer. Replies and kept answers carry the degree on; records without it claim nothing. Entries send an unproven answer without a length and end it with the caller's connection, with the guard of gateways (package resetguard). Stand-ins learnt unframed and cut answers.

--- a/entry/call.go
+++ b/entry/call.go
@@ -48,7 +48,11 @@
 	callCtx, cancel := context.WithTimeoutCause(context.Background(), e.config.Entry.RequestTimeout, errRequestTimeout)
 	defer cancel()
 	reply := e.callWithRetries(callCtx, c)
-	return writeCallReply(ctx, reply)
+	failed = writeCallReply(ctx, reply)
+	if failed == nil && reply.GetAnswerEnd() == wire.AnswerEnd_ANSWER_END_UNPROVEN {
+		e.endWithConnection(ctx)
+	}
+	return failed
 }
 
 func newServiceCall(ctx *fasthttp.RequestCtx, caller *caller) (*serviceCall, *errorResponse) {
--- a/gateway/caller_answer.go
+++ b/gateway/caller_answer.go
@@ -7,6 +7,7 @@
 
 	"gypsumbank/framing"
 	"gypsumbank/platform"
+	"gypsumbank/resetguard"
 	"gypsumbank/sender"
 )
 
@@ -18,6 +19,7 @@
 	begun     bool     // the status and header have been written
 	framing   framing.Framing
 	mediaType string
+	guard     resetguard.Guard // of an answer that ends with its connection
 }
 
 func newCallerAnswer(w http.ResponseWriter, r *http.Request) *callerAnswer {
@@ -38,7 +40,7 @@
 	case response.Framing == framing.Connection || !a.hasChunks:
 		a.framing = framing.Connection
 		header.Set("Transfer-Encoding", "identity") // has net/http send the body without chunks, and not this field
-		a.resetOnClose(true)
+		a.guard = resetguard.New(a.conn)
 	}
 	a.writer.WriteHeader(response.Status)
 }
@@ -60,23 +62,8 @@
 		return nil
 	}
 	err := a.flush()
-	a.resetOnClose(false)
+	a.guard.Lift()
 	return err
 }
 
 func (a *callerAnswer) flush() error { return http.NewResponseController(a.writer).Flush() }
-
-// resetOnClose makes any close of the caller's connection reset it, also that by the end of this process: only a reset tells the caller of an
-// answer without length and chunks that it is broken off.
-func (a *callerAnswer) resetOnClose(reset bool) {
-	conn, ok := a.conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	const discardUnsent, keepUnsent = 0, -1
-	linger := keepUnsent
-	if reset {
-		linger = discardUnsent
-	}
-	_ = conn.SetLinger(linger) // fails only if the connection is closed already
-}
--- a/service/client.go
+++ b/service/client.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
-	"time"
+	"net/http"
 
-	"github.com/valyala/fasthttp"
+	"gypsumbank/completeness"
+	"gypsumbank/connpool"
+	"gypsumbank/sender"
 )
 
 var (
@@ -17,10 +20,7 @@
 	ErrNoAnswer = errors.New("no answer to a call that was sent")
 )
 
-const (
-	dialTimeout      = time.Second
-	maxResponseBytes = 16 << 20
-)
+const maxResponseBytes = 16 << 20
 
 // Header is a header of a call or an answer.
 type Header struct {
@@ -36,39 +36,67 @@
 	Body    []byte
 }
 
-// Answer is the complete answer to a call. Of the service's headers it keeps only the content type.
+// Answer is an answer to a call. Of the service's headers it keeps only the content type. The zero value of Completeness claims nothing, as it
+// stands in records of versions that did not keep it.
 type Answer struct {
-	Status  int
-	Headers []Header
-	Body    []byte
+	Status       int
+	Headers      []Header
+	Body         []byte
+	Completeness completeness.Completeness
 }
 
 // Client calls a plain service. It opens a new connection for each call, because a call that is sent on a stale idle
 // connection has an unknown outcome.
 type Client struct {
 	address string
+	sender  *sender.Sender
 }
 
 // New returns a client for the service at address, an IP address with a port.
-func New(address string) *Client { return &Client{address: address} }
+func New(address string) *Client {
+	return &Client{address: address, sender: sender.New(connpool.New())}
+}
 
 // Do sends a call once, without retries, and returns the answer or an error that wraps ErrNotSent or ErrNoAnswer.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
-	if err != nil {
+	header := http.Header{"Connection": {"close"}}
+	for _, h := range call.Headers {
+		header.Set(h.Name, h.Value)
+	}
+	response, err := c.sender.Send(ctx, c.address, &sender.Request{Method: call.Method, URI: call.Path, Host: c.address, Header: header, Body: call.Body})
+	if errors.Is(err, sender.ErrNotSent) {
 		return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
-	answer, err := c.roundTrip(conn, call)
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	defer response.Body.Close()
+	answer, err := readAnswer(response)
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	return answer, nil
 }
 
+// errAnswerTooLarge reports an answer of more than maxResponseBytes.
+var errAnswerTooLarge = errors.New("answer is too large")
+
+// readAnswer reads an answer to its end.
+func readAnswer(response *sender.Response) (Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err != nil {
+		return Answer{}, err
+	}
+	if len(body) > maxResponseBytes {
+		return Answer{}, errAnswerTooLarge
+	}
+	answer := Answer{Status: response.Status, Body: body, Completeness: completeness.Of(response.Framing, false)}
+	if contentType := response.Header.Get("Content-Type"); contentType != "" {
+		answer.Headers = append(answer.Headers, Header{Name: "Content-Type", Value: contentType})
+	}
+	return answer, nil
+}
+
 // Dial opens a connection to the service and closes it; it returns why that failed.
 func (c *Client) Dial(ctx context.Context) error {
 	var dialer net.Dialer
@@ -78,42 +106,3 @@
 	}
 	return conn.Close()
 }
-
-// roundTrip sends call on conn with automatic retries disabled.
-func (c *Client) roundTrip(conn net.Conn, call Call) (Answer, error) {
-	client := fasthttp.HostClient{
-		Addr:                      c.address,
-		Dial:                      func(string) (net.Conn, error) { return conn, nil },
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:       maxResponseBytes,
-		NoDefaultUserAgentHeader:  true,
-	}
-	request := fasthttp.AcquireRequest()
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + c.address + call.Path)
-	request.Header.SetMethod(call.Method)
-	for _, header := range call.Headers {
-		request.Header.Set(header.Name, header.Value)
-	}
-	request.SetConnectionClose()
-	request.SetBodyRaw(call.Body)
-	if err := client.Do(request, response); err != nil {
-		return Answer{}, err
-	}
-	return newAnswer(response), nil
-}
-
-// newAnswer copies the parts of response that an Answer keeps, because fasthttp reuses the response.
-func newAnswer(response *fasthttp.Response) Answer {
-	answer := Answer{
-		Status: response.StatusCode(),
-		Body:   append([]byte(nil), response.Body()...),
-	}
-	if contentType := response.Header.ContentType(); len(contentType) > 0 {
-		answer.Headers = append(answer.Headers, Header{Name: "Content-Type", Value: string(contentType)})
-	}
-	return answer
-}
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gypsumbank/completeness"
 	"gypsumbank/idempotency"
 	"gypsumbank/meter"
 	"gypsumbank/service"
@@ -114,7 +115,11 @@
 	for _, header := range request.GetHeaders() {
 		call.Headers = append(call.Headers, service.Header{Name: header.GetName(), Value: header.GetValue()})
 	}
-	return s.service.Do(ctx, call)
+	answer, err := s.service.Do(ctx, call)
+	if err == nil && answer.Completeness != completeness.Whole && s.serviceEnded(ctx) {
+		return service.Answer{}, fmt.Errorf("%w: the service ended with its answer", service.ErrNoAnswer)
+	}
+	return answer, err
 }
 
 // targetReply turns the answer of the service into a reply. The outcome is not-run only if the call was certainly not
@@ -127,6 +132,9 @@
 		return &wire.CallReply{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Detail: err.Error()}
 	}
 	reply := &wire.CallReply{Outcome: wire.Outcome_OUTCOME_RUN, Status: uint32(answer.Status), Body: answer.Body}
+	if answer.Completeness != completeness.Whole {
+		reply.AnswerEnd = wire.AnswerEnd_ANSWER_END_UNPROVEN
+	}
 	for _, header := range answer.Headers {
 		reply.Headers = append(reply.Headers, &wire.Header{Name: header.Name, Value: header.Value})
 	}
--- a/standin/fault/faults.go
+++ b/standin/fault/faults.go
@@ -22,11 +22,13 @@
 	Silent      bool    `json:"silent"`        // requests get no response
 	Refuse      bool    `json:"refuse"`        // requests get status 503 and have no effect
 	LoseAnswer  float64 `json:"lose-answer"`   // share of requests that take effect and get no response
+	Unframed    bool    `json:"unframed"`      // answers have neither a length nor chunks and end with their connection
+	CutAnswer   float64 `json:"cut-answer"`    // share of unframed answers that end after half of their body
 	LateOrderMS int     `json:"late-order-ms"` // delay of each order before it takes effect
 	LoseOrder   float64 `json:"lose-order"`    // share of orders that have no effect and get no response
 }
 
-// Set holds the faults of one stand-in. Wrap applies DelayMS, Refuse, Silent and LoseAnswer; the others are applied by
+// Set holds the faults of one stand-in. Wrap applies DelayMS, Refuse, Silent, LoseAnswer, Unframed and CutAnswer; the others are applied by
 // the stand-ins that have orders or a processing time.
 type Set struct {
 	mu        sync.Mutex
@@ -99,10 +101,27 @@
 		next(ctx)
 		if s.Draw(s.Get().LoseAnswer) {
 			s.closeUnanswered(ctx, 0)
+			return
+		}
+		if now := s.Get(); now.Unframed {
+			s.answerUnframed(ctx, s.Draw(now.CutAnswer))
 		}
 	}
 }
 
+// answerUnframed has the answer sent without a length or chunks, all or half of its body.
+func (s *Set) answerUnframed(ctx *fasthttp.RequestCtx, cut bool) {
+	const noLength = -2
+	body := append([]byte(nil), ctx.Response.Body()...)
+	if cut {
+		body = body[:len(body)/2]
+	}
+	ctx.Response.Header.SetContentLength(noLength)
+	message := append(append([]byte(nil), ctx.Response.Header.Header()...), body...)
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) { _, _ = conn.Write(message) })
+}
+
 // closeUnanswered closes the connection without a response after a delay, or when the set is closed.
 func (s *Set) closeUnanswered(ctx *fasthttp.RequestCtx, delay time.Duration) {
 	ctx.HijackSetNoResponse(true)
