Plan a stop by the grace that there is

What callers saw: with a grace of 1 or 2 s the gateway was killed as it still waited 2.5 s for the platform to send no more callers, and requests sent late were given deadlines that had passed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"gypsumbank/dispatch"
 	"gypsumbank/epoch"
 	"gypsumbank/fleet"
+	"gypsumbank/grace"
 	"gypsumbank/logs"
 	"gypsumbank/origin"
 	"gypsumbank/platform"
@@ -36,13 +37,6 @@
 	// maxPlansPerTick bounds the model loads that are started for a service each planInterval. It is enough to start
 	// loads on all engines within a second after all have restarted empty.
 	maxPlansPerTick = 6
-	// deregistrationDelay is how long new requests are still served after the signal to stop: the platform sends no more
-	// callers to a VM after two failed checks, which it makes once a second.
-	deregistrationDelay = 2500 * time.Millisecond
-	// shutdownMargin is the part of the grace that is kept for the process to exit. Requests that arrive while draining
-	// get their final responses finalResponseMargin before that.
-	shutdownMargin      = 700 * time.Millisecond
-	finalResponseMargin = 300 * time.Millisecond
 )
 
 // Gateway accepts the requests of callers and forwards them to targets.
@@ -166,14 +160,16 @@
 // drain reports the gateway as not ready, so that the platform sends no more callers, and returns when the requests in
 // progress have ended or the grace is nearly over.
 func (g *Gateway) drain() {
-	start := time.Now()
-	g.drainDeadlineNanos.Store(start.Add(g.config.Gateway.Grace - shutdownMargin - finalResponseMargin).UnixNano())
+	plan := grace.New(time.Now(), g.config.Gateway.Grace)
+	g.drainDeadlineNanos.Store(plan.AnswerBy().UnixNano())
 	g.draining.Store(true)
-	g.log.Info("gateway drains")
-	time.Sleep(deregistrationDelay)
+	g.log.WithFields(logrus.Fields{
+		"refuses-in-ms": time.Until(plan.RefuseFrom()).Milliseconds(), "answers-by-ms": time.Until(plan.AnswerBy()).Milliseconds(), "closes-in-ms": time.Until(plan.CloseAt()).Milliseconds(),
+	}).Info("gateway drains")
+	time.Sleep(time.Until(plan.RefuseFrom()))
 	g.refusingRequests.Store(true)
 	g.dispatcher.StopWaits()
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.config.Gateway.Grace-shutdownMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.CloseAt())
 	defer cancel()
 	if err := g.conns.drain(ctx); err != nil {
 		g.log.WithError(err).Warn("requests in progress are aborted at the end of the grace")
--- /dev/null
+++ b/grace/doc.go
@@ -0,0 +1,2 @@
+// Package grace plans the stop of a process within the time that it is given.
+package grace
