Refuse at once what may not end within the grace

What callers saw: requests that came while a gateway stopped were passed on whatever their routes allow them to take, with a deadline cut to the end of the grace; on a slow target they got 504 there, among them requests that may not be repeated. Requests whose body arrived late, or that were to be sent to a further target late, likewise.

A request that may last longer than the grace, by its deadline or its route's timeout, is refused from the signal on as not run, at arrival, after a wait and before each send; once nothing new begins, a request that has not been sent is refused wherever it is. Deadlines are no longer cut short.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,20 +61,14 @@
 	waits      *waitlist.List // requests that wait for room at an engine
 	log        *logrus.Entry
 	now        func() time.Time
-
-	stopOnce sync.Once
-	stopping chan struct{} // closed by StopWaits
+	stop       *stop
 }
 
 // New returns a dispatcher that reads the time from now.
 func New(f *fleet.Fleet, sender Sender, agents AgentClient, budget *retrybudget.Budget, quarantine Quarantine, origins *origin.Table, log *logrus.Entry, now func() time.Time) *Dispatcher {
-	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stopping: make(chan struct{})}
+	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stop: newStop()}
 }
 
-// StopWaits refuses the requests that wait for room or for a model, and those that would begin to wait. The process is about
-// to end, and another gateway can serve them at once.
-func (d *Dispatcher) StopWaits() { d.stopOnce.Do(func() { close(d.stopping) }) }
-
 // Dispatch is one request with the state of its attempts.
 type Dispatch struct {
 	*Dispatcher
@@ -184,6 +177,9 @@
 		if d.ctx.Err() != nil {
 			return fleet.Choice{}, nil
 		}
+		if refused := d.refuseStopping(); refused != nil {
+			return fleet.Choice{}, refused
+		}
 		if refused := d.refuseQuarantined(); refused != nil {
 			return fleet.Choice{}, refused
 		}
@@ -260,6 +256,9 @@
 
 // attempt sends the request to the chosen target and reports whether to retry it on another.
 func (d *Dispatch) attempt(choice fleet.Choice) (Outcome, bool) {
+	if refused := d.refuseStopping(); refused != nil {
+		return d.finalOutcome(*refused), false // the stop has begun since the choice
+	}
 	now := d.now()
 	if !d.fleet.TakeTurn(choice, now) {
 		return nil, true // another request has taken it since the choice
--- /dev/null
+++ b/dispatch/stop.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// stop is the planned stop of the process, as far as it has come.
+type stop struct {
+	answerBy  atomic.Pointer[time.Time] // by when requests must have ended; nil before the stop
+	waitsOnce sync.Once
+	waitsOver chan struct{} // closed once requests neither wait nor begin
+}
+
+func newStop() *stop {
+	return &stop{waitsOver: make(chan struct{})}
+}
+
+// Stop begins a planned stop: requests that may last longer than answerBy are refused from now on unless they have been sent.
+func (d *Dispatcher) Stop(answerBy time.Time) { d.stop.answerBy.Store(&answerBy) }
+
+// StopWaits refuses the requests that wait for room or for a model, and those that have not been sent. The process is about
+// to end, and another gateway can serve them at once.
+func (d *Dispatcher) StopWaits() { d.stop.waitsOnce.Do(func() { close(d.stop.waitsOver) }) }
+
+// waitsAreOver reports whether StopWaits has been called.
+func (s *stop) waitsAreOver() bool {
+	select {
+	case <-s.waitsOver:
+		return true
+	default:
+		return false
+	}
+}
+
+// refuseStopping returns a refusal if the process stops and the request is not to be sent any more: it might not end in time, or it has not
+// been sent and nothing begins any more.
+func (d *Dispatch) refuseStopping() *Refused {
+	answerBy := d.stop.answerBy.Load()
+	switch {
+	case answerBy != nil && d.deadline.After(*answerBy):
+	case d.stop.waitsAreOver() && d.sendCount == 0:
+	default:
+		return nil
+	}
+	log := d.log
+	if answerBy != nil {
+		log = log.WithField("grace-left-ms", answerBy.Sub(d.now()).Milliseconds())
+	}
+	log.WithFields(logrus.Fields{"left-ms": d.deadline.Sub(d.now()).Milliseconds(), "sent": d.sendCount}).Info("not sent, the gateway stops")
+	return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
+}
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -92,7 +92,7 @@
 func (d *Dispatch) pauseWait(duration time.Duration) *Refused {
 	select {
 	case <-d.ctx.Done():
-	case <-d.stopping:
+	case <-d.stop.waitsOver:
 		return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
 	case <-time.After(duration):
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,27 +41,26 @@
 
 // Gateway accepts the requests of callers and forwards them to targets.
 type Gateway struct {
-	config             *settings.Config
-	log                *logrus.Entry
-	store              *platform.Store
-	epochs             *epoch.Tracker
-	departures         *departure.Table
-	fleet              *fleet.Fleet
-	dispatcher         *dispatch.Dispatcher
-	budget             *retrybudget.Budget
-	agents             *agentClients
-	relay              *relayedReads
-	crashes            *crashes
-	blocked            *blockedContents
-	dialer             *dialer.Dialer
-	conns              *connections
-	started            time.Time
-	routeTable         atomic.Pointer[route.Table]
-	targetsKnown       atomic.Bool
-	storeLostAt        atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
-	draining           atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
-	drainDeadlineNanos atomic.Int64              // Unix time by which requests that arrive while draining get a final response; 0 if not draining
-	refusingRequests   atomic.Bool               // refuses all new requests
+	config           *settings.Config
+	log              *logrus.Entry
+	store            *platform.Store
+	epochs           *epoch.Tracker
+	departures       *departure.Table
+	fleet            *fleet.Fleet
+	dispatcher       *dispatch.Dispatcher
+	budget           *retrybudget.Budget
+	agents           *agentClients
+	relay            *relayedReads
+	crashes          *crashes
+	blocked          *blockedContents
+	dialer           *dialer.Dialer
+	conns            *connections
+	started          time.Time
+	routeTable       atomic.Pointer[route.Table]
+	targetsKnown     atomic.Bool
+	storeLostAt      atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
+	draining         atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
+	refusingRequests atomic.Bool               // refuses all new requests
 }
 
 // New returns a gateway with the given settings, which does nothing until Run.
@@ -161,7 +160,7 @@
 // progress have ended or the grace is nearly over.
 func (g *Gateway) drain() {
 	plan := grace.New(time.Now(), g.config.Gateway.Grace)
-	g.drainDeadlineNanos.Store(plan.AnswerBy().UnixNano())
+	g.dispatcher.Stop(plan.AnswerBy())
 	g.draining.Store(true)
 	g.log.WithFields(logrus.Fields{
 		"refuses-in-ms": time.Until(plan.RefuseFrom()).Milliseconds(), "answers-by-ms": time.Until(plan.AnswerBy()).Milliseconds(), "closes-in-ms": time.Until(plan.CloseAt()).Milliseconds(),
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -57,7 +57,6 @@
 	if !g.readBody(w, r, req, table.Limits().BodyBytes) {
 		return
 	}
-	g.capDeadlineWhileDraining(req)
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
 	d := g.dispatcher.Begin(r.Context(), req, matchedRoute, service)
 	defer d.Close()
@@ -65,19 +64,6 @@
 	ex.run()
 }
 
-// capDeadlineWhileDraining shortens the deadline of a request that arrives while the gateway drains, so that the caller gets
-// a final response before connections are closed at the end of the grace.
-func (g *Gateway) capDeadlineWhileDraining(req *request.Request) {
-	deadlineNanos := g.drainDeadlineNanos.Load()
-	if deadlineNanos == 0 {
-		return
-	}
-	remaining := max(time.Millisecond, time.Unix(0, deadlineNanos).Sub(req.Arrived))
-	if req.Timeout == 0 || remaining < req.Timeout {
-		req.Timeout = remaining
-	}
-}
-
 // readBody reads the body of a request of up to limit bytes into req. If that fails, it refuses the request and returns
 // false.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request.Request, limit int64) bool {
