End what is in progress at the end of the grace with an answer

What callers saw: unsafe requests whose target was still at work when the grace of a stopping gateway ended got no answer, as their connection was closed. All dispatches now end shortly before connections are closed: a request that has not run is refused, one that may have run gets 502 with the reason, a stream is broken off. TestRequestInProgressGetsAnAnswerAtTheEndOfTheGrace.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -76,8 +76,8 @@
 	contents     []request.Content // what the request may have in common with others under which targets have crashed
 	route        *route.Route
 	service      string
-	ctx          context.Context // ends when the caller disconnects, shortly before the deadline or by Close
-	cancel       context.CancelFunc
+	ctx          context.Context // ends when the caller disconnects, shortly before the deadline, with the grace or by Close
+	cancel       func()
 	deadline     time.Time
 	excluded     map[string]bool
 	sendCount    int // attempts that left this process
@@ -124,7 +124,14 @@
 		timeout = defaultTimeout
 	}
 	deadline := req.Arrived.Add(timeout)
-	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-finalResponseMargin))
+	ctx, end := context.WithCancelCause(ctx)
+	endWithGrace := context.AfterFunc(d.stop.grace, func() { end(errGraceOver) })
+	ctx, cancelDeadline := context.WithDeadline(ctx, deadline.Add(-finalResponseMargin))
+	cancel := func() {
+		endWithGrace()
+		cancelDeadline()
+		end(nil)
+	}
 	return &Dispatch{
 		Dispatcher: d, request: req, contents: req.Contents(), route: r, service: service,
 		ctx: ctx, cancel: cancel, deadline: deadline,
@@ -387,8 +394,11 @@
 	return refused
 }
 
-// contextOutcome returns the outcome of a request whose caller has disconnected or whose deadline has passed.
+// contextOutcome returns the outcome of a request whose caller has disconnected, whose deadline has passed or whose process stops.
 func (d *Dispatch) contextOutcome() Outcome {
+	if d.GraceOver() {
+		return d.finalOutcome(Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter})
+	}
 	if !d.TimedOut() {
 		return Abandoned{}
 	}
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -8,15 +10,22 @@
 	"github.com/sirupsen/logrus"
 )
 
+// errGraceOver is the cause of the end of requests that are in progress at the end of the grace.
+var errGraceOver = errors.New("grace is over")
+
 // stop is the planned stop of the process, as far as it has come.
 type stop struct {
 	answerBy  atomic.Pointer[time.Time] // by when requests must have ended; nil before the stop
 	waitsOnce sync.Once
 	waitsOver chan struct{} // closed once requests neither wait nor begin
+	grace     context.Context
+	endGrace  context.CancelCauseFunc
 }
 
 func newStop() *stop {
-	return &stop{waitsOver: make(chan struct{})}
+	s := &stop{waitsOver: make(chan struct{})}
+	s.grace, s.endGrace = context.WithCancelCause(context.Background())
+	return s
 }
 
 // Stop begins a planned stop: requests that may last longer than answerBy are refused from now on unless they have been sent.
@@ -26,6 +35,9 @@
 // to end, and another gateway can serve them at once.
 func (d *Dispatcher) StopWaits() { d.stop.waitsOnce.Do(func() { close(d.stop.waitsOver) }) }
 
+// EndAll ends the requests in progress, which get their final answers.
+func (d *Dispatcher) EndAll() { d.stop.endGrace(errGraceOver) }
+
 // waitsAreOver reports whether StopWaits has been called.
 func (s *stop) waitsAreOver() bool {
 	select {
@@ -53,3 +65,6 @@
 	log.WithFields(logrus.Fields{"left-ms": d.deadline.Sub(d.now()).Milliseconds(), "sent": d.sendCount}).Info("not sent, the gateway stops")
 	return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
 }
+
+// GraceOver reports whether the dispatch ended at the end of the grace.
+func (d *Dispatch) GraceOver() bool { return errors.Is(context.Cause(d.ctx), errGraceOver) }
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"gypsumbank/registry"
 	"gypsumbank/reply"
 	"gypsumbank/request"
 	"gypsumbank/route"
@@ -54,3 +56,27 @@
 		})
 	}
 }
+
+// silentClient is a scriptedClient whose targets never answer.
+type silentClient struct{ *scriptedClient }
+
+func (s *silentClient) Send(ctx context.Context, _ *request.Request, _ registry.Delivery) reply.Result {
+	<-ctx.Done()
+	return reply.NoUsableResponse{Err: ctx.Err()}
+}
+
+// TestRequestInProgressGetsAnAnswerAtTheEndOfTheGrace guards against requests that are cut with no answer as their process stops.
+func TestRequestInProgressGetsAnAnswerAtTheEndOfTheGrace(t *testing.T) {
+	d := newDispatcher(&scriptedClient{}, time.Now)
+	d.sender = &silentClient{}
+	dispatch := d.Begin(t.Context(), &request.Request{ID: "r", Arrived: time.Now()}, &route.Route{Name: "r", Kind: route.Unsafe, Timeout: time.Minute, MaxAttempts: 1}, plainService)
+	defer dispatch.Close()
+	time.AfterFunc(50*time.Millisecond, d.EndAll)
+	outcome := dispatch.Run()
+	if failed, ok := outcome.(Failed); !ok || failed.Reason != Stopping || failed.TimedOut {
+		t.Errorf("outcome %#v, want a failure as stopping", outcome)
+	}
+	if !dispatch.GraceOver() || dispatch.TimedOut() {
+		t.Errorf("grace over: %v, timed out: %v; want only the first", dispatch.GraceOver(), dispatch.TimedOut())
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -53,6 +53,11 @@
 		e.log().Info("answer cut at the timeout")
 		e.countOutcome("cut-at-timeout")
 		panic(http.ErrAbortHandler)
+	case e.dispatch.GraceOver():
+		answered.Assignment.End(fleet.Abandoned, time.Now())
+		e.log().Info("answer cut at the end of the grace")
+		e.countOutcome("cut-at-stop")
+		panic(http.ErrAbortHandler)
 	case e.callerCtx.Err() != nil:
 		answered.Assignment.End(fleet.Abandoned, time.Now())
 		e.log().WithError(err).Info("caller left")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,6 +165,8 @@
 	g.log.WithFields(logrus.Fields{
 		"refuses-in-ms": time.Until(plan.RefuseFrom()).Milliseconds(), "answers-by-ms": time.Until(plan.AnswerBy()).Milliseconds(), "closes-in-ms": time.Until(plan.CloseAt()).Milliseconds(),
 	}).Info("gateway drains")
+	lastAnswers := time.AfterFunc(time.Until(plan.AnswerBy()), g.dispatcher.EndAll)
+	defer lastAnswers.Stop()
 	time.Sleep(time.Until(plan.RefuseFrom()))
 	g.refusingRequests.Store(true)
 	g.dispatcher.StopWaits()
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -40,6 +40,8 @@
 		return fmt.Sprintf("the caller left after %s; until then %s", last.duration("took-ms"), t.lastStep())
 	case "answer cut at the timeout":
 		return fmt.Sprintf("the route's timeout expired after %s; until then %s", last.duration("took-ms"), t.lastStep())
+	case "answer cut at the end of the grace":
+		return fmt.Sprintf("the gateway stopped and its grace was over %s after the request arrived; until then %s", last.duration("took-ms"), t.lastStep())
 	case "answer broken off":
 		return fmt.Sprintf("target %s broke off the answer: %s%s", last.field("target"), last.field("error"), t.lastChangeOf(last.field("target")))
 	}
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -39,6 +39,10 @@
 			log:  answerBegins("01.500", "e1", "0", "60") + logLine("02.000", "g1", `"msg":"answer ends",`+requestField+`,"target":"e1","status":200,"whole":false,"completeness":"unproven","longest-gap-ms":40`),
 			want: []string{"served with status 200 up to the end of the target's connection", "does not show that the answer is whole"},
 		},
+		"gateway stopped": {
+			log:  answerBegins("01.500", "e1", "0", "60") + logLine("02.000", "g1", `"msg":"answer cut at the end of the grace",`+requestField+`,"took-ms":560`),
+			want: []string{"the gateway stopped", "560ms after the request arrived", "answer begins"},
+		},
 		"pause within the answer": {
 			log:  answerBegins("01.500", "e1", "0", "60") + answerEnds("02.000", "450"),
 			want: []string{"longest pause 450ms", "paused within the answer"},
