Let the soak cut answers in each framing and stop gateways while targets are slow

Targets answer without a length or chunks, every third time in part with an order or a reset at its end; gateways stop one after the other while plain targets take longer than the grace. Checked: what the caller's client sees as complete, also streams over all tries; what seems to end in order though no target ended it so; requests sent after the signal that reach a target though their route allows them to outlast the grace; requests that a stopping process leaves without an answer. Links pass resets on as resets.

--- a/link/link.go
+++ b/link/link.go
@@ -7,7 +7,10 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"gypsumbank/resetguard"
 )
 
 const (
@@ -134,7 +137,7 @@
 	l.forward(p, target, client, true)
 }
 
-// forward passes data in one direction until either connection ends; once the direction is blocked, it passes neither data
+// forward passes data in one direction until either connection ends, and a reset on as one; once the direction is blocked, it passes neither data
 // nor the end of the connection.
 func (l *Link) forward(p *connPair, from, to net.Conn, fromTarget bool) {
 	buffer := make([]byte, bufferBytes)
@@ -152,6 +155,9 @@
 			}
 		}
 		if err != nil {
+			if errors.Is(err, syscall.ECONNRESET) {
+				resetguard.New(to)
+			}
 			l.remove(p)
 			return
 		}
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"gypsumbank/completeness"
 )
 
 // Response is the outcome of one request as its caller saw it; the caller never sends a request twice.
@@ -13,8 +15,15 @@
 	ID       string
 	Status   int    // 0 if no response arrived
 	Body     string // the part that arrived
-	Complete bool   // the body arrived without a read error
 	WantBody string // the complete body that a served request has to get
+
+	Completeness completeness.Completeness // as its framing and its end show
+	At           time.Time                 // when it had arrived, or the connection had ended
+}
+
+// IsServed reports whether the caller got all that the request has to get.
+func (r Response) IsServed() bool {
+	return r.Status == 200 && r.Completeness != completeness.Broken && r.Body == r.WantBody
 }
 
 // Order is an order that an engine has received.
@@ -49,6 +58,7 @@
 	violations    []string
 	statusCounts  map[int]int // responses by HTTP status
 	notices       notices
+	cuts          cuts
 }
 
 // routesResponse is a response that a gateway routed by a version of the routes.
@@ -59,7 +69,7 @@
 
 // New returns a checker without records.
 func New(limits Limits) *Checker {
-	return &Checker{limits: limits, runsByRequest: map[string]int{}, atMostOnce: map[string]bool{}, highestRoutes: map[string]routesResponse{}, statusCounts: map[int]int{}, notices: newNotices()}
+	return &Checker{limits: limits, runsByRequest: map[string]int{}, atMostOnce: map[string]bool{}, highestRoutes: map[string]routesResponse{}, statusCounts: map[int]int{}, notices: newNotices(), cuts: newCuts()}
 }
 
 // RecordRequest records that a caller sends a request. With atMostOnce set, a second run of it is a violation.
@@ -90,10 +100,21 @@
 	switch {
 	case r.Status == 503 && c.runsByRequest[r.ID] > 0:
 		c.addViolation("request %s got status 503, which means that it did not run, but it ran", r.ID)
-	case r.Status == 200 && r.Complete && r.Body != r.WantBody:
+	case r.Status == 200 && r.Completeness == completeness.Whole && r.Body != r.WantBody:
 		c.addViolation("request %s got a complete response with body %q, want %q", r.ID, r.Body, r.WantBody)
-	case r.Status == 200 && !r.Complete && len(r.Body) <= len(r.WantBody) && r.Body != r.WantBody[:len(r.Body)]:
-		c.addViolation("request %s got a partial body %q, which is not a prefix of %q", r.ID, r.Body, r.WantBody)
+	case r.Status == 200 && !strings.HasPrefix(r.WantBody, r.Body):
+		c.addViolation("request %s got body %q, which is not a prefix of %q", r.ID, r.Body, r.WantBody)
+	case r.Status == 200 && r.Completeness == completeness.Unproven && r.Body != r.WantBody, r.Status == 0:
+		c.cuts.received = append(c.cuts.received, r)
+	}
+}
+
+// CheckWholeStream checks that a stream that was framed as complete had all of its events, over all its tries.
+func (c *Checker) CheckWholeStream(id string, events, want int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if events != want {
+		c.addViolation("stream %s is framed as complete after %d of %d events", id, events, want)
 	}
 }
 
@@ -205,6 +226,7 @@
 		retries += max(0, n-1)
 	}
 	violations = append(slices.Clone(c.violations), c.notices.violations()...)
+	violations = append(violations, c.cuts.violations(&c.notices)...)
 	if maxRetries := c.limits.RetryRatio*float64(c.requestCount) + float64(c.limits.RetryExtra); float64(retries) > maxRetries {
 		violations = append(violations, fmt.Sprintf("%d retries for %d requests, limit %.0f", retries, c.requestCount, maxRetries))
 	}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"gypsumbank/completeness"
 	"gypsumbank/soak"
 )
 
@@ -20,7 +21,7 @@
 // recordRest records a refusal and a number of requests of the same process within its rest.
 func recordRest(c *soak.Checker, requests int) {
 	for i := range requests + 1 {
-		c.RecordSender(fmt.Sprint(i), "g-1")
+		c.RecordSender(fmt.Sprint(i), "g-1", atMs(0), 3*time.Second)
 		arrival := soak.Arrival{RequestID: fmt.Sprint(i), Target: "t", Run: "t/1", At: atMs(i * 600)}
 		if i == 0 {
 			arrival.Rest = 3 * time.Second
@@ -29,6 +30,13 @@
 	}
 }
 
+// recordCutAnswer records a request that reached a target and of which its caller got a part, with a status of 0 nothing.
+func recordCutAnswer(c *soak.Checker, status int) {
+	c.RecordSender("a", "g-1", atMs(10), 3*time.Second)
+	c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(20)})
+	c.CheckResponse(soak.Response{ID: "a", Status: status, Completeness: completeness.Unproven, Body: "for", WantBody: "for a", At: atMs(30)})
+}
+
 // TestCheckerReportsEachViolation feeds the checker one violation at a time, and next to each the closest sequence that is
 // allowed.
 func TestCheckerReportsEachViolation(t *testing.T) {
@@ -47,31 +55,68 @@
 		"stream with a gap":               {func(c *soak.Checker) { c.CheckStream("a", []string{"token-1-at-v1", "token-3-at-v1"}) }, "stream a: event 2"},
 		"stream that breaks off":          {func(c *soak.Checker) { c.CheckStream("a", []string{"token-1-at-v1", "token-2-at-v1"}) }, ""},
 		"request to a target that leaves": {func(c *soak.Checker) {
-			c.RecordSender("a", "g-1")
+			c.RecordSender("a", "g-1", atMs(0), 3*time.Second)
 			c.RecordLeaving("g-1", "t/1", atMs(0))
 			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(2100)})
 		}, "request a reached t/1 from g-1 2.1s after"},
 		"request to a target that leaves, through another process": {func(c *soak.Checker) {
-			c.RecordSender("a", "h-1")
+			c.RecordSender("a", "h-1", atMs(0), 3*time.Second)
 			c.RecordLeaving("g-1", "t/1", atMs(0))
 			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(2100)})
 		}, ""},
 		"request to a target that leaves, after a freeze": {func(c *soak.Checker) {
-			c.RecordSender("a", "g-1")
+			c.RecordSender("a", "g-1", atMs(0), 3*time.Second)
 			c.RecordLeaving("g-1", "t/1", atMs(0))
 			c.RecordDisturbance("g", atMs(100), atMs(1500))
 			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(2100)})
 		}, ""},
+		"stream framed as complete too early": {func(c *soak.Checker) { c.CheckWholeStream("a", 2, 3) }, "stream a is framed as complete after 2 of 3 events"},
+		"answer that its target cut in order": {func(c *soak.Checker) {
+			c.RecordCut("a", true)
+			recordCutAnswer(c, 200)
+		}, ""},
+		"answer that its target reset seems to end in order": {func(c *soak.Checker) {
+			c.RecordCut("a", false)
+			recordCutAnswer(c, 200)
+		}, `request a got body "for", which seems to end in order`},
+		"answer that a link cut": {func(c *soak.Checker) {
+			c.RecordDisturbance("t", atMs(0), atMs(2))
+			recordCutAnswer(c, 200)
+		}, ""},
+		"no answer from a process that stops": {func(c *soak.Checker) {
+			c.RecordStop("g-1", atMs(0), 4*time.Second)
+			recordCutAnswer(c, 0)
+		}, "request a got no answer as g-1 stopped"},
+		"no answer from a process that stops, as its target broke off": {func(c *soak.Checker) {
+			c.RecordStop("g-1", atMs(0), 4*time.Second)
+			c.RecordCut("a", false)
+			recordCutAnswer(c, 0)
+		}, ""},
+		"no answer from a process that was killed while it stopped": {func(c *soak.Checker) {
+			c.RecordStop("g-1", atMs(0), 4*time.Second)
+			c.RecordDisturbance("g", atMs(1), atMs(2))
+			recordCutAnswer(c, 0)
+		}, ""},
+		"request passed on late in the grace": {func(c *soak.Checker) {
+			c.RecordStop("g-1", atMs(0), 4*time.Second)
+			c.RecordSender("a", "g-1", atMs(1400), 3*time.Second)
+			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(1410)})
+		}, "request a reached t from g-1, sent 1.4s after the signal to stop"},
+		"request passed on early in the grace": {func(c *soak.Checker) {
+			c.RecordStop("g-1", atMs(0), 4*time.Second)
+			c.RecordSender("a", "g-1", atMs(900), 3*time.Second)
+			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(1910)})
+		}, ""},
 		"three requests within a rest": {func(c *soak.Checker) { recordRest(c, 3) }, "t/1 got 3 requests from g-1 within a rest of 3s"},
 		"two requests within a rest":   {func(c *soak.Checker) { recordRest(c, 2) }, ""},
 		"a request that ends targets": {func(c *soak.Checker) {
-			c.RecordSender("a", "g-1")
+			c.RecordSender("a", "g-1", atMs(0), 3*time.Second)
 			for i := range 7 {
 				c.RecordEnd("content", "a", atMs(i/3*3100))
 			}
 		}, "7 targets ended under content, 4 of them late"},
 		"a request that ends targets is stopped in time": {func(c *soak.Checker) {
-			c.RecordSender("a", "g-1")
+			c.RecordSender("a", "g-1", atMs(0), 3*time.Second)
 			for i := range 9 {
 				c.RecordEnd("content", "a", atMs(i*360))
 			}
@@ -93,10 +138,10 @@
 			c.CheckResponse(soak.Response{ID: "a", Status: 502})
 		}, ""},
 		"response of another request": {func(c *soak.Checker) {
-			c.CheckResponse(soak.Response{ID: "a", Status: 200, Complete: true, Body: "for b", WantBody: "for a"})
+			c.CheckResponse(soak.Response{ID: "a", Status: 200, Completeness: completeness.Whole, Body: "for b", WantBody: "for a"})
 		}, "complete response with body"},
 		"truncated response reported as complete": {func(c *soak.Checker) {
-			c.CheckResponse(soak.Response{ID: "a", Status: 200, Complete: true, Body: "for", WantBody: "for a"})
+			c.CheckResponse(soak.Response{ID: "a", Status: 200, Completeness: completeness.Whole, Body: "for", WantBody: "for a"})
 		}, "complete response with body"},
 		"partial response": {func(c *soak.Checker) {
 			c.CheckResponse(soak.Response{ID: "a", Status: 200, Body: "for", WantBody: "for a"})
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -32,13 +32,20 @@
 
 // notices holds what targets have said of themselves and where requests went.
 type notices struct {
-	processes    map[string]string // that forwarded a request, by its id
+	sends        map[string]send // by the id of the request
 	arrivals     []Arrival
 	leavingSince map[sending]time.Time
 	disturbed    map[string][]span // by the name of a target or a node
 	ends         map[string][]end  // by content
 }
 
+// send is the send of a request through a process.
+type send struct {
+	process string
+	at      time.Time
+	longest time.Duration // that its route allows it to take
+}
+
 // end is the end of a target under a request that a process has forwarded.
 type end struct {
 	process string
@@ -51,14 +58,14 @@
 type span struct{ from, until time.Time }
 
 func newNotices() notices {
-	return notices{processes: map[string]string{}, leavingSince: map[sending]time.Time{}, disturbed: map[string][]span{}, ends: map[string][]end{}}
+	return notices{sends: map[string]send{}, leavingSince: map[sending]time.Time{}, disturbed: map[string][]span{}, ends: map[string][]end{}}
 }
 
-// RecordSender records through which process a request is sent.
-func (c *Checker) RecordSender(id, process string) {
+// RecordSender records through which process a request is sent, when, and how long its route allows it to take.
+func (c *Checker) RecordSender(id, process string, at time.Time, longest time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.notices.processes[id] = process
+	c.notices.sends[id] = send{process, at, longest}
 }
 
 // RecordArrival records that a request has reached a target.
@@ -89,7 +96,7 @@
 func (c *Checker) RecordEnd(content, requestID string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.notices.ends[content] = append(c.notices.ends[content], end{c.notices.processes[requestID], at})
+	c.notices.ends[content] = append(c.notices.ends[content], end{c.notices.sends[requestID].process, at})
 }
 
 // node returns the node of a process, whose name has the number of the start in addition.
@@ -109,10 +116,11 @@
 func (n *notices) violations() []string {
 	var violations []string
 	for i, a := range n.arrivals {
-		process, known := n.processes[a.RequestID]
+		sent, known := n.sends[a.RequestID]
 		if !known {
 			continue
 		}
+		process := sent.process
 		if since, leaving := n.leavingSince[sending{process, a.Run}]; leaving && a.At.Sub(since) > leavingReaction && n.calm(a.Target, since, a.At) && n.calm(node(process), since, a.At) {
 			violations = append(violations, fmt.Sprintf("request %s reached %s from %s %s after an answer had told that it leaves", a.RequestID, a.Run, process, a.At.Sub(since)))
 		}
@@ -139,7 +147,7 @@
 	sends := 0
 	for _, a := range later {
 		since := a.At.Sub(refusal.At)
-		if a.Run != refusal.Run || n.processes[a.RequestID] != process || since < restReaction || since > refusal.Rest {
+		if a.Run != refusal.Run || n.sends[a.RequestID].process != process || since < restReaction || since > refusal.Rest {
 			continue
 		}
 		sends++
--- a/soak_answers_test.go
+++ b/soak_answers_test.go
@@ -43,6 +43,8 @@
 	refuses        bool          // refuses every second request and writes the refusal once more before the answer to the next send
 	cutHead        bool          // closes in the middle of the head of every second answer
 	errorsOnResume bool          // answers a stream that is to go on with an error
+	unframed       bool          // answers without a length or chunks, every third one in part
+	slow           time.Duration // before an answer
 	answered       int
 }
 
@@ -54,6 +56,13 @@
 	a.faults = faults
 }
 
+// slowness returns the pause before an answer.
+func (a *soakAnswers) slowness() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.faults.slow
+}
+
 func (a *soakAnswers) setLeaving(leaving bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -111,6 +120,8 @@
 		s.checker.RecordRun(id)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+site.IdentityHeaders(seen)+"Content-Le")
 		return true, false
+	case faults.unframed:
+		return true, s.respondUnframed(target, conn, seen, faults.answered%3 == 0)
 	case faults.errorsOnResume && seen.Header.Get("Last-Event-Id") != "":
 		s.checker.RecordRun(id)
 		status := []int{http.StatusOK, http.StatusInternalServerError}[faults.answered%2]
@@ -178,7 +189,7 @@
 		id := "e" + strconv.FormatInt(s.lastRequestID.Add(1), 10)
 		_, process := gateway.currentProcess()
 		s.checker.RecordRequest(id, false)
-		s.checker.RecordSender(id, process)
+		s.checker.RecordSender(id, process, time.Now(), routeTimeout)
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway.listenAddress+endingPath, nil)
 		if err != nil {
 			s.checker.RecordViolation("create request: %v", err)
--- a/soak_faults_test.go
+++ b/soak_faults_test.go
@@ -112,6 +112,7 @@
 func (s *soakDeployment) stop(n *soakNode) {
 	p, processName := n.currentProcess()
 	signalledAt := time.Now()
+	s.checker.RecordStop(processName, signalledAt, gatewayGrace)
 	p.signal(syscall.SIGTERM)
 	s.activeFaults.Go(func() {
 		<-p.exited
--- a/soak_series_test.go
+++ b/soak_series_test.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"gypsumbank/completeness"
 	"gypsumbank/pause"
 	"gypsumbank/standin/site"
 )
@@ -99,7 +100,7 @@
 func (s *soakDeployment) sendStream(ctx context.Context, client *http.Client, rng *rand.Rand) {
 	const tries = 4
 	var events []string
-	first := ""
+	first, last := "", completeness.Broken
 	for try := range tries {
 		id := "s" + strconv.FormatInt(s.lastRequestID.Add(1), 10)
 		headers := map[string]string{"X-Gypsumbank-Request-Id": id, "X-Gypsumbank-Model": "m1"}
@@ -107,17 +108,21 @@
 			headers["Resumes"], headers["Last-Event-Id"] = first, strconv.Itoa(len(events))
 		}
 		s.checker.RecordRequest(id, false)
-		received, complete := s.readEvents(ctx, client, s.gatewayAddress(rng), "/resumable/"+id, headers)
+		var received []string
+		received, last = s.readEvents(ctx, client, s.gatewayAddress(rng), "/resumable/"+id, headers)
 		if len(events) == 0 {
 			first = id
 		}
 		events = append(events, received...)
-		if complete {
+		if last != completeness.Broken {
 			break
 		}
 		_ = pause.For(ctx, time.Duration(try)*300*time.Millisecond)
 	}
 	s.checker.CheckStream(first, events)
+	if last == completeness.Whole {
+		s.checker.CheckWholeStream(first, len(events), eventsPerStream)
+	}
 }
 
 // gatewayAddress returns the address of a random gateway.
@@ -126,12 +131,12 @@
 	return gateways[rng.IntN(len(gateways))].listenAddress
 }
 
-// readEvents sends a request for a stream and returns the data of the events that arrived whole, and whether the stream is complete.
-func (s *soakDeployment) readEvents(ctx context.Context, client *http.Client, address, path string, headers map[string]string) (events []string, complete bool) {
+// readEvents sends a request for a stream and returns the data of the events that arrived whole, and how far the stream is known to be.
+func (s *soakDeployment) readEvents(ctx context.Context, client *http.Client, address, path string, headers map[string]string) (events []string, known completeness.Completeness) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, nil)
 	if err != nil {
 		s.checker.RecordViolation("create request: %v", err)
-		return nil, false
+		return nil, completeness.Broken
 	}
 	request.Host = "callers.example"
 	for name, value := range headers {
@@ -139,11 +144,11 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, false
+		return nil, completeness.Broken
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, false
+		return nil, completeness.Broken
 	}
 	body, err := io.ReadAll(response.Body)
 	whole := strings.Split(string(body), "\n\n")
@@ -151,5 +156,5 @@
 		_, data, _ := strings.Cut(event, "data: ")
 		events = append(events, data)
 	}
-	return events, err == nil
+	return events, completenessOf(response, err)
 }
--- a/soak_test.go
+++ b/soak_test.go
@@ -16,7 +16,9 @@
 	"testing"
 	"time"
 
+	"gypsumbank/completeness"
 	"gypsumbank/deployment"
+	"gypsumbank/framing"
 	"gypsumbank/link"
 	"gypsumbank/pause"
 	"gypsumbank/soak"
@@ -38,6 +40,8 @@
 	eventsPerStream     = 12
 	streamEventInterval = 20 * time.Millisecond
 	gatewayGrace        = 4 * time.Second
+	routeTimeout        = 3 * time.Second
+	unsafeTimeout       = 5 * time.Second         // longer than the grace
 	exitTolerance       = 1500 * time.Millisecond // added to the grace, as a fault may freeze or delay a process while it stops
 	callerTimeout       = 6 * time.Second
 	recoveryTimeout     = 15 * time.Second
@@ -56,11 +60,12 @@
 		"second stop": {seed: 40012}, // a second SIGTERM terminated an agent that had stopped but not yet exited
 		"restores":    {seed: 29001, series: allSeries},
 		"answers":     {seed: 32001, series: answerSeries},
+		"cuts":        {seed: 35001, series: cutSeries},
 	}
 	if os.Getenv(soakSeedVariable) != "" {
 		clear(cases)
 		given := cases["given"]
-		given.seed, given.series = envUint(t, soakSeedVariable, 1), append(slices.Clone(allSeries), answerSeries...)
+		given.seed, given.series = envUint(t, soakSeedVariable, 1), slices.Concat(allSeries, answerSeries, cutSeries)
 		cases["given"] = given
 	}
 	for name, c := range cases {
@@ -178,6 +183,9 @@
 		return keepOpen
 	}
 	s.checker.RecordRun(id)
+	if slow := target.answers.slowness(); slow > 0 {
+		time.Sleep(slow)
+	}
 	if seen.Header.Get("X-Gypsumbank-Model") == "" {
 		return site.TextResponse(http.StatusOK, "for "+id)(conn, seen)
 	}
@@ -187,13 +195,24 @@
 	return site.EventStream(eventsPerStream, streamEventInterval, 0)(conn, seen)
 }
 
+// streamEvents returns the events of a stream after one, each with the suffix.
+func streamEvents(after int, suffix string) []string {
+	var events []string
+	for i := after + 1; i <= eventsPerStream; i++ {
+		events = append(events, fmt.Sprintf("id: %d\ndata: token-%d%s\n\n", i, i, suffix))
+	}
+	return events
+}
+
 // streamBody returns the complete body of a stream.
-func streamBody() string {
-	var b strings.Builder
-	for i := 1; i <= eventsPerStream; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: token-%d\n\n", i, i)
+func streamBody() string { return strings.Join(streamEvents(0, ""), "") }
+
+// completenessOf returns how far an answer that was read until err is known to be whole.
+func completenessOf(response *http.Response, err error) completeness.Completeness {
+	if err != nil {
+		return completeness.Broken
 	}
-	return b.String()
+	return completeness.Of(framing.Of(response), false)
 }
 
 // publishRoutes writes the next version of the routes to the store. Each version has a route /version-N/ that no other
@@ -204,12 +223,14 @@
 	version := int(s.routesVersion.Add(1))
 	route := func(prefix, routeKind, service string, maxAttempts int) map[string]any {
 		return map[string]any{
-			"name": "r" + strings.Trim(prefix, "/"), "host": "callers.example", "prefix": prefix, "routeKind": routeKind, "timeoutMs": 3000,
+			"name": "r" + strings.Trim(prefix, "/"), "host": "callers.example", "prefix": prefix, "routeKind": routeKind, "timeoutMs": routeTimeout.Milliseconds(),
 			"targetLatencyMs": 300, "priority": 1, "service": service, "maxAttempts": maxAttempts, "resumable": false, "gapAimMs": 300,
 		}
 	}
 	resumable := route("/resumable/", "streaming", "engine", 2)
 	resumable["resumable"] = true
+	unsafe := route("/unsafe/", "unsafe", "plain", 1)
+	unsafe["timeoutMs"] = unsafeTimeout.Milliseconds()
 	models := []any{}
 	for _, name := range []string{"m1", "m2", "m3"} {
 		models = append(models, map[string]any{"name": name, "weightsMb": 50.0, "adapters": 3, "adapterMb": 1.0, "loadS": 0.1})
@@ -217,7 +238,7 @@
 	s.store.Put("op", "config", map[string]any{
 		"version": version,
 		"routes": []any{
-			route("/safe/", "safe", "plain", 2), route("/unsafe/", "unsafe", "plain", 1), route("/stream/", "streaming", "engine", 1),
+			route("/safe/", "safe", "plain", 2), unsafe, route("/stream/", "streaming", "engine", 1),
 			route(fmt.Sprintf("/version-%d/", version), "safe", "plain", 2), resumable,
 		},
 		"services": []any{
@@ -297,7 +318,7 @@
 			lastResult := ""
 			for {
 				response := s.sendRequest(s.t.Context(), client, n, path)
-				if response.Status == http.StatusOK && response.Complete {
+				if response.IsServed() {
 					break
 				}
 				lastResult = fmt.Sprintf("status %d, body %q", response.Status, response.Body)
@@ -347,15 +368,19 @@
 	}
 	s.checker.RecordRequest(id, method == http.MethodPost)
 	_, processName := gateway.currentProcess()
-	s.checker.RecordSender(id, processName)
-	sentAt := time.Now()
+	sentAt, longest := time.Now(), routeTimeout
+	if path == "/unsafe/" {
+		longest = unsafeTimeout
+	}
+	s.checker.RecordSender(id, processName, sentAt, longest)
 	response, err := client.Do(request)
 	if err == nil {
 		defer response.Body.Close()
 		body, err := io.ReadAll(response.Body)
-		result.Status, result.Body, result.Complete = response.StatusCode, string(body), err == nil
+		result.Status, result.Body, result.Completeness = response.StatusCode, string(body), completenessOf(response, err)
 		s.recordLeaving(processName, response.Header)
 	}
+	result.At = time.Now()
 	s.checker.CheckResponse(result)
 	if version, ok := strings.CutPrefix(path, "/version-"); ok && result.Status == http.StatusOK {
 		if _, currentName := gateway.currentProcess(); currentName == processName {
