Record at which version a stream begins once a whole event of it is passed on

What callers saw: a stream held events of two software versions over its tries (ORDER).

Cause: a gateway recorded a target as the origin of a stream at its first byte and told the agents, though a target that breaks off inside the first event has not begun the stream for the caller. The record that came after it was too late for some. It is recorded before the first whole event is passed on.

TestStreamWithoutAWholeEventHasNoSoftwareVersion: such a stream went on 4 times of 4 before, now it is refused as unknown.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -34,7 +34,7 @@
 		e.refuseOrAbort(answered.Response.Status, dispatch.StreamBroken, 0)
 	}
 	e.begin(answered)
-	e.bodyBytes, e.firstByteAt = 0, time.Time{}
+	e.bodyBytes, e.firstByteAt, e.originRecorded = 0, time.Time{}, false
 	events := &eventBuffer{lastID: e.request.LastEventID}
 	known, err := e.copyBody(answered, events)
 	e.log().WithFields(logrus.Fields{
@@ -129,11 +129,12 @@
 		now := time.Now()
 		e.longestGap = max(e.longestGap, now.Sub(lastRead))
 		lastRead = now
-		e.recordBodyBytes(n, now, answered.Assignment.Target(), isStream)
+		e.recordBodyBytes(n, now)
 		chunk := buffer[:n]
 		var invalid error
 		if isStream {
 			chunk, invalid = e.passableEvents(chunk, events)
+			e.recordOrigin(chunk, answered.Assignment.Target())
 		}
 		if err := e.answer.write(chunk); err != nil {
 			return completeness.Broken, err
@@ -172,17 +173,23 @@
 	return chunk, nil
 }
 
-// recordBodyBytes records that n bytes of a response body have arrived, and at the first of a stream which target began it.
-func (e *exchange) recordBodyBytes(n int, now time.Time, target registry.Target, isStream bool) {
+// recordBodyBytes records that n bytes of a response body have arrived.
+func (e *exchange) recordBodyBytes(n int, now time.Time) {
 	if n > 0 && e.firstByteAt.IsZero() {
 		e.firstByteAt = now
-		if isStream {
-			e.dispatch.RecordOrigin(target)
-		}
 	}
 	e.bodyBytes += n
 }
 
+// recordOrigin records, before the first events of an answer are passed on, which target began the stream or goes on with it. A target that
+// breaks off before its first whole event has not: another may begin the stream anew.
+func (e *exchange) recordOrigin(passed []byte, target registry.Target) {
+	if len(passed) > 0 && !e.originRecorded {
+		e.originRecorded = true
+		e.dispatch.RecordOrigin(target)
+	}
+}
+
 // logBrokenAnswer logs and counts a response that its target has not completed: how much of it had arrived, since when, and
 // the prompt parts of the request, which tell whether the requests that targets crash under have one in common.
 func (e *exchange) logBrokenAnswer(targetID, lastEventID string, err error) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -113,6 +113,8 @@
 	longestGap  time.Duration // longest wait for a chunk of the response body
 	bodyBytes   int           // bytes received of the body of the current response
 	firstByteAt time.Time     // when the first of these arrived; zero before
+	// originRecorded is set once events of the current response have been passed on.
+	originRecorded bool
 }
 
 // run dispatches the request and writes its response. It panics with http.ErrAbortHandler, which closes the connection, if
--- a/gateway/software_version_test.go
+++ b/gateway/software_version_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"gypsumbank/framing"
 	"gypsumbank/standin/site"
 )
 
@@ -251,3 +253,39 @@
 		})
 	}
 }
+
+// TestStreamWithoutAWholeEventHasNoSoftwareVersion guards against a stream that is taken up at the version of a target which broke off in the
+// first event: the caller's events, if it has any, are another target's.
+func TestStreamWithoutAWholeEventHasNoSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	g := newGatewayGroup(t)
+	for i, version := range []string{"v1", "v2"} {
+		host, id := fmt.Sprintf("127.0.0.%d", 110+i), fmt.Sprintf("p%d-%s", i, version)
+		engine := site.NewTargetAt(host+":0", id, func(conn net.Conn, request *site.ReceivedRequest) bool {
+			if request.Header.Get("Last-Event-Id") != "" {
+				return site.VersionedEventStream(6, 0, version, 0)(conn, request)
+			}
+			pieces := []string{"id: 1\ndata: token-1-at-" + version + "\n\n"}
+			return site.CutResponse(http.StatusOK, framing.Connection, "text/event-stream", pieces, 10, site.EndReset)(conn, request)
+		})
+		engine.Load("m1")
+		entry := engine.RegistryEntry("engine", "ready")
+		entry["version"] = version
+		g.store.Put("servers", id, entry)
+		t.Cleanup(engine.Close)
+		g.startAgent(id, engine)
+	}
+	g.startGateway(0)
+	g.startGateway(1)
+	time.Sleep(1500 * time.Millisecond)
+	for i := range 4 {
+		if answer := g.sendTo(0, streamRequest(fmt.Sprint("cut", i))); versionsOf(answer) != "" {
+			t.Fatalf("stream %d has a whole event: %q", i, answer)
+		}
+		time.Sleep(100 * time.Millisecond)
+		answer := g.sendTo(1, streamRequest(fmt.Sprint("next", i), "Last-Event-Id: 1", fmt.Sprint("Resumes: cut", i)))
+		if !strings.HasPrefix(answer, "HTTP/1.1 503") {
+			t.Errorf("stream %d, of which nobody knows the version, goes on: %.200q", i, answer)
+		}
+	}
+}
