Send streams in a stop that end in time by their tokens

A stream is sent now if its first byte and twice the time of as many tokens as it may generate, at the pace and slowness measured, fit into the grace. Unsafe requests of plain services and streams without a limit still go by their deadline. TestStreamThatEndsInTimeByItsTokensIsServed.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -184,15 +184,15 @@
 		if d.ctx.Err() != nil {
 			return fleet.Choice{}, nil
 		}
-		if refused := d.refuseStopping(); refused != nil {
-			return fleet.Choice{}, refused
-		}
 		if refused := d.refuseQuarantined(); refused != nil {
 			return fleet.Choice{}, refused
 		}
 		now := d.now()
 		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded, SoftwareVersion: d.streamVersion, LoadsModel: d.streamVersion != nil}, now)
 		remaining := d.firstByteDeadline().Sub(now)
+		if refused := d.refuseStopping(choice); refused != nil {
+			return choice, refused
+		}
 		switch {
 		case !ok:
 			return choice, &Refused{Reason: NoTarget, RetryAfter: defaultRetryAfter}
@@ -263,7 +263,7 @@
 
 // attempt sends the request to the chosen target and reports whether to retry it on another.
 func (d *Dispatch) attempt(choice fleet.Choice) (Outcome, bool) {
-	if refused := d.refuseStopping(); refused != nil {
+	if refused := d.refuseStopping(choice); refused != nil {
 		return d.finalOutcome(*refused), false // the stop has begun since the choice
 	}
 	now := d.now()
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"gypsumbank/fleet"
 )
 
 // errGraceOver is the cause of the end of requests that are in progress at the end of the grace.
@@ -28,7 +30,7 @@
 	return s
 }
 
-// Stop begins a planned stop: requests that may last longer than answerBy are refused from now on unless they have been sent.
+// Stop begins a planned stop: requests that might last beyond answerBy are not sent from now on.
 func (d *Dispatcher) Stop(answerBy time.Time) { d.stop.answerBy.Store(&answerBy) }
 
 // StopWaits refuses the requests that wait for room or for a model, and those that have not been sent. The process is about
@@ -48,23 +50,35 @@
 	}
 }
 
-// refuseStopping returns a refusal if the process stops and the request is not to be sent any more: it might not end in time, or it has not
-// been sent and nothing begins any more.
-func (d *Dispatch) refuseStopping() *Refused {
+// generationMargin is the factor on the expected time of a whole generation within which it is taken to end.
+const generationMargin = 2
+
+// refuseStopping returns a refusal if the process stops and the request is not to be sent to the chosen target: it might not end in time, or
+// it has not been sent and nothing begins any more.
+func (d *Dispatch) refuseStopping(choice fleet.Choice) *Refused {
 	answerBy := d.stop.answerBy.Load()
-	switch {
-	case answerBy != nil && d.deadline.After(*answerBy):
-	case d.stop.waitsAreOver() && d.sendCount == 0:
-	default:
+	if answerBy == nil {
 		return nil
 	}
-	log := d.log
-	if answerBy != nil {
-		log = log.WithField("grace-left-ms", answerBy.Sub(d.now()).Milliseconds())
+	tooLate := d.stop.waitsAreOver() && d.sendCount == 0
+	if !tooLate && d.endsBy(*answerBy, choice) {
+		return nil
 	}
-	log.WithFields(logrus.Fields{"left-ms": d.deadline.Sub(d.now()).Milliseconds(), "sent": d.sendCount}).Info("not sent, the gateway stops")
+	d.log.WithFields(logrus.Fields{
+		"grace-left-ms": answerBy.Sub(d.now()).Milliseconds(), "left-ms": d.deadline.Sub(d.now()).Milliseconds(), "sent": d.sendCount,
+		"expected-ms": choice.Expected.Milliseconds(), "generation-ms": choice.Generation.Milliseconds(),
+	}).Info("not sent, the gateway stops")
 	return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
 }
 
+// endsBy reports whether the request ends by a time: by its deadline, or by the tokens that it may generate.
+func (d *Dispatch) endsBy(by time.Time, choice fleet.Choice) bool {
+	if !d.deadline.After(by) {
+		return true
+	}
+	longest := choice.Expected + generationMargin*choice.Generation
+	return choice.Generation > 0 && !d.now().Add(longest).After(by)
+}
+
 // GraceOver reports whether the dispatch ended at the end of the grace.
 func (d *Dispatch) GraceOver() bool { return errors.Is(context.Cause(d.ctx), errGraceOver) }
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// TestStreamThatEndsInTimeByItsTokensIsServed guards against a stop that sends the callers of short streams away as their route allows long ones.
+func TestStreamThatEndsInTimeByItsTokensIsServed(t *testing.T) {
+	const left = 2 * time.Second // of the grace
+	cases := map[string]struct {
+		maxTokens  int
+		wantServed bool
+	}{
+		"few tokens":             {50, true},
+		"many tokens":            {400, false},
+		"no limit on its tokens": {0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &scriptedClient{replies: []func() reply.Result{respond(200)}}
+			d := newDispatcher(s, time.Now)
+			d.Stop(time.Now().Add(left))
+			r := streamRoute(false)
+			r.Timeout = 20 * time.Second
+			dispatch := d.Begin(t.Context(), &request.Request{ID: "r", Model: "m1", Arrived: time.Now(), PromptTokens: 100, MaxOutputTokens: c.maxTokens}, r, engineService)
+			defer dispatch.Close()
+			outcome := dispatch.Run()
+			if _, served := outcome.(Answered); served != c.wantServed {
+				t.Errorf("outcome %#v, want it served: %v", outcome, c.wantServed)
+			}
+		})
+	}
+}
+
 // silentClient is a scriptedClient whose targets never answer.
 type silentClient struct{ *scriptedClient }
 
