--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -37,11 +37,7 @@
 	e.bodyBytes, e.firstByteAt, e.originRecorded = 0, time.Time{}, false
 	events := &eventBuffer{lastID: e.request.LastEventID}
 	known, err := e.copyBody(answered, events)
-	e.log().WithFields(logrus.Fields{
-		"target": answered.Assignment.Target().ID, "status": answered.Response.Status, "longest-gap-ms": e.longestGap.Milliseconds(),
-		"priority": e.route.Priority, "whole": known == completeness.Whole, "completeness": known.String(), "framing": answered.Response.Framing.String(), "request-written": answered.Response.WriteState().String(),
-		"body-bytes": e.bodyBytes, "within-event": events.hasIncomplete(), "to-caller": e.answer.framing.String(),
-	}).Info("answer ends")
+	e.logEnd(answered, known, events)
 	switch {
 	case err == nil:
 		answered.Assignment.End(fleet.Served, time.Now())
@@ -49,22 +45,13 @@
 		e.countOutcome(servedOutcome(known))
 		return nil, false
 	case e.dispatch.TimedOut():
-		answered.Assignment.End(fleet.Abandoned, time.Now())
-		e.log().Info("answer cut at the timeout")
-		e.countOutcome("cut-at-timeout")
-		panic(http.ErrAbortHandler)
+		e.abort(answered, "answer cut at the timeout", "cut-at-timeout", nil)
 	case e.dispatch.GraceOver():
-		answered.Assignment.End(fleet.Abandoned, time.Now())
-		e.log().Info("answer cut at the end of the grace")
-		e.countOutcome("cut-at-stop")
-		panic(http.ErrAbortHandler)
+		e.abort(answered, "answer cut at the end of the grace", "cut-at-stop", nil)
 	case e.callerCtx.Err() != nil:
-		answered.Assignment.End(fleet.Abandoned, time.Now())
-		e.log().WithError(err).Info("caller left")
-		e.countOutcome("caller-left")
-		panic(http.ErrAbortHandler)
+		e.abort(answered, "caller left", "caller-left", err)
 	}
-	answered.Assignment.End(fleet.Failed, time.Now())
+	answered.Assignment.End(targetResult(known), time.Now())
 	e.judgeContents(answered, known)
 	e.logBrokenAnswer(answered.Assignment.Target().ID, events.lastID, err)
 	if e.route.Kind != route.Streaming || !e.route.Resumable {
@@ -75,6 +62,36 @@
 	return e.dispatch.Resume(answered.Assignment.Target(), events.lastID), true
 }
 
+// logEnd logs how an answer ended, and what tells how far it is known to be whole.
+func (e *exchange) logEnd(answered dispatch.Answered, known completeness.Completeness, events *eventBuffer) {
+	e.log().WithFields(logrus.Fields{
+		"target": answered.Assignment.Target().ID, "status": answered.Response.Status, "priority": e.route.Priority,
+		"longest-gap-ms": e.longestGap.Milliseconds(), "body-bytes": e.bodyBytes, "within-event": events.hasIncomplete(),
+		"whole": known == completeness.Whole, "completeness": known.String(),
+		"framing": answered.Response.Framing.String(), "to-caller": e.answer.framing.String(), "request-written": answered.Response.WriteState().String(),
+	}).Info("answer ends")
+}
+
+// abort logs and counts an answer that does not go on, though not for its target's doing, and closes the caller's connection.
+func (e *exchange) abort(answered dispatch.Answered, message, outcome string, err error) {
+	answered.Assignment.End(fleet.Abandoned, time.Now())
+	log := e.log()
+	if err != nil {
+		log = log.WithError(err)
+	}
+	log.Info(message)
+	e.countOutcome(outcome)
+	panic(http.ErrAbortHandler)
+}
+
+// targetResult returns the result of an assignment whose answer was not passed on to its end: a target may have given all of it.
+func targetResult(known completeness.Completeness) fleet.Result {
+	if known == completeness.Broken {
+		return fleet.Failed
+	}
+	return fleet.Served
+}
+
 // continuesStream reports whether an answer may be joined to the one that has begun: a success of the same run and of the same kind.
 func (e *exchange) continuesStream(answered dispatch.Answered) bool {
 	return answered.Response.Status < http.StatusMultipleChoices && mediaType(answered.Response.Header) == e.answer.mediaType &&
@@ -157,7 +174,10 @@
 
 // end has the caller's answer end in order if that claims no more than is known of the target's, whose body has ended.
 func (e *exchange) end(known completeness.Completeness) (completeness.Completeness, error) {
-	if !known.MayEnd(e.answer.framing) {
+	switch {
+	case known == completeness.Broken:
+		return known, io.ErrUnexpectedEOF
+	case !known.MayEnd(e.answer.framing):
 		return known, errNotKnownWhole
 	}
 	return known, e.answer.finish()
