--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// generationMargin is the factor on the expected time of a whole generation within which it is taken to end.
+// generationMargin is the factor on the expected time of a generation within which it is taken to end.
 const generationMargin = 2
 
 // refuseStopping returns a refusal if the process stops and the request is not to be sent to the chosen target: it might not end in time, or
@@ -71,7 +71,7 @@
 	return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
 }
 
-// endsBy reports whether the request ends by a time: by its deadline, or by the tokens that it may generate.
+// endsBy reports whether the request ends by a time: by its deadline, or by the tokens that it is expected to generate.
 func (d *Dispatch) endsBy(by time.Time, choice fleet.Choice) bool {
 	if !d.deadline.After(by) {
 		return true
