Keep the only copy of a model at a software version while others serve

Trace: all refused streams were of two models at v1, whose only copies there had been evicted 0.2 and 1.5 s after the gateways were back, for a third and a fourth copy of other models. Cause: the planner counts copies of all versions as one.

While two versions serve, the only copy at one of them of a model in demand makes no room for a further copy of another, only for the first. TestLastCopyOfASoftwareVersionStays failed before.

--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -310,6 +310,16 @@
 	return maxCongestion*work + idleReachableLoss
 }
 
+// isOnlyCopyOfVersion reports whether a target has the only copy of a model in demand at its software version, though not the only one: the
+// streams that this version began can go on there only.
+func (p *planState) isOnlyCopyOfVersion(model string, target int) bool {
+	if len(p.holders[model]) < 2 || p.workMsPerS[model] < idleWorkMsPerS {
+		return false
+	}
+	version := p.targets[target].SoftwareVersion
+	return !slices.ContainsFunc(p.holders[model], func(i int) bool { return i != target && p.targets[i].SoftwareVersion == version })
+}
+
 // makeRoom returns the model to evict from a target before another model is loaded, empty if there is enough free
 // memory, and the loss by it; ok is false if no single model that may be evicted frees enough.
 func (p *planState) makeRoom(target int, model string) (evict string, lossMsPerS float64, ok bool) {
@@ -325,11 +335,15 @@
 		return "", 0, true
 	}
 	lossMsPerS = math.Inf(1)
+	isFurtherCopy := len(p.holders[model]) > 0 && p.streamVersion == nil
 	for _, m := range held {
 		spec := p.engine.Models[m.Name]
 		if freeMB+spec.WeightMB+spec.AdapterMB*float64(len(m.Adapters)) < needMB || p.now.Sub(s.loadedAt[m.Name]) < minimumStay {
 			continue
 		}
+		if isFurtherCopy && p.isOnlyCopyOfVersion(m.Name, target) {
+			continue
+		}
 		// The target no longer serves what it evicts, which makes its other load lower.
 		loss := p.lossOfCopy(m.Name, target) - (congestion(p.balance.load[target]) - congestion(p.balance.load[target]-p.balance.shareOn(m.Name, target)))
 		if loss < lossMsPerS {
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -79,6 +79,44 @@
 	}
 }
 
+// TestLastCopyOfASoftwareVersionStays guards against streams that can't be taken up as the only copy of their model at the version that began
+// them makes room for a further copy of another, while a newer version is rolled out.
+func TestLastCopyOfASoftwareVersionStays(t *testing.T) {
+	cases := map[string]struct {
+		version   registry.SoftwareVersion // of the engine that may load hot
+		wantEvict string
+	}{
+		"another version": {"v1", ""},
+		"one version":     {"v2", "taken-up"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet([]string{"taken-up"}, []string{"taken-up"}, []string{"taken-up"}, []string{"hot"})
+			now := start
+			for i, version := range []registry.SoftwareVersion{c.version, "v2", "v2", "v2"} {
+				f.states[fmt.Sprint("e", i)].SoftwareVersion = version
+			}
+			engine := *f.services[service].Engine
+			engine.WeightMemoryMB = engine.Models["hot"].WeightMB
+			f.services[service] = route.Service{Name: service, Engine: &engine}
+			for range 200 {
+				now = now.Add(10 * time.Millisecond)
+				f.RecordDemand(service, longRequest("hot", "s"), now)
+			}
+			for range 10 {
+				f.RecordDemand(service, shortRequest("taken-up"), now)
+			}
+			for id := range 4 {
+				f.Observe(fmt.Sprint("e", id), newObservation(registry.Report{Born: 1, Busy: id == 1 || id == 2, Models: f.states[fmt.Sprint("e", id)].Models}), now)
+			}
+			placement, _ := f.Plan(service, now)
+			if placement.Evict != c.wantEvict {
+				t.Errorf("placement %+v, want it to evict %q", placement, c.wantEvict)
+			}
+		})
+	}
+}
+
 // TestOnlyThePlannerPlansLoads checks that a gateway plans no loads on targets whose models another gateway plans.
 func TestOnlyThePlannerPlansLoads(t *testing.T) {
 	f := newTestFleet([]string{"hot"}, []string{"hot"})
