--- a/gateway/cut_answers_test.go
+++ b/gateway/cut_answers_test.go
@@ -53,7 +53,7 @@
 	d.store.Put("servers", "e2", other.RegistryEntry("engine", "ready"))
 	d.plainTarget.SetHandler(cutAsAsked)
 	d.engineTarget.SetHandler(cutAsAsked)
-	d.waitForTargets(2)
+	d.waitForEngines()
 	return d
 }
 
@@ -233,7 +233,7 @@
 			t.Cleanup(other.Close)
 			other.Load("m1")
 			d.store.Put("servers", "e2", other.RegistryEntry("engine", "ready"))
-			d.waitForTargets(2)
+			d.waitForEngines()
 			handler := func(conn net.Conn, request *site.ReceivedRequest) bool {
 				if request.Header.Get("Last-Event-Id") == "" {
 					cut := len(site.FrameBody(c.first, streamPieces[:1])) + first/2
--- a/gateway/cut_head_test.go
+++ b/gateway/cut_head_test.go
@@ -47,7 +47,7 @@
 	defer other.Close()
 	other.Load("m1")
 	d.store.Put("servers", "e2", other.RegistryEntry("engine", "ready"))
-	d.waitForTargets(2)
+	d.waitForEngines()
 	broken := site.EventStream(6, 0, 2)
 	for _, at := range []int{1, 9, 15, 17, 30, 80, 100, 130} {
 		cutHead := site.RawResponse(false, func(conn net.Conn, identity string) {
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -141,8 +141,9 @@
 	}
 }
 
-// waitForTargets waits for up to 3 s until the gateway knows that many engines.
-func (d *testDeployment) waitForTargets(engines int) {
+// waitForEngines waits for up to 3 s until the gateway knows two engines.
+func (d *testDeployment) waitForEngines() {
+	const engines = 2
 	d.t.Helper()
 	for range 300 {
 		known := map[any]bool{}
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -42,7 +42,7 @@
 			defer other.Close()
 			other.Load("m1")
 			d.store.Put("servers", "e2", other.RegistryEntry("engine", "ready"))
-			d.waitForTargets(2)
+			d.waitForEngines()
 			for _, target := range []*site.Target{d.engineTarget, other} {
 				broken := site.EventStream(6, 0, 2)
 				target.SetHandler(func(conn net.Conn, request *site.ReceivedRequest) bool {
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -44,32 +44,51 @@
 	c.cuts.stops[process] = plannedStop{at: at, over: at.Add(grace)}
 }
 
-// violations returns the answers that seem to end in order though no target ended them so, the requests that a stopping process has passed on
-// too late and those that it has left without an answer.
+// violations returns what targets, processes that stop and callers have seen that must not be.
 func (k *cuts) violations(n *notices) []string {
-	var violations []string
 	arrivals := map[string]Arrival{}
 	for _, a := range n.arrivals {
 		arrivals[a.RequestID] = a
-		sent := n.sends[a.RequestID]
-		stop, stopping := k.stops[sent.process]
-		if stopping && sent.at.After(stop.at.Add(stopReaction)) && sent.at.Add(sent.longest).After(stop.over) && n.calm(node(sent.process), stop.at.Add(-disturbanceTail), a.At) {
-			violations = append(violations, fmt.Sprintf("request %s reached %s from %s, sent %s after the signal to stop", a.RequestID, a.Target, sent.process, sent.at.Sub(stop.at)))
-		}
+	}
+	var violations []string
+	for _, a := range n.arrivals {
+		violations = append(violations, k.lateSend(n, a)...)
 	}
 	for _, r := range k.received {
-		a, arrived := arrivals[r.ID]
-		process := n.sends[r.ID].process
-		if !arrived || k.byTarget[r.ID] || k.broken[r.ID] && r.Status == 0 || !n.calm(a.Target, a.At.Add(-disturbanceTail), r.At) {
-			continue
-		}
-		stop, stopping := k.stops[process]
-		switch {
-		case r.Status != 0:
-			violations = append(violations, fmt.Sprintf("request %s got body %q, which seems to end in order, want %q", r.ID, r.Body, r.WantBody))
-		case stopping && r.At.After(stop.at) && r.At.Before(stop.over.Add(disturbanceTail)) && n.calm(node(process), stop.at.Add(-disturbanceTail), r.At):
-			violations = append(violations, fmt.Sprintf("request %s got no answer as %s stopped", r.ID, process))
+		if a, arrived := arrivals[r.ID]; arrived && n.calm(a.Target, a.At.Add(-disturbanceTail), r.At) {
+			violations = append(violations, k.wrongEnd(n, r)...)
 		}
 	}
 	return violations
 }
+
+// lateSend checks that a stopping process has not passed on a request that its route allows to outlast the grace.
+func (k *cuts) lateSend(n *notices, a Arrival) []string {
+	sent := n.sends[a.RequestID]
+	stop, stopping := k.stops[sent.process]
+	inTime := !sent.at.After(stop.at.Add(stopReaction)) || !sent.at.Add(sent.longest).After(stop.over)
+	if !stopping || inTime || !k.calmSince(n, sent.process, stop, a.At) {
+		return nil
+	}
+	return []string{fmt.Sprintf("request %s reached %s from %s, sent %s after the signal to stop", a.RequestID, a.Target, sent.process, sent.at.Sub(stop.at))}
+}
+
+// wrongEnd checks an answer that seemed to end in order midway, or never came though its request had reached a target.
+func (k *cuts) wrongEnd(n *notices, r Response) []string {
+	process := n.sends[r.ID].process
+	stop, stopping := k.stops[process]
+	duringStop := stopping && r.At.After(stop.at) && r.At.Before(stop.over.Add(disturbanceTail))
+	switch {
+	case k.byTarget[r.ID]:
+	case r.Status != 0:
+		return []string{fmt.Sprintf("request %s got body %q, which seems to end in order, want %q", r.ID, r.Body, r.WantBody)}
+	case !k.broken[r.ID] && duringStop && k.calmSince(n, process, stop, r.At):
+		return []string{fmt.Sprintf("request %s got no answer as %s stopped", r.ID, process)}
+	}
+	return nil
+}
+
+// calmSince reports whether a stopping process was not disturbed from its stop until a time.
+func (k *cuts) calmSince(n *notices, process string, stop plannedStop, until time.Time) bool {
+	return n.calm(node(process), stop.at.Add(-disturbanceTail), until)
+}
