Answer what is in progress when the grace of an entry ends

The class of late-in-the-grace in the own interface: requests that lasted longer than the grace of their entry got no answer, as its server was closed under them. TestRequestInProgressGetsAnAnswerWhenItsEntryStops: no answer before (EOF, a call and a completion), now an error with the outcome.

--- a/entry/call.go
+++ b/entry/call.go
@@ -45,7 +45,7 @@
 		return failed
 	}
 	defer release(0)
-	callCtx, cancel := context.WithTimeoutCause(context.Background(), e.config.Entry.RequestTimeout, errRequestTimeout)
+	callCtx, cancel := context.WithTimeoutCause(e.requests, e.config.Entry.RequestTimeout, errRequestTimeout)
 	defer cancel()
 	reply := e.callWithRetries(callCtx, c)
 	failed = writeCallReply(ctx, reply)
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -72,7 +72,7 @@
 // respond runs a job in the background and writes its answer, either as a stream or as a whole. The job is cancelled if
 // the caller disconnects or the request timeout passes; release is called with the tokens used when the job has ended.
 func (e *Entry) respond(ctx *fasthttp.RequestCtx, job *job, release func(tokens int)) *errorResponse {
-	jobCtx, cancel := context.WithCancelCause(context.Background())
+	jobCtx, cancel := context.WithCancelCause(e.requests)
 	jobCtx, stop := context.WithTimeoutCause(jobCtx, e.config.Entry.RequestTimeout, errRequestTimeout)
 	go cancelOnDisconnect(jobCtx, ctx.Conn(), cancel)
 	go func() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,9 @@
 // load balancers can stop sending new requests.
 const listenerCloseDelay = 2 * time.Second
 
+// maxAnswerTime is kept at the end of the grace for the last answers to be written.
+const maxAnswerTime = 500 * time.Millisecond
+
 // Entry serves the HTTP API: it authenticates callers, applies the limits of their plans, chooses a target for each
 // attempt of a request and returns the answer, either as a stream or as a whole.
 type Entry struct {
@@ -42,6 +45,8 @@
 	log            *logrus.Entry
 	draining       atomic.Bool
 	activeRequests atomic.Int64
+	requests       context.Context // that of all requests; ends with errStopping shortly before the grace does
+	endRequests    context.CancelCauseFunc
 
 	mu           sync.Mutex
 	lastScaleOut map[string]time.Time // by model: when a further copy was last requested
@@ -59,6 +64,7 @@
 		slotOwners:   map[string]string{},
 		lastScaleOut: map[string]time.Time{},
 	}
+	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	e.router = router.New(router.Config{
 		Zone:      config.Node.AvailabilityZone,
 		Policy:    router.Policy(config.Entry.Routing),
@@ -120,6 +126,8 @@
 	time.Sleep(min(listenerCloseDelay, e.config.Entry.Grace))
 	ctx, cancel := context.WithTimeout(context.Background(), e.config.Entry.Grace)
 	defer cancel()
+	lastAnswers := time.AfterFunc(e.config.Entry.Grace-min(maxAnswerTime, e.config.Entry.Grace/2), func() { e.endRequests(errStopping) })
+	defer lastAnswers.Stop()
 	if err := e.httpServer.Shutdown(ctx); err != nil {
 		e.log.WithError(err).WithField("cut", e.activeRequests.Load()).Error("requests cut off at the end of the grace period")
 	}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -31,6 +31,7 @@
 
 var (
 	errRequestTimeout = errors.New("request took too long")
+	errStopping       = errors.New("entry has stopped before the request ended")
 	errTargetSilent   = errors.New("target made no progress")
 	errWrongRequest   = errors.New("answer belongs to another request")
 	errTokenOrder     = errors.New("tokens came out of order")
@@ -235,10 +236,24 @@
 			message: cause.Error(), outcome: job.outcome(),
 		}
 	}
+	if errors.Is(cause, errStopping) {
+		return e.failStopping(job)
+	}
 	e.recordEvent(job.event(timeline.RequestCancelled, "", "caller has gone"))
 	return serverError("cancelled", "the caller has gone", 0)
 }
 
+// failStopping returns the error of a job that the end of the entry has cut short: another entry can run it at once if it has not run.
+func (e *Entry) failStopping(job *job) *errorResponse {
+	e.recordEvent(job.event(timeline.RequestFailed, "", errStopping.Error()))
+	failed := serverError("stopping", errStopping.Error(), 0)
+	failed.outcome = job.outcome()
+	if failed.outcome != outcomeNotRun {
+		failed.status = fasthttp.StatusBadGateway
+	}
+	return failed
+}
+
 // crashingRequestError refuses a content that is blocked because targets crashed while they ran it.
 func crashingRequestError(outcome string) *errorResponse {
 	return &errorResponse{
