Keep only copies at a version for the first seconds of a gateway alone

In calm an eviction harms no stream, as it waits for its runs to end; after a kill of all gateways it does, and there the planners have just started.

--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -46,6 +46,8 @@
 	// maxModelsCompared and maxTargetsCompared bound the loads that are compared for a plan.
 	maxModelsCompared  = 12
 	maxTargetsCompared = 24
+	// streamReturnTime is how long after its start a gateway assumes that callers come back with streams which it has not seen.
+	streamReturnTime = 10 * time.Second
 )
 
 // planState is the input of a planning step: the copies of a service's models and the demand for them.
@@ -57,6 +59,7 @@
 	balance        *balance
 	now            time.Time
 	storeExhausted bool // no further load from the weight store may be planned now
+	justStarted    bool // streams that broke off as the gateways ended may be taken up, which this one does not know
 	// streamVersion is set if a load is planned for a stream that goes on only at targets of this software version, by whichever
 	// gateway has the stream.
 	streamVersion *registry.SoftwareVersion
@@ -165,7 +168,7 @@
 	if engine == nil {
 		return nil
 	}
-	p := &planState{engine: engine, now: now, holders: map[string][]int{}, workMsPerS: f.workByModel(service, now), storeExhausted: now.Before(f.storeBlockedUntil[service]) || f.storeRateExhausted(service, engine, now)}
+	p := &planState{engine: engine, now: now, justStarted: f.registryReadSince.IsZero() || now.Sub(f.registryReadSince) < streamReturnTime, holders: map[string][]int{}, workMsPerS: f.workByModel(service, now), storeExhausted: now.Before(f.storeBlockedUntil[service]) || f.storeRateExhausted(service, engine, now)}
 	for _, s := range f.byService[service] {
 		if f.mustNotUse(s) || now.Before(s.backoffUntil) {
 			continue
@@ -335,13 +338,13 @@
 		return "", 0, true
 	}
 	lossMsPerS = math.Inf(1)
-	isFurtherCopy := len(p.holders[model]) > 0 && p.streamVersion == nil
+	keepsVersions := p.justStarted && len(p.holders[model]) > 0 && p.streamVersion == nil
 	for _, m := range held {
 		spec := p.engine.Models[m.Name]
 		if freeMB+spec.WeightMB+spec.AdapterMB*float64(len(m.Adapters)) < needMB || p.now.Sub(s.loadedAt[m.Name]) < minimumStay {
 			continue
 		}
-		if isFurtherCopy && p.isOnlyCopyOfVersion(m.Name, target) {
+		if keepsVersions && p.isOnlyCopyOfVersion(m.Name, target) {
 			continue
 		}
 		// The target no longer serves what it evicts, which makes its other load lower.
