--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -168,7 +168,7 @@
 	if engine == nil {
 		return nil
 	}
-	p := &planState{engine: engine, now: now, justStarted: f.registryReadSince.IsZero() || now.Sub(f.registryReadSince) < streamReturnTime, holders: map[string][]int{}, workMsPerS: f.workByModel(service, now), storeExhausted: now.Before(f.storeBlockedUntil[service]) || f.storeRateExhausted(service, engine, now)}
+	p := &planState{engine: engine, now: now, justStarted: f.justStarted(now), holders: map[string][]int{}, workMsPerS: f.workByModel(service, now), storeExhausted: now.Before(f.storeBlockedUntil[service]) || f.storeRateExhausted(service, engine, now)}
 	for _, s := range f.byService[service] {
 		if f.mustNotUse(s) || now.Before(s.backoffUntil) {
 			continue
@@ -197,6 +197,11 @@
 	return p
 }
 
+// justStarted reports whether callers may come back with streams that this gateway has not seen, as the registry has not been read for long.
+func (f *Fleet) justStarted(now time.Time) bool {
+	return f.registryReadSince.IsZero() || now.Sub(f.registryReadSince) < streamReturnTime
+}
+
 // storeRateExhausted reports whether the recently planned loads from the weight store have reached its rate limit. One
 // more would wait at its engine and block it from loading models that it has in host memory or on disk.
 func (f *Fleet) storeRateExhausted(service string, engine *route.Engine, now time.Time) bool {
