Have the stand-in announce that it closes after a whole answer

Trace: the stand-in closed a connection without a word after an answer with a length or chunks; the gateway had put it back into its pool, and the next request met the close. An unsafe request on a kept connection that its target closes at that moment has an unknown outcome, as before.

--- a/standin/site/framed.go
+++ b/standin/site/framed.go
@@ -40,15 +40,16 @@
 	return b.String() + "0\r\n\r\n"
 }
 
-// CutResponse responds with a status, the first bytes of a framed body and an end of the connection.
+// CutResponse responds with a status, the first bytes of a framed body and an end of the connection, which it announces: a whole answer with a
+// length or chunks would else let the caller's side use the connection again as it is closed.
 func CutResponse(status int, f framing.Framing, contentType string, pieces []string, bytes int, end End) Handler {
 	return func(conn net.Conn, request *ReceivedRequest) bool {
 		head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Type: %s\r\n", status, http.StatusText(status), IdentityHeaders(request), contentType)
 		switch f {
 		case framing.Length:
-			head += fmt.Sprintf("Content-Length: %d\r\n", len(strings.Join(pieces, "")))
+			head += fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n", len(strings.Join(pieces, "")))
 		case framing.Chunks:
-			head += "Transfer-Encoding: chunked\r\n"
+			head += "Connection: close\r\nTransfer-Encoding: chunked\r\n"
 		case framing.Connection:
 		}
 		if _, err := io.WriteString(conn, head+"\r\n"+FrameBody(f, pieces)[:bytes]); err != nil {
