Decide in one package how far an answer is known to be whole, and other finds of a last read

They give it facts now (framing, read error, whether a stream has begun or ends within an event); its test has each combination.

--- a/completeness/completeness.go
+++ b/completeness/completeness.go
@@ -15,10 +15,10 @@
 	Whole
 )
 
-// Of returns the completeness of an answer that was read to the end of its body; partial is set if its content shows that more is due.
-func Of(f framing.Framing, partial bool) Completeness {
+// Of returns the completeness of an answer whose body has been read until err, nil for its end.
+func Of(f framing.Framing, err error) Completeness {
 	switch {
-	case partial:
+	case err != nil:
 		return Broken
 	case f == framing.Connection:
 		return Unproven
@@ -26,6 +26,15 @@
 	return Whole
 }
 
+// OfStream returns the completeness of a stream of events from that of its body: one that ends within an event was broken off, and so was one
+// that nothing shows to be whole and that has not begun.
+func (c Completeness) OfStream(begun, withinEvent bool) Completeness {
+	if withinEvent || (c == Unproven && !begun) {
+		return Broken
+	}
+	return c
+}
+
 // MayEnd reports whether an answer may be passed on to its end in a framing without claiming more than is known.
 func (c Completeness) MayEnd(f framing.Framing) bool {
 	return c == Whole || (c == Unproven && f == framing.Connection)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -59,3 +59,25 @@
 	CrashesTargets Reason = "crashes-targets"
 	UnknownVersion Reason = "stream-version-unknown"
 )
+
+// finalOutcome returns refused, or a failure with the same reason if an earlier attempt may have run.
+func (d *Dispatch) finalOutcome(refused Refused) Outcome {
+	if d.possibleRuns > 0 {
+		return Failed{Reason: refused.Reason}
+	}
+	return refused
+}
+
+// contextOutcome returns the outcome of a request whose caller has disconnected, whose deadline has passed or whose process stops.
+func (d *Dispatch) contextOutcome() Outcome {
+	if d.GraceOver() {
+		return d.finalOutcome(Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter})
+	}
+	if !d.TimedOut() {
+		return Abandoned{}
+	}
+	if d.possibleRuns > 0 {
+		return Failed{Reason: TimeoutMayRun, TimedOut: true}
+	}
+	return Refused{Reason: TimeoutNotRun, RetryAfter: defaultRetryAfter}
+}
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -61,23 +61,23 @@
 		return nil
 	}
 	tooLate := d.stop.waitsAreOver() && d.sendCount == 0
-	if !tooLate && d.endsBy(*answerBy, choice) {
+	generation := d.fleet.GenerationTime(choice.Target.ID, d.request, d.now())
+	if !tooLate && d.endsBy(*answerBy, choice.Expected, generation) {
 		return nil
 	}
 	d.log.WithFields(logrus.Fields{
 		"grace-left-ms": answerBy.Sub(d.now()).Milliseconds(), "left-ms": d.deadline.Sub(d.now()).Milliseconds(), "sent": d.sendCount,
-		"expected-ms": choice.Expected.Milliseconds(), "generation-ms": choice.Generation.Milliseconds(),
+		"expected-ms": choice.Expected.Milliseconds(), "generation-ms": generation.Milliseconds(),
 	}).Info("not sent, the gateway stops")
 	return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
 }
 
 // endsBy reports whether the request ends by a time: by its deadline, or by the tokens that it is expected to generate.
-func (d *Dispatch) endsBy(by time.Time, choice fleet.Choice) bool {
+func (d *Dispatch) endsBy(by time.Time, firstByte, generation time.Duration) bool {
 	if !d.deadline.After(by) {
 		return true
 	}
-	longest := choice.Expected + generationMargin*choice.Generation
-	return choice.Generation > 0 && !d.now().Add(longest).After(by)
+	return generation > 0 && !d.now().Add(firstByte+generationMargin*generation).After(by)
 }
 
 // GraceOver reports whether the dispatch ended at the end of the grace.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"gypsumbank/grace"
 	"gypsumbank/handshake"
 	"gypsumbank/lifecycle"
 	"gypsumbank/limiter"
@@ -29,9 +30,6 @@
 // load balancers can stop sending new requests.
 const listenerCloseDelay = 2 * time.Second
 
-// maxAnswerTime is kept at the end of the grace for the last answers to be written.
-const maxAnswerTime = 500 * time.Millisecond
-
 // Entry serves the HTTP API: it authenticates callers, applies the limits of their plans, chooses a target for each
 // attempt of a request and returns the answer, either as a stream or as a whole.
 type Entry struct {
@@ -126,7 +124,7 @@
 	time.Sleep(min(listenerCloseDelay, e.config.Entry.Grace))
 	ctx, cancel := context.WithTimeout(context.Background(), e.config.Entry.Grace)
 	defer cancel()
-	lastAnswers := time.AfterFunc(e.config.Entry.Grace-min(maxAnswerTime, e.config.Entry.Grace/2), func() { e.endRequests(errStopping) })
+	lastAnswers := time.AfterFunc(time.Until(grace.New(time.Now(), e.config.Entry.Grace).AnswerBy()), func() { e.endRequests(errStopping) })
 	defer lastAnswers.Stop()
 	if err := e.httpServer.Shutdown(ctx); err != nil {
 		e.log.WithError(err).WithField("cut", e.activeRequests.Load()).Error("requests cut off at the end of the grace period")
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -82,7 +82,6 @@
 	LacksModel    bool          // no target holds the model; Target is not set
 	LacksAdapter  bool          // the target holds the model but has to load the adapter first
 	Expected      time.Duration // until the first byte
-	Generation    time.Duration // from the first byte to the last; 0 if neither the caller nor a limit tells how many tokens are expected
 	PrefillTokens int           // prompt tokens that the target has to prefill
 	FetchFrom     string        // address of a target to fetch KV cache of the prompt from, or empty
 	FetchTokens   int           // tokens whose KV cache is fetched from there instead of prefilled
@@ -212,8 +211,7 @@
 			best = Choice{
 				Target: s.Target, LacksAdapter: lacksAdapter, Expected: durationFromMs(expectedMs), PrefillTokens: prefillTokens, FetchFrom: fetchFrom, FetchTokens: fetchTokens, Candidates: len(holders),
 				ReportAge: s.reportAge(now), HasRoom: s.hasRoom(req, now), SlotInterval: durationFromMs(s.slotIntervalMs() / float64(len(holders))),
-				Generation: durationFromMs(f.decodeMsPerToken(req.Model) * float64(req.ExpectedOutputTokens()) * s.performance.slowness(now)),
-				prefillMs:  prefillMs, baselineMs: baselineMs,
+				prefillMs: prefillMs, baselineMs: baselineMs,
 			}
 		}
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"errors"
 	"strconv"
-
-	"gypsumbank/framing"
 )
 
 // maxEventBytes bounds an event of a stream.
@@ -99,11 +97,5 @@
 	}
 }
 
-// isPartial reports whether a stream that has ended in a framing was broken off: inside an event, or before its first byte where nothing
-// else marks its end.
-func (e *eventBuffer) isPartial(f framing.Framing) bool {
-	return e.hasIncomplete() || (f == framing.Connection && !e.began)
-}
-
 // hasIncomplete reports whether the last event has arrived only in part.
 func (e *eventBuffer) hasIncomplete() bool { return len(e.incomplete) > 0 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -36,7 +36,15 @@
 	e.begin(answered)
 	e.bodyBytes, e.firstByteAt, e.originRecorded = 0, time.Time{}, false
 	events := &eventBuffer{lastID: e.request.LastEventID}
-	known, err := e.copyBody(answered, events)
+	isStream := e.route.Kind == route.Streaming && answered.Response.Status < http.StatusMultipleChoices
+	err := e.copyBody(answered, events, isStream)
+	known := completeness.Of(answered.Response.Framing, err)
+	if isStream {
+		known = known.OfStream(events.began, events.hasIncomplete())
+	}
+	if err == nil {
+		err = e.end(known)
+	}
 	e.logEnd(answered, known, events)
 	switch {
 	case err == nil:
@@ -136,9 +144,8 @@
 }
 
 // copyBody copies the body to the caller as it arrives. Of a resumable stream it copies complete events only, since another
-// target resumes after the last one. It returns how far the body is known to be whole, and an error if the caller's answer has not ended.
-func (e *exchange) copyBody(answered dispatch.Answered, events *eventBuffer) (completeness.Completeness, error) {
-	isStream := e.route.Kind == route.Streaming && answered.Response.Status < http.StatusMultipleChoices
+// target resumes after the last one. It returns nil once the body has ended.
+func (e *exchange) copyBody(answered dispatch.Answered, events *eventBuffer, isStream bool) error {
 	buffer := make([]byte, copyBufferBytes)
 	lastRead := time.Now()
 	for {
@@ -154,17 +161,16 @@
 			e.recordOrigin(chunk, answered.Assignment.Target())
 		}
 		if err := e.answer.write(chunk); err != nil {
-			return completeness.Broken, err
+			return err
 		}
 		if invalid != nil {
-			return completeness.Broken, invalid
+			return invalid
 		}
 		if errors.Is(err, io.EOF) {
-			partial := isStream && events.isPartial(answered.Response.Framing)
-			return e.end(completeness.Of(answered.Response.Framing, partial))
+			return nil
 		}
 		if err != nil {
-			return completeness.Broken, err
+			return err
 		}
 	}
 }
@@ -173,14 +179,14 @@
 var errNotKnownWhole = errors.New("answer is not known to be whole")
 
 // end has the caller's answer end in order if that claims no more than is known of the target's, whose body has ended.
-func (e *exchange) end(known completeness.Completeness) (completeness.Completeness, error) {
+func (e *exchange) end(known completeness.Completeness) error {
 	switch {
 	case known == completeness.Broken:
-		return known, io.ErrUnexpectedEOF
+		return io.ErrUnexpectedEOF
 	case !known.MayEnd(e.answer.framing):
-		return known, errNotKnownWhole
+		return errNotKnownWhole
 	}
-	return known, e.answer.finish()
+	return e.answer.finish()
 }
 
 // passableEvents returns the bytes of a stream to pass on now that a chunk has arrived: of a resumable stream the events that
--- a/planned_stop_test.go
+++ b/planned_stop_test.go
@@ -233,7 +233,7 @@
 func (p *plannedStop) check(kind stopKind, r stopResult, stoppedAt time.Time, grace time.Duration) error {
 	const (
 		atOnce = 400 * time.Millisecond
-		// signalReaction is the time within which a busy process need not have taken note of the signal.
+		// signalReaction is how long a busy process may take to handle the signal.
 		signalReaction = 200 * time.Millisecond
 	)
 	p.mu.Lock()
--- a/service/client.go
+++ b/service/client.go
@@ -90,7 +90,7 @@
 	if len(body) > maxResponseBytes {
 		return Answer{}, errAnswerTooLarge
 	}
-	answer := Answer{Status: response.Status, Body: body, Completeness: completeness.Of(response.Framing, false)}
+	answer := Answer{Status: response.Status, Body: body, Completeness: completeness.Of(response.Framing, nil)}
 	if contentType := response.Header.Get("Content-Type"); contentType != "" {
 		answer.Headers = append(answer.Headers, Header{Name: "Content-Type", Value: contentType})
 	}
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// stopReaction is the time after the signal to stop within which a process need not have taken note of it.
+// stopReaction is how long a process may take to handle the signal to stop.
 const stopReaction = 300 * time.Millisecond
 
 // cuts holds which answers targets have cut, which processes have stopped, and the answers that callers got in part or not at all.
--- a/soak_series_test.go
+++ b/soak_series_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gypsumbank/completeness"
+	"gypsumbank/framing"
 	"gypsumbank/pause"
 	"gypsumbank/standin/site"
 )
@@ -162,5 +163,5 @@
 		_, data, _ := strings.Cut(event, "data: ")
 		events = append(events, data)
 	}
-	return events, completenessOf(response, err)
+	return events, completeness.Of(framing.Of(response), err)
 }
--- a/soak_test.go
+++ b/soak_test.go
@@ -89,7 +89,6 @@
 	store         *site.Store
 	storeLink     *link.Link
 	targets       []*soakTarget
-	ports         map[string]string // not used
 	nodes         []*soakNode
 	publishMu     sync.Mutex
 	routesVersion atomic.Int64 // version of the latest published routes
@@ -111,7 +110,7 @@
 
 func newSoakDeployment(t *testing.T, seed uint64) *soakDeployment {
 	size := int(envUint(t, soakSizeVariable, 1))
-	s := &soakDeployment{t: t, size: size, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), store: site.NewStore(), ports: map[string]string{}, startedAt: time.Now()}
+	s := &soakDeployment{t: t, size: size, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), store: site.NewStore(), startedAt: time.Now()}
 	t.Logf("seed %d", seed)
 	s.checker = soak.New(soak.Limits{LoadsPerSecond: 5, LoadWindow: 5 * time.Second, LoadBurstFactor: 1.1, RetryRatio: 0.2, RetryExtra: 54 * size * gatewaysPerSize})
 	t.Cleanup(s.store.Close)
@@ -207,14 +206,6 @@
 // streamBody returns the complete body of a stream.
 func streamBody() string { return strings.Join(streamEvents(0, ""), "") }
 
-// completenessOf returns how far an answer that was read until err is known to be whole.
-func completenessOf(response *http.Response, err error) completeness.Completeness {
-	if err != nil {
-		return completeness.Broken
-	}
-	return completeness.Of(framing.Of(response), false)
-}
-
 // publishRoutes writes the next version of the routes to the store. Each version has a route /version-N/ that no other
 // version has, so that an answer to that path shows which version the gateway used.
 func (s *soakDeployment) publishRoutes() {
@@ -377,7 +368,7 @@
 	if err == nil {
 		defer response.Body.Close()
 		body, err := io.ReadAll(response.Body)
-		result.Status, result.Body, result.Completeness = response.StatusCode, string(body), completenessOf(response, err)
+		result.Status, result.Body, result.Completeness = response.StatusCode, string(body), completeness.Of(framing.Of(response), err)
 		s.recordLeaving(processName, response.Header)
 	}
 	result.At = time.Now()
