review: show a gateway that hangs once enough replicas have been replaced

Idle connections to replicas that have gone are never closed. After about 240 replaced replicas a gateway has used up its 4,100 descriptors; it says that it is ready, takes no new channel and serves nothing, and stays so.

--- a/review/cases/harness_test.go
+++ b/review/cases/harness_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,9 +21,9 @@
 const (
 	drainTime     = 2000 * time.Millisecond
 	graceTime     = 8 * time.Second
-	gatewayMemory = 284 // MB
-	agentMemory   = 216 // MB
-	gatewayFiles  = 4100
+	gatewayMemory = 284 // MiB
+	agentMemory   = 216 // MiB
+	maxFiles      = 4100
 	// readyTimeout bounds the wait for all gateways to be ready.
 	readyTimeout = 20 * time.Second
 )
@@ -39,6 +40,7 @@
 	agentPort string
 	processes []*process
 
+	quiet    atomic.Bool // requests are not recorded one by one
 	recordMu sync.Mutex
 	record   *bufio.Writer
 }
@@ -173,7 +175,9 @@
 		d.cannotRun(err)
 	}
 	defer output.Close()
-	p.cmd = exec.Command(filepath.Join(d.root, command[0]), command[1:]...)
+	command[0] = filepath.Join(d.root, command[0])
+	// The platform gives a process that many descriptors.
+	p.cmd = exec.Command("/bin/sh", append([]string{"-c", fmt.Sprintf("ulimit -n %d && exec \"$@\"", maxFiles), "sh"}, command...)...)
 	p.cmd.Dir, p.cmd.Stdout, p.cmd.Stderr = d.root, output, output
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.dir, "LANG=C", "GYPSUMBANK_BOOT=" + p.config}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/cases/requester_test.go
+++ b/review/cases/requester_test.go
@@ -1,7 +1,6 @@
 package cases
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -50,11 +49,11 @@
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
 // send sends one request and waits for its end.
-func (r *requester) send(method, path string, body []byte, deadline time.Duration, header map[string]string) outcome {
+func (r *requester) send(method, path string, body io.Reader, deadline time.Duration, header map[string]string) outcome {
 	o := outcome{id: newID(), sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+500*time.Millisecond)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.gateway.frontend+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.gateway.frontend+path, body)
 	if err != nil {
 		r.d.cannotRun(err)
 	}
@@ -76,6 +75,9 @@
 		}
 	}
 	o.err, o.endedAt = err, time.Now()
+	if r.d.quiet.Load() {
+		return o
+	}
 	r.d.note("request %s %s %s to %s: status %d, %d bytes, error %v, after %d ms", o.id, method, path, r.gateway.name, o.status, len(o.body), err, o.endedAt.Sub(o.sentAt).Milliseconds())
 	return o
 }
--- a/review/cases/retired_model_test.go
+++ b/review/cases/retired_model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -38,7 +39,7 @@
 	var steady, fresh load
 	ask := func(g *requester, m model) func() outcome {
 		return func() outcome {
-			return g.send(http.MethodPost, "/ask/q", []byte("prompt"), 15*time.Second, map[string]string{
+			return g.send(http.MethodPost, "/ask/q", strings.NewReader("prompt"), 15*time.Second, map[string]string{
 				"X-Gypsumbank-Model": m.name, "X-Gypsumbank-Token-Usage": "628,100", "X-Gypsumbank-Prompt-Prefix": "5c1e07a2:300," + newID()[:8] + ":328",
 			})
 		}
--- a/review/cases/stale_list_test.go
+++ b/review/cases/stale_list_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -71,7 +72,7 @@
 	var traffic load
 	for _, gateway := range gateways {
 		g := newRequester(d, gateway)
-		traffic.start(stop, 2*requestGap, func() outcome { return g.send(http.MethodPost, "/post/1", []byte("swap"), time.Second, nil) })
+		traffic.start(stop, 2*requestGap, func() outcome { return g.send(http.MethodPost, "/post/1", strings.NewReader("swap"), time.Second, nil) })
 		traffic.start(stop, 2*requestGap, func() outcome { return g.send(http.MethodGet, "/look/1", nil, time.Second, nil) })
 	}
 	for round := range rounds {
