--- a/review/cases/replica_test.go
+++ b/review/cases/replica_test.go
@@ -155,6 +155,15 @@
 	return r.leavingSince
 }
 
+// sinceLeft says how long before a time the store had acknowledged that the replica leaves; empty if it hadn't.
+func (r *replica) sinceLeft(at time.Time) string {
+	left := r.leftAt()
+	if left.IsZero() || at.Before(left) {
+		return ""
+	}
+	return fmt.Sprintf(", %d ms after the store has acknowledged that it leaves", at.Sub(left).Milliseconds())
+}
+
 // exit ends the replica in order: its entry goes, and its process with all connections.
 func (r *replica) exit() {
 	r.stopHeartbeatOnce.Do(func() { close(r.stopHeartbeat) })
@@ -338,6 +347,9 @@
 	r.runs[id]++
 	r.running[name]++
 	r.mu.Unlock()
+	if !r.d.quiet.Load() {
+		r.d.note("replica %s runs %s%s", r.id, id, r.sinceLeft(arrived))
+	}
 	host, _, _ := net.SplitHostPort(request.RemoteAddr)
 	if r.onRequest != nil {
 		r.onRequest(r, id, host, arrived)
