Log and count each close of a caller's connection with its cause

The log could not tell the hypotheses on the request that met a close apart: closes had no line. Each close by this process now has one, with its cause, how long the connection was idle and how many bytes of a request had been read on it, and a counter by cause and by whether bytes were read.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -6,8 +6,13 @@
 	"log"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -27,10 +32,61 @@
 	idleSince  map[net.Conn]time.Time
 	closedIdle map[net.Conn]bool // connections that closeIdle has closed
 	openCount  int
+	open       map[net.Conn]bool
+	log        *logrus.Entry
 }
 
-func newConnections() *connections {
-	return &connections{idleSince: map[net.Conn]time.Time{}, closedIdle: map[net.Conn]bool{}}
+func newConnections(log *logrus.Entry) *connections {
+	return &connections{idleSince: map[net.Conn]time.Time{}, closedIdle: map[net.Conn]bool{}, open: map[net.Conn]bool{}, log: log}
+}
+
+// Causes of closes, as they are logged and counted.
+const (
+	closedByDrain       = "drain"
+	closedByIdleTimeout = "idle-timeout"
+	closedAtEnd         = "end"
+)
+
+// countingListener counts the bytes that the server has read on each accepted connection since its last answer.
+type countingListener struct{ net.Listener }
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return &countedConn{TCPConn: tcp}, err
+	}
+	return conn, err
+}
+
+// countedConn counts the bytes read since the last answer.
+type countedConn struct {
+	*net.TCPConn
+	readBytes atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.readBytes.Add(int64(n))
+	return n, err
+}
+
+// logClose logs and counts that this process closes a connection: why, how long it was idle, and how many bytes of a request were read on it.
+func (c *connections) logClose(conn net.Conn, cause string, idle time.Duration) {
+	read := int64(-1)
+	if counted, ok := conn.(*countedConn); ok {
+		read = counted.readBytes.Load()
+	}
+	metrics.GetOrCreateCounter(`gypsumbank_gateway_connections_closed_total{cause="` + cause + `",read="` + strconv.FormatBool(read > 0) + `"}`).Inc()
+	c.log.WithFields(logrus.Fields{"cause": cause, "idle-ms": idle.Milliseconds(), "read-bytes": read, "peer": conn.RemoteAddr().String()}).Info("caller connection closed")
+}
+
+// logOpen logs the connections that are still open as the server is closed.
+func (c *connections) logOpen() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		c.logClose(conn, closedAtEnd, 0)
+	}
 }
 
 // connContextKey is the context key under which requests find their connection.
@@ -64,11 +120,16 @@
 	switch state {
 	case http.StateNew:
 		c.openCount++
+		c.open[conn] = true
 	case http.StateIdle:
 		c.idleSince[conn] = time.Now()
+		if counted, ok := conn.(*countedConn); ok {
+			counted.readBytes.Store(0)
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.openCount--
 		delete(c.closedIdle, conn)
+		delete(c.open, conn)
 	case http.StateActive:
 	}
 }
@@ -79,7 +140,7 @@
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
-		if c.closeIdle(time.Now().Add(-minDrainIdle)) == 0 {
+		if c.closeIdle(time.Now().Add(-minDrainIdle), closedByDrain) == 0 {
 			return nil
 		}
 		select {
@@ -101,7 +162,7 @@
 			return ctx.Err()
 		case now := <-ticker.C:
 			if maxIdle := idleTimeout(); maxIdle > 0 {
-				c.closeIdle(now.Add(-maxIdle))
+				c.closeIdle(now.Add(-maxIdle), closedByIdleTimeout)
 			}
 		}
 	}
@@ -109,13 +170,14 @@
 
 // closeIdle closes the connections that became idle before a time. It returns how many were open, including those that it
 // closed, which count as open until the server has noticed.
-func (c *connections) closeIdle(idleBefore time.Time) int {
+func (c *connections) closeIdle(idleBefore time.Time, cause string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, since := range c.idleSince {
 		if since.Before(idleBefore) {
 			c.closedIdle[conn] = true
 			conn.Close()
+			c.logClose(conn, cause, time.Since(since))
 			delete(c.idleSince, conn)
 		}
 	}
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -8,12 +8,21 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
+// quietLog returns a log that is dropped.
+func quietLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log.WithField("part", "test")
+}
+
 // TestDrainServesRequestAfterLongResponse sends a request on a connection whose earlier response began before the drain, so
 // that it could not announce the close. The request must be served although the gateway is draining.
 func TestDrainServesRequestAfterLongResponse(t *testing.T) {
-	conns := newConnections()
+	conns := newConnections(quietLog())
 	release := make(chan struct{})
 	server := &http.Server{ConnState: conns.trackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/long" {
@@ -68,12 +77,12 @@
 // TestRequestOnClosedIdleConnectionIsNotForwarded has a request arrive on an idle connection just as the gateway closes it.
 // The caller gets no response and may send the request again, so it must not run.
 func TestRequestOnClosedIdleConnectionIsNotForwarded(t *testing.T) {
-	conns := newConnections()
+	conns := newConnections(quietLog())
 	serverConn, clientConn := net.Pipe()
 	defer clientConn.Close()
 	conns.trackState(serverConn, http.StateNew)
 	conns.trackState(serverConn, http.StateIdle)
-	if open := conns.closeIdle(time.Now().Add(time.Second)); open != 1 {
+	if open := conns.closeIdle(time.Now().Add(time.Second), closedByDrain); open != 1 {
 		t.Errorf("%d connections open, want 1 until the server has noticed the close", open)
 	}
 	conns.trackState(serverConn, http.StateActive)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,7 +94,7 @@
 		crashes:    crashes,
 		blocked:    blockedContents,
 		dialer:     d,
-		conns:      newConnections(),
+		conns:      newConnections(log),
 		started:    time.Now(),
 	}
 }
@@ -129,7 +129,7 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
-	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(listener)) })
+	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(countingListener{listener})) })
 	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
@@ -145,6 +145,7 @@
 	case <-serving.Done():
 	}
 	stop()
+	g.conns.logOpen()
 	closeServers(g.log, callerServer, readyServer)
 	err = group.Wait() // the goroutines that call agents.setAddresses end before agents.close
 	g.agents.close()
