Have the goroutine that reads a connection decide whether it closes as idle

What callers saw: a whole request on a kept connection got neither an answer nor a refusal as its gateway stopped, or at the idle timeout (LOST).

Cause: one goroutine closed what another was reading. Connections counted as idle until the server had read the whole head of the next request and said so, so a request that had been read, or was being read, lost its connection, and was then dropped on purpose as 'closed while idle'. Class: a decision on state that another goroutine owns. The same stood in the end of a drain, which went by the number of open connections at one moment and closed what had been accepted since.

Change: package keepalive is the one place that closes idle connections of callers. It ends the read that waits for the next request; the reader looks once more whether a byte is there, and closes only if not. Whatever has been read is answered. The drain closes the listener once nothing is open, waits until no connection comes from it, and drains again; shortly before the end of the grace all connections without a request go. An early answer is not destroyed by what its caller still sends.

--- a/gateway/caller_answer.go
+++ b/gateway/caller_answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,20 @@
 	"gypsumbank/sender"
 )
 
+// connContextKey is the context key under which requests find their connection.
+type connContextKey struct{}
+
+// contextWithConn returns the context for the requests on a connection.
+func contextWithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connContextKey{}, conn)
+}
+
+// connFromContext returns the connection of a request; nil if the context names none.
+func connFromContext(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connContextKey{}).(net.Conn)
+	return conn
+}
+
 // callerAnswer is the answer to a caller, as far as it has been written.
 type callerAnswer struct {
 	writer    http.ResponseWriter
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -19,6 +21,7 @@
 	"gypsumbank/epoch"
 	"gypsumbank/fleet"
 	"gypsumbank/grace"
+	"gypsumbank/keepalive"
 	"gypsumbank/logs"
 	"gypsumbank/origin"
 	"gypsumbank/platform"
@@ -54,7 +57,7 @@
 	crashes          *crashes
 	blocked          *blockedContents
 	dialer           *dialer.Dialer
-	conns            *connections
+	conns            *keepalive.Conns
 	started          time.Time
 	routeTable       atomic.Pointer[route.Table]
 	targetsKnown     atomic.Bool
@@ -80,7 +83,7 @@
 	}
 	budget := retrybudget.New(retryLimits(config.Bounds))
 	replicaClient := platform.NewTargetClient(sender.New(connpool.New()))
-	return &Gateway{
+	g := &Gateway{
 		config:     config,
 		log:        log,
 		store:      store,
@@ -94,9 +97,10 @@
 		crashes:    crashes,
 		blocked:    blockedContents,
 		dialer:     d,
-		conns:      newConnections(log),
 		started:    time.Now(),
 	}
+	g.conns = keepalive.New(g.idleTimeout, log)
+	return g
 }
 
 // Apply applies the log level and the retry limits of changed settings. All other settings need a restart.
@@ -122,14 +126,14 @@
 	}
 	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address}).Info("gateway starts")
 	callerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.trackState, ConnContext: contextWithConn,
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.TrackState, ConnContext: contextWithConn,
 		ErrorLog: discardLog(),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
-	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(countingListener{listener})) })
+	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(g.conns.Listener(listener))) })
 	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
@@ -138,14 +142,14 @@
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
 	group.Go(func() error { return g.blocked.run(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
-	group.Go(func() error { return g.conns.enforceIdleTimeout(serving, g.idleTimeout) })
+	group.Go(func() error { return g.conns.Run(serving) })
 	select {
 	case <-ctx.Done():
 		g.drain()
 	case <-serving.Done():
 	}
 	stop()
-	g.conns.logOpen()
+	g.conns.LogOpen()
 	closeServers(g.log, callerServer, readyServer)
 	err = group.Wait() // the goroutines that call agents.setAddresses end before agents.close
 	g.agents.close()
@@ -163,6 +167,7 @@
 	plan := grace.New(time.Now(), g.config.Gateway.Grace)
 	g.dispatcher.Stop(plan.AnswerBy())
 	g.draining.Store(true)
+	g.conns.StartDrain()
 	g.log.WithFields(logrus.Fields{
 		"refuses-in-ms": time.Until(plan.RefuseFrom()).Milliseconds(), "answers-by-ms": time.Until(plan.AnswerBy()).Milliseconds(), "closes-in-ms": time.Until(plan.CloseAt()).Milliseconds(),
 	}).Info("gateway drains")
@@ -173,7 +178,7 @@
 	g.dispatcher.StopWaits()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.CloseAt())
 	defer cancel()
-	if err := g.conns.drain(ctx); err != nil {
+	if err := g.conns.Drain(ctx, plan.AnswerBy()); err != nil {
 		g.log.WithError(err).Warn("requests in progress are aborted at the end of the grace")
 	}
 }
@@ -252,9 +257,12 @@
 	}
 }
 
-// ignoreServerClosed returns nil for the error of a server that was closed on purpose.
+// discardLog returns a logger that drops the server's messages, which are about connections that callers closed.
+func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// ignoreServerClosed returns nil for the error of a server that was closed, or whose listener was, on purpose.
 func ignoreServerClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,13 +28,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	id := platform.RequestID(r)
-	if g.conns.closedWhileIdle(r.Context()) {
-		g.log.WithField("request", id).Info("request arrived as its idle connection was closed, not forwarded")
-		panic(http.ErrAbortHandler)
-	}
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.conns.Announce(w.Header())
 	if g.refusingRequests.Load() {
 		g.refuse(w, r, id, dispatch.Stopping, http.StatusServiceUnavailable, dispatch.StoppingRetryAfter)
 		return
--- /dev/null
+++ b/keepalive/conn.go
@@ -0,0 +1,155 @@
+package keepalive
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"gypsumbank/quietconn"
+)
+
+// lingerTime bounds how long a connection is read on after its last answer, so that bytes of its caller that are still on the way do not reset it
+// and destroy the answer.
+const lingerTime = 500 * time.Millisecond
+
+// longAgo is a deadline that ends a read at once.
+var longAgo = time.Unix(1, 0)
+
+// tcpConn is what a *net.TCPConn offers and servers use.
+type tcpConn interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
+	SetLinger(seconds int) error
+}
+
+// conn is a connection of a caller. Between two requests it is idle; its first read then waits for a byte of the next request.
+type conn struct {
+	tcpConn
+	conns *Conns
+
+	mu        sync.Mutex
+	isIdle    bool // no request is in progress, as far as the server has said
+	isFirst   bool // no request has been answered on it
+	idleSince time.Time
+	waiting   bool      // a read waits for the first byte
+	readBytes int64     // since it became idle
+	closing   string    // cause for which the read that waits is to close it; empty if none
+	deadline  time.Time // of reads, as the server has set it
+	reset     bool      // its close is to reset it
+	cutShort  bool      // answered before its request had been read to the end
+}
+
+// setBusy records that a request is in progress.
+func (c *conn) setBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isIdle = false
+}
+
+// setIdle records that the last request has been answered.
+func (c *conn) setIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isIdle, c.isFirst, c.idleSince, c.readBytes = true, false, now, 0
+}
+
+// closeIfIdle has the read that waits for a request close the connection, if nothing of one has been read and mayClose agrees.
+func (c *conn) closeIfIdle(cause string, mayClose func(since time.Time, first bool) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isIdle || !c.waiting || c.readBytes > 0 || c.closing != "" || !mayClose(c.idleSince, c.isFirst) {
+		return
+	}
+	c.closing = cause
+	_ = c.tcpConn.SetReadDeadline(longAgo) // fails only if the connection is closed already
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		c.beginRead()
+		n, err := c.tcpConn.Read(p)
+		again, closed := c.endRead(n, err)
+		if closed {
+			return 0, io.EOF
+		}
+		if !again {
+			return n, err
+		}
+	}
+}
+
+func (c *conn) beginRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+}
+
+// endRead records what a read has brought. If the read was ended for the connection to be closed, it closes the connection, or has it read again
+// if bytes are there after all.
+func (c *conn) endRead(n int, err error) (again, closed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	c.readBytes += int64(n)
+	if c.closing == "" {
+		return false, false
+	}
+	cause := c.closing
+	c.closing = ""
+	_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed already
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, false
+	}
+	if !quietconn.IsQuiet(c.tcpConn) {
+		return true, false
+	}
+	_ = c.tcpConn.Close() // the peer learns of it, or has left
+	c.conns.logClose(c, cause, time.Since(c.idleSince), c.readBytes, false)
+	return false, true
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline
+	if c.closing != "" {
+		return nil
+	}
+	return c.tcpConn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
+// SetLinger records whether the close is to reset the connection.
+func (c *conn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reset = seconds == 0
+	return c.tcpConn.SetLinger(seconds)
+}
+
+// Close implements net.Conn. If the last answer was given before its request had been read, the rest of that is read first.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	lingers := c.cutShort && !c.reset
+	c.cutShort = false
+	c.mu.Unlock()
+	if lingers && c.CloseWrite() == nil {
+		_ = c.tcpConn.SetReadDeadline(time.Now().Add(lingerTime)) // a failure ends the copy
+		_, _ = io.Copy(io.Discard, c.tcpConn)
+	}
+	return c.tcpConn.Close()
+}
--- /dev/null
+++ b/keepalive/conn_test.go
@@ -0,0 +1,97 @@
+package keepalive
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// acceptOne returns both ends of a connection whose server end belongs to conns.
+func acceptOne(t *testing.T, conns *Conns) (server *conn, client net.Conn) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	client, err = net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := conns.Listener(inner).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	server = accepted.(*conn)
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return server, client
+}
+
+func always(time.Time, bool) bool { return true }
+
+// TestBytesThatArriveBeforeTheCloseAreRead guards against a close that is decided as idle when a request has arrived but has not been read.
+func TestBytesThatArriveBeforeTheCloseAreRead(t *testing.T) {
+	cases := map[string]struct {
+		sent     string
+		wantRead string
+		wantErr  error
+	}{
+		"request has arrived": {"GET / HTTP/1.1\r\n", "GET / HTTP/1.1\r\n", nil},
+		"one byte":            {"G", "G", nil},
+		"nothing":             {"", "", io.EOF},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server, client := acceptOne(t, New(func() time.Duration { return 0 }, quietLog()))
+			server.beginRead() // the reader is about to wait
+			if _, err := io.WriteString(client, c.sent); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+			server.closeIfIdle(causeDrain, always)
+			buffer := make([]byte, 100)
+			n, err := server.Read(buffer)
+			if string(buffer[:n]) != c.wantRead || !errors.Is(err, c.wantErr) {
+				t.Errorf("read %q, %v; want %q, %v", buffer[:n], err, c.wantRead, c.wantErr)
+			}
+		})
+	}
+}
+
+// TestEarlyAnswerSurvivesItsRequest guards against an answer that is destroyed by the reset of a connection whose caller is still sending.
+func TestEarlyAnswerSurvivesItsRequest(t *testing.T) {
+	conns := New(func() time.Duration { return 0 }, quietLog())
+	server, client := acceptOne(t, conns)
+	const answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	if _, err := io.WriteString(client, "POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := server.Read(make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(server, answer); err != nil {
+		t.Fatal(err)
+	}
+	conns.AnsweredEarly(server)
+	closed := make(chan error, 1)
+	go func() { closed <- server.Close() }()
+	for range 50 {
+		time.Sleep(2 * time.Millisecond)
+		if _, err := client.Write(make([]byte, 1000)); err != nil {
+			t.Fatalf("the connection was reset while its request was sent: %v", err)
+		}
+	}
+	got, err := io.ReadAll(client)
+	if string(got) != answer || err != nil {
+		t.Errorf("the caller read %q, %v; want the answer", got, err)
+	}
+	client.Close()
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/keepalive/conns.go
@@ -0,0 +1,210 @@
+package keepalive
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// idleCheckInterval is the interval at which connections beyond the idle timeout are looked for.
+	idleCheckInterval = 500 * time.Millisecond
+	// drainCheckInterval is the same for connections that may be closed in a drain.
+	drainCheckInterval = 50 * time.Millisecond
+	// minDrainIdle is how long a connection must be idle to be closed in a drain. A caller that has not sent its next request within this
+	// time is not expected to send one.
+	minDrainIdle = 500 * time.Millisecond
+	// maxFirstWait is the same for a connection on which nothing has been read. Its first packet may have been lost and be sent again.
+	maxFirstWait = time.Second
+)
+
+// Causes of closes, as they are logged and counted.
+const (
+	causeDrain       = "drain"
+	causeIdleTimeout = "idle-timeout"
+	causeEnd         = "end"
+)
+
+// Conns are the open connections of a server. Its methods are safe for concurrent use.
+type Conns struct {
+	idleTimeout func() time.Duration
+	log         *logrus.Entry
+
+	mu       sync.Mutex
+	open     map[*conn]struct{}
+	draining bool
+	listener *listener
+}
+
+// New returns an empty set of connections. The idle timeout is that of callers; 0 is without limit. It may change at any time.
+func New(idleTimeout func() time.Duration, log *logrus.Entry) *Conns {
+	return &Conns{idleTimeout: idleTimeout, log: log, open: map[*conn]struct{}{}}
+}
+
+// Listener returns a listener whose connections belong to the set. Connections that are not of TCP are passed on as they are.
+func (c *Conns) Listener(inner net.Listener) net.Listener {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listener = &listener{Listener: inner, conns: c, done: make(chan struct{})}
+	return c.listener
+}
+
+// TrackState records whether a connection has a request in progress; it is the ConnState hook of an http.Server.
+func (c *Conns) TrackState(tracked net.Conn, state http.ConnState) {
+	own, ok := tracked.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		own.setBusy()
+	case http.StateIdle:
+		own.setIdle(time.Now())
+	case http.StateClosed, http.StateHijacked:
+		c.remove(own)
+	case http.StateNew:
+	}
+}
+
+// Announce sets the header field of an answer that tells its caller that the connection closes.
+func (c *Conns) Announce(header http.Header) {
+	if c.isDraining() {
+		header.Set("Connection", "close")
+	}
+}
+
+// AnsweredEarly records that a request on a connection is answered though it has not been read to the end.
+func (c *Conns) AnsweredEarly(answered net.Conn) {
+	if own, ok := answered.(*conn); ok {
+		own.mu.Lock()
+		own.cutShort = true
+		own.mu.Unlock()
+	}
+}
+
+// Run closes connections that have been idle for longer than the idle timeout, until ctx ends.
+func (c *Conns) Run(ctx context.Context) error {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			timeout := c.idleTimeout()
+			if timeout <= 0 {
+				continue
+			}
+			for _, own := range c.all() {
+				own.closeIfIdle(causeIdleTimeout, func(since time.Time, _ bool) bool {
+					return now.Sub(since) > timeout
+				})
+			}
+		}
+	}
+}
+
+// StartDrain has all answers from now on announce that their connections close.
+func (c *Conns) StartDrain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+}
+
+func (c *Conns) isDraining() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draining
+}
+
+// Drain closes connections as they become idle, from lastCall on however briefly they have been. Once none is open it closes the listener. It
+// returns when no connection is left, or with the error of ctx when that ends.
+func (c *Conns) Drain(ctx context.Context, lastCall time.Time) error {
+	c.StartDrain()
+	if err := c.closeAsTheyIdle(ctx, lastCall); err != nil {
+		return err
+	}
+	c.stopAccepting()
+	return c.closeAsTheyIdle(ctx, lastCall)
+}
+
+// closeAsTheyIdle closes connections as they become idle until none is open.
+func (c *Conns) closeAsTheyIdle(ctx context.Context, lastCall time.Time) error {
+	ticker := time.NewTicker(drainCheckInterval)
+	defer ticker.Stop()
+	for {
+		open := c.all()
+		if len(open) == 0 {
+			return nil
+		}
+		now := time.Now()
+		for _, own := range open {
+			own.closeIfIdle(causeDrain, func(since time.Time, first bool) bool {
+				idle := now.Sub(since)
+				return !now.Before(lastCall) || idle > maxFirstWait || !first && idle > minDrainIdle
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// stopAccepting closes the listener and returns once no connection comes from it any more.
+func (c *Conns) stopAccepting() {
+	c.mu.Lock()
+	l := c.listener
+	c.mu.Unlock()
+	if l != nil {
+		l.Close()
+		<-l.done
+	}
+}
+
+// LogOpen logs the connections that are open when the server is closed, and whether a request is in progress on them.
+func (c *Conns) LogOpen() {
+	for _, own := range c.all() {
+		own.mu.Lock()
+		idle, read := own.isIdle, own.readBytes
+		own.mu.Unlock()
+		c.logClose(own, causeEnd, 0, read, !idle)
+	}
+}
+
+// logClose logs and counts a close: why, how long the connection was idle, and what was read on it since its last answer.
+func (c *Conns) logClose(own *conn, cause string, idle time.Duration, readBytes int64, inProgress bool) {
+	metrics.GetOrCreateCounter(`gypsumbank_caller_connections_closed_total{cause="` + cause + `",read="` + strconv.FormatBool(readBytes > 0) + `"}`).Inc()
+	c.log.WithFields(logrus.Fields{
+		"cause": cause, "idle-ms": idle.Milliseconds(), "read-bytes": readBytes, "in-progress": inProgress, "peer": own.RemoteAddr().String(),
+	}).Info("caller connection closed")
+}
+
+func (c *Conns) all() []*conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open := make([]*conn, 0, len(c.open))
+	for own := range c.open {
+		open = append(open, own)
+	}
+	return open
+}
+
+func (c *Conns) add(own *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[own] = struct{}{}
+}
+
+func (c *Conns) remove(own *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, own)
+}
--- a/planned_stop_test.go
+++ b/planned_stop_test.go
@@ -53,6 +53,7 @@
 	address  string
 	ready    string
 	gateway  *process
+	store    *site.Store
 	mu       sync.Mutex
 	ran      map[string]bool // by request id
 	nextID   atomic.Int64
@@ -72,6 +73,7 @@
 func newPlannedStop(t *testing.T, grace time.Duration) *plannedStop {
 	p := &plannedStop{t: t, ran: map[string]bool{}, gone: make(chan struct{})}
 	store := site.NewStore()
+	p.store = store
 	plain, engine := site.NewTarget("p1", p.work), site.NewTarget("e1", p.work)
 	t.Cleanup(store.Close)
 	t.Cleanup(plain.Close)
