Keep idle connections for as long as their callers were told

What callers saw: as the operator lowered the idle timeout, requests that callers sent within the timeout they went by met the close of their connection and got no answer.

Cause: a lowered timeout was in force at once for connections whose last answer had been given under the longer one.

Change: each connection keeps at least the timeout that held at its last answer, and each answer announces four fifths of it in Keep-Alive (none below a second). A raised one is in force at once.

--- a/close_sweep_test.go
+++ b/close_sweep_test.go
@@ -38,8 +38,10 @@
 				terminate(p)
 			}
 		}, from: 0, to: 2500 * time.Millisecond, exits: true},
-		"idle timeout": {grace: closeGrace, idleLimit: time.Second, from: 500 * time.Millisecond, to: 1800 * time.Millisecond},
-		"hangups":      {grace: closeGrace, idleLimit: 15 * time.Second, disturb: func(p *plannedStop) { p.gateway.signal(syscall.SIGHUP) }, from: 0, to: time.Second, isServed: true},
+		"idle timeout":         {grace: closeGrace, idleLimit: time.Second, from: 500 * time.Millisecond, to: 1800 * time.Millisecond},
+		"lowered idle timeout": {grace: closeGrace, idleLimit: 15 * time.Second, disturb: func(p *plannedStop) { p.publish(3, time.Second) }, from: 0, to: 3 * time.Second, isServed: true},
+		"raised idle timeout":  {grace: closeGrace, idleLimit: 2500 * time.Millisecond, disturb: func(p *plannedStop) { p.publish(3, 15*time.Second) }, from: 0, to: 3 * time.Second, isServed: true},
+		"hangups":              {grace: closeGrace, idleLimit: 15 * time.Second, disturb: func(p *plannedStop) { p.gateway.signal(syscall.SIGHUP) }, from: 0, to: time.Second, isServed: true},
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,7 +28,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	id := platform.RequestID(r)
-	g.conns.Announce(w.Header())
+	g.conns.Announce(connFromContext(r.Context()), w.Header())
 	if g.refusingRequests.Load() {
 		g.refuse(w, r, id, dispatch.Stopping, http.StatusServiceUnavailable, dispatch.StoppingRetryAfter)
 		return
--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -36,12 +36,13 @@
 	isIdle    bool // no request is in progress, as far as the server has said
 	isFirst   bool // no request has been answered on it
 	idleSince time.Time
-	waiting   bool      // a read waits for the first byte
-	readBytes int64     // since it became idle
-	closing   string    // cause for which the read that waits is to close it; empty if none
-	deadline  time.Time // of reads, as the server has set it
-	reset     bool      // its close is to reset it
-	cutShort  bool      // answered before its request had been read to the end
+	promised  time.Duration // idle timeout at the last answer
+	waiting   bool          // a read waits for the first byte
+	readBytes int64         // since it became idle
+	closing   string        // cause for which the read that waits is to close it; empty if none
+	deadline  time.Time     // of reads, as the server has set it
+	reset     bool          // its close is to reset it
+	cutShort  bool          // answered before its request had been read to the end
 }
 
 // setBusy records that a request is in progress.
@@ -52,17 +53,25 @@
 }
 
 // setIdle records that the last request has been answered.
-func (c *conn) setIdle(now time.Time) {
+func (c *conn) setIdle(now time.Time, idleTimeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isIdle, c.isFirst, c.idleSince, c.readBytes = true, false, now, 0
+	c.promised = max(c.promised, idleTimeout)
+}
+
+// promise records the idle timeout that holds as an answer is given.
+func (c *conn) promise(idleTimeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.promised = idleTimeout
 }
 
 // closeIfIdle has the read that waits for a request close the connection, if nothing of one has been read and mayClose agrees.
-func (c *conn) closeIfIdle(cause string, mayClose func(since time.Time, first bool) bool) {
+func (c *conn) closeIfIdle(cause string, mayClose func(since time.Time, promised time.Duration, first bool) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isIdle || !c.waiting || c.readBytes > 0 || c.closing != "" || !mayClose(c.idleSince, c.isFirst) {
+	if !c.isIdle || !c.waiting || c.readBytes > 0 || c.closing != "" || !mayClose(c.idleSince, c.promised, c.isFirst) {
 		return
 	}
 	c.closing = cause
--- a/keepalive/conn_test.go
+++ b/keepalive/conn_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -32,7 +33,7 @@
 	return server, client
 }
 
-func always(time.Time, bool) bool { return true }
+func always(time.Time, time.Duration, bool) bool { return true }
 
 // TestBytesThatArriveBeforeTheCloseAreRead guards against a close that is decided as idle when a request has arrived but has not been read.
 func TestBytesThatArriveBeforeTheCloseAreRead(t *testing.T) {
@@ -63,6 +64,87 @@
 	}
 }
 
+// TestLoweredIdleTimeoutSparesOpenConnections guards against a close that callers who go by the timeout at their last answer run into.
+func TestLoweredIdleTimeoutSparesOpenConnections(t *testing.T) {
+	const before, after = 1500 * time.Millisecond, 100 * time.Millisecond
+	cases := map[string]struct {
+		announced   bool
+		first, then time.Duration
+		wantOpen    bool // at 4/5 of the longer
+	}{
+		"lowered":                 {false, before, after, true},
+		"lowered, announced":      {true, before, after, true},
+		"raised":                  {false, after, before, true},
+		"raised, announced":       {true, after, before, true},
+		"short all along":         {false, after, after, false},
+		"lowered to none":         {false, before, 0, true},
+		"raised from no limit":    {false, 0, before, true},
+		"lowered before its last": {true, after, after, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			timeout := c.first
+			conns := New(func() time.Duration { return timeout }, quietLog())
+			server, client := acceptOne(t, conns)
+			conns.TrackState(server, http.StateActive)
+			if c.announced {
+				conns.Announce(server, http.Header{})
+			}
+			conns.TrackState(server, http.StateIdle)
+			timeout = c.then
+			done := make(chan error, 1)
+			ctx := t.Context()
+			go func() { done <- conns.Run(ctx) }()
+			closed := make(chan struct{})
+			go func() {
+				_, _ = server.Read(make([]byte, 1))
+				close(closed)
+			}()
+			select {
+			case <-closed:
+				if c.wantOpen {
+					t.Error("was closed while its caller may still use it")
+				}
+			case <-time.After(before * announceNumerator / announceDenominator):
+				if !c.wantOpen {
+					t.Error("was not closed")
+				}
+			}
+			client.Close()
+			<-closed
+		})
+	}
+}
+
+// TestAnswersAnnounceHowLongConnectionsAreKept guards against callers who cannot know when their connection is closed.
+func TestAnswersAnnounceHowLongConnectionsAreKept(t *testing.T) {
+	cases := map[string]struct {
+		timeout  time.Duration
+		draining bool
+		want     http.Header
+	}{
+		"usual":    {15 * time.Second, false, http.Header{"Keep-Alive": {"timeout=12"}}},
+		"short":    {time.Second, false, http.Header{}},
+		"none":     {0, false, http.Header{}},
+		"draining": {15 * time.Second, true, http.Header{"Connection": {"close"}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			conns := New(func() time.Duration { return c.timeout }, quietLog())
+			server, _ := acceptOne(t, conns)
+			if c.draining {
+				conns.StartDrain()
+			}
+			header := http.Header{}
+			conns.Announce(server, header)
+			if len(header) != len(c.want) || header.Get("Keep-Alive") != c.want.Get("Keep-Alive") || header.Get("Connection") != c.want.Get("Connection") {
+				t.Errorf("header %v, want %v", header, c.want)
+			}
+		})
+	}
+}
+
 // TestEarlyAnswerSurvivesItsRequest guards against an answer that is destroyed by the reset of a connection whose caller is still sending.
 func TestEarlyAnswerSurvivesItsRequest(t *testing.T) {
 	conns := New(func() time.Duration { return 0 }, quietLog())
--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -22,6 +22,9 @@
 	minDrainIdle = 500 * time.Millisecond
 	// maxFirstWait is the same for a connection on which nothing has been read. Its first packet may have been lost and be sent again.
 	maxFirstWait = time.Second
+	// Of the idle timeout, announceNumerator / announceDenominator is announced, so that a caller who goes by it does not meet the close.
+	announceNumerator   = 4
+	announceDenominator = 5
 )
 
 // Causes of closes, as they are logged and counted.
@@ -65,18 +68,27 @@
 	case http.StateActive:
 		own.setBusy()
 	case http.StateIdle:
-		own.setIdle(time.Now())
+		own.setIdle(time.Now(), c.idleTimeout())
 	case http.StateClosed, http.StateHijacked:
 		c.remove(own)
 	case http.StateNew:
 	}
 }
 
-// Announce sets the header field of an answer that tells its caller that the connection closes.
-func (c *Conns) Announce(header http.Header) {
+// Announce sets the header fields of an answer on a connection that tell its caller for how long it may send further requests.
+func (c *Conns) Announce(answered net.Conn, header http.Header) {
 	if c.isDraining() {
 		header.Set("Connection", "close")
+		return
+	}
+	own, ok := answered.(*conn)
+	timeout := c.idleTimeout()
+	seconds := int64(timeout * announceNumerator / announceDenominator / time.Second)
+	if !ok || seconds < 1 {
+		return
 	}
+	own.promise(timeout)
+	header.Set("Keep-Alive", "timeout="+strconv.FormatInt(seconds, 10))
 }
 
 // AnsweredEarly records that a request on a connection is answered though it has not been read to the end.
@@ -88,7 +100,8 @@
 	}
 }
 
-// Run closes connections that have been idle for longer than the idle timeout, until ctx ends.
+// Run closes connections that have been idle for longer than the idle timeout, until ctx ends. Where the timeout is lowered, connections that
+// are idle keep the one that held when their last answer was given, as their callers go by it.
 func (c *Conns) Run(ctx context.Context) error {
 	ticker := time.NewTicker(idleCheckInterval)
 	defer ticker.Stop()
@@ -102,8 +115,8 @@
 				continue
 			}
 			for _, own := range c.all() {
-				own.closeIfIdle(causeIdleTimeout, func(since time.Time, _ bool) bool {
-					return now.Sub(since) > timeout
+				own.closeIfIdle(causeIdleTimeout, func(since time.Time, promised time.Duration, _ bool) bool {
+					return now.Sub(since) > max(timeout, promised)
 				})
 			}
 		}
@@ -145,7 +158,7 @@
 		}
 		now := time.Now()
 		for _, own := range open {
-			own.closeIfIdle(causeDrain, func(since time.Time, first bool) bool {
+			own.closeIfIdle(causeDrain, func(since time.Time, _ time.Duration, first bool) bool {
 				idle := now.Sub(since)
 				return !now.Before(lastCall) || idle > maxFirstWait || !first && idle > minDrainIdle
 			})
