Pass on requests late in a stop that end in time

What callers saw: from a third of the grace on every new request was refused as its gateway stopped, also one that would have ended long before.

Cause: the plan of a stop had a moment for refusals beside the question whether a request can end in time, and a plain service was asked by its route's timeout only.

Change: requests are passed on until the moment of the last answers if they end by then: by their deadline, by the tokens they are expected to generate, or, if they may be repeated, by the slowest of the latest answers of their service and a tenth. What may not be repeated goes by its deadline alone: with an estimate for those, too, TestPlannedStopCutsNoRequest showed unsafe requests that ended in 502 (2 s, 4 s and 8 s of grace), as one in 40 of that service takes 9 s. From a third of the grace on idle connections are closed and nothing waits for room, as before.

Evidence: TestLateRequestThatEndsInTimeIsServed (grace 4 s, requests of 1.8 s sent every 50 ms): safe ones 503 throughout, unsafe ones from 1.34 s on, before; served up to 1.4 s and refused at once from 1.8 s on after. TestPlannedStopCutsNoRequest passes for 1 to 20 s.

--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -19,7 +19,7 @@
 type stop struct {
 	answerBy  atomic.Pointer[time.Time] // by when requests must have ended; nil before the stop
 	waitsOnce sync.Once
-	waitsOver chan struct{} // closed once requests neither wait nor begin
+	waitsOver chan struct{} // closed once requests don't wait any more
 	grace     context.Context
 	endGrace  context.CancelCauseFunc
 }
@@ -33,51 +33,59 @@
 // Stop begins a planned stop: requests that might last beyond answerBy are not sent from now on.
 func (d *Dispatcher) Stop(answerBy time.Time) { d.stop.answerBy.Store(&answerBy) }
 
-// StopWaits refuses the requests that wait for room or for a model, and those that have not been sent. The process is about
-// to end, and another gateway can serve them at once.
+// StopWaits refuses the requests that wait for room or for a model, and those that would have to. The process is about to end, and another
+// gateway can serve them at once.
 func (d *Dispatcher) StopWaits() { d.stop.waitsOnce.Do(func() { close(d.stop.waitsOver) }) }
 
 // EndAll ends the requests in progress, which get their final answers.
 func (d *Dispatcher) EndAll() { d.stop.endGrace(errGraceOver) }
 
-// waitsAreOver reports whether StopWaits has been called.
-func (s *stop) waitsAreOver() bool {
-	select {
-	case <-s.waitsOver:
-		return true
-	default:
-		return false
-	}
-}
-
-// generationMargin is the factor on the expected time of a generation within which it is taken to end.
-const generationMargin = 2
+const (
+	// generationMargin is the factor on the expected time of a generation within which it is taken to end.
+	generationMargin = 2
+	// slowestMarginNumerator / slowestMarginDenominator is the same for the slowest of the latest answers of a plain service.
+	slowestMarginNumerator, slowestMarginDenominator = 11, 10
+)
 
-// refuseStopping returns a refusal if the process stops and the request is not to be sent to the chosen target: it might not end in time, or
-// it has not been sent and nothing begins any more.
+// refuseStopping returns a refusal if the process stops and the request is not to be sent to the chosen target, as it might not end in time.
 func (d *Dispatch) refuseStopping(choice fleet.Choice) *Refused {
 	answerBy := d.stop.answerBy.Load()
 	if answerBy == nil {
 		return nil
 	}
-	tooLate := d.stop.waitsAreOver() && d.sendCount == 0
-	generation := d.fleet.GenerationTime(choice.Target.ID, d.request, d.now())
-	if !tooLate && d.endsBy(*answerBy, choice.Expected, generation) {
+	expected := d.answerTime(choice)
+	if d.endsBy(*answerBy, expected) {
 		return nil
 	}
 	d.log.WithFields(logrus.Fields{
 		"grace-left-ms": answerBy.Sub(d.now()).Milliseconds(), "left-ms": d.deadline.Sub(d.now()).Milliseconds(), "sent": d.sendCount,
-		"expected-ms": choice.Expected.Milliseconds(), "generation-ms": generation.Milliseconds(),
+		"first-byte-ms": choice.Expected.Milliseconds(), "expected-ms": expected.Milliseconds(),
 	}).Info("not sent, the gateway stops")
 	return &Refused{Reason: Stopping, RetryAfter: StoppingRetryAfter}
 }
 
-// endsBy reports whether the request ends by a time: by its deadline, or by the tokens that it is expected to generate.
-func (d *Dispatch) endsBy(by time.Time, firstByte, generation time.Duration) bool {
+// answerTime returns within which time the answer of a target is taken to end, by the tokens that it is expected to generate or by the slowest of
+// the latest answers of a plain service; 0 if that is not known, or the request must not be sent on an estimate as nobody may repeat it.
+func (d *Dispatch) answerTime(choice fleet.Choice) time.Duration {
+	if d.request.Model == "" {
+		if !d.route.Repeatable() {
+			return 0
+		}
+		return d.fleet.SlowestAnswer(d.service, d.now()) * slowestMarginNumerator / slowestMarginDenominator
+	}
+	generation := d.fleet.GenerationTime(choice.Target.ID, d.request, d.now())
+	if generation == 0 {
+		return 0
+	}
+	return choice.Expected + generationMargin*generation
+}
+
+// endsBy reports whether the request ends by a time: by its deadline, or by the time that its answer is expected to take; 0 if that is not known.
+func (d *Dispatch) endsBy(by time.Time, expected time.Duration) bool {
 	if !d.deadline.After(by) {
 		return true
 	}
-	return generation > 0 && !d.now().Add(firstByte+generationMargin*generation).After(by)
+	return expected > 0 && !d.now().Add(expected).After(by)
 }
 
 // GraceOver reports whether the dispatch ended at the end of the grace.
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -128,6 +128,9 @@
 		}
 	}
 	a.recordResult(result, now)
+	if result == Served && a.request.Model == "" {
+		s.slowest.add(now.Sub(a.sentAt), now)
+	}
 	if result == Served && !a.startedAt.IsZero() {
 		a.fleet.recordDecoding(a.request, now.Sub(a.startedAt))
 		s.residenceMs = movingAverage(s.residenceMs, float64(now.Sub(a.sentAt))/float64(time.Millisecond))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -65,6 +65,7 @@
 	othersInflight    int                      // other gateways' requests at the target
 	fullUntil         time.Time                // until when the target counts as full after it refused a request
 	residenceMs       float64                  // time from the send of a request to its end, moving average
+	slowest           slowestAnswer            // of a plain target
 	othersPrefillMs   float64                  // expected prefill time of other gateways' pending requests
 	unsentParts       []PromptPart             // prompt parts sent to the target and not yet reported to its agent
 	pendingPrefillMs  float64                  // expected prefill time of this gateway's pending requests
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,12 +169,14 @@
 	g.draining.Store(true)
 	g.conns.StartDrain()
 	g.log.WithFields(logrus.Fields{
-		"refuses-in-ms": time.Until(plan.RefuseFrom()).Milliseconds(), "answers-by-ms": time.Until(plan.AnswerBy()).Milliseconds(), "closes-in-ms": time.Until(plan.CloseAt()).Milliseconds(),
+		"leaves-in-ms": time.Until(plan.LeaveFrom()).Milliseconds(), "answers-by-ms": time.Until(plan.AnswerBy()).Milliseconds(), "closes-in-ms": time.Until(plan.CloseAt()).Milliseconds(),
 	}).Info("gateway drains")
-	lastAnswers := time.AfterFunc(time.Until(plan.AnswerBy()), g.dispatcher.EndAll)
+	lastAnswers := time.AfterFunc(time.Until(plan.AnswerBy()), func() {
+		g.refusingRequests.Store(true)
+		g.dispatcher.EndAll()
+	})
 	defer lastAnswers.Stop()
-	time.Sleep(time.Until(plan.RefuseFrom()))
-	g.refusingRequests.Store(true)
+	time.Sleep(time.Until(plan.LeaveFrom()))
 	g.dispatcher.StopWaits()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.CloseAt())
 	defer cancel()
--- a/grace/plan.go
+++ b/grace/plan.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// maxRefuseAfter is how long new requests are still served after the signal to stop: the platform sends no more callers to a VM
-	// after two failed checks, which it makes once a second.
-	maxRefuseAfter = 2500 * time.Millisecond
-	refuseShare    = 3 // of the grace, as a divisor: maxRefuseAfter is for long ones
+	// maxLeaveAfter is how long a process waits after the signal to stop before it closes idle connections: the platform sends no more
+	// callers to a VM after two failed checks, which it makes once a second.
+	maxLeaveAfter = 2500 * time.Millisecond
+	leaveShare    = 3 // of the grace, as a divisor: maxLeaveAfter is for long ones
 	// maxExitTime is kept for the process to exit, and maxAnswerTime before that for the last answers to be written.
 	maxExitTime   = 700 * time.Millisecond
 	maxAnswerTime = 100 * time.Millisecond
@@ -23,12 +23,12 @@
 // New returns the plan of a stop that began at a time and may take length.
 func New(began time.Time, length time.Duration) Plan { return Plan{began: began, length: length} }
 
-// RefuseFrom returns from when on all new requests are refused.
-func (p Plan) RefuseFrom() time.Time {
-	return p.began.Add(min(maxRefuseAfter, p.length/refuseShare))
+// LeaveFrom returns from when on connections are closed as they become idle, and requests that would have to wait are refused.
+func (p Plan) LeaveFrom() time.Time {
+	return p.began.Add(min(maxLeaveAfter, p.length/leaveShare))
 }
 
-// AnswerBy returns by when each request must have its final answer.
+// AnswerBy returns by when each request must have its final answer. Requests that come later are refused.
 func (p Plan) AnswerBy() time.Time {
 	return p.CloseAt().Add(-min(maxAnswerTime, p.length/answerShare))
 }
--- a/planned_stop_test.go
+++ b/planned_stop_test.go
@@ -36,6 +36,8 @@
 	"safe":             {http.MethodGet, "/safe/", time.Second, 40 * time.Millisecond, false, 0},
 	"unsafe":           {http.MethodPost, "/unsafe/", time.Second, 40 * time.Millisecond, false, 0},
 	"unsafe, slow":     {http.MethodPost, "/unsafe-slow/", 6 * time.Second, 2500 * time.Millisecond, false, 0},
+	"unsafe, 1.8 s":    {http.MethodPost, "/unsafe-medium/", 2 * time.Second, 1800 * time.Millisecond, false, 0},
+	"safe, 1.8 s":      {http.MethodGet, "/safe-medium/", 4 * time.Second, 1800 * time.Millisecond, false, 0},
 	"unsafe, one slow": {http.MethodPost, "/unsafe-late/", 12 * time.Second, 40 * time.Millisecond, false, 0},
 	"stream":           {http.MethodPost, "/stream/", 6 * time.Second, time.Second, true, 0},
 	"slow body":        {http.MethodPost, "/unsafe-body/", 4 * time.Second, 600 * time.Millisecond, false, 1500 * time.Millisecond},
