Answer requests that are still coming in as the grace ends

What callers saw: a request whose head or body they were still sending when the grace of a stopping gateway ended was cut with no answer.

Cause: nothing ended the read of a request; the server was closed around it. Class: the end of the process is not ordered with what is being read.

Found beside it: a head that took too long got 400, which does not tell that the request has not run (TestSlowHeadIsAnswered).

Change: with the last answers, reads of bodies end, and their requests are refused with 503, not run; a head of which a part has been read is refused likewise. A slow head gets 408. What the callers still send is read for a moment, so that it does not reset the connection and destroy the answer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,26 +44,27 @@
 
 // Gateway accepts the requests of callers and forwards them to targets.
 type Gateway struct {
-	config           *settings.Config
-	log              *logrus.Entry
-	store            *platform.Store
-	epochs           *epoch.Tracker
-	departures       *departure.Table
-	fleet            *fleet.Fleet
-	dispatcher       *dispatch.Dispatcher
-	budget           *retrybudget.Budget
-	agents           *agentClients
-	relay            *relayedReads
-	crashes          *crashes
-	blocked          *blockedContents
-	dialer           *dialer.Dialer
-	conns            *keepalive.Conns
-	started          time.Time
-	routeTable       atomic.Pointer[route.Table]
-	targetsKnown     atomic.Bool
-	storeLostAt      atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
-	draining         atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
-	refusingRequests atomic.Bool               // refuses all new requests
+	config       *settings.Config
+	log          *logrus.Entry
+	store        *platform.Store
+	epochs       *epoch.Tracker
+	departures   *departure.Table
+	fleet        *fleet.Fleet
+	dispatcher   *dispatch.Dispatcher
+	budget       *retrybudget.Budget
+	agents       *agentClients
+	relay        *relayedReads
+	crashes      *crashes
+	blocked      *blockedContents
+	dialer       *dialer.Dialer
+	conns        *keepalive.Conns
+	started      time.Time
+	routeTable   atomic.Pointer[route.Table]
+	targetsKnown atomic.Bool
+	storeLostAt  atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
+	draining     atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
+	lastAnswers  context.Context           // ends when the last answers of a stop are given; requests that come later are refused
+	endAnswers   context.CancelFunc
 }
 
 // New returns a gateway with the given settings, which does nothing until Run.
@@ -100,6 +101,7 @@
 		started:    time.Now(),
 	}
 	g.conns = keepalive.New(g.idleTimeout, log)
+	g.lastAnswers, g.endAnswers = context.WithCancel(context.Background())
 	return g
 }
 
@@ -172,7 +174,7 @@
 		"leaves-in-ms": time.Until(plan.LeaveFrom()).Milliseconds(), "answers-by-ms": time.Until(plan.AnswerBy()).Milliseconds(), "closes-in-ms": time.Until(plan.CloseAt()).Milliseconds(),
 	}).Info("gateway drains")
 	lastAnswers := time.AfterFunc(time.Until(plan.AnswerBy()), func() {
-		g.refusingRequests.Store(true)
+		g.endAnswers()
 		g.dispatcher.EndAll()
 	})
 	defer lastAnswers.Stop()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -29,7 +29,7 @@
 	arrived := time.Now()
 	id := platform.RequestID(r)
 	g.conns.Announce(connFromContext(r.Context()), w.Header())
-	if g.refusingRequests.Load() {
+	if g.lastAnswers.Err() != nil {
 		g.refuse(w, r, id, dispatch.Stopping, http.StatusServiceUnavailable, dispatch.StoppingRetryAfter)
 		return
 	}
@@ -64,9 +64,13 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := g.readUntilStop(w, http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errReadStopped):
+		g.conns.AnsweredEarly(connFromContext(r.Context()))
+		g.refuse(w, r, req.ID, dispatch.Stopping, http.StatusServiceUnavailable, dispatch.StoppingRetryAfter)
+		return false
 	case errors.As(err, &tooLarge):
 		g.refuse(w, r, req.ID, dispatch.BodyTooLarge, http.StatusRequestEntityTooLarge, 0)
 		return false
@@ -78,6 +82,21 @@
 	return true
 }
 
+// errReadStopped reports a body that was still coming in at the time of the last answers.
+var errReadStopped = errors.New("body is not complete as the gateway stops")
+
+// readUntilStop reads a body, at most until the last answers of a stop are given.
+func (g *Gateway) readUntilStop(w http.ResponseWriter, body io.Reader) ([]byte, error) {
+	stopRead := context.AfterFunc(g.lastAnswers, func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only if the connection is closed
+	})
+	read, err := io.ReadAll(body)
+	if !stopRead() {
+		return nil, errReadStopped
+	}
+	return read, err
+}
+
 // refuse logs, counts and refuses a request that is not dispatched.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, requestID string, reason dispatch.Reason, status int, retryAfter time.Duration) {
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(reason) + `"}`).Inc()
--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -71,7 +71,21 @@
 func (c *conn) closeIfIdle(cause string, mayClose func(since time.Time, promised time.Duration, first bool) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isIdle || !c.waiting || c.readBytes > 0 || c.closing != "" || !mayClose(c.idleSince, c.promised, c.isFirst) {
+	if c.readBytes == 0 && mayClose(c.idleSince, c.promised, c.isFirst) {
+		c.endReadForClose(cause)
+	}
+}
+
+// closeUnlessBusy has the read that waits for a request, or for the rest of its head, close the connection.
+func (c *conn) closeUnlessBusy(cause string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endReadForClose(cause)
+}
+
+// endReadForClose ends the read of a connection without a request in progress; the caller holds the lock.
+func (c *conn) endReadForClose(cause string) {
+	if !c.isIdle || !c.waiting || c.closing != "" {
 		return
 	}
 	c.closing = cause
@@ -107,6 +121,10 @@
 	c.waiting = false
 	c.readBytes += int64(n)
 	if c.closing == "" {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle && c.readBytes > 0 {
+			c.refusePart(causeSlowHead)
+			return false, true
+		}
 		return false, false
 	}
 	cause := c.closing
@@ -118,11 +136,29 @@
 	if !quietconn.IsQuiet(c.tcpConn) {
 		return true, false
 	}
+	if c.readBytes > 0 {
+		c.refusePart(cause)
+		return false, true
+	}
 	_ = c.tcpConn.Close() // the peer learns of it, or has left
 	c.conns.logClose(c, cause, time.Since(c.idleSince), c.readBytes, false)
 	return false, true
 }
 
+// refusals are the answers to a request whose head is not read to the end, by the cause.
+var refusals = map[string]string{
+	causeSlowHead: "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	causeDrain:    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+}
+
+// refusePart refuses a request of which a part has been read; the caller holds the lock.
+func (c *conn) refusePart(cause string) {
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // a failure ends the write
+	_, _ = io.WriteString(c.tcpConn, refusals[cause])  // a caller that has left needs no answer
+	c.cutShort = true
+	c.conns.logClose(c, cause, time.Since(c.idleSince), c.readBytes, false)
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
--- a/keepalive/conn_test.go
+++ b/keepalive/conn_test.go
@@ -1,6 +1,7 @@
 package keepalive
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -177,3 +178,37 @@
 		t.Error(err)
 	}
 }
+
+// TestSlowHeadIsAnswered guards against a connection that is closed with no answer as the head of a request takes too long.
+func TestSlowHeadIsAnswered(t *testing.T) {
+	conns := New(func() time.Duration { return 0 }, quietLog())
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: conns.TrackState, ReadHeaderTimeout: 100 * time.Millisecond, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	defer server.Close()
+	go func() { _ = server.Serve(conns.Listener(inner)) }()
+	for name, first := range map[string]string{"first request": "", "kept connection": "GET / HTTP/1.1\r\nHost: a\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			client, err := net.Dial("tcp", inner.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			_ = client.SetDeadline(time.Now().Add(3 * time.Second))
+			reader := bufio.NewReader(client)
+			if first != "" {
+				_, _ = io.WriteString(client, first)
+				if err := readAnswer(reader); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHo")
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil || response.StatusCode != http.StatusRequestTimeout {
+				t.Errorf("response %v, %v; want 408", response, err)
+			}
+		})
+	}
+}
--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -32,6 +32,7 @@
 	causeDrain       = "drain"
 	causeIdleTimeout = "idle-timeout"
 	causeEnd         = "end"
+	causeSlowHead    = "slow-head"
 )
 
 // Conns are the open connections of a server. Its methods are safe for concurrent use.
@@ -136,8 +137,8 @@
 	return c.draining
 }
 
-// Drain closes connections as they become idle, from lastCall on however briefly they have been. Once none is open it closes the listener. It
-// returns when no connection is left, or with the error of ctx when that ends.
+// Drain closes connections as they become idle, from lastCall on however briefly they have been; requests whose heads are still coming in then are
+// refused. Once no connection is open it closes the listener. It returns when no connection is left, or with the error of ctx when that ends.
 func (c *Conns) Drain(ctx context.Context, lastCall time.Time) error {
 	c.StartDrain()
 	if err := c.closeAsTheyIdle(ctx, lastCall); err != nil {
@@ -158,9 +159,13 @@
 		}
 		now := time.Now()
 		for _, own := range open {
+			if !now.Before(lastCall) {
+				own.closeUnlessBusy(causeDrain)
+				continue
+			}
 			own.closeIfIdle(causeDrain, func(since time.Time, _ time.Duration, first bool) bool {
 				idle := now.Sub(since)
-				return !now.Before(lastCall) || idle > maxFirstWait || !first && idle > minDrainIdle
+				return idle > maxFirstWait || !first && idle > minDrainIdle
 			})
 		}
 		select {
