--- a/soak/checker.go
+++ b/soak/checker.go
@@ -19,6 +19,7 @@
 
 	Completeness completeness.Completeness // as its framing and its end show
 	At           time.Time                 // when it had arrived, or the connection had ended
+	CallerLeft   bool                      // the caller did not wait for it any longer
 }
 
 // IsServed reports whether the caller got all that the request has to get.
@@ -226,7 +227,7 @@
 		retries += max(0, n-1)
 	}
 	violations = append(slices.Clone(c.violations), c.notices.violations()...)
-	violations = append(violations, c.cuts.violations(&c.notices)...)
+	violations = append(violations, c.cuts.violations(&c.notices, c.atMostOnce)...)
 	if maxRetries := c.limits.RetryRatio*float64(c.requestCount) + float64(c.limits.RetryExtra); float64(retries) > maxRetries {
 		violations = append(violations, fmt.Sprintf("%d retries for %d requests, limit %.0f", retries, c.requestCount, maxRetries))
 	}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -98,11 +98,26 @@
 			recordCutAnswer(c, 0)
 		}, ""},
 		"request passed on late in the grace": {func(c *soak.Checker) {
+			c.RecordRequest("a", true)
 			c.RecordStop("g-1", atMs(0), 4*time.Second)
 			c.RecordSender("a", "g-1", atMs(1400), 3*time.Second)
 			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(1410)})
 		}, "request a reached t from g-1, sent 1.4s after the signal to stop"},
+		"repeatable request passed on late in the grace": {func(c *soak.Checker) {
+			c.RecordRequest("a", false)
+			c.RecordStop("g-1", atMs(0), 4*time.Second)
+			c.RecordSender("a", "g-1", atMs(1400), 3*time.Second)
+			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(1410)})
+		}, ""},
+		"request read and not answered":                  {func(c *soak.Checker) { recordUnanswered(c, true, false) }, "request a got no answer, but g-1 had read it"},
+		"request neither read nor answered":              {func(c *soak.Checker) { recordUnanswered(c, false, false) }, ""},
+		"request read and not answered, its caller left": {func(c *soak.Checker) { recordUnanswered(c, true, true) }, ""},
+		"request read and not answered, its process killed": {func(c *soak.Checker) {
+			c.RecordDisturbance("g", atMs(5), atMs(6))
+			recordUnanswered(c, true, false)
+		}, ""},
 		"request passed on early in the grace": {func(c *soak.Checker) {
+			c.RecordRequest("a", true)
 			c.RecordStop("g-1", atMs(0), 4*time.Second)
 			c.RecordSender("a", "g-1", atMs(900), 3*time.Second)
 			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(1910)})
@@ -194,3 +209,11 @@
 		})
 	}
 }
+
+// recordUnanswered records a request without an answer, which its process has read or not.
+func recordUnanswered(c *soak.Checker, read, callerLeft bool) {
+	c.RecordRequest("a", false)
+	c.RecordSender("a", "g-1", atMs(0), 3*time.Second)
+	c.CheckResponse(soak.Response{ID: "a", At: atMs(10), CallerLeft: callerLeft})
+	c.CheckUnanswered(func(process, requestID string) bool { return read && process == "g-1" && requestID == "a" })
+}
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -45,14 +45,16 @@
 }
 
 // violations returns what targets, processes that stop and callers have seen that must not be.
-func (k *cuts) violations(n *notices) []string {
+func (k *cuts) violations(n *notices, atMostOnce map[string]bool) []string {
 	arrivals := map[string]Arrival{}
 	for _, a := range n.arrivals {
 		arrivals[a.RequestID] = a
 	}
 	var violations []string
 	for _, a := range n.arrivals {
-		violations = append(violations, k.lateSend(n, a)...)
+		if atMostOnce[a.RequestID] {
+			violations = append(violations, k.lateSend(n, a)...)
+		}
 	}
 	for _, r := range k.received {
 		if a, arrived := arrivals[r.ID]; arrived && n.calm(a.Target, a.At.Add(-disturbanceTail), r.At) {
@@ -62,7 +64,8 @@
 	return violations
 }
 
-// lateSend checks that a stopping process has not passed on a request that its route allows to outlast the grace.
+// lateSend checks that a stopping process has not passed on a request that may run only once and that its route allows to outlast the grace. Others
+// may be passed on by an estimate; CheckUnanswered finds those that then get no answer.
 func (k *cuts) lateSend(n *notices, a Arrival) []string {
 	sent := n.sends[a.RequestID]
 	stop, stopping := k.stops[sent.process]
@@ -92,3 +95,19 @@
 func (k *cuts) calmSince(n *notices, process string, stop plannedStop, until time.Time) bool {
 	return n.calm(node(process), stop.at.Add(-disturbanceTail), until)
 }
+
+// CheckUnanswered checks that no process has read a request whose caller then got no answer. Requests of disturbed processes, and of callers who
+// left, do not count.
+func (c *Checker) CheckUnanswered(hasRead func(process, requestID string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.cuts.received {
+		sent, known := c.notices.sends[r.ID]
+		if r.Status != 0 || r.CallerLeft || !known || !c.notices.calm(node(sent.process), sent.at.Add(-disturbanceTail), r.At) {
+			continue
+		}
+		if hasRead(sent.process, r.ID) {
+			c.addViolation("request %s got no answer, but %s had read it", r.ID, sent.process)
+		}
+	}
+}
