Go by the limit of the tokens for streams late in a stop

Cause: late in a stop streams were passed on by the tokens that they are expected to generate, which are often far off, and by then nothing but a cut is left for one that takes longer.

Change: from the moment at which idle connections are closed, the limit of the tokens decides in place of the estimate.

--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -40,6 +40,16 @@
 // EndAll ends the requests in progress, which get their final answers.
 func (d *Dispatcher) EndAll() { d.stop.endGrace(errGraceOver) }
 
+// waitsAreOver reports whether StopWaits has been called.
+func (s *stop) waitsAreOver() bool {
+	select {
+	case <-s.waitsOver:
+		return true
+	default:
+		return false
+	}
+}
+
 const (
 	// generationMargin is the factor on the expected time of a generation within which it is taken to end.
 	generationMargin = 2
@@ -65,7 +75,8 @@
 }
 
 // answerTime returns within which time the answer of a target is taken to end, by the tokens that it is expected to generate or by the slowest of
-// the latest answers of a plain service; 0 if that is not known, or the request must not be sent on an estimate as nobody may repeat it.
+// the latest answers of a plain service; 0 if that is not known, or the request must not be sent on an estimate as nobody may repeat it. Late in
+// the stop, where nothing but a cut is left for an answer that takes longer, it goes by the limit of the tokens.
 func (d *Dispatch) answerTime(choice fleet.Choice) time.Duration {
 	if d.request.Model == "" {
 		if !d.route.Repeatable() {
@@ -73,7 +84,11 @@
 		}
 		return d.fleet.SlowestAnswer(d.service, d.now()) * slowestMarginNumerator / slowestMarginDenominator
 	}
-	generation := d.fleet.GenerationTime(choice.Target.ID, d.request, d.now())
+	tokens := d.request.ExpectedOutputTokens()
+	if d.stop.waitsAreOver() {
+		tokens = d.request.MaxOutputTokens
+	}
+	generation := d.fleet.GenerationTime(choice.Target.ID, d.request, tokens, d.now())
 	if generation == 0 {
 		return 0
 	}
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -63,20 +63,31 @@
 	const left = 2 * time.Second // of the grace
 	cases := map[string]struct {
 		maxTokens  int
+		hint       int
+		late       bool
 		wantServed bool
 	}{
-		"few tokens":             {50, true},
-		"many tokens":            {400, false},
-		"no limit on its tokens": {0, false},
+		"few tokens":                        {50, 0, false, true},
+		"many tokens":                       {400, 0, false, false},
+		"no limit on its tokens":            {0, 0, false, false},
+		"few expected":                      {400, 50, false, true},
+		"few tokens, late":                  {50, 0, true, true},
+		"few expected, late":                {400, 50, true, false},
+		"expected without a limit, late":    {0, 50, true, false},
+		"expected tokens would do, late":    {200, 0, true, false},
+		"expected tokens would do, in time": {200, 0, false, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := &scriptedClient{replies: []func() reply.Result{respond(200)}}
 			d := newDispatcher(s, time.Now)
 			d.Stop(time.Now().Add(left))
+			if c.late {
+				d.StopWaits()
+			}
 			r := streamRoute(false)
 			r.Timeout = 20 * time.Second
-			dispatch := d.Begin(t.Context(), &request.Request{ID: "r", Model: "m1", Arrived: time.Now(), PromptTokens: 100, MaxOutputTokens: c.maxTokens}, r, engineService)
+			dispatch := d.Begin(t.Context(), &request.Request{ID: "r", Model: "m1", Arrived: time.Now(), PromptTokens: 100, MaxOutputTokens: c.maxTokens, LengthHint: c.hint}, r, engineService)
 			defer dispatch.Close()
 			outcome := dispatch.Run()
 			if _, served := outcome.(Answered); served != c.wantServed {
--- a/fleet/decoding.go
+++ b/fleet/decoding.go
@@ -43,16 +43,16 @@
 	return defaultDecodeMsPerToken
 }
 
-// GenerationTime returns the expected time from the first byte of an answer of a target to the last; 0 if neither the caller nor a limit tells
-// how many tokens are expected, or the target is not known.
-func (f *Fleet) GenerationTime(targetID string, req *request.Request, now time.Time) time.Duration {
+// GenerationTime returns the expected time from the first byte of an answer of a target to the last for a number of tokens; 0 if the target is not
+// known, or the request has no model.
+func (f *Fleet) GenerationTime(targetID string, req *request.Request, tokens int, now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.states[targetID]
 	if s == nil || req.Model == "" {
 		return 0
 	}
-	return durationFromMs(f.decodeMsPerToken(req.Model) * float64(req.ExpectedOutputTokens()) * s.performance.slowness(now))
+	return durationFromMs(f.decodeMsPerToken(req.Model) * float64(tokens) * s.performance.slowness(now))
 }
 
 // recordDecoding adds a complete answer to the average of its model; the caller holds the lock.
