Answer a head that is refused once only

What callers saw: behind the 503 or 408 for a head that was not read to its end, the same once more and a 400 of net/http, which answers no request.

Cause: the server took the end of the read for a request that it could not parse, and answered that.

Change: nothing is read or written any more on a connection whose head has been refused. TestPartOfAHeadGetsOneAnswer fails before in 6 of 6 cases.

--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -43,6 +43,7 @@
 	deadline  time.Time     // of reads, as the server has set it
 	reset     bool          // its close is to reset it
 	cutShort  bool          // answered before its request had been read to the end
+	refused   bool          // a head of which a part was read has been refused; nothing more is read or answered
 }
 
 // setBusy records that a request is in progress.
@@ -95,7 +96,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
-		c.beginRead()
+		if !c.beginRead() {
+			return 0, io.EOF
+		}
 		n, err := c.tcpConn.Read(p)
 		again, closed := c.endRead(n, err)
 		if closed {
@@ -107,10 +110,23 @@
 	}
 }
 
-func (c *conn) beginRead() {
+// beginRead records that a read waits; it returns false if nothing more is to be read.
+func (c *conn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = true
+	c.waiting = !c.refused
+	return c.waiting
+}
+
+// Write implements net.Conn. What the server writes about a head that has been refused is dropped, as that has its answer.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	refused := c.refused
+	c.mu.Unlock()
+	if refused {
+		return 0, net.ErrClosed
+	}
+	return c.tcpConn.Write(p)
 }
 
 // endRead records what a read has brought. If the read was ended for the connection to be closed, it closes the connection, or has it read again
@@ -155,7 +171,7 @@
 func (c *conn) refusePart(cause string) {
 	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // a failure ends the write
 	_, _ = io.WriteString(c.tcpConn, refusals[cause])  // a caller that has left needs no answer
-	c.cutShort = true
+	c.cutShort, c.refused = true, true
 	c.conns.logClose(c, cause, time.Since(c.idleSince), c.readBytes, false)
 }
 
