Refuse heads that are still coming in at once when the last answers are given

What callers saw: a head of which a part had been read was cut with no answer as the grace ended, where the last answers are given less than 50 ms before the close (a grace below 2 s).

Cause: the moment was looked for once in drainCheckInterval only.

Change: the drain also looks at that moment. TestPartOfAHeadIsRefusedInAShortGrace fails before in 3 of 5 cases.

--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -152,6 +152,8 @@
 func (c *Conns) closeAsTheyIdle(ctx context.Context, lastCall time.Time) error {
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
+	called := time.NewTimer(time.Until(lastCall))
+	defer called.Stop()
 	for {
 		open := c.all()
 		if len(open) == 0 {
@@ -171,6 +173,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-called.C:
 		case <-ticker.C:
 		}
 	}
