Wait in a drain for Accept also after it has failed for a moment

What callers saw: nothing was seen in a play; a connection that Accept returns as the listener closes is closed unread if Accept had ever failed before, as without a free descriptor.

Cause: any error of Accept counted as its last.

Change: a temporary error doesn't. TestTemporaryErrorDoesNotEndTheAccepting fails before.

--- a/keepalive/listener.go
+++ b/keepalive/listener.go
@@ -1,6 +1,7 @@
 package keepalive
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -12,12 +13,16 @@
 	conns *Conns
 
 	doneOnce sync.Once
-	done     chan struct{} // closed once Accept has failed
+	done     chan struct{} // closed once Accept has failed for good
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	var temporary interface{ Temporary() bool } // by which an http.Server, too, tells whether to accept again
+	if errors.As(err, &temporary) && temporary.Temporary() {
+		return nil, err
+	}
 	if err != nil {
 		l.doneOnce.Do(func() { close(l.done) })
 		return nil, err
