Announce the close on answers that begin in a stop

What callers saw: a request in progress at SIGTERM got Keep-Alive with its answer in the stop, and its connection closed 0.2 ms to 0.5 s later, so that a next request met the close.

Cause: what an answer announces was decided as its request arrived. Class: what a caller is told, and what the process knows by then, part.

Change: it is decided as the answer begins. TestAnswerInAStopAnnouncesTheClose fails before in 2 of 2 cases. Its case of a stream goes: the answer had begun before the signal there.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -140,6 +140,7 @@
 		return
 	}
 	metrics.GetOrCreateHistogram(`gypsumbank_gateway_first_byte_seconds{kind="` + e.route.Kind.String() + `"}`).UpdateDuration(e.request.Arrived)
+	e.gateway.conns.Announce(e.answer.conn, e.answer.writer.Header())
 	e.answer.begin(answered.Response)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,7 +28,6 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	id := platform.RequestID(r)
-	g.conns.Announce(connFromContext(r.Context()), w.Header())
 	if g.lastAnswers.Err() != nil {
 		g.refuse(w, r, id, dispatch.Stopping, http.StatusServiceUnavailable, dispatch.StoppingRetryAfter)
 		return
@@ -101,6 +100,7 @@
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, requestID string, reason dispatch.Reason, status int, retryAfter time.Duration) {
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(reason) + `"}`).Inc()
 	g.log.WithFields(logrus.Fields{"request": requestID, "host": r.Host, "uri": r.RequestURI, "reason": reason, "status": status}).Info("refused")
+	g.conns.Announce(connFromContext(r.Context()), w.Header())
 	writeRefusal(w, reason, status, retryAfter)
 }
 
@@ -176,6 +176,7 @@
 	if e.answer.begun {
 		panic(http.ErrAbortHandler)
 	}
+	e.gateway.conns.Announce(e.answer.conn, e.answer.writer.Header())
 	writeRefusal(e.answer.writer, reason, status, retryAfter)
 }
 
--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// Announce sets the header fields of an answer on a connection that tell its caller for how long it may send further requests.
+// Announce sets the header fields of an answer that is about to begin on a connection, which tell its caller for how long it may send further requests.
 func (c *Conns) Announce(answered net.Conn, header http.Header) {
 	if c.isDraining() {
 		header.Set("Connection", "close")
