Bound the time in which the first bytes of a head come in on a kept connection

What callers saw: a connection on which one to three bytes of no request had come, as a line end behind a body, stayed open without limit, and kept a drain from ending before the last answers.

Cause: a connection with a byte read does not close as idle, and net/http bounds the read of a head from its fourth byte only.

Change: such a head gets 408 after 10 s.

--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -16,6 +16,10 @@
 // and destroy the answer.
 const lingerTime = 500 * time.Millisecond
 
+// headStartTime bounds the read of a head between its first byte and its fourth. Only from that on does an http.Server bound the read of a head on a
+// kept connection.
+const headStartTime = 10 * time.Second
+
 // longAgo is a deadline that ends a read at once.
 var longAgo = time.Unix(1, 0)
 
@@ -141,6 +145,10 @@
 			c.refusePart(causeSlowHead)
 			return false, true
 		}
+		if n > 0 && c.isIdle && c.deadline.IsZero() {
+			c.deadline = time.Now().Add(headStartTime)
+			_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed already
+		}
 		return false, false
 	}
 	cause := c.closing
