--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// Announce sets the header fields of an answer on a connection that tell its caller for how long it may send further requests.
+// Announce sets the header fields of an answer that is about to begin on a connection, which tell its caller for how long it may send further requests.
 func (c *Conns) Announce(answered net.Conn, header http.Header) {
 	if c.isDraining() {
 		header.Set("Connection", "close")
@@ -152,6 +152,8 @@
 func (c *Conns) closeAsTheyIdle(ctx context.Context, lastCall time.Time) error {
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
+	called := time.NewTimer(time.Until(lastCall))
+	defer called.Stop()
 	for {
 		open := c.all()
 		if len(open) == 0 {
@@ -171,6 +173,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-called.C:
 		case <-ticker.C:
 		}
 	}
