webserver: test that a shutdown answers requests that are coming in

Change: a table of requests that are cut off in their head or body, on new connections and on used ones.

--- a/webserver/stop_test.go
+++ b/webserver/stop_test.go
@@ -1,6 +1,7 @@
 package webserver_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -140,6 +141,39 @@
 	}
 }
 
+// TestShutdownAnswersBegunRequests ends a shutdown while requests are still coming in.
+func TestShutdownAnswersBegunRequests(t *testing.T) {
+	const wait = 200 * time.Millisecond
+	cases := map[string]string{
+		"one byte":     postRequest[:1],
+		"half a head":  postRequest[:20],
+		"head":         postHead,
+		"half a body":  postRequest[:len(postRequest)-2],
+		"long body":    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 500000),
+		"chunked body": "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+	}
+	for name, sent := range cases {
+		for kind, used := range map[string]bool{"first request": false, "later request": true} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				t.Parallel()
+				server, address := startServer(t, &fasthttp.Server{ReadTimeout: time.Minute, IdleTimeout: time.Minute})
+				conn := dial(t, address, 1, used)[0]
+				conn.Send(sent)
+				time.Sleep(wait)
+				ctx, cancel := context.WithTimeout(t.Context(), wait)
+				defer cancel()
+				stopped := make(chan error, 1)
+				go func() { stopped <- server.Shutdown(ctx) }()
+				status, last, err := conn.Answer()
+				if err != nil || status < http.StatusBadRequest || !last {
+					t.Errorf("status %d, last %v, error %v; want a refusal with Connection: close", status, last, err)
+				}
+				<-stopped
+			})
+		}
+	}
+}
+
 // TestRefusalReachesACallerThatStillSends refuses requests of which the rest is on its way.
 func TestRefusalReachesACallerThatStillSends(t *testing.T) {
 	const (
