--- a/webserver/stop_test.go
+++ b/webserver/stop_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"gypsumbank/link"
 	"gypsumbank/standin/caller"
 	"gypsumbank/webserver"
 )
@@ -23,15 +25,25 @@
 	postRequest = postHead + "body"
 )
 
-// startServer starts a server that answers each request with its body, and returns it with its address.
-func startServer(t *testing.T, limits *fasthttp.Server) (*webserver.Server, string) {
+// countingServer is a server that answers each request with its body.
+type countingServer struct {
+	*webserver.Server
+	ran atomic.Int64 // requests
+}
+
+// startServer starts a server and returns it with its address.
+func startServer(t *testing.T, limits *fasthttp.Server) (*countingServer, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	limits.Handler = func(ctx *fasthttp.RequestCtx) { ctx.SetBody(ctx.PostBody()) }
-	server := webserver.New(limits)
+	server := &countingServer{}
+	limits.Handler = func(ctx *fasthttp.RequestCtx) {
+		server.ran.Add(1)
+		ctx.SetBody(ctx.PostBody())
+	}
+	server.Server = webserver.New(limits)
 	server.Start(listener)
 	t.Cleanup(server.Close)
 	return server, listener.Addr().String()
@@ -48,10 +60,14 @@
 		}
 		t.Cleanup(conn.Close)
 		conns[i] = conn
+		if used {
+			conn.Send(getRequest)
+		}
+	}
+	for _, conn := range conns {
 		if !used {
-			continue
+			break
 		}
-		conn.Send(getRequest)
 		if status, _, err := conn.Answer(); status != http.StatusOK {
 			t.Fatalf("first request: status %d, %v", status, err)
 		}
@@ -113,31 +129,67 @@
 // TestShutdownAnswersWhatItHasRead sweeps the moment of a request over that at which a shutdown closes its idle connection.
 func TestShutdownAnswersWhatItHasRead(t *testing.T) {
 	const (
-		rounds = 20
-		conns  = 400
-		spread = 20 * time.Millisecond
+		conns    = 400
+		stopIdle = 300 * time.Millisecond // after which a shutdown closes a connection
 	)
-	total := &tally{}
-	for round := range rounds {
-		server, address := startServer(t, &fasthttp.Server{})
-		callers := dial(t, address, conns, true)
-		stopped := make(chan error, 1)
-		go func() {
-			time.Sleep(spread * time.Duration(round%10+1) / 20)
-			stopped <- server.Shutdown(t.Context())
-		}()
-		result := sendSpread(callers, postRequest, spread)
-		if err := <-stopped; err != nil {
-			t.Error(err)
-		}
-		for _, conn := range callers {
-			conn.Close()
-		}
-		total.merge(result)
+	cases := map[string]struct {
+		rounds int
+		idle   time.Duration // from the last use of the connections to the shutdown
+		from   time.Duration // the first request, from the shutdown
+		spread time.Duration // from the first request to the last
+		delay  time.Duration // each way
+	}{
+		"connections just used":        {10, 0, -10 * time.Millisecond, 20 * time.Millisecond, 0},
+		"connections long idle":        {10, 2 * stopIdle, -10 * time.Millisecond, 20 * time.Millisecond, 0},
+		"long idle, closely":           {10, 2 * stopIdle, -time.Millisecond, 4 * time.Millisecond, 0},
+		"the whole stop":               {3, 0, -stopIdle, 3 * stopIdle, 0},
+		"the whole stop, callers afar": {3, 0, -stopIdle, 3 * stopIdle, 75 * time.Millisecond},
+		"callers afar, long idle":      {3, 2 * stopIdle, -85 * time.Millisecond, 20 * time.Millisecond, 75 * time.Millisecond},
+		"callers afar, just used":      {3, 0, 0, stopIdle, 75 * time.Millisecond},
 	}
-	t.Log(total)
-	if total.lost > 0 || total.others > 0 || total.answered == 0 {
-		t.Errorf("%s; want none lost", total)
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			total := &tally{}
+			for range test.rounds {
+				server, address := startServer(t, &fasthttp.Server{})
+				target, err := link.New(address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				target.SetDelay(test.delay)
+				if test.delay > 0 {
+					address = target.Address()
+				}
+				callers := dial(t, address, conns, true)
+				ranBefore := server.ran.Load()
+				time.Sleep(test.idle)
+				stopped := make(chan error, 1)
+				go func() {
+					time.Sleep(max(0, -test.from))
+					stopped <- server.Shutdown(t.Context())
+				}()
+				time.Sleep(max(0, test.from))
+				result := sendSpread(callers, postRequest, test.spread)
+				if err := <-stopped; err != nil {
+					t.Error(err)
+				}
+				if ran := server.ran.Load() - ranBefore; ran != int64(result.answered) {
+					t.Errorf("%d requests ran and %d were answered", ran, result.answered)
+				}
+				for _, conn := range callers {
+					conn.Close()
+				}
+				target.Close()
+				total.merge(result)
+			}
+			if test.delay > 0 { // a caller's connection ends at the link, which has read what the server has not
+				total.unread, total.lost = total.unread+total.lost, 0
+			}
+			t.Log(total)
+			if total.lost > 0 || total.others > 0 || total.answered == 0 {
+				t.Errorf("%s; want none lost", total)
+			}
+		})
 	}
 }
 
