webserver: close an idle connection from the goroutine that reads it

Change: the server no longer uses that shutdown. A stop ends the wait of a connection for its next request by a read deadline; the goroutine that reads takes what has arrived with a read that doesn't block, and ends the connection only if that finds nothing. The same last read is made at an idle timeout. CloseConnections had no caller and is gone.

--- a/webserver/server.go
+++ b/webserver/server.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/valyala/fasthttp"
@@ -12,20 +14,24 @@
 
 // Server serves HTTP on a listener and keeps track of the open connections.
 type Server struct {
-	http *fasthttp.Server
+	http    *fasthttp.Server
+	handler fasthttp.RequestHandler
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[net.Conn]struct{}
+	conns    map[*trackedConn]struct{}
+	stopping bool
 	closed   bool
+	drained  chan struct{} // closed once no connection is open during a shutdown
 }
 
 // New returns a server with the handler and limits of server. It sets fields of server: no Server header is sent, answers
 // during a shutdown carry "Connection: close", and log messages are discarded unless a logger is set.
 func New(server *fasthttp.Server) *Server {
-	s := &Server{http: server, conns: map[net.Conn]struct{}{}}
+	s := &Server{http: server, handler: server.Handler, conns: map[*trackedConn]struct{}{}, drained: make(chan struct{})}
+	server.Handler = s.handle
+	server.ConnState = observeState
 	server.NoDefaultServerHeader = true
-	server.CloseOnShutdown = true
 	if server.Logger == nil {
 		server.Logger = discardLogger{}
 	}
@@ -46,7 +52,10 @@
 // Shutdown stops accepting connections, waits until the requests in progress have ended or ctx ends, and then closes the
 // remaining connections.
 func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.http.ShutdownWithContext(ctx)
+	for _, conn := range s.beginStop() {
+		conn.stop()
+	}
+	err := s.waitDrained(ctx)
 	s.Close()
 	return err
 }
@@ -54,27 +63,79 @@
 // Close stops accepting connections and closes the open ones without waiting for their requests.
 func (s *Server) Close() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.closed = true
+	s.closeListenerLocked()
+	s.mu.Unlock()
+	for _, conn := range s.openConns() {
+		_ = conn.Close()
+	}
+}
+
+// beginStop closes the listener and returns the connections that are open.
+func (s *Server) beginStop() []*trackedConn {
+	s.mu.Lock()
+	if !s.stopping {
+		s.stopping = true
+		s.closeListenerLocked()
+		s.markDrainedLocked()
+	}
+	s.mu.Unlock()
+	return s.openConns()
+}
+
+// closeListenerLocked closes the listener, if there is one; the caller holds mu.
+func (s *Server) closeListenerLocked() {
 	if s.listener != nil {
-		s.listener.Close()
+		_ = s.listener.Close()
+	}
+}
+
+// markDrainedLocked tells a shutdown that no connection is open, if so; the caller holds mu.
+func (s *Server) markDrainedLocked() {
+	if !s.stopping || len(s.conns) > 0 {
+		return
+	}
+	select {
+	case <-s.drained:
+	default:
+		close(s.drained)
+	}
+}
+
+// waitDrained waits until no connection is open and returns the error of ctx if it ends before.
+func (s *Server) waitDrained(ctx context.Context) error {
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	s.closeConnsLocked()
 }
 
-// CloseConnections closes all open connections but keeps accepting new ones.
-func (s *Server) CloseConnections() {
+func (s *Server) openConns() []*trackedConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeConnsLocked()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+// handle calls the handler and has the connection end with the answer during a shutdown.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.handler(ctx)
+	if s.isStopping() {
+		ctx.SetConnectionClose()
+	}
 }
 
-// closeConnsLocked closes all open connections; the caller holds mu.
-func (s *Server) closeConnsLocked() {
-	for conn := range s.conns {
-		conn.Close()
+// observeState tells a connection where it is between its requests.
+func observeState(conn net.Conn, state fasthttp.ConnState) {
+	tracked, ok := conn.(*trackedConn)
+	switch {
+	case !ok:
+	case state == fasthttp.StateActive:
+		tracked.beginRequest()
+	case state == fasthttp.StateIdle:
+		tracked.awaitRequest()
 	}
-	s.conns = map[net.Conn]struct{}{}
 }
 
 func (s *Server) serve(listener net.Listener) error {
@@ -88,19 +149,29 @@
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.closed
+	return s.closed || s.stopping
+}
+
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
 }
 
-func (s *Server) addConn(conn net.Conn) {
+func (s *Server) addConn(conn *trackedConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[conn] = struct{}{}
+	if s.stopping {
+		conn.stop()
+	}
 }
 
-func (s *Server) removeConn(conn net.Conn) {
+func (s *Server) removeConn(conn *trackedConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
+	s.markDrainedLocked()
 }
 
 // discardLogger discards the messages of fasthttp, such as those about connections that clients closed.
@@ -119,19 +190,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{TCPConn: conn.(*net.TCPConn), server: l.server}
+	tracked := newTrackedConn(conn.(*net.TCPConn), l.server)
 	l.server.addConn(tracked)
 	return tracked, nil
 }
-
-// trackedConn is removed from the server's open connections when it is closed.
-type trackedConn struct {
-	*net.TCPConn
-	server *Server
-}
-
-// Close removes the connection from the server in a goroutine, because closeConnsLocked calls it with mu held.
-func (c *trackedConn) Close() error {
-	go c.server.removeConn(c)
-	return c.TCPConn.Close()
-}
