webserver: refuse requests that are coming in when a shutdown ends

Change: it ends the reads of requests first, so that they are refused as any request that doesn't arrive in time, and gives these last answers 300 ms.

--- a/webserver/conn.go
+++ b/webserver/conn.go
@@ -17,6 +17,9 @@
 	firstRequestTime = 5 * time.Second
 )
 
+// passed is a deadline that ends a read at once.
+var passed = time.Unix(1, 0)
+
 // trackedConn is an accepted connection. Between two requests only the goroutine that reads the connection may close it: others end its
 // wait for the next request, upon which it takes what has arrived, or else sees the end of the connection.
 type trackedConn struct {
@@ -28,6 +31,7 @@
 	waitUntil   time.Time // when the wait ends if the server stops
 	stopping    bool
 	interrupted bool // the read deadline is not the one that the reader has set
+	expired     bool // no more of any request is read
 }
 
 func newTrackedConn(conn *net.TCPConn, server *Server) *trackedConn {
@@ -50,6 +54,9 @@
 func (c *trackedConn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.expired {
+		return nil
+	}
 	c.interrupted = c.stopping && c.waiting && (deadline.IsZero() || deadline.After(c.waitUntil))
 	if c.interrupted {
 		deadline = c.waitUntil
@@ -97,7 +104,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
-	if !c.interrupted {
+	if !c.interrupted || c.expired {
 		return
 	}
 	c.interrupted = false
@@ -116,6 +123,14 @@
 	c.limitWaitLocked()
 }
 
+// expire ends the reads of requests: those that have begun to come in are refused.
+func (c *trackedConn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expired = true
+	_ = c.TCPConn.SetReadDeadline(passed)
+}
+
 // interrupt records that the read deadline has passed and is not that of the request that has begun.
 func (c *trackedConn) interrupt() {
 	c.mu.Lock()
@@ -125,7 +140,7 @@
 
 // limitWaitLocked sets the end of the wait for a request during a shutdown; the caller holds mu.
 func (c *trackedConn) limitWaitLocked() {
-	if c.stopping && c.waiting {
+	if c.stopping && c.waiting && !c.expired {
 		c.interrupted = true
 		_ = c.TCPConn.SetReadDeadline(c.waitUntil)
 	}
@@ -140,5 +155,5 @@
 func (c *trackedConn) isStopping() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.stopping
+	return c.stopping || c.expired
 }
--- a/webserver/server.go
+++ b/webserver/server.go
@@ -8,10 +8,14 @@
 	"net"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
 
+// lastAnswerTime is the time for the last answers after the end of a shutdown.
+const lastAnswerTime = 300 * time.Millisecond
+
 // Server serves HTTP on a listener and keeps track of the open connections.
 type Server struct {
 	http    *fasthttp.Server
@@ -50,12 +54,20 @@
 }
 
 // Shutdown stops accepting connections, waits until the requests in progress have ended or ctx ends, and then closes the
-// remaining connections.
+// remaining connections. Requests that are still coming in when ctx ends are refused.
 func (s *Server) Shutdown(ctx context.Context) error {
 	for _, conn := range s.beginStop() {
 		conn.stop()
 	}
 	err := s.waitDrained(ctx)
+	if err != nil {
+		for _, conn := range s.openConns() {
+			conn.expire()
+		}
+		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswerTime)
+		defer cancel()
+		_ = s.waitDrained(answerCtx)
+	}
 	s.Close()
 	return err
 }
