--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -43,6 +43,7 @@
 	deadline  time.Time     // of reads, as the server has set it
 	reset     bool          // its close is to reset it
 	cutShort  bool          // answered before its request had been read to the end
+	ended     bool          // no more is read
 }
 
 // setBusy records that a request is in progress.
@@ -78,6 +79,14 @@
 	_ = c.tcpConn.SetReadDeadline(longAgo) // fails only if the connection is closed already
 }
 
+// endReads has all reads fail as if their time had passed.
+func (c *conn) endReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	_ = c.tcpConn.SetReadDeadline(longAgo) // fails only if the connection is closed already
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
@@ -111,7 +120,9 @@
 	}
 	cause := c.closing
 	c.closing = ""
-	_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed already
+	if !c.ended {
+		_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed already
+	}
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false, false
 	}
@@ -128,7 +139,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = deadline
-	if c.closing != "" {
+	if c.closing != "" || c.ended {
 		return nil
 	}
 	return c.tcpConn.SetReadDeadline(deadline)
@@ -152,6 +163,7 @@
 
 // Close implements net.Conn. If the last answer was given before its request had been read, the rest of that is read first.
 func (c *conn) Close() error {
+	defer c.conns.remove(c)
 	c.mu.Lock()
 	lingers := c.cutShort && !c.reset
 	c.cutShort = false
--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -182,6 +182,20 @@
 	}
 }
 
+// EndReads has the reads of all connections fail as if their time had passed, so that requests that are still coming in can be refused.
+func (c *Conns) EndReads() {
+	for _, own := range c.all() {
+		own.endReads()
+	}
+}
+
+// Close closes all connections, whatever is in progress on them.
+func (c *Conns) Close() {
+	for _, own := range c.all() {
+		_ = own.Close() // the peer learns of it, or has left
+	}
+}
+
 // LogOpen logs the connections that are open when the server is closed, and whether a request is in progress on them.
 func (c *Conns) LogOpen() {
 	for _, own := range c.all() {
