--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -19,6 +19,8 @@
 // Call runs one call of the plain service, or returns the stored answer if a call with the same idempotency key has
 // run.
 func (s *Sidecar) Call(ctx context.Context, request *wire.CallRequest) (*wire.CallReply, error) {
+	s.activeCalls.Add(1)
+	defer s.activeCalls.Add(-1)
 	s.node.Ring().Observe(request.GetClock())
 	reply := s.handleCall(ctx, request)
 	reply.Clock = s.node.Ring().NextClock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -50,6 +50,8 @@
 	draining atomic.Bool
 	moveRuns chan struct{} // closed when runs in progress must move to other targets
 
+	activeCalls atomic.Int64 // calls of the service in progress
+
 	crashes *crashRecord
 
 	mu   sync.Mutex
@@ -255,8 +257,8 @@
 	}
 }
 
-// drain refuses new requests, hands over the idempotency keys, gives runs in progress the grace period to end and
-// interrupts the rest, which the entries then continue at other targets.
+// drain refuses new requests, hands over the idempotency keys, gives runs and calls in progress the grace period to end and
+// interrupts the remaining runs, which the entries then continue at other targets.
 func (s *Sidecar) drain() {
 	s.draining.Store(true)
 	s.queue.Close()
@@ -270,7 +272,7 @@
 		}
 	}
 	deadline := time.Now().Add(s.config.Sidecar.Grace)
-	for s.runCount() > 0 && time.Now().Before(deadline) {
+	for (s.runCount() > 0 || s.activeCalls.Load() > 0) && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
 	close(s.moveRuns)
