--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -101,7 +101,7 @@
 	}
 }
 
-// Run closes connections that have been idle for longer than the idle timeout, until ctx ends. Where the timeout is lowered, connections that
+// Run closes connections that have been idle for longer than the idle timeout since their last answer, until ctx ends. Where the timeout is lowered, connections that
 // are idle keep the one that held when their last answer was given, as their callers go by it.
 func (c *Conns) Run(ctx context.Context) error {
 	ticker := time.NewTicker(idleCheckInterval)
@@ -116,8 +116,8 @@
 				continue
 			}
 			for _, own := range c.all() {
-				own.closeIfIdle(causeIdleTimeout, func(since time.Time, promised time.Duration, _ bool) bool {
-					return now.Sub(since) > max(timeout, promised)
+				own.closeIfIdle(causeIdleTimeout, func(since time.Time, promised time.Duration, first bool) bool {
+					return !first && now.Sub(since) > max(timeout, promised)
 				})
 			}
 		}
