--- /dev/null
+++ b/connpool/pool_test.go
@@ -0,0 +1,111 @@
+package connpool_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gypsumbank/connpool"
+)
+
+const (
+	longIdle = 10 * time.Second
+	// sweepTolerance is how long after its idle time a connection may still be open.
+	sweepTolerance = 1500 * time.Millisecond
+)
+
+// openConns listens on a free port and returns its address and the number of connections to it that the other side has not closed.
+func openConns(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	open := &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			open.Add(1)
+			go func() {
+				_, _ = io.Copy(io.Discard, conn)
+				open.Add(-1)
+				conn.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String(), open
+}
+
+// waitForOpen waits until the number of open connections is want and fails the test if it is not within the time.
+func waitForOpen(t *testing.T, open *atomic.Int64, want int64, within time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if open.Load() == want {
+			return
+		}
+	}
+	t.Errorf("%d connections are open, want %d", open.Load(), want)
+}
+
+// getConns returns count connections to address that are in use at the same time.
+func getConns(t *testing.T, pool *connpool.Pool, address string, count int) []*connpool.Conn {
+	t.Helper()
+	conns := make([]*connpool.Conn, 0, count)
+	for range count {
+		conn, err := pool.Get(t.Context(), address, longIdle, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, conn)
+	}
+	return conns
+}
+
+// TestIdleConnectionsEndByThemselves returns connections to the pool and never asks for one again. Each must end once its idle time is over.
+func TestIdleConnectionsEndByThemselves(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		keepFor []time.Duration
+		want    int64 // that are open after the shortest time
+	}{
+		"one":          {keepFor: []time.Duration{100 * time.Millisecond}},
+		"several":      {keepFor: []time.Duration{100 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond}},
+		"one lives on": {keepFor: []time.Duration{100 * time.Millisecond, time.Minute}, want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, open := openConns(t)
+			pool := connpool.New()
+			for i, conn := range getConns(t, pool, address, len(test.keepFor)) {
+				pool.Put(conn, test.keepFor[i])
+			}
+			waitForOpen(t, open, test.want, 100*time.Millisecond+sweepTolerance)
+		})
+	}
+}
+
+// TestIdleConnectionIsReusedWithinItsTime guards against a pool that ends connections that may still be reused.
+func TestIdleConnectionIsReusedWithinItsTime(t *testing.T) {
+	t.Parallel()
+	const keepFor = 2500 * time.Millisecond
+	address, _ := openConns(t)
+	pool := connpool.New()
+	pool.Put(getConns(t, pool, address, 1)[0], keepFor)
+	time.Sleep(keepFor - 300*time.Millisecond)
+	conn, err := pool.Get(context.Background(), address, longIdle, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if !conn.Reused {
+		t.Error("a connection within its idle time was not reused")
+	}
+}
