connpool: close idle connections once their time is over

Cause: an idle connection was looked at only when a request for the same address came. One to an address that no target has any more stayed for ever, and so did the address in the pool's map.

Evidence: TestIdleConnectionsEndByThemselves failed (open 1.6 s after an idle time of 100 ms).

Change: while the pool has idle connections it closes those whose time is over once a second. The time itself is as before (4 s at most, less if the target says so), after which none was reused anyway, so no connection ends sooner that could have been used; TestIdleConnectionIsReusedWithinItsTime holds that. Addresses without idle connections leave the map.

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -25,15 +25,18 @@
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
 	maxIdlePerTarget  = 16
+	// sweepInterval is the interval at which connections whose idle time is over are closed, while there are idle ones.
+	sweepInterval = time.Second
 	// rememberedIDs is the number of requests on a connection whose ids are remembered. A late copy of an answer comes within fewer.
 	rememberedIDs   = 16
 	readBufferBytes = 4 << 10
 )
 
-// Pool holds idle connections by target address. Its methods are safe for concurrent use.
+// Pool holds idle connections by target address and closes them when their time is over. Its methods are safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*Conn
+	mu       sync.Mutex
+	idle     map[string][]*Conn // no entry is empty
+	sweeping bool               // closeExpired will be called
 }
 
 // Conn is a connection to a target with its read buffer.
@@ -123,6 +126,45 @@
 		idle = idle[1:]
 	}
 	p.idle[conn.address] = append(idle, conn)
+	p.scheduleSweep()
+}
+
+// scheduleSweep has the expired connections closed after sweepInterval; the caller holds the lock.
+func (p *Pool) scheduleSweep() {
+	if p.sweeping {
+		return
+	}
+	p.sweeping = true
+	time.AfterFunc(sweepInterval, p.closeExpired)
+}
+
+// closeExpired closes the idle connections that may no longer be reused.
+func (p *Pool) closeExpired() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweeping = false
+	now := time.Now()
+	for address, idle := range p.idle {
+		p.setIdle(address, slices.DeleteFunc(idle, func(conn *Conn) bool {
+			expired := !now.Before(conn.reuseUntil)
+			if expired {
+				conn.Close()
+			}
+			return expired
+		}))
+	}
+	if len(p.idle) > 0 {
+		p.scheduleSweep()
+	}
+}
+
+// setIdle replaces the idle connections to address; the caller holds the lock.
+func (p *Pool) setIdle(address string, idle []*Conn) {
+	if len(idle) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = idle
 }
 
 // CloseIdle closes the idle connections to address and removes them from the pool.
@@ -152,7 +194,7 @@
 	idle := p.idle[address]
 	for i, conn := range slices.Backward(idle) {
 		if !slices.Contains(conn.carried, id) {
-			p.idle[address] = slices.Delete(idle, i, i+1)
+			p.setIdle(address, slices.Delete(idle, i, i+1))
 			return conn
 		}
 	}
