gateway: close connections to targets that have left

Cause: nothing told the pool that the registry had dropped a target or that a target drains, though no request goes there any more.

Change: Pool.Retire (before: CloseIdle, without a caller) closes the idle connections to an address at once and those in use once they are returned; installTargets calls it for targets that leave or are removed. The pool knows its open connections for that. Close of a connection goes through the pool.

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -35,6 +35,7 @@
 // Pool holds idle connections by target address and closes them when their time is over. Its methods are safe for concurrent use.
 type Pool struct {
 	mu       sync.Mutex
+	open     map[*Conn]struct{} // idle and in use
 	idle     map[string][]*Conn // no entry is empty
 	sweeping bool               // closeExpired will be called
 }
@@ -44,7 +45,9 @@
 	net.Conn
 	Reader     *bufio.Reader
 	limit      *readLimit
+	pool       *Pool
 	Reused     bool
+	retired    bool // closed once it is not in use
 	address    string
 	idleSince  time.Time // when the connection was returned to the pool
 	reuseUntil time.Time // when to stop reusing it, since the target may close it
@@ -52,7 +55,7 @@
 }
 
 // New returns an empty pool.
-func New() *Pool { return &Pool{idle: map[string][]*Conn{}} }
+func New() *Pool { return &Pool{open: map[*Conn]struct{}{}, idle: map[string][]*Conn{}} }
 
 // Get returns a pooled connection to address that has been idle for at most maxIdle, or dials a new one, always if maxIdle is
 // 0. Pooled connections that are not fit for reuse are closed. One that has carried a request with the same id is not used, unless the
@@ -88,19 +91,41 @@
 			conn.Reused = true
 			return conn, nil
 		}
-		conn.Close()
+		_ = conn.Close()
 	}
+	return p.dial(ctx, address)
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		Control:         setTCPUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	limit := &readLimit{conn: conn, left: math.MaxInt64}
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, address: address}, nil
+	limit := &readLimit{conn: opened, left: math.MaxInt64}
+	conn := &Conn{Conn: opened, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, pool: p, address: address}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[conn] = struct{}{}
+	return conn, nil
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.pool.closeConn(c)
+}
+
+// closeConn closes a connection; the caller holds the lock.
+func (p *Pool) closeConn(conn *Conn) error {
+	delete(p.open, conn)
+	return conn.Conn.Close()
 }
 
 // LimitReads makes Reader fail with ErrReadLimit once it has read that many further bytes from the network.
@@ -109,21 +134,25 @@
 // UnlimitReads removes the limit set by LimitReads.
 func (c *Conn) UnlimitReads() { c.limit.left = math.MaxInt64 }
 
-// Put returns conn to the pool, from which it may be reused for at most keepFor. It closes conn if keepFor is not positive
-// or unread data is buffered, and the oldest idle connection if the target already has maxIdlePerTarget.
+// Put returns conn to the pool, from which it may be reused for at most keepFor. It closes conn if keepFor is not positive, unread data is
+// buffered or its target was retired, and the oldest idle connection if the target already has maxIdlePerTarget.
 func (p *Pool) Put(conn *Conn, keepFor time.Duration) {
 	now := time.Now()
 	conn.idleSince, conn.reuseUntil = now, now.Add(keepFor)
 	if keepFor <= 0 || conn.Reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
-		conn.Close()
+		_ = conn.Close()
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if conn.retired {
+		_ = p.closeConn(conn)
+		return
+	}
 	idle := p.idle[conn.address]
 	if len(idle) >= maxIdlePerTarget {
-		idle[0].Close()
-		idle = idle[1:]
+		_ = p.closeConn(idle[0])
+		idle = slices.Delete(idle, 0, 1)
 	}
 	p.idle[conn.address] = append(idle, conn)
 	p.scheduleSweep()
@@ -148,7 +177,7 @@
 		p.setIdle(address, slices.DeleteFunc(idle, func(conn *Conn) bool {
 			expired := !now.Before(conn.reuseUntil)
 			if expired {
-				conn.Close()
+				_ = p.closeConn(conn)
 			}
 			return expired
 		}))
@@ -167,14 +196,18 @@
 	p.idle[address] = idle
 }
 
-// CloseIdle closes the idle connections to address and removes them from the pool.
-func (p *Pool) CloseIdle(address string) {
+// Retire closes the idle connections to address, whose target has left, and those in use once they are returned. Connections that are opened
+// from now on are kept.
+func (p *Pool) Retire(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conn := range p.idle[address] {
-		conn.Close()
+		_ = p.closeConn(conn)
 	}
 	delete(p.idle, address)
+	for conn := range p.open {
+		conn.retired = conn.retired || conn.address == address
+	}
 }
 
 // Abort closes the connection with a TCP reset, so that a target that was suspended finds on resuming that the request
@@ -183,7 +216,7 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	c.Close()
+	_ = c.Close()
 }
 
 // popIdle removes and returns the most recently used idle connection to address that has not carried a request with the id, or nil
--- a/connpool/pool_test.go
+++ b/connpool/pool_test.go
@@ -109,3 +109,25 @@
 		t.Error("a connection within its idle time was not reused")
 	}
 }
+
+// TestRetiredConnectionsEnd has a target leave. Its idle connections must end at once, those in use with their request, and a later one must
+// be a new one.
+func TestRetiredConnectionsEnd(t *testing.T) {
+	t.Parallel()
+	const keepFor = time.Minute
+	address, open := openConns(t)
+	otherAddress, otherOpen := openConns(t)
+	pool := connpool.New()
+	conns := getConns(t, pool, address, 3)
+	other := getConns(t, pool, otherAddress, 1)
+	pool.Put(conns[0], keepFor)
+	pool.Put(other[0], keepFor)
+	pool.Retire(address)
+	waitForOpen(t, open, 2, sweepTolerance)
+	pool.Put(conns[1], keepFor)
+	pool.Put(conns[2], keepFor)
+	waitForOpen(t, open, 0, sweepTolerance)
+	pool.Put(getConns(t, pool, address, 1)[0], keepFor)
+	waitForOpen(t, open, 1, sweepTolerance)
+	waitForOpen(t, otherOpen, 1, sweepTolerance)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	blocked          *blockedContents
 	dialer           *dialer.Dialer
 	conns            *connections
+	pool             *connpool.Pool // connections to targets
 	started          time.Time
 	routeTable       atomic.Pointer[route.Table]
 	targetsKnown     atomic.Bool
@@ -79,7 +80,8 @@
 		blockedContents.changed()
 	}
 	budget := retrybudget.New(retryLimits(config.Bounds))
-	replicaClient := platform.NewTargetClient(sender.New(connpool.New()))
+	pool := connpool.New()
+	replicaClient := platform.NewTargetClient(sender.New(pool))
 	return &Gateway{
 		config:     config,
 		log:        log,
@@ -95,6 +97,7 @@
 		blocked:    blockedContents,
 		dialer:     d,
 		conns:      newConnections(),
+		pool:       pool,
 		started:    time.Now(),
 	}
 }
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -220,9 +220,11 @@
 	}
 	for _, t := range change.Draining {
 		log.WithFields(logrus.Fields{"target": t.ID, "remaining-ms": t.Remaining.Milliseconds()}).Info("target leaves")
+		g.pool.Retire(t.Address)
 	}
 	for _, t := range change.Removed {
 		log.WithField("target", t.ID).Info("target removed")
+		g.pool.Retire(t.Address)
 	}
 	g.targetsKnown.Store(true)
 	g.watchAgents()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -76,7 +76,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	if ctx.Err() != nil {
-		conn.Close()
+		_ = conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
 	stopAbort := context.AfterFunc(ctx, conn.Abort)
@@ -84,7 +84,7 @@
 	response, err := readResponse(conn, request) //nolint:bodyclose // closed by the body of the returned response
 	if err != nil {
 		stopAbort()
-		conn.Close()
+		_ = conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoUsableResponse, err)
 	}
 	bodyFraming := framing.Of(response)
@@ -180,7 +180,7 @@
 func (b *responseBody) release() {
 	b.done = true
 	if !b.stopAbort() || !b.keepConn || b.response.Close || b.write.state() != Written {
-		b.conn.Close()
+		_ = b.conn.Close()
 		return
 	}
 	b.sender.pool.Put(b.conn, keepAliveTime(b.response.Header))
