gateway: bound connections to targets by the limit of descriptors

What callers saw: with many targets, idle connections to them took the descriptors that callers' connections and requests on them needed: 503 with all targets idle, and connections that were not accepted.

Cause: the pool bounded idle connections by target only (16), whatever the number of targets and of descriptors.

Change: package descriptor divides the limit of the process (RLIMIT_NOFILE, or [limits] descriptors if that is lower): half for callers, three eighths for connections to targets, the rest for the store, the agents, files and readiness checks. A pool that has as many connections as it may closes the one that has been idle longest for a new one; with all in use, the request is refused at once as not run (no-descriptors), and the target is not blamed. So it is if the system has none left. The agent's pool has the same limit.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"gypsumbank/connpool"
 	"gypsumbank/departure"
+	"gypsumbank/descriptor"
 	"gypsumbank/epoch"
 	"gypsumbank/holder"
 	"gypsumbank/inventory"
@@ -108,7 +109,7 @@
 		store:          store,
 		epochs:         epochs,
 		departures:     departure.New(time.Now),
-		engine:         platform.NewTargetClient(sender.New(connpool.New())),
+		engine:         platform.NewTargetClient(sender.New(connpool.New(descriptor.New(config.Limits.Descriptors).Targets()))),
 		log:            log,
 		watchers:       newWatchers(time.Now),
 		loadRequests:   make(chan *occupancy.LoadRequest, loadRequestBuffer),
--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"math"
 	"net"
 	"slices"
@@ -13,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
+	"gypsumbank/descriptor"
 	"gypsumbank/quietconn"
 )
 
@@ -32,9 +35,17 @@
 	readBufferBytes = 4 << 10
 )
 
+// Unlimited is the limit of a pool that may open any number of connections.
+const Unlimited = math.MaxInt
+
+// ErrExhausted is returned if no further connection may be opened, whatever the target.
+var ErrExhausted = errors.New("no descriptor left for a connection")
+
 // Pool holds idle connections by target address and closes them when their time is over. Its methods are safe for concurrent use.
 type Pool struct {
+	maxConns int
 	mu       sync.Mutex
+	dialing  int                // connections that are being opened
 	open     map[*Conn]struct{} // idle and in use
 	idle     map[string][]*Conn // no entry is empty
 	sweeping bool               // closeExpired will be called
@@ -54,11 +65,13 @@
 	carried    []uint64  // hashes of the ids of the latest requests on it
 }
 
-// New returns an empty pool.
-func New() *Pool { return &Pool{open: map[*Conn]struct{}{}, idle: map[string][]*Conn{}} }
+// New returns an empty pool that has at most maxConns connections open, idle ones included.
+func New(maxConns int) *Pool {
+	return &Pool{maxConns: maxConns, open: map[*Conn]struct{}{}, idle: map[string][]*Conn{}}
+}
 
 // Get returns a pooled connection to address that has been idle for at most maxIdle, or dials a new one, always if maxIdle is
-// 0. Pooled connections that are not fit for reuse are closed. One that has carried a request with the same id is not used, unless the
+// 0. The error is ErrExhausted if none may be opened. Pooled connections that are not fit for reuse are closed. One that has carried a request with the same id is not used, unless the
 // id is empty: a second copy of the answer to that one could not be told from the answer to this one.
 func (p *Pool) Get(ctx context.Context, address string, maxIdle time.Duration, requestID string) (*Conn, error) {
 	conn, err := p.get(ctx, address, maxIdle, hashID(requestID))
@@ -96,8 +109,54 @@
 	return p.dial(ctx, address)
 }
 
-// dial opens a connection.
+// dial opens a connection, for which it closes the one that has been idle longest if there are maxConns.
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	if !p.beginDial() {
+		return nil, ErrExhausted
+	}
+	conn, err := p.connect(ctx, address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+	if descriptor.IsExhausted(err) {
+		return nil, fmt.Errorf("%w: %w", ErrExhausted, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	p.open[conn] = struct{}{}
+	return conn, nil
+}
+
+// beginDial counts a connection that is about to be opened and reports whether it may be.
+func (p *Pool) beginDial() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.open)+p.dialing >= p.maxConns && !p.closeLongestIdle() {
+		return false
+	}
+	p.dialing++
+	return true
+}
+
+// closeLongestIdle closes the connection that has been idle longest, and reports whether there was one; the caller holds the lock.
+func (p *Pool) closeLongestIdle() bool {
+	var longest *Conn
+	for _, idle := range p.idle {
+		if longest == nil || idle[0].idleSince.Before(longest.idleSince) {
+			longest = idle[0]
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	p.setIdle(longest.address, slices.Delete(p.idle[longest.address], 0, 1))
+	_ = p.closeConn(longest)
+	return true
+}
+
+// connect opens a TCP connection.
+func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		Control:         setTCPUserTimeout,
@@ -108,11 +167,7 @@
 		return nil, err
 	}
 	limit := &readLimit{conn: opened, left: math.MaxInt64}
-	conn := &Conn{Conn: opened, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, pool: p, address: address}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open[conn] = struct{}{}
-	return conn, nil
+	return &Conn{Conn: opened, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, pool: p, address: address}, nil
 }
 
 // Close closes the connection.
--- a/connpool/pool_test.go
+++ b/connpool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -83,7 +84,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			address, open := openConns(t)
-			pool := connpool.New()
+			pool := connpool.New(connpool.Unlimited)
 			for i, conn := range getConns(t, pool, address, len(test.keepFor)) {
 				pool.Put(conn, test.keepFor[i])
 			}
@@ -97,7 +98,7 @@
 	t.Parallel()
 	const keepFor = 2500 * time.Millisecond
 	address, _ := openConns(t)
-	pool := connpool.New()
+	pool := connpool.New(connpool.Unlimited)
 	pool.Put(getConns(t, pool, address, 1)[0], keepFor)
 	time.Sleep(keepFor - 300*time.Millisecond)
 	conn, err := pool.Get(context.Background(), address, longIdle, "")
@@ -117,7 +118,7 @@
 	const keepFor = time.Minute
 	address, open := openConns(t)
 	otherAddress, otherOpen := openConns(t)
-	pool := connpool.New()
+	pool := connpool.New(connpool.Unlimited)
 	conns := getConns(t, pool, address, 3)
 	other := getConns(t, pool, otherAddress, 1)
 	pool.Put(conns[0], keepFor)
@@ -131,3 +132,56 @@
 	waitForOpen(t, open, 1, sweepTolerance)
 	waitForOpen(t, otherOpen, 1, sweepTolerance)
 }
+
+// TestConnectionsHaveALimit fills a pool. An idle connection to another target must make room for a new one, the one that has been idle
+// longest first; without any the pool must say at once that it is exhausted.
+func TestConnectionsHaveALimit(t *testing.T) {
+	t.Parallel()
+	const limit = 3
+	pool := connpool.New(limit)
+	var addresses []string
+	var open []*atomic.Int64
+	for range limit + 1 {
+		address, count := openConns(t)
+		addresses, open = append(addresses, address), append(open, count)
+	}
+	for _, address := range addresses[:limit] {
+		pool.Put(getConns(t, pool, address, 1)[0], time.Minute)
+		time.Sleep(time.Millisecond)
+	}
+	inUse := getConns(t, pool, addresses[limit], 1)
+	for i, want := range []int64{0, 1, 1, 1} {
+		waitForOpen(t, open[i], want, sweepTolerance)
+	}
+	inUse = append(inUse, getConns(t, pool, addresses[limit], limit-1)...)
+	for i, want := range []int64{0, 0, 0, limit} {
+		waitForOpen(t, open[i], want, sweepTolerance)
+	}
+	if _, err := pool.Get(t.Context(), addresses[0], longIdle, ""); !errors.Is(err, connpool.ErrExhausted) {
+		t.Errorf("error %v with all connections in use, want ErrExhausted", err)
+	}
+	_ = inUse[0].Close()
+	_ = inUse[0].Close() // a second close frees nothing more
+	getConns(t, pool, addresses[0], 1)
+	if _, err := pool.Get(t.Context(), addresses[0], longIdle, ""); !errors.Is(err, connpool.ErrExhausted) {
+		t.Errorf("error %v with all connections in use again, want ErrExhausted", err)
+	}
+}
+
+// TestFailedDialsDoNotCount has dials fail until long after the limit.
+func TestFailedDialsDoNotCount(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	pool := connpool.New(1)
+	for range 3 {
+		if _, err := pool.Get(t.Context(), listener.Addr().String(), longIdle, ""); err == nil || errors.Is(err, connpool.ErrExhausted) {
+			t.Errorf("error %v, want that of the dial", err)
+		}
+	}
+	address, _ := openConns(t)
+	getConns(t, pool, address, 1)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/connpool"
 	"gypsumbank/fleet"
 	"gypsumbank/origin"
 	"gypsumbank/registry"
@@ -295,6 +296,11 @@
 		d.sendCount++
 		return d.handleNotRun(result, assignment, log)
 	case reply.NotSent:
+		if errors.Is(result.Err, connpool.ErrExhausted) {
+			assignment.End(fleet.Abandoned, d.now()) // the target has no part in it
+			log.WithError(result.Err).Info("no descriptor for a connection")
+			return d.finalOutcome(Refused{Reason: NoDescriptors, RetryAfter: defaultRetryAfter}), false
+		}
 		d.excluded[choice.Target.ID] = true
 		assignment.End(fleet.Unreached, d.now())
 		log.WithError(result.Err).Info("target not reached")
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/connpool"
 	"gypsumbank/fleet"
 	"gypsumbank/origin"
 	"gypsumbank/registry"
@@ -70,6 +72,10 @@
 
 func notSent() reply.Result { return reply.NotSent{Err: errors.New("refused")} }
 
+func exhausted() reply.Result {
+	return reply.NotSent{Err: fmt.Errorf("%w: %w", sender.ErrNotSent, connpool.ErrExhausted)}
+}
+
 func noResponse() reply.Result { return reply.NoUsableResponse{Err: errors.New("reset")} }
 
 // countingClock returns the current time and counts how often it is read.
@@ -149,6 +155,7 @@
 		"unsafe server error is forwarded":            {route: unsafeRoute(), replies: replies(respond(500)), want: Answered{}, wantSends: 1},
 		"no timeout is set":                           {route: &route.Route{Kind: route.Unsafe, MaxAttempts: 1}, replies: replies(respond(200)), want: Answered{}, wantSends: 1},
 		"refused by all targets":                      {route: unsafeRoute(), replies: replies(notRun), want: Refused{Reason: NoTarget}, wantSends: 2},
+		"no descriptor left":                          {route: unsafeRoute(), replies: replies(exhausted), want: Refused{Reason: NoDescriptors}, wantSends: 1},
 		"no target reachable":                         {route: unsafeRoute(), replies: replies(notSent), want: Refused{Reason: NoTarget}, wantSends: 2},
 		"safe is retried after a lost response":       {route: safeRoute(), replies: replies(noResponse, respond(200)), want: Answered{}, wantSends: 2},
 		"safe is retried after a server error":        {route: safeRoute(), replies: replies(respond(503), respond(200)), want: Answered{}, wantSends: 2},
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -58,6 +58,7 @@
 	StreamBroken   Reason = "stream-broken"
 	CrashesTargets Reason = "crashes-targets"
 	UnknownVersion Reason = "stream-version-unknown"
+	NoDescriptors  Reason = "no-descriptors"
 )
 
 // finalOutcome returns refused, or a failure with the same reason if an earlier attempt may have run.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"gypsumbank/connpool"
 	"gypsumbank/departure"
+	"gypsumbank/descriptor"
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
 	"gypsumbank/epoch"
@@ -56,6 +57,7 @@
 	dialer           *dialer.Dialer
 	conns            *connections
 	pool             *connpool.Pool // connections to targets
+	fds              *descriptor.Budget
 	started          time.Time
 	routeTable       atomic.Pointer[route.Table]
 	targetsKnown     atomic.Bool
@@ -80,7 +82,8 @@
 		blockedContents.changed()
 	}
 	budget := retrybudget.New(retryLimits(config.Bounds))
-	pool := connpool.New()
+	fds := descriptor.New(config.Limits.Descriptors)
+	pool := connpool.New(fds.Targets())
 	replicaClient := platform.NewTargetClient(sender.New(pool))
 	return &Gateway{
 		config:     config,
@@ -98,6 +101,7 @@
 		dialer:     d,
 		conns:      newConnections(),
 		pool:       pool,
+		fds:        fds,
 		started:    time.Now(),
 	}
 }
@@ -123,7 +127,7 @@
 	if err != nil {
 		return fmt.Errorf("gateway: cannot accept readiness checks: %w", err)
 	}
-	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address}).Info("gateway starts")
+	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address, "descriptors": g.fds.Limit()}).Info("gateway starts")
 	callerServer := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.trackState, ConnContext: contextWithConn,
 		ErrorLog: discardLog(),
--- a/sender/endless_test.go
+++ b/sender/endless_test.go
@@ -68,7 +68,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), callerPatience)
 			defer cancel()
 			start := time.Now()
-			_, err := sender.New(connpool.New()).Send(ctx, address, &sender.Request{
+			_, err := sender.New(connpool.New(connpool.Unlimited)).Send(ctx, address, &sender.Request{
 				Method: http.MethodGet, URI: "/x", Host: "target", IDHeader: "Id", ID: "mine", MaxConnIdle: time.Second,
 			})
 			if !errors.Is(err, sender.ErrNoUsableResponse) {
--- a/sender/reset_test.go
+++ b/sender/reset_test.go
@@ -39,7 +39,7 @@
 		}
 		go resetAfterAnswer(listener)
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-		response, err := sender.New(connpool.New()).Send(ctx, listener.Addr().String(), &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Body: body})
+		response, err := sender.New(connpool.New(connpool.Unlimited)).Send(ctx, listener.Addr().String(), &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Body: body})
 		if err == nil {
 			if _, err := io.ReadAll(response.Body); err == nil {
 				endsInOrder++
@@ -78,7 +78,7 @@
 			t.Fatal(err)
 		}
 		go answerEarly(listener)
-		response, err := sender.New(connpool.New()).Send(t.Context(), listener.Addr().String(), &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Body: body})
+		response, err := sender.New(connpool.New(connpool.Unlimited)).Send(t.Context(), listener.Addr().String(), &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Body: body})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -32,7 +32,7 @@
 	sendErr := make(chan error, 1)
 	go func() {
 		request := &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Body: []byte("prompt"), MaxConnIdle: time.Second}
-		_, err := sender.New(connpool.New()).Send(ctx, listener.Addr().String(), request)
+		_, err := sender.New(connpool.New(connpool.Unlimited)).Send(ctx, listener.Addr().String(), request)
 		sendErr <- err
 	}()
 	conn := <-accepted
--- a/service/client.go
+++ b/service/client.go
@@ -54,7 +54,7 @@
 
 // New returns a client for the service at address, an IP address with a port.
 func New(address string) *Client {
-	return &Client{address: address, sender: sender.New(connpool.New())}
+	return &Client{address: address, sender: sender.New(connpool.New(connpool.Unlimited))}
 }
 
 // Do sends a call once, without retries, and returns the answer or an error that wraps ErrNotSent or ErrNoAnswer.
--- a/settings/gateway_agent.go
+++ b/settings/gateway_agent.go
@@ -39,7 +39,8 @@
 
 // Limits holds the resources that the process may use.
 type Limits struct {
-	MemoryMiB int // 0 for no limit
+	MemoryMiB   int // 0 for no limit
+	Descriptors int // 0 for the system's limit
 }
 
 // isGatewayOrAgent reports whether the settings are for a process on the users' platform rather than in an own deployment.
@@ -61,7 +62,10 @@
 		LoadWindow:  file.Duration("bounds", "load-window", 5*time.Second, time.Second, time.Hour),
 		LoadBurst:   file.Float("bounds", "load-burst", 1, 1, 10),
 	}
-	c.Limits = Limits{MemoryMiB: int(file.Int("limits", "memory-mib", 0, 0, 1<<20))}
+	c.Limits = Limits{
+		MemoryMiB:   int(file.Int("limits", "memory-mib", 0, 0, 1<<20)),
+		Descriptors: int(file.Int("limits", "descriptors", 0, 0, 1<<24)),
+	}
 	if file.HasSection("gateway") {
 		c.Gateway = readGateway(file)
 	}
--- a/settings/gateway_agent_test.go
+++ b/settings/gateway_agent_test.go
@@ -27,6 +27,7 @@
 load-burst = 1.1
 [limits]
 memory-mib = 284
+descriptors = 4100
 `
 
 func TestValidGatewaySettings(t *testing.T) {
@@ -34,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if config.Gateway.AgentPort != 7380 || config.Gateway.Grace != 8*time.Second || config.Bounds.RetryExtra != 54 || config.Limits.MemoryMiB != 284 {
+	if config.Gateway.AgentPort != 7380 || config.Gateway.Grace != 8*time.Second || config.Bounds.RetryExtra != 54 || config.Limits.MemoryMiB != 284 || config.Limits.Descriptors != 4100 {
 		t.Errorf("parsed settings %+v do not match the file", config)
 	}
 }
