gateway: say that it is not ready where it cannot accept

Cause: readiness knew of routes and targets only.

Evidence: TestGatewayThatCannotAcceptIsNotReady failed (connection 186 of 200 descriptors not taken, ready).

Change: callerListener accepts connections of callers up to their share of the descriptors; further ones wait in the system's queue. The gateway is not ready while less than a sixteenth of the places is free, which leaves room for callers that come before the platform has noticed, nor for 2 s after an accept lacked a descriptor.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,7 @@
 	conns            *connections
 	pool             *connpool.Pool // connections to targets
 	fds              *descriptor.Budget
+	callers          atomic.Pointer[callerListener] // nil before Run
 	started          time.Time
 	routeTable       atomic.Pointer[route.Table]
 	targetsKnown     atomic.Bool
@@ -119,17 +120,23 @@
 // Run serves callers until ctx ends. Then it drains: it returns once all requests in progress have ended or the grace is
 // over.
 func (g *Gateway) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", g.config.Gateway.Listen)
+	tcpListener, err := net.Listen("tcp", g.config.Gateway.Listen)
 	if err != nil {
 		return fmt.Errorf("gateway: cannot accept callers: %w", err)
 	}
+	listener := newCallerListener(tcpListener, g.fds.Callers())
+	g.callers.Store(listener)
 	readyListener, err := net.Listen("tcp", g.config.Gateway.Ready)
 	if err != nil {
 		return fmt.Errorf("gateway: cannot accept readiness checks: %w", err)
 	}
 	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address, "descriptors": g.fds.Limit()}).Info("gateway starts")
 	callerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.trackState, ConnContext: contextWithConn,
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: contextWithConn,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			g.conns.trackState(conn, state)
+			listener.trackState(state)
+		},
 		ErrorLog: discardLog(),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
@@ -231,9 +238,10 @@
 }
 
 var (
-	errDraining  = errors.New("draining")
-	errNoRoutes  = errors.New("no routes known yet")
-	errNoTargets = errors.New("no targets known yet")
+	errDraining      = errors.New("draining")
+	errNoRoutes      = errors.New("no routes known yet")
+	errNoTargets     = errors.New("no targets known yet")
+	errNoDescriptors = errors.New("too few descriptors left for further callers")
 )
 
 // checkReady returns why the gateway must not get callers, or nil if it may.
@@ -245,10 +253,18 @@
 		return errNoRoutes
 	case !g.targetsKnown.Load():
 		return errNoTargets
+	case !g.canAccept():
+		return errNoDescriptors
 	}
 	return nil
 }
 
+// canAccept reports whether the gateway can accept further callers.
+func (g *Gateway) canAccept() bool {
+	callers := g.callers.Load()
+	return callers != nil && callers.canAccept(time.Now())
+}
+
 // closeServers closes servers and all their connections.
 func closeServers(log *logrus.Entry, servers ...*http.Server) {
 	for _, s := range servers {
