fleet: forget models, services and versions that are gone

What callers saw: nothing yet; the memory of a gateway grew with the names it had ever seen, some of which callers choose.

Cause: entries by model, service or software version were added and dropped only by calls that not every deployment makes: demand where an agent receives it, versions where a stream is taken up again; paces, prompt mixes and limits of the weight store never. A target's requests by model stayed at 0, and prompt parts without tokens never filled its cache.

Change: with each read of the registry the fleet drops paces of models that no service lists, demand that has faded, versions beyond their minute, limits that are over and prompt mixes of services that are not listed. A target's requests by model are dropped at 0, its loads beyond the minimum stay, and a prompt part counts as one token at least.

Conclusion: what a fleet keeps depends on what is listed now.

--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -119,7 +119,9 @@
 	s := a.state
 	s.inflight--
 	if a.request.Model != "" {
-		s.requestsByModel[a.request.Model]--
+		if s.requestsByModel[a.request.Model]--; s.requestsByModel[a.request.Model] <= 0 {
+			delete(s.requestsByModel, a.request.Model)
+		}
 	}
 	if a.request.Adapter != "" {
 		adapter := registry.Adapter{Model: a.request.Model, Name: a.request.Adapter}
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -81,13 +81,10 @@
 func (f *Fleet) Demand(now time.Time) []Demand {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.forgetDemand(now)
 	all := make([]Demand, 0, len(f.ownDemand))
 	for key, d := range f.ownDemand {
-		if msPerS := d.valueAt(now); msPerS >= minWorkMsPerS {
-			all = append(all, Demand{Service: key.service, Model: key.model, WorkMsPerS: msPerS})
-			continue
-		}
-		delete(f.ownDemand, key)
+		all = append(all, Demand{Service: key.service, Model: key.model, WorkMsPerS: d.valueAt(now)})
 	}
 	return all
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -154,6 +154,7 @@
 	}
 	change.Removed = f.removeMissing(listed, storeWasDown, now)
 	f.indexByService()
+	f.forgetUnused(now)
 	return change
 }
 
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -126,6 +127,7 @@
 	if s == nil {
 		return
 	}
+	maps.DeleteFunc(s.loadedAt, func(_ string, at time.Time) bool { return now.Sub(at) > minimumStay })
 	s.loadedAt[model] = now
 	if s.loading == model {
 		s.loading = ""
--- a/fleet/prompt_cache.go
+++ b/fleet/prompt_cache.go
@@ -8,6 +8,9 @@
 	Tokens int    // of the part alone
 }
 
+// size returns the tokens as which the part counts towards the limit of a cache, at least 1, so that a cache has a bounded number of parts.
+func (p PromptPart) size() int { return max(1, p.Tokens) }
+
 // promptCache estimates which prompt parts a target has in its KV cache: the parts last sent there, up to a number of
 // tokens, with eviction of the least recently sent.
 type promptCache struct {
@@ -33,12 +36,12 @@
 		return
 	}
 	p.index[part.Hash] = p.recency.PushFront(part)
-	p.tokens += part.Tokens
+	p.tokens += part.size()
 	for p.tokens > p.limitTokens && p.recency.Len() > 1 {
 		oldest := p.recency.Back()
 		p.recency.Remove(oldest)
 		evicted := oldest.Value.(PromptPart)
-		p.tokens -= evicted.Tokens
+		p.tokens -= evicted.size()
 		delete(p.index, evicted.Hash)
 	}
 }
--- a/fleet/software_version.go
+++ b/fleet/software_version.go
@@ -27,10 +27,7 @@
 	defer f.mu.Unlock()
 	versions = map[registry.SoftwareVersion]bool{}
 	for seen, at := range f.versionsSeenAt {
-		switch {
-		case now.Sub(at) > versionMemory:
-			delete(f.versionsSeenAt, seen)
-		case seen.service == service:
+		if seen.service == service && now.Sub(at) <= versionMemory {
 			versions[seen.version] = true
 		}
 	}
