retrybudget: forget services beyond the window

What callers saw: nothing; a gateway kept the counts of each service that a manifest ever had.

Evidence: TestForgetsServicesThatAreGone failed, 1,000 services kept of 1,000.

Change: a service whose counts have all left the window is dropped when another one is added.

Figures: the test passes, those of the limits too (-race).

Conclusion: the counts are bounded by the services of a window.

--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -71,11 +72,12 @@
 // advance returns the counts of a service after clearing the buckets that have left the window; the caller holds the lock.
 func (b *Budget) advance(service string, now time.Time) *serviceCounts {
 	counts := b.services[service]
+	bucket := now.UnixNano() / int64(b.limits.Window/bucketsPerWindow)
 	if counts == nil {
+		b.forgetUnused(bucket)
 		counts = &serviceCounts{}
 		b.services[service] = counts
 	}
-	bucket := now.UnixNano() / int64(b.limits.Window/bucketsPerWindow)
 	for steps := 0; counts.currentBucket < bucket && steps < bucketsPerWindow; steps++ {
 		counts.currentBucket++
 		counts.requests[counts.currentBucket%bucketsPerWindow] = 0
@@ -85,6 +87,13 @@
 	return counts
 }
 
+// forgetUnused drops the services all of whose counts have left the window; the caller holds the lock.
+func (b *Budget) forgetUnused(currentBucket int64) {
+	maps.DeleteFunc(b.services, func(_ string, counts *serviceCounts) bool {
+		return currentBucket-counts.currentBucket >= bucketsPerWindow
+	})
+}
+
 func sum(buckets [bucketsPerWindow]float64) float64 {
 	total := 0.0
 	for _, count := range buckets {
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,3 +63,17 @@
 		t.Error("no retry is allowed after the window has passed")
 	}
 }
+
+// TestForgetsServicesThatAreGone counts requests to one service after another. Those beyond the window must not be kept, those within it must.
+func TestForgetsServicesThatAreGone(t *testing.T) {
+	const seen = 1000
+	now := time.Unix(1000, 0)
+	b := New(testLimits)
+	for i := range seen {
+		b.CountRequest(fmt.Sprint("s", i), now)
+		now = now.Add(testLimits.Window / 5)
+	}
+	if kept := len(b.services); kept < 5 || kept > 10 {
+		t.Errorf("%d services are kept of %d, want those of the last window", kept, seen)
+	}
+}
