occupancy: forget adapters that the engine does not hold

What callers saw: nothing; an agent kept the time of use of each adapter that a request had named since its engine started, and callers choose those names.

Evidence: TestForgetsAdaptersThatAreGone failed, 1,001 times kept after 1,000 names.

Change: a report of the engine drops the times of adapters that it neither holds nor loads, that no request asks for and that are not in use.

Figures: the test passes, those of the choice of adapters too (-race).

Conclusion: bounded by what the engine holds and what is asked for.

--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -122,6 +123,15 @@
 		o.unloading = ""
 	}
 	o.completeRequests(now)
+	o.forgetUnused(now)
+}
+
+// forgetUnused drops the times of use of adapters that the engine neither holds nor loads and that no request asks for. Callers name
+// adapters, so there may be any number.
+func (o *Occupancy) forgetUnused(now time.Time) {
+	maps.DeleteFunc(o.lastUsed, func(a registry.Adapter, _ time.Time) bool {
+		return !registry.Holds(o.report.Models, a.Model, a.Name) && !slices.Contains(o.report.LoadingAdapters, a) && !o.adapterInUse(a, now)
+	})
 }
 
 // FailModel completes the load requests for a model with an error; requests for its adapters stay.
--- a/occupancy/occupancy_test.go
+++ b/occupancy/occupancy_test.go
@@ -253,3 +253,25 @@
 		t.Errorf("Next = %+v, %v, want a load of m2 from disk", order, ok)
 	}
 }
+
+// TestForgetsAdaptersThatAreGone has requests name one adapter after another that the engine never holds. The time of use of the one that it
+// holds must be kept.
+func TestForgetsAdaptersThatAreGone(t *testing.T) {
+	const seen = 1000
+	report := reportOf(heldModel("m1", "a1"))
+	o := newOccupancy(report)
+	o.SetActiveRequests(map[registry.Adapter]int{{Model: "m1", Name: "a1"}: 1}, start)
+	o.SetActiveRequests(nil, start)
+	now := start
+	for i := range seen {
+		now = now.Add(useReportDelay)
+		o.Add(&LoadRequest{Model: "m1", Adapter: fmt.Sprint("x", i), Expires: now.Add(time.Millisecond), Done: func(error) {}}, now)
+		o.Observe(report, now)
+	}
+	if kept := len(o.lastUsed); kept > 5 {
+		t.Errorf("times of use of %d adapters are kept of %d", kept, seen)
+	}
+	if _, ok := o.lastUsed[registry.Adapter{Model: "m1", Name: "a1"}]; !ok {
+		t.Error("the time of use of an adapter that the engine holds is forgotten")
+	}
+}
