gateway: forget agents that are gone

What callers saw: nothing; a gateway kept a channel for each agent whose engine it had ever used, and up to 4,096 records of streams for each that had left as a stream began.

Cause: the channel for usage was made by whoever asked for it and never dropped; records were queued for agents that are not watched any more, behind the drop of their queue.

Evidence: TestForgetsAgentsThatAreGone failed: 500 channels and 500 queues for 500 agents, one of which is watched.

Change: the channel lives as long as the agent is watched, and records are queued only for agents that are.

Figures: the test passes, with those of agents, resumption and versions (-race).

Conclusion: bounded by the engines that are there.

--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -97,6 +97,7 @@
 			stop()
 			delete(a.cancelWatch, address)
 			delete(a.queuedOrigins, address)
+			delete(a.pushUsage, address)
 		}
 	}
 	for address := range addresses {
@@ -105,6 +106,7 @@
 		}
 		ctx, stop := context.WithCancel(context.Background())
 		a.cancelWatch[address] = stop
+		a.pushUsage[address] = make(chan struct{}, 1)
 		a.watchers.Add(1)
 		go func() {
 			defer a.watchers.Done()
@@ -175,13 +177,10 @@
 	}
 }
 
-// usageChannel returns the channel that holds a value if the usage is to be sent to an agent now.
+// usageChannel returns the channel that holds a value if the usage is to be sent to an agent now; nil if the agent is not watched.
 func (a *agentClients) usageChannel(address string) chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.pushUsage[address] == nil {
-		a.pushUsage[address] = make(chan struct{}, 1)
-	}
 	return a.pushUsage[address]
 }
 
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -55,10 +55,13 @@
 	}
 }
 
-// queueOrigins queues the records of streams for an agent, and drops the oldest above maxQueuedOrigins.
+// queueOrigins queues the records of streams for an agent that is watched, and drops the oldest above maxQueuedOrigins.
 func (a *agentClients) queueOrigins(address string, streams ...uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if _, watched := a.cancelWatch[address]; !watched {
+		return
+	}
 	queued := append(a.queuedOrigins[address], streams...)
 	a.queuedOrigins[address] = queued[max(0, len(queued)-maxQueuedOrigins):]
 }
