dispatch: a connection that ends with its caller is no failure of the target

What callers saw: after a caller had left while its connection to a target was being opened, others were kept from that target for 400 ms and longer, though it was sound; with two targets of a plain service the other one got all requests.

Cause: each request that was not sent ended its assignment as unreached, whoever ended it.

Change: if the request has ended less than 100 ms into the dial, the target is not blamed. After that it is, as a target that is gone takes connections no more and impatient callers would hide it. The outcome of requests is as before; the branch is a function of its own.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -296,18 +296,7 @@
 		d.sendCount++
 		return d.handleNotRun(result, assignment, log)
 	case reply.NotSent:
-		if errors.Is(result.Err, connpool.ErrExhausted) {
-			assignment.End(fleet.Abandoned, d.now()) // the target has no part in it
-			log.WithError(result.Err).Info("no descriptor for a connection")
-			return d.finalOutcome(Refused{Reason: NoDescriptors, RetryAfter: defaultRetryAfter}), false
-		}
-		d.excluded[choice.Target.ID] = true
-		assignment.End(fleet.Unreached, d.now())
-		log.WithError(result.Err).Info("target not reached")
-		if d.ctx.Err() != nil {
-			return d.contextOutcome(), false
-		}
-		return connectFailed{}, true
+		return d.handleNotSent(result, assignment, elapsed, log)
 	case reply.NoUsableResponse:
 		d.sendCount++
 		d.possibleRuns++
@@ -316,6 +305,30 @@
 	return Failed{Reason: AnswerLost}, false
 }
 
+// slowConnect is the time from which a connection that is not open yet counts as failed, though its caller has left.
+const slowConnect = 100 * time.Millisecond
+
+// handleNotSent has another target tried, which must not be this one again, unless the caller has left or no connection can be opened to any.
+func (d *Dispatch) handleNotSent(result reply.NotSent, assignment *fleet.Assignment, elapsed time.Duration, log *logrus.Entry) (Outcome, bool) {
+	if errors.Is(result.Err, connpool.ErrExhausted) {
+		assignment.End(fleet.Abandoned, d.now()) // the target has no part in it
+		log.WithError(result.Err).Info("no descriptor for a connection")
+		return d.finalOutcome(Refused{Reason: NoDescriptors, RetryAfter: defaultRetryAfter}), false
+	}
+	if d.ctx.Err() != nil && elapsed < slowConnect {
+		assignment.End(fleet.Abandoned, d.now())
+		log.WithError(result.Err).Info("request ended before its connection was open")
+		return d.contextOutcome(), false
+	}
+	d.excluded[assignment.Target().ID] = true
+	assignment.End(fleet.Unreached, d.now())
+	log.WithError(result.Err).Info("target not reached")
+	if d.ctx.Err() != nil {
+		return d.contextOutcome(), false
+	}
+	return connectFailed{}, true
+}
+
 // handleAnswered returns the response as the outcome, or retries the request if its status is a server error and another
 // run is allowed.
 func (d *Dispatch) handleAnswered(result reply.Answered, assignment *fleet.Assignment, log *logrus.Entry) (Outcome, bool) {
