agent: end connections to gateways that are gone without a close

What callers saw: nothing; a gateway that loses its power, or whose channel goes silent, stayed with each agent as a connection, its goroutines and up to 1,024 prompt parts, until TCP gave up (minutes), and a new one came in its place.

Cause: nothing bounded the silence of a gateway; a write to one that does not read blocks.

Evidence: TestSilentGatewayIsForgotten failed without the change: after 3 s of silence and more states than the buffers hold the gateway was still a watcher.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -139,7 +139,7 @@
 	}
 	a.log.WithFields(logrus.Fields{"target": a.config.Agent.Target, "listen": a.config.Agent.Listen}).Info("agent starts")
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Run(ctx, listener) })
+	group.Go(func() error { return server.Run(ctx, newSilenceListener(listener, silenceTimeout)) })
 	group.Go(func() error { return a.holdOrders(ctx) })
 	group.Go(func() error { return a.followRoutes(ctx) })
 	group.Go(func() error { return a.followTargets(ctx) })
