--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"math"
 	"net"
 	"slices"
@@ -13,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
+	"gypsumbank/descriptor"
 	"gypsumbank/quietconn"
 )
 
@@ -25,15 +28,27 @@
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
 	maxIdlePerTarget  = 16
+	// sweepInterval is the interval at which connections whose idle time is over are closed, while there are idle ones.
+	sweepInterval = time.Second
 	// rememberedIDs is the number of requests on a connection whose ids are remembered. A late copy of an answer comes within fewer.
 	rememberedIDs   = 16
 	readBufferBytes = 4 << 10
 )
 
-// Pool holds idle connections by target address. Its methods are safe for concurrent use.
+// Unlimited is the limit of a pool that may open any number of connections.
+const Unlimited = math.MaxInt
+
+// ErrExhausted is returned if no further connection may be opened, whatever the target.
+var ErrExhausted = errors.New("no descriptor left for a connection")
+
+// Pool holds idle connections by target address and closes them when their time is over. Its methods are safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*Conn
+	maxConns int
+	mu       sync.Mutex
+	dialing  int                // connections that are being opened
+	open     map[*Conn]struct{} // idle and in use
+	idle     map[string][]*Conn // no entry is empty
+	sweeping bool               // closeExpired will be called
 }
 
 // Conn is a connection to a target with its read buffer.
@@ -41,18 +56,22 @@
 	net.Conn
 	Reader     *bufio.Reader
 	limit      *readLimit
+	pool       *Pool
 	Reused     bool
+	retired    bool // closed once it is not in use
 	address    string
 	idleSince  time.Time // when the connection was returned to the pool
 	reuseUntil time.Time // when to stop reusing it, since the target may close it
 	carried    []uint64  // hashes of the ids of the latest requests on it
 }
 
-// New returns an empty pool.
-func New() *Pool { return &Pool{idle: map[string][]*Conn{}} }
+// New returns an empty pool that has at most maxConns connections open, idle ones included.
+func New(maxConns int) *Pool {
+	return &Pool{maxConns: maxConns, open: map[*Conn]struct{}{}, idle: map[string][]*Conn{}}
+}
 
 // Get returns a pooled connection to address that has been idle for at most maxIdle, or dials a new one, always if maxIdle is
-// 0. Pooled connections that are not fit for reuse are closed. One that has carried a request with the same id is not used, unless the
+// 0. The error is ErrExhausted if none may be opened. Pooled connections that are not fit for reuse are closed. One that has carried a request with the same id is not used, unless the
 // id is empty: a second copy of the answer to that one could not be told from the answer to this one.
 func (p *Pool) Get(ctx context.Context, address string, maxIdle time.Duration, requestID string) (*Conn, error) {
 	conn, err := p.get(ctx, address, maxIdle, hashID(requestID))
@@ -85,19 +104,83 @@
 			conn.Reused = true
 			return conn, nil
 		}
-		conn.Close()
+		_ = conn.Close()
+	}
+	return p.dial(ctx, address)
+}
+
+// dial opens a connection, for which it closes the one that has been idle longest if there are maxConns.
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	if !p.beginDial() {
+		return nil, ErrExhausted
+	}
+	conn, err := p.connect(ctx, address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+	if descriptor.IsExhausted(err) {
+		return nil, fmt.Errorf("%w: %w", ErrExhausted, err)
+	}
+	if err != nil {
+		return nil, err
 	}
+	p.open[conn] = struct{}{}
+	return conn, nil
+}
+
+// beginDial counts a connection that is about to be opened and reports whether it may be.
+func (p *Pool) beginDial() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.open)+p.dialing >= p.maxConns && !p.closeLongestIdle() {
+		return false
+	}
+	p.dialing++
+	return true
+}
+
+// closeLongestIdle closes the connection that has been idle longest, and reports whether there was one; the caller holds the lock.
+func (p *Pool) closeLongestIdle() bool {
+	var longest *Conn
+	for _, idle := range p.idle {
+		if longest == nil || idle[0].idleSince.Before(longest.idleSince) {
+			longest = idle[0]
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	p.setIdle(longest.address, slices.Delete(p.idle[longest.address], 0, 1))
+	_ = p.closeConn(longest)
+	return true
+}
+
+// connect opens a TCP connection.
+func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		Control:         setTCPUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	limit := &readLimit{conn: conn, left: math.MaxInt64}
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, address: address}, nil
+	limit := &readLimit{conn: opened, left: math.MaxInt64}
+	return &Conn{Conn: opened, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, pool: p, address: address}, nil
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.pool.closeConn(c)
+}
+
+// closeConn closes a connection; the caller holds the lock.
+func (p *Pool) closeConn(conn *Conn) error {
+	delete(p.open, conn)
+	return conn.Conn.Close()
 }
 
 // LimitReads makes Reader fail with ErrReadLimit once it has read that many further bytes from the network.
@@ -106,33 +189,80 @@
 // UnlimitReads removes the limit set by LimitReads.
 func (c *Conn) UnlimitReads() { c.limit.left = math.MaxInt64 }
 
-// Put returns conn to the pool, from which it may be reused for at most keepFor. It closes conn if keepFor is not positive
-// or unread data is buffered, and the oldest idle connection if the target already has maxIdlePerTarget.
+// Put returns conn to the pool, from which it may be reused for at most keepFor. It closes conn if keepFor is not positive, unread data is
+// buffered or its target was retired, and the oldest idle connection if the target already has maxIdlePerTarget.
 func (p *Pool) Put(conn *Conn, keepFor time.Duration) {
 	now := time.Now()
 	conn.idleSince, conn.reuseUntil = now, now.Add(keepFor)
 	if keepFor <= 0 || conn.Reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
-		conn.Close()
+		_ = conn.Close()
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if conn.retired {
+		_ = p.closeConn(conn)
+		return
+	}
 	idle := p.idle[conn.address]
 	if len(idle) >= maxIdlePerTarget {
-		idle[0].Close()
-		idle = idle[1:]
+		_ = p.closeConn(idle[0])
+		idle = slices.Delete(idle, 0, 1)
 	}
 	p.idle[conn.address] = append(idle, conn)
+	p.scheduleSweep()
+}
+
+// scheduleSweep has the expired connections closed after sweepInterval; the caller holds the lock.
+func (p *Pool) scheduleSweep() {
+	if p.sweeping {
+		return
+	}
+	p.sweeping = true
+	time.AfterFunc(sweepInterval, p.closeExpired)
 }
 
-// CloseIdle closes the idle connections to address and removes them from the pool.
-func (p *Pool) CloseIdle(address string) {
+// closeExpired closes the idle connections that may no longer be reused.
+func (p *Pool) closeExpired() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweeping = false
+	now := time.Now()
+	for address, idle := range p.idle {
+		p.setIdle(address, slices.DeleteFunc(idle, func(conn *Conn) bool {
+			expired := !now.Before(conn.reuseUntil)
+			if expired {
+				_ = p.closeConn(conn)
+			}
+			return expired
+		}))
+	}
+	if len(p.idle) > 0 {
+		p.scheduleSweep()
+	}
+}
+
+// setIdle replaces the idle connections to address; the caller holds the lock.
+func (p *Pool) setIdle(address string, idle []*Conn) {
+	if len(idle) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = idle
+}
+
+// Retire closes the idle connections to address, whose target has left, and those in use once they are returned. Connections that are opened
+// from now on are kept.
+func (p *Pool) Retire(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conn := range p.idle[address] {
-		conn.Close()
+		_ = p.closeConn(conn)
 	}
 	delete(p.idle, address)
+	for conn := range p.open {
+		conn.retired = conn.retired || conn.address == address
+	}
 }
 
 // Abort closes the connection with a TCP reset, so that a target that was suspended finds on resuming that the request
@@ -141,7 +271,7 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	c.Close()
+	_ = c.Close()
 }
 
 // popIdle removes and returns the most recently used idle connection to address that has not carried a request with the id, or nil
@@ -152,7 +282,7 @@
 	idle := p.idle[address]
 	for i, conn := range slices.Backward(idle) {
 		if !slices.Contains(conn.carried, id) {
-			p.idle[address] = slices.Delete(idle, i, i+1)
+			p.setIdle(address, slices.Delete(idle, i, i+1))
 			return conn
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"gypsumbank/connpool"
 	"gypsumbank/departure"
+	"gypsumbank/descriptor"
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
 	"gypsumbank/epoch"
@@ -58,6 +59,9 @@
 	blocked      *blockedContents
 	dialer       *dialer.Dialer
 	conns        *keepalive.Conns
+	pool         *connpool.Pool // connections to targets
+	fds          *descriptor.Budget
+	callers      atomic.Pointer[callerListener] // nil before Run
 	started      time.Time
 	routeTable   atomic.Pointer[route.Table]
 	targetsKnown atomic.Bool
@@ -83,7 +87,9 @@
 		blockedContents.changed()
 	}
 	budget := retrybudget.New(retryLimits(config.Bounds))
-	replicaClient := platform.NewTargetClient(sender.New(connpool.New()))
+	fds := descriptor.New(config.Limits.Descriptors)
+	pool := connpool.New(fds.Targets())
+	replicaClient := platform.NewTargetClient(sender.New(pool))
 	g := &Gateway{
 		config:     config,
 		log:        log,
@@ -98,6 +104,8 @@
 		crashes:    crashes,
 		blocked:    blockedContents,
 		dialer:     d,
+		pool:       pool,
+		fds:        fds,
 		started:    time.Now(),
 	}
 	g.conns = keepalive.New(g.idleTimeout, log)
@@ -118,17 +126,23 @@
 // Run serves callers until ctx ends. Then it drains: it returns once all requests in progress have ended or the grace is
 // over.
 func (g *Gateway) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", g.config.Gateway.Listen)
+	tcpListener, err := net.Listen("tcp", g.config.Gateway.Listen)
 	if err != nil {
 		return fmt.Errorf("gateway: cannot accept callers: %w", err)
 	}
+	listener := newCallerListener(tcpListener, g.fds.Callers())
+	g.callers.Store(listener)
 	readyListener, err := net.Listen("tcp", g.config.Gateway.Ready)
 	if err != nil {
 		return fmt.Errorf("gateway: cannot accept readiness checks: %w", err)
 	}
-	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address}).Info("gateway starts")
+	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address, "descriptors": g.fds.Limit()}).Info("gateway starts")
 	callerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.TrackState, ConnContext: contextWithConn,
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: contextWithConn,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			g.conns.TrackState(conn, state)
+			listener.trackState(state)
+		},
 		ErrorLog: discardLog(),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
@@ -234,9 +248,10 @@
 }
 
 var (
-	errDraining  = errors.New("draining")
-	errNoRoutes  = errors.New("no routes known yet")
-	errNoTargets = errors.New("no targets known yet")
+	errDraining      = errors.New("draining")
+	errNoRoutes      = errors.New("no routes known yet")
+	errNoTargets     = errors.New("no targets known yet")
+	errNoDescriptors = errors.New("too few descriptors left for further callers")
 )
 
 // checkReady returns why the gateway must not get callers, or nil if it may.
@@ -248,10 +263,18 @@
 		return errNoRoutes
 	case !g.targetsKnown.Load():
 		return errNoTargets
+	case !g.canAccept():
+		return errNoDescriptors
 	}
 	return nil
 }
 
+// canAccept reports whether the gateway can accept further callers.
+func (g *Gateway) canAccept() bool {
+	callers := g.callers.Load()
+	return callers != nil && callers.canAccept(time.Now())
+}
+
 // closeServers closes servers and all their connections.
 func closeServers(log *logrus.Entry, servers ...*http.Server) {
 	for _, s := range servers {
