bytebudget, gateway, sender: failing tests for the bytes that a gateway takes in

Cause: nothing accounts for the bytes of bodies (gateway/serve.go reads each whole), and sender copies a body for each attempt.

The tests: the account (package bytebudget, which admits all bytes yet) keeps its bound whatever is reserved and released in whatever order, leaves room for short requests, and is shared by teams; a gateway of 16 MiB in a burst of 24 uploads holds no more than its share, answers the rest with 503 on connections that stay, runs none of these and serves all short requests; a refusal reaches its caller in five ways of sending; four sends of a body take no memory of its size.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -30,6 +30,7 @@
 	readyAddress   string
 
 	agentPort int
+	memoryMiB int // of the gateway; 0 for that of the machine
 	stop      context.CancelFunc
 	runErr    chan error
 	logHook   *logtest.Hook // records what the gateway logs
@@ -110,6 +111,7 @@
 		Gateway: settings.Gateway{Listen: d.gatewayAddress, Ready: d.readyAddress, AgentPort: d.agentPort, Grace: 4 * time.Second},
 		Store:   settings.Store{Address: d.store.Address()},
 		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
+		Limits:  settings.Limits{MemoryMiB: d.memoryMiB},
 	}
 	log, hook := logtest.NewNullLogger()
 	d.logHook = hook
