sender: write a body as it was read, without a copy for each attempt

A request was encoded into one buffer for each attempt, so an upload of 4 MiB took as much memory again for each target it was sent to. Now head and body are two parts of one write, neither is copied; the response doesn't depend on how they are split.

TestBodyIsNotCopiedForAnAttempt: 33.7 MB allocated for four sends of a body of 4 MiB before, less than 2 MiB now.

--- a/sender/request_write.go
+++ b/sender/request_write.go
@@ -27,12 +27,12 @@
 	err  error         // of the write; set before done is closed
 }
 
-// startWrite begins to write data to conn; the write ends when all is written or the connection is closed.
-func startWrite(conn net.Conn, data []byte) *requestWrite {
+// startWrite begins to write parts to conn, none of which is copied; the write ends when all is written or the connection is closed.
+func startWrite(conn net.Conn, parts net.Buffers) *requestWrite {
 	w := &requestWrite{conn: conn, done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
-		_, w.err = conn.Write(data)
+		_, w.err = parts.WriteTo(conn)
 	}()
 	return w
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,6 +30,8 @@
 	keepAliveMargin = time.Second
 	// maxResponsesRead bounds the responses that are read to find the one to a request.
 	maxResponsesRead = 4
+	// headBytes is the space for the head of a request, which grows if it is longer.
+	headBytes = 512
 	// maxHeadBytes bounds the head of a response, and maxSkippedBytes the body of a response to another request.
 	maxHeadBytes    = 256 << 10
 	maxSkippedBytes = 4 << 20
@@ -80,7 +83,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
 	stopAbort := context.AfterFunc(ctx, conn.Abort)
-	write := startWrite(conn, encodeRequest(request))
+	write := startWrite(conn.Conn, net.Buffers{encodeHead(request), request.Body})
 	response, err := readResponse(conn, request) //nolint:bodyclose // closed by the body of the returned response
 	if err != nil {
 		stopAbort()
@@ -92,10 +95,10 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: bodyFraming, Body: body, write: write}, nil
 }
 
-// encodeRequest returns the bytes of a request. The response does not depend on how they are split into packets.
-func encodeRequest(request *Request) []byte {
+// encodeHead returns the bytes of a request before its body. The response does not depend on how they are split into packets.
+func encodeHead(request *Request) []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(len(request.Body) + 512)
+	buffer.Grow(headBytes)
 	buffer.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	for name, values := range request.Header {
 		for _, value := range values {
@@ -106,7 +109,6 @@
 		buffer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(request.Body)
 	return buffer.Bytes()
 }
 
