bytebudget: bound what is held, with room for short requests and a share for each team

The account admitted everything. Now bytes that don't fit are refused before they are held: a large request may not take the last eighth, which short ones alone get, and a team may hold up to eight times what is free, so that a second team always finds some and shares move towards equal ones by themselves, whatever the number of teams (a dynamic threshold, as in the shared buffers of switches). No table of teams has to be known before.

--- a/bytebudget/budget.go
+++ b/bytebudget/budget.go
@@ -2,22 +2,34 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync"
 )
 
+const (
+	// ShortBytes is the most that a request holds which counts as short.
+	ShortBytes = 256 << 10
+	// reservedDivisor is the part of a budget that only short requests get: one in so many bytes.
+	reservedDivisor = 8
+	// freeFactor bounds a team to so many times the bytes that are free, so that a second team always finds some.
+	freeFactor = 8
+)
+
 // ErrFull reports that bytes don't fit into a budget now.
 var ErrFull = errors.New("byte budget is full")
 
-// Budget is the account of the bytes that are held for requests. Its methods are safe for concurrent use.
+// Budget is the account of the bytes that are held for requests. A team may hold more the more is free, and short requests may take what
+// is kept from others. Its methods are safe for concurrent use.
 type Budget struct {
 	limit int64
 
-	mu   sync.Mutex
-	held int64
+	mu     sync.Mutex
+	held   int64
+	byTeam map[string]int64 // held bytes, of teams that hold any
 }
 
 // New returns a budget of limit bytes, none of which are held.
-func New(limit int64) *Budget { return &Budget{limit: limit} }
+func New(limit int64) *Budget { return &Budget{limit: limit, byTeam: map[string]int64{}} }
 
 // Limit returns the bytes that may be held.
 func (b *Budget) Limit() int64 { return b.limit }
@@ -32,18 +44,27 @@
 // Hold is the part of a budget that is held for one request. It is used by one goroutine at a time.
 type Hold struct {
 	budget *Budget
+	team   string
 	bytes  int64
 }
 
 // Begin returns the hold of a request of a team, of no bytes yet.
-func (b *Budget) Begin(_ string) *Hold { return &Hold{budget: b} }
+func (b *Budget) Begin(team string) *Hold { return &Hold{budget: b, team: team} }
 
 // Reserve adds bytes to the hold. The error wraps ErrFull if they don't fit; the hold then stays as it was.
 func (h *Hold) Reserve(bytes int64) error {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.bytes += bytes
-	h.budget.held += bytes
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ceiling := b.limit
+	if h.bytes+bytes > ShortBytes {
+		ceiling -= b.limit / reservedDivisor
+	}
+	free := ceiling - b.held - bytes
+	if free < 0 || b.byTeam[h.team]+bytes > freeFactor*free {
+		return fmt.Errorf("%w: %d bytes asked for, %d of %d held, %d of these by the team", ErrFull, bytes, b.held, b.limit, b.byTeam[h.team])
+	}
+	b.addLocked(h, bytes)
 	return nil
 }
 
@@ -51,10 +72,18 @@
 func (h *Hold) Return(bytes int64) {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	bytes = min(bytes, h.bytes)
-	h.bytes -= bytes
-	h.budget.held -= bytes
+	h.budget.addLocked(h, -min(bytes, h.bytes))
 }
 
 // Release gives all bytes of the hold back; further calls do nothing.
 func (h *Hold) Release() { h.Return(h.bytes) }
+
+// addLocked adds bytes to a hold, its team and the budget; the caller holds mu.
+func (b *Budget) addLocked(h *Hold, bytes int64) {
+	h.bytes += bytes
+	b.held += bytes
+	b.byTeam[h.team] += bytes
+	if b.byTeam[h.team] == 0 {
+		delete(b.byTeam, h.team)
+	}
+}
