gateway: take in no more bytes than there is memory for

Cause: readBody read each body whole, whatever others held.

Change: each request holds its body and 64 KiB in one account from before its body is read until its end (deferred, so also after a panic or an abort). A declared length is reserved whole and read into a buffer of that length; a body in chunks grows by large factors, so that one that doesn't fit is refused after 256 KiB at most. What doesn't fit gets 503, reason no-memory and Retry-After; a body that arrives within half a second is dropped unread by us and the connection stays, a slower caller is answered at once and listened to for two seconds more, as a close with unread bytes would destroy the answer. A caller that expects 100-continue is answered without one. A body whose declared length is over the limit of the routes is now refused (413) in the same way, unread. Refusals have a length. Shares are by route: the platform's requests bear no team, their addresses are the platform's, and one host may have all routes; callers can't choose the name of a route. The limit is [gateway] request-memory-mib, by default half of [limits] memory-mib or of the VM's memory. The runtime's soft limit goes from 0.6 to 0.75 of the memory, since half of it may be live now. The refusal is one line with what was asked for and held; gypsumbank_gateway_request_bytes tells what is held.

--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -55,6 +55,7 @@
 	NoRoute        Reason = "no-such-route"
 	BodyTooLarge   Reason = "body-too-large"
 	UnreadableBody Reason = "unreadable-body"
+	NoMemory       Reason = "no-memory"
 	StreamBroken   Reason = "stream-broken"
 	CrashesTargets Reason = "crashes-targets"
 	UnknownVersion Reason = "stream-version-unknown"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"gypsumbank/bytebudget"
 	"gypsumbank/connpool"
 	"gypsumbank/departure"
 	"gypsumbank/dialer"
@@ -54,6 +55,7 @@
 	crashes          *crashes
 	blocked          *blockedContents
 	dialer           *dialer.Dialer
+	memory           *bytebudget.Budget // bytes held for requests
 	conns            *connections
 	started          time.Time
 	routeTable       atomic.Pointer[route.Table]
@@ -94,6 +96,7 @@
 		crashes:    crashes,
 		blocked:    blockedContents,
 		dialer:     d,
+		memory:     newRequestMemory(config),
 		conns:      newConnections(),
 		started:    time.Now(),
 	}
--- /dev/null
+++ b/gateway/request_body.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"gypsumbank/bytebudget"
+	"gypsumbank/dispatch"
+	"gypsumbank/request"
+	"gypsumbank/settings"
+)
+
+const (
+	// exchangeBytes is what a request takes beside its body: its header, buffers and stacks.
+	exchangeBytes = 64 << 10
+	// firstBodyBytes is the first buffer for a body of unknown length.
+	firstBodyBytes = 16 << 10
+	// bodyGrowth is the factor by which that buffer grows. It is large, as bodies that don't fit are to be refused early.
+	bodyGrowth = 16
+	// requestMemoryDivisor is the part of the memory that may hold requests by default: one in so many bytes.
+	requestMemoryDivisor = 2
+	// noMemoryRetryAfter is the Retry-After of a request that doesn't fit into the memory.
+	noMemoryRetryAfter = 500 * time.Millisecond
+	// maxDiscardTime is how long the body of a refused request may take to arrive before it is answered.
+	maxDiscardTime = 500 * time.Millisecond
+	// lingerTime is how long a caller that sends on after its answer is listened to, as a close would destroy the answer.
+	lingerTime  = 2 * time.Second
+	bytesPerMiB = 1 << 20
+	// defaultMemoryBytes is taken for the memory of a VM that does not tell it.
+	defaultMemoryBytes = 256 * bytesPerMiB
+)
+
+// newRequestMemory returns the account of the bytes that may be held for requests.
+func newRequestMemory(config *settings.Config) *bytebudget.Budget {
+	limit := int64(config.Gateway.RequestMemoryMiB) * bytesPerMiB
+	if limit == 0 {
+		limit = availableMemory(config.Limits) / requestMemoryDivisor
+	}
+	memory := bytebudget.New(limit)
+	metrics.GetOrCreateGauge("gypsumbank_gateway_request_bytes", func() float64 { return float64(memory.Held()) })
+	return memory
+}
+
+// availableMemory returns the bytes of memory that the process may use: its limit, or all that the VM has.
+func availableMemory(limits settings.Limits) int64 {
+	if limits.MemoryMiB > 0 {
+		return int64(limits.MemoryMiB) * bytesPerMiB
+	}
+	var info unix.Sysinfo_t
+	if unix.Sysinfo(&info) != nil {
+		return defaultMemoryBytes
+	}
+	return int64(info.Totalram * uint64(info.Unit))
+}
+
+// readBody reads the body of a request of up to limit bytes into req, once hold has room for it. If that fails, it refuses the request
+// and returns false.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request.Request, hold *bytebudget.Hold, limit int64) bool {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	body, err := readWhole(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, hold)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, bytebudget.ErrFull):
+		hold.Release()
+		g.refuseUnread(w, r, limit, func() { g.refuseForMemory(w, r, req, err) })
+		return false
+	case errors.As(err, &tooLarge):
+		g.refuseUnread(w, r, limit, func() { g.refuse(w, r, req.ID, dispatch.BodyTooLarge, http.StatusRequestEntityTooLarge, 0) })
+		return false
+	case err != nil:
+		g.refuse(w, r, req.ID, dispatch.UnreadableBody, http.StatusBadRequest, 0)
+		return false
+	}
+	req.Body = body
+	return true
+}
+
+// readWhole reads a body of a length, -1 if it is unknown, or up to limit bytes of it. It reserves the bytes before it reads them.
+func readWhole(body io.Reader, length, limit int64, hold *bytebudget.Hold) ([]byte, error) {
+	if length > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	if err := hold.Reserve(exchangeBytes); err != nil {
+		return nil, err
+	}
+	if length < 0 {
+		return readGrowing(body, limit, hold)
+	}
+	if err := hold.Reserve(length); err != nil {
+		return nil, err
+	}
+	data := make([]byte, length)
+	_, err := io.ReadFull(body, data)
+	return data, err
+}
+
+// readGrowing reads a body of unknown length into a buffer that grows as far as the hold does.
+func readGrowing(body io.Reader, limit int64, hold *bytebudget.Hold) ([]byte, error) {
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			var err error
+			if data, err = resize(data, min(max(firstBodyBytes, bodyGrowth*int64(cap(data))), limit+1), hold); err != nil {
+				return nil, err
+			}
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return trim(data, hold), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// resize returns a copy of data with another capacity, and has the hold follow.
+func resize(data []byte, capacity int64, hold *bytebudget.Hold) ([]byte, error) {
+	if err := hold.Reserve(capacity); err != nil {
+		return nil, err
+	}
+	copied := append(make([]byte, 0, capacity), data...)
+	hold.Return(int64(cap(data)))
+	return copied, nil
+}
+
+// trim returns data without the capacity beyond it, unless that is less than half or there is no room for the copy.
+func trim(data []byte, hold *bytebudget.Hold) []byte {
+	if len(data) > cap(data)/2 {
+		return data
+	}
+	if trimmed, err := resize(data, int64(len(data)), hold); err == nil {
+		return trimmed
+	}
+	return data
+}
+
+// refuseForMemory logs, counts and refuses a request whose bytes don't fit into the memory.
+func (g *Gateway) refuseForMemory(w http.ResponseWriter, r *http.Request, req *request.Request, full error) {
+	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(dispatch.NoMemory) + `"}`).Inc()
+	g.log.WithError(full).WithFields(logrus.Fields{
+		"request": req.ID, "host": r.Host, "uri": r.RequestURI, "reason": dispatch.NoMemory, "status": http.StatusServiceUnavailable,
+		"body-bytes": r.ContentLength, "retry-after-ms": noMemoryRetryAfter.Milliseconds(),
+	}).Info("refused")
+	writeRefusal(w, dispatch.NoMemory, http.StatusServiceUnavailable, noMemoryRetryAfter)
+}
+
+// refuseUnread has refuse answer a request whose body of up to limit bytes has not been read, so that the answer reaches the caller. The connection
+// stays if the rest of the body arrives soon; it is read and dropped. Else the answer announces the close, which waits for the caller.
+func (g *Gateway) refuseUnread(w http.ResponseWriter, r *http.Request, limit int64, refuse func()) {
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		refuse() // the caller has not sent the body, and net/http closes the connection
+		return
+	}
+	controller := http.NewResponseController(w)
+	if controller.SetReadDeadline(time.Now().Add(maxDiscardTime+lingerTime)) != nil {
+		refuse()
+		return
+	}
+	discarded := make(chan bool, 1)
+	go func() { discarded <- discardBody(r.Body, limit) }()
+	select {
+	case ended := <-discarded:
+		if !ended || controller.SetReadDeadline(time.Time{}) != nil {
+			w.Header().Set("Connection", "close")
+		}
+		refuse()
+	case <-time.After(maxDiscardTime):
+		w.Header().Set("Connection", "close")
+		refuse()
+		_ = controller.Flush() // a caller that has disconnected needs no response
+		<-discarded
+	}
+}
+
+// discardBody reads and drops up to limit bytes of a body and reports whether it has ended.
+func discardBody(body io.Reader, limit int64) bool {
+	dropped, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	return err == nil && dropped <= limit
+}
--- a/gateway/request_memory_test.go
+++ b/gateway/request_memory_test.go
@@ -191,9 +191,13 @@
 		pause    time.Duration // after the first half of it
 		wantKept bool          // the connection serves the next request
 	}{
-		"whole body":          {headers: []string{fmt.Sprintf("Content-Length: %d", largeBodyBytes)}, body: strings.Repeat("x", largeBodyBytes), wantKept: true},
-		"chunked body":        {headers: []string{"Transfer-Encoding: chunked"}, body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", largeBodyBytes, strings.Repeat("x", largeBodyBytes)), wantKept: true},
-		"slow body":           {headers: []string{fmt.Sprintf("Content-Length: %d", largeBodyBytes)}, body: strings.Repeat("x", largeBodyBytes), pause: time.Second},
+		"whole body":   {headers: []string{fmt.Sprintf("Content-Length: %d", largeBodyBytes)}, body: strings.Repeat("x", largeBodyBytes), wantKept: true},
+		"chunked body": {headers: []string{"Transfer-Encoding: chunked"}, body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", largeBodyBytes, strings.Repeat("x", largeBodyBytes)), wantKept: true},
+		"slow body":    {headers: []string{fmt.Sprintf("Content-Length: %d", largeBodyBytes)}, body: strings.Repeat("x", largeBodyBytes), pause: time.Second},
+		"slow chunked body": {
+			headers: []string{"Transfer-Encoding: chunked"}, pause: time.Second,
+			body: strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", largeBodyBytes/8, strings.Repeat("x", largeBodyBytes/8)), 8) + "0\r\n\r\n",
+		},
 		"body that stalls":    {headers: []string{fmt.Sprintf("Content-Length: %d", largeBodyBytes)}, body: strings.Repeat("x", largeBodyBytes/2)},
 		"body that must wait": {headers: []string{fmt.Sprintf("Content-Length: %d", largeBodyBytes), "Expect: 100-continue"}},
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -54,7 +53,9 @@
 		g.refuse(w, r, id, dispatch.NoRoute, http.StatusNotFound, 0)
 		return
 	}
-	if !g.readBody(w, r, req, table.Limits().BodyBytes) {
+	hold := g.memory.Begin(matchedRoute.Name)
+	defer hold.Release()
+	if !g.readBody(w, r, req, hold, table.Limits().BodyBytes) {
 		return
 	}
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
@@ -64,26 +65,6 @@
 	ex.run()
 }
 
-// readBody reads the body of a request of up to limit bytes into req. If that fails, it refuses the request and returns
-// false.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request.Request, limit int64) bool {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		g.refuse(w, r, req.ID, dispatch.BodyTooLarge, http.StatusRequestEntityTooLarge, 0)
-		return false
-	case err != nil:
-		g.refuse(w, r, req.ID, dispatch.UnreadableBody, http.StatusBadRequest, 0)
-		return false
-	}
-	req.Body = body
-	return true
-}
-
 // refuse logs, counts and refuses a request that is not dispatched.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, requestID string, reason dispatch.Reason, status int, retryAfter time.Duration) {
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(reason) + `"}`).Inc()
@@ -96,9 +77,11 @@
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	body := string(reason) + "\n"
 	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, _ = io.WriteString(w, string(reason)+"\n") // a caller that has disconnected needs no response
+	_, _ = io.WriteString(w, body) // a caller that has disconnected needs no response
 }
 
 // exchange is one dispatched request with the response to its caller.
--- a/settings/gateway_agent.go
+++ b/settings/gateway_agent.go
@@ -13,6 +13,8 @@
 	AgentPort int           // port on which the agents listen
 	Metrics   string        // address for scraping metrics; empty to serve none
 	Grace     time.Duration // time from the stop signal until the process must have exited
+	// RequestMemoryMiB is the memory that requests may take; 0 for a share of all that the process may use.
+	RequestMemoryMiB int
 }
 
 // Agent holds the settings of an agent, which runs beside an engine and controls its models.
@@ -75,11 +77,12 @@
 	file.Required("gateway", "ready", "IP:PORT")
 	file.Required("gateway", "agent-port", "a whole number from 1 to 65535")
 	return Gateway{
-		Listen:    file.Address("gateway", "listen", ""),
-		Ready:     file.Address("gateway", "ready", ""),
-		AgentPort: int(file.Int("gateway", "agent-port", 0, 1, 65535)),
-		Metrics:   file.Address("gateway", "metrics", ""),
-		Grace:     file.Duration("gateway", "grace", 8*time.Second, time.Second, time.Hour),
+		Listen:           file.Address("gateway", "listen", ""),
+		Ready:            file.Address("gateway", "ready", ""),
+		AgentPort:        int(file.Int("gateway", "agent-port", 0, 1, 65535)),
+		Metrics:          file.Address("gateway", "metrics", ""),
+		Grace:            file.Duration("gateway", "grace", 8*time.Second, time.Second, time.Hour),
+		RequestMemoryMiB: int(file.Int("gateway", "request-memory-mib", 0, 0, 1<<20)),
 	}
 }
 
--- a/settings/gateway_agent_test.go
+++ b/settings/gateway_agent_test.go
@@ -17,6 +17,7 @@
 ready = 127.0.0.1:2
 agent-port = 7380
 grace = 8s
+request-memory-mib = 100
 [store]
 address = 127.0.0.1:3
 [bounds]
@@ -34,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if config.Gateway.AgentPort != 7380 || config.Gateway.Grace != 8*time.Second || config.Bounds.RetryExtra != 54 || config.Limits.MemoryMiB != 284 {
+	if config.Gateway.AgentPort != 7380 || config.Gateway.Grace != 8*time.Second || config.Bounds.RetryExtra != 54 || config.Limits.MemoryMiB != 284 || config.Gateway.RequestMemoryMiB != 100 {
 		t.Errorf("parsed settings %+v do not match the file", config)
 	}
 }
@@ -45,6 +46,7 @@
 		"missing listen address": {"listen = 127.0.0.1:1", "", "[gateway] listen"},
 		"port is not a number":   {"7380", "many", "[gateway] agent-port"},
 		"grace without a unit":   {"8s", "8", "[gateway] grace"},
+		"negative memory":        {"request-memory-mib = 100", "request-memory-mib = -1", "[gateway] request-memory-mib"},
 		"negative retry ratio":   {"retry-ratio = 0.2", "retry-ratio = -1", "[bounds] retry-ratio"},
 		"unknown key":            {"[limits]", "[limits]\ncolour = red", "colour"},
 		"unknown section":        {"[limits]", "[colours]\nred = 1\n[limits]", "colours"},
--- a/site.go
+++ b/site.go
@@ -17,7 +17,7 @@
 const (
 	// memoryLimitFraction is the fraction of the configured memory that becomes the runtime's soft limit, above which it
 	// collects garbage more often.
-	memoryLimitFraction = 0.6
+	memoryLimitFraction = 0.75
 	// gcPercent is the growth of the heap in percent that starts a garbage collection. It can be high, as the live heap
 	// is a few MB.
 	gcPercent = 400
