gateway: a failing test for bodies that stall

A caller that announces a body and stops sending holds the room for it in the account for as long as its connection lasts; some 26 such callers keep a route from all large bodies. Cause: nothing bounds the time in which a body is read. The test is red, in both ways of sending: no answer within 4 s to requests whose callers wait 0.7 s, and an upload after them is refused.

--- a/gateway/request_memory_test.go
+++ b/gateway/request_memory_test.go
@@ -264,3 +264,38 @@
 	}
 	d.t.Errorf("%d uploads are at work and %d refused, want %d together", meter.atWork.Load()/largeBodyBytes, refused.Load(), uploads)
 }
+
+// TestStalledBodyGivesItsMemoryBack has callers announce large bodies and stop sending. Once their time is over each must get an answer which says
+// that it did not run, and other bodies must fit.
+func TestStalledBodyGivesItsMemoryBack(t *testing.T) {
+	tests := map[string]struct{ framing, begin string }{
+		"with a length": {framing: fmt.Sprintf("Content-Length: %d", largeBodyBytes), begin: "begin"},
+		"in chunks":     {framing: "Transfer-Encoding: chunked", begin: fmt.Sprintf("%x\r\n%s", largeBodyBytes, strings.Repeat("x", largeBodyBytes/2))},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDeploymentWithLittleMemory(t, &bodyMeter{})
+			var stalled sync.WaitGroup
+			for i := range testMemoryMiB {
+				conn, reader := d.dial()
+				_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
+				_, _ = fmt.Fprintf(conn, "POST /unsafe/x HTTP/1.1\r\nHost: %s\r\nX-Gypsumbank-Request-Id: stalled-%d\r\nX-Gypsumbank-Deadline-Ms: 700\r\n%s\r\n\r\n%s", callerHost, i, test.framing, test.begin)
+				stalled.Go(func() {
+					response, err := http.ReadResponse(reader, nil)
+					if err != nil {
+						t.Errorf("stalled request %d got no answer: %v", i, err)
+						return
+					}
+					if response.StatusCode != http.StatusRequestTimeout && response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+						t.Errorf("stalled request %d got status %d, connection closed: %v, want 408 or 503 and a close", i, response.StatusCode, response.Close)
+					}
+				})
+			}
+			stalled.Wait()
+			response, _, err := d.newKeptCaller("upload").send(largeBodyBytes, false)
+			if err != nil || response.StatusCode != http.StatusOK {
+				t.Errorf("an upload after the stalled ones was not served: %v %v", response, err)
+			}
+		})
+	}
+}
