gateway: a body that stalls gives its memory back at the request's deadline

A caller that stopped in the middle of a body held the room for it in the account as long as its connection lasted. Now a body is read until the deadline of its request at the latest, which is the caller's or the route's, whichever comes first; then the caller gets 408 (not run) and its connection is closed. dispatch.Deadline is the one place that reckons it.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -108,22 +108,27 @@
 	StoppingRetryAfter = 20 * time.Millisecond
 )
 
-// Begin returns the dispatch of a request on a route to a service and counts the request in the retry budget and the
-// demand. The dispatch must be closed. The given ctx ends when the caller disconnects.
-func (d *Dispatcher) Begin(ctx context.Context, req *request.Request, r *route.Route, service string) *Dispatch {
+// Deadline returns until when a request on a route must have its final answer.
+func Deadline(req *request.Request, r *route.Route) time.Time {
 	timeout := r.Timeout
 	if req.Timeout > 0 && (timeout == 0 || req.Timeout < timeout) {
 		timeout = req.Timeout
 	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return req.Arrived.Add(timeout)
+}
+
+// Begin returns the dispatch of a request on a route to a service and counts the request in the retry budget and the
+// demand. The dispatch must be closed. The given ctx ends when the caller disconnects.
+func (d *Dispatcher) Begin(ctx context.Context, req *request.Request, r *route.Route, service string) *Dispatch {
 	d.budget.CountRequest(service, d.now())
 	req.Priority = r.Priority
 	if d.fleet.RecordDemand(service, req, d.now()) {
 		d.agents.PushDemand()
 	}
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	deadline := req.Arrived.Add(timeout)
+	deadline := Deadline(req, r)
 	ctx, end := context.WithCancelCause(ctx)
 	endWithGrace := context.AfterFunc(d.stop.grace, func() { end(errGraceOver) })
 	ctx, cancelDeadline := context.WithDeadline(ctx, deadline.Add(-finalResponseMargin))
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -55,6 +55,7 @@
 	NoRoute        Reason = "no-such-route"
 	BodyTooLarge   Reason = "body-too-large"
 	UnreadableBody Reason = "unreadable-body"
+	BodyStalled    Reason = "body-stalled"
 	NoMemory       Reason = "no-memory"
 	StreamBroken   Reason = "stream-broken"
 	CrashesTargets Reason = "crashes-targets"
--- a/gateway/request_body.go
+++ b/gateway/request_body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -62,11 +63,13 @@
 
 // readBody reads the body of a request of up to limit bytes into req, once hold has room for it. If that fails, it refuses the request
 // and returns false.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request.Request, hold *bytebudget.Hold, limit int64) bool {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request.Request, hold *bytebudget.Hold, limit int64, deadline time.Time) bool {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := readWhole(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, hold)
+	body, err := readWithin(w, deadline, r.ContentLength, func() ([]byte, error) {
+		return readWhole(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, hold)
+	})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, bytebudget.ErrFull):
@@ -76,6 +79,10 @@
 	case errors.As(err, &tooLarge):
 		g.refuseUnread(w, r, limit, func() { g.refuse(w, r, req.ID, dispatch.BodyTooLarge, http.StatusRequestEntityTooLarge, 0) })
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		g.refuse(w, r, req.ID, dispatch.BodyStalled, http.StatusRequestTimeout, 0)
+		return false
 	case err != nil:
 		g.refuse(w, r, req.ID, dispatch.UnreadableBody, http.StatusBadRequest, 0)
 		return false
@@ -84,6 +91,22 @@
 	return true
 }
 
+// readWithin has read read a body of a length, -1 if it is unknown, until the deadline at the latest.
+func readWithin(w http.ResponseWriter, deadline time.Time, length int64, read func() ([]byte, error)) ([]byte, error) {
+	if length == 0 {
+		return read()
+	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	body, err := read()
+	if err != nil {
+		return nil, err
+	}
+	return body, controller.SetReadDeadline(time.Time{})
+}
+
 // readWhole reads a body of a length, -1 if it is unknown, or up to limit bytes of it. It reserves the bytes before it reads them.
 func readWhole(body io.Reader, length, limit int64, hold *bytebudget.Hold) ([]byte, error) {
 	if length > limit {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,7 +55,7 @@
 	}
 	hold := g.memory.Begin(matchedRoute.Name)
 	defer hold.Release()
-	if !g.readBody(w, r, req, hold, table.Limits().BodyBytes) {
+	if !g.readBody(w, r, req, hold, table.Limits().BodyBytes, dispatch.Deadline(req, matchedRoute)) {
 		return
 	}
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
