gateway: failing tests for an answer with a status below 100

Callers saw a closed connection without an answer, and at an engine the adapter of the request counted as in use for ever. Cause: net/http's WriteHeader panics on such a status (gateway/caller_answer.go, begin), and nothing ends the assignment then.

--- /dev/null
+++ b/gateway/invalid_status_test.go
@@ -0,0 +1,53 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gypsumbank/standin/site"
+)
+
+// invalidStatus answers with a status that HTTP doesn't know.
+func invalidStatus(conn net.Conn, identity string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 042 Odd\r\n"+identity+"Content-Length: 2\r\n\r\nok")
+}
+
+// TestAnswerWithAnInvalidStatusIsNoAnswer has a target answer with a status below 100. The caller must get a failure of the gateway and not
+// a closed connection.
+func TestAnswerWithAnInvalidStatusIsNoAnswer(t *testing.T) {
+	cases := map[string]string{"plain": getRequest("/safe/a"), "at most once": postRequest("sale"), "stream": getRequest("/stream/a", m1Header)}
+	for name, request := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.plainTarget.SetHandler(site.RawResponse(true, invalidStatus))
+			d.engineTarget.SetHandler(site.RawResponse(true, invalidStatus))
+			response, body, err := d.roundTrip(request)
+			if err != nil || response.StatusCode != http.StatusBadGateway {
+				t.Errorf("response %v, body %q, error %v; want status 502", response, body, err)
+			}
+		})
+	}
+}
+
+// TestAnswersWithAnInvalidStatusEnd has an engine answer with a status below 100 to requests for the two adapters that it holds. Neither adapter
+// may count as in use afterwards: a third one must get the slot of one of them.
+func TestAnswersWithAnInvalidStatusEnd(t *testing.T) {
+	d := newDeployment(t)
+	d.engineTarget.Load("m3", "a1", "a2")
+	d.store.Put("servers", "e1", d.engineTarget.RegistryEntry("engine", "ready"))
+	defer d.startAgent()()
+	time.Sleep(1500 * time.Millisecond)
+	d.engineTarget.SetHandler(site.RawResponse(true, invalidStatus))
+	for _, adapter := range []string{"a1", "a2"} {
+		_, _, _ = d.roundTrip(getRequest("/stream/a", "X-Gypsumbank-Model: m3/"+adapter))
+	}
+	time.Sleep(2500 * time.Millisecond) // the agent hears of what is in use
+	d.engineTarget.SetHandler(site.EventStream(3, 0, 0))
+	response, _, err := d.roundTrip(getRequest("/stream/a", "X-Gypsumbank-Model: m3/a3"))
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("response %v, error %v to a request for a third adapter; want status 200", response, err)
+	}
+}
