gateway: end an answer's assignment whatever happens to it

A panic while an answer was passed on (net/http's, on a status below 100) left its assignment open: its adapter stayed in use at the engine, and no other could get the slot. forward now ends it in any case; only the first end counts, so the others stay as they are.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -29,6 +29,7 @@
 // on another target and returns the outcome of that and true.
 func (e *exchange) forward(answered dispatch.Answered) (dispatch.Outcome, bool) {
 	defer answered.Response.Body.Close()
+	defer func() { answered.Assignment.End(fleet.Failed, time.Now()) }() // of an answer that ended in no other way
 	if e.answer.begun && !e.continuesStream(answered) {
 		answered.Assignment.End(fleet.Failed, time.Now())
 		e.refuseOrAbort(answered.Response.Status, dispatch.StreamBroken, 0)
