sender: take an answer with a status below 100 for none

HTTP has no such status, and it can't be passed on: net/http panics, and the caller's connection closed without an answer. Now it is no usable response, as other spoiled bytes are: the caller gets 502, or the request is sent once more where it may run again.

TestAnswerWithAnInvalidStatusIsNoAnswer: red in 3 of 3 cases before, passes now, 2 of 2 runs; go test -race ./sender ./platform passed.

--- a/sender/sender.go
+++ b/sender/sender.go
@@ -121,7 +121,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		switch {
+		case response.StatusCode < http.StatusContinue:
+			return nil, errors.New("response with a status below 100")
+		case response.StatusCode < http.StatusOK:
 			continue
 		}
 		if request.ID == "" || response.Header.Get(request.IDHeader) == request.ID {
