gateway: a failing test for bodies that are held while their answers go on

The body of a request counts until its answer has been passed on, though nobody can need it any more once the answer of a stream that can't be resumed has begun. Long streams and slow callers so keep room from others: with 8 MiB for requests the sixth stream with a body of 1 MiB is refused while five go on. The test is red, 1 of 1.

--- a/gateway/request_memory_test.go
+++ b/gateway/request_memory_test.go
@@ -299,3 +299,25 @@
 		})
 	}
 }
+
+// TestBodyIsNotHeldWhileItsAnswerIsPassedOn opens one stream after the other, each with a large body, and keeps them open. The bodies of streams that
+// can't be resumed are not needed once the answer has begun: all must be served, though they don't fit together.
+func TestBodyIsNotHeldWhileItsAnswerIsPassedOn(t *testing.T) {
+	d := newDeploymentWithLittleMemory(t, &bodyMeter{})
+	d.engineTarget.SetHandler(site.EventStream(400, 50*time.Millisecond, 0))
+	for i := range testMemoryMiB {
+		conn, reader := d.dial()
+		_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
+		_, _ = fmt.Fprintf(conn, "POST /stream/x HTTP/1.1\r\nHost: %s\r\nX-Gypsumbank-Request-Id: stream-%d\r\n%s\r\nContent-Length: %d\r\n\r\n", callerHost, i, m1Header, largeBodyBytes)
+		_, _ = io.WriteString(conn, strings.Repeat("x", largeBodyBytes))
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("stream %d was not served: %v %v", i, response, err)
+		}
+		for range 3 { // events
+			if _, err := io.ReadFull(response.Body, make([]byte, len("id: 1\ndata: token-1\n\n"))); err != nil {
+				t.Fatalf("stream %d broke off: %v", i, err)
+			}
+		}
+	}
+}
