--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"gypsumbank/bytebudget"
 	"gypsumbank/connpool"
 	"gypsumbank/departure"
 	"gypsumbank/descriptor"
@@ -59,7 +60,8 @@
 	blocked      *blockedContents
 	dialer       *dialer.Dialer
 	conns        *keepalive.Conns
-	pool         *connpool.Pool // connections to targets
+	memory       *bytebudget.Budget // bytes held for requests
+	pool         *connpool.Pool     // connections to targets
 	fds          *descriptor.Budget
 	callers      atomic.Pointer[callerListener] // nil before Run
 	started      time.Time
@@ -106,6 +108,7 @@
 		dialer:     d,
 		pool:       pool,
 		fds:        fds,
+		memory:     newRequestMemory(config),
 		started:    time.Now(),
 	}
 	g.conns = keepalive.New(g.idleTimeout, log)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -47,7 +46,9 @@
 		g.refuse(w, r, id, dispatch.NoRoute, http.StatusNotFound, 0)
 		return
 	}
-	if !g.readBody(w, r, req, table.Limits().BodyBytes) {
+	hold := g.memory.Begin(matchedRoute.Name)
+	defer hold.Release()
+	if !g.readBody(w, r, req, hold, table.Limits().BodyBytes, dispatch.Deadline(req, matchedRoute)) {
 		return
 	}
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
@@ -57,45 +58,6 @@
 	ex.run()
 }
 
-// readBody reads the body of a request of up to limit bytes into req. If that fails, it refuses the request and returns
-// false.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request.Request, limit int64) bool {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := g.readUntilStop(w, http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, errReadStopped):
-		g.conns.AnsweredEarly(connFromContext(r.Context()))
-		g.refuse(w, r, req.ID, dispatch.Stopping, http.StatusServiceUnavailable, dispatch.StoppingRetryAfter)
-		return false
-	case errors.As(err, &tooLarge):
-		g.refuse(w, r, req.ID, dispatch.BodyTooLarge, http.StatusRequestEntityTooLarge, 0)
-		return false
-	case err != nil:
-		g.refuse(w, r, req.ID, dispatch.UnreadableBody, http.StatusBadRequest, 0)
-		return false
-	}
-	req.Body = body
-	return true
-}
-
-// errReadStopped reports a body that was still coming in at the time of the last answers.
-var errReadStopped = errors.New("body is not complete as the gateway stops")
-
-// readUntilStop reads a body, at most until the last answers of a stop are given.
-func (g *Gateway) readUntilStop(w http.ResponseWriter, body io.Reader) ([]byte, error) {
-	stopRead := context.AfterFunc(g.lastAnswers, func() {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only if the connection is closed
-	})
-	read, err := io.ReadAll(body)
-	if !stopRead() {
-		return nil, errReadStopped
-	}
-	return read, err
-}
-
 // refuse logs, counts and refuses a request that is not dispatched.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, requestID string, reason dispatch.Reason, status int, retryAfter time.Duration) {
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(reason) + `"}`).Inc()
@@ -109,9 +71,11 @@
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	body := string(reason) + "\n"
 	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, _ = io.WriteString(w, string(reason)+"\n") // a caller that has disconnected needs no response
+	_, _ = io.WriteString(w, body) // a caller that has disconnected needs no response
 }
 
 // exchange is one dispatched request with the response to its caller.
