Log the age of the view on which a stream is bound to a version

The line 'stream to be resumed' did not tell a decision on a fresh view of the registry from one on a view that is seconds old, so that hypotheses 1 and 2 of docs/incidents/out-of-step.md could not be told from a sound decision. view-age-ms is the time since a read was last put in force. No decision changes. Tests of dispatch and fleet passed.

--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -35,7 +35,7 @@
 // bindVersion binds the stream to the software version at which it began, as known from source. It returns false if that is not
 // known and another version may have served than the one that does.
 func (d *Dispatch) bindVersion(version registry.SoftwareVersion, source string, age time.Duration) bool {
-	versions, complete := d.fleet.SoftwareVersions(d.service, d.now())
+	versions, complete, viewAge := d.fleet.SoftwareVersions(d.service, d.now())
 	// Targets that name no version at all can't be told apart.
 	bound := version != "" || (len(versions) <= 1 && (complete || onlyVersion(versions) == ""))
 	outcome := "bound"
@@ -44,7 +44,7 @@
 	}
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_resumed_streams_total{version="` + outcome + `"}`).Inc()
 	d.log.WithFields(logrus.Fields{
-		"software-version": version, "known-from": source, "age-ms": age.Milliseconds(), "resumed": d.streamID(), "versions": len(versions), "versions-complete": complete, "last-event": d.request.LastEventID, "outcome": outcome,
+		"software-version": version, "known-from": source, "age-ms": age.Milliseconds(), "resumed": d.streamID(), "versions": len(versions), "versions-complete": complete, "view-age-ms": viewAge.Milliseconds(), "last-event": d.request.LastEventID, "outcome": outcome,
 	}).Info("stream to be resumed")
 	if !bound {
 		return false
--- a/fleet/software_version.go
+++ b/fleet/software_version.go
@@ -21,8 +21,8 @@
 
 // SoftwareVersions returns the versions of a service's targets, now and within versionMemory. One of them is empty if the version
 // of some target is not known. complete is false if the registry has not been read for that long, so that there may have been
-// others.
-func (f *Fleet) SoftwareVersions(service string, now time.Time) (versions map[registry.SoftwareVersion]bool, complete bool) {
+// others. age is the time since a read of the registry was last put in force.
+func (f *Fleet) SoftwareVersions(service string, now time.Time) (versions map[registry.SoftwareVersion]bool, complete bool, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	versions = map[registry.SoftwareVersion]bool{}
@@ -39,7 +39,7 @@
 			versions[s.SoftwareVersion] = true
 		}
 	}
-	return versions, !f.registryReadSince.IsZero() && now.Sub(f.registryReadSince) >= versionMemory
+	return versions, !f.registryReadSince.IsZero() && now.Sub(f.registryReadSince) >= versionMemory, now.Sub(f.registryReadAt)
 }
 
 // IsCurrent reports whether no other run of a target is known than the one that a request was sent to.
