--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -21,7 +21,7 @@
 			SoftwareVersion: version, Models: []registry.Model{{Name: "m1"}},
 		})
 	}
-	d.fleet.UpdateTargets(targets, false, time.Now())
+	d.fleet.UpdateTargets(targets, false, d.now())
 	return targets
 }
 
--- a/gateway/group_test.go
+++ b/gateway/group_test.go
@@ -91,12 +91,15 @@
 }
 
 // startGateway starts gateway i, or restarts it with an empty memory, and waits until it is ready.
-func (g *gatewayGroup) startGateway(i int) {
+func (g *gatewayGroup) startGateway(i int) { g.startGatewayAt(i, g.store.Address()) }
+
+// startGatewayAt is startGateway with an address at which the gateway reaches the store.
+func (g *gatewayGroup) startGatewayAt(i int, storeAddress string) {
 	ready := freeAddress(g.t)
 	config := &settings.Config{
 		Node:    settings.Node{Name: fmt.Sprintf("gateway-%d", i), AvailabilityZone: "zone-a"},
 		Gateway: settings.Gateway{Listen: freeAddress(g.t), Ready: ready, AgentPort: g.agentPort, Grace: time.Second},
-		Store:   settings.Store{Address: g.store.Address()},
+		Store:   settings.Store{Address: storeAddress},
 		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
 	}
 	stop := g.run(gateway.New(config, g.log).Run)
