Go on with an unknown stream only on a read of the registry made for it

What callers saw: streams that began at a new software version went on at the old one, with status 200, if they were taken up at a gateway that was cut off or frozen while the version joined.

Cause: a gateway that had read the registry for a minute without a gap, and had seen one version, bound a stream that nobody knew to that version. The time since its last read was not asked, so the version that began the stream could have joined after it. Class: a decision on the absence of something holds up to the time of the view only.

Change: such a stream goes on after a read of the registry that begins once its request is handled, and is therefore younger than the begin of the stream whatever the clocks and the sockets did. If it shows another version, the agents of the targets that joined are asked as well. Without an answer in 400 ms the caller gets 503 stream-version-unknown. Package refresh shares such reads, one at a time and at most one each 50 ms. Known streams cost no read.

The table of the one in dispatch now names what the registry answers, as the decision depends on it; its three cases are kept, with the registry away, and six are added.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -38,6 +38,12 @@
 	PushOrigin(stream uint64)
 }
 
+// Registry is the registry of targets, of which the fleet is a copy.
+type Registry interface {
+	// Refresh updates the fleet by a read of the registry that begins after the call.
+	Refresh(ctx context.Context) error
+}
+
 // Quarantine finds the contents of requests under which targets crash.
 type Quarantine interface {
 	// Blocked returns for how long requests with any of the contents are to be refused; 0 if they need not be.
@@ -55,6 +61,7 @@
 	fleet      *fleet.Fleet
 	sender     Sender
 	agents     AgentClient
+	registry   Registry
 	budget     *retrybudget.Budget
 	quarantine Quarantine
 	origins    *origin.Table  // streams that began here
@@ -65,8 +72,8 @@
 }
 
 // New returns a dispatcher that reads the time from now.
-func New(f *fleet.Fleet, sender Sender, agents AgentClient, budget *retrybudget.Budget, quarantine Quarantine, origins *origin.Table, log *logrus.Entry, now func() time.Time) *Dispatcher {
-	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stop: newStop()}
+func New(f *fleet.Fleet, sender Sender, agents AgentClient, registry Registry, budget *retrybudget.Budget, quarantine Quarantine, origins *origin.Table, log *logrus.Entry, now func() time.Time) *Dispatcher {
+	return &Dispatcher{fleet: f, sender: sender, agents: agents, registry: registry, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stop: newStop()}
 }
 
 // Dispatch is one request with the state of its attempts.
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -22,7 +22,7 @@
 	"gypsumbank/sender"
 )
 
-// scriptedClient is a Sender and AgentClient that returns the given replies in turn and then repeats the last one.
+// scriptedClient is a Sender, AgentClient and Registry that returns the given replies in turn and then repeats the last one.
 type scriptedClient struct {
 	mu          sync.Mutex
 	replies     []func() reply.Result
@@ -31,6 +31,7 @@
 	ensureErr   error                    // returned by EnsureLoaded
 	ensureTime  time.Duration            // after which EnsureLoaded returns
 	origin      registry.SoftwareVersion // of all streams, as agents know it; empty if none does
+	refresh     func() error             // called by Refresh unless it is nil
 }
 
 func (s *scriptedClient) Send(_ context.Context, _ *request.Request, delivery registry.Delivery) reply.Result {
@@ -52,6 +53,13 @@
 	return s.origin, 0, s.origin != ""
 }
 
+func (s *scriptedClient) Refresh(context.Context) error {
+	if s.refresh == nil {
+		return nil
+	}
+	return s.refresh()
+}
+
 func (s *scriptedClient) PushDemand()               {}
 func (s *scriptedClient) PushUsage(registry.Target) {}
 func (s *scriptedClient) PushOrigin(uint64)         {}
@@ -115,7 +123,7 @@
 	}
 	f.UpdateTargets(targets, false, now())
 	budget := retrybudget.New(retrybudget.Limits{PerRequest: 0.2, ExtraPerWindow: 100, Window: 10 * time.Second})
-	return New(f, s, s, budget, &scriptedQuarantine{}, origin.New(now), log.WithField("test", "dispatch"), now)
+	return New(f, s, s, s, budget, &scriptedQuarantine{}, origin.New(now), log.WithField("test", "dispatch"), now)
 }
 
 func safeRoute() *route.Route {
--- a/dispatch/out_of_step_test.go
+++ b/dispatch/out_of_step_test.go
@@ -1,26 +1,41 @@
 package dispatch
 
 import (
+	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"gypsumbank/registry"
 	"gypsumbank/reply"
 	"gypsumbank/request"
 )
 
+var errNoAnswer = errors.New("store does not answer")
+
 // TestUnknownStreamGoesOnOnlyOnARecentView takes up a stream of which nobody knows the software version, at a gateway that has read the
-// registry for more than a minute and has seen one version. A gateway that has read nothing for some seconds must not go on with
-// it: another version may have joined meanwhile.
+// registry for more than a minute and has seen one version. It must not go on with it unless a read that begins then shows that no other
+// version has joined.
 func TestUnknownStreamGoesOnOnlyOnARecentView(t *testing.T) {
 	const readInterval = 800 * time.Millisecond
+	refused := Refused{Reason: UnknownVersion}
 	cases := map[string]struct {
 		viewAge time.Duration
+		joined  registry.SoftwareVersion // of the second target, as the registry now lists it
+		away    bool                     // the registry can't be read
+		known   registry.SoftwareVersion // as agents know the version once the targets that joined are known
 		want    Outcome
 	}{
-		"read at this moment":      {viewAge: 0, want: Answered{}},
-		"no read for four seconds": {viewAge: 4 * time.Second, want: Refused{Reason: UnknownVersion}},
-		"no read for a minute":     {viewAge: time.Minute, want: Refused{Reason: UnknownVersion}},
+		"read at this moment":                          {joined: "v1", want: Answered{}},
+		"read a moment ago, another has joined":        {joined: "v2", want: refused},
+		"another has joined, agents know the first":    {joined: "v2", known: "v1", want: Answered{}},
+		"another has joined, agents know the other":    {joined: "v2", known: "v2", want: Answered{}},
+		"read at this moment, no answer now":           {joined: "v1", away: true, want: refused},
+		"no read for four seconds, no answer now":      {viewAge: 4 * time.Second, joined: "v1", away: true, want: refused},
+		"no read for four seconds, another has joined": {viewAge: 4 * time.Second, joined: "v2", want: refused},
+		"no read for a minute, no answer now":          {viewAge: time.Minute, joined: "v1", away: true, want: refused},
+		"no read for a minute, others may have been":   {viewAge: time.Minute, joined: "v1", want: refused},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -34,12 +49,25 @@
 				d.fleet.UpdateTargets(targets, false, at)
 			}
 			d.fleet.UpdateTargets(targets, false, last)
+			s.refresh = func() error {
+				if c.away {
+					return errNoAnswer
+				}
+				joined := slices.Clone(targets)
+				joined[1].ID, joined[1].SoftwareVersion = "e3", c.joined
+				d.fleet.UpdateTargets(joined, false, time.Now())
+				s.origin = c.known
+				return nil
+			}
 			r := &request.Request{ID: "second", FirstRequestID: "first", LastEventID: "2", Model: "m1", Arrived: time.Now(), Header: http.Header{}}
 			dispatch := d.Begin(t.Context(), r, streamRoute(true), engineService)
 			defer dispatch.Close()
 			if got := dispatch.Run(); !sameOutcome(got, c.want) {
 				t.Errorf("outcome %#v, want %#v", got, c.want)
 			}
+			if c.known != "" && s.sentTo[0].SoftwareVersion != c.known {
+				t.Errorf("sent to %+v", s.sentTo)
+			}
 		})
 	}
 }
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -15,6 +15,8 @@
 const (
 	// originTimeout bounds the question to agents at which software version a stream began.
 	originTimeout = 250 * time.Millisecond
+	// refreshTimeout bounds a read of the registry, for which a caller without an event waits.
+	refreshTimeout = 400 * time.Millisecond
 	// unknownVersionRetryAfter is short, as a new stream can begin at once.
 	unknownVersionRetryAfter = 50 * time.Millisecond
 )
@@ -26,42 +28,57 @@
 	if !d.canRetry() {
 		return Failed{Reason: StreamBroken}
 	}
-	if lastEventID != "" && d.streamVersion == nil && !d.bindVersion(broken.SoftwareVersion, "answer", 0) {
+	if lastEventID != "" && d.streamVersion == nil && !d.bindVersion(d.confirmOrigin(streamOrigin{version: broken.SoftwareVersion, source: "answer"})) {
 		return Failed{Reason: UnknownVersion}
 	}
 	return d.Run()
 }
 
-// bindVersion binds the stream to the software version at which it began, as known from source. It returns false if that is not
-// known and another version may have served than the one that does.
-func (d *Dispatch) bindVersion(version registry.SoftwareVersion, source string, age time.Duration) bool {
-	versions, complete, viewAge := d.fleet.SoftwareVersions(d.service, d.now())
-	// Targets that name no version at all can't be told apart.
-	bound := version != "" || (len(versions) <= 1 && (complete || onlyVersion(versions) == ""))
+// streamOrigin is what is known of the begin of a stream.
+type streamOrigin struct {
+	version registry.SoftwareVersion // empty if it is not known, or if targets name none
+	only    bool                     // there was no other version when it began
+	age     time.Duration            // of the record
+	source  string                   // of the record
+}
+
+// isKnown reports whether the stream may go on at the version.
+func (o streamOrigin) isKnown() bool { return o.version != "" || o.only }
+
+// bindVersion binds the stream to the software version at which it began. It returns false if that is not known.
+func (d *Dispatch) bindVersion(found streamOrigin) bool {
 	outcome := "bound"
-	if !bound {
+	if !found.isKnown() {
 		outcome = "unknown"
 	}
+	view := d.fleet.SoftwareVersions(d.service, d.now())
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_resumed_streams_total{version="` + outcome + `"}`).Inc()
 	d.log.WithFields(logrus.Fields{
-		"software-version": version, "known-from": source, "age-ms": age.Milliseconds(), "resumed": d.streamID(), "versions": len(versions), "versions-complete": complete, "view-age-ms": viewAge.Milliseconds(), "last-event": d.request.LastEventID, "outcome": outcome,
+		"software-version": found.version, "known-from": found.source, "age-ms": found.age.Milliseconds(), "resumed": d.streamID(), "versions": view.Count(), "versions-complete": view.Complete(), "view-age-ms": view.Age().Milliseconds(), "last-event": d.request.LastEventID, "outcome": outcome,
 	}).Info("stream to be resumed")
-	if !bound {
-		return false
-	}
-	if version == "" {
-		version = onlyVersion(versions)
+	if found.isKnown() {
+		d.streamVersion = &found.version
 	}
-	d.streamVersion = &version
-	return true
+	return found.isKnown()
 }
 
-// onlyVersion returns the version in a set that has at most one; empty if it has none.
-func onlyVersion(versions map[registry.SoftwareVersion]bool) registry.SoftwareVersion {
-	for version := range versions {
-		return version
+// confirmOrigin returns the origin of a stream, also where nobody knows it but targets of one version only can have begun it: by
+// a read of the registry that begins now, as another version may have joined since the last. If one has, the agents of its
+// targets are asked, too.
+func (d *Dispatch) confirmOrigin(found streamOrigin) streamOrigin {
+	if _, only := d.fleet.SoftwareVersions(d.service, d.now()).Only(); found.isKnown() || !only {
+		return found
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, refreshTimeout)
+	defer cancel()
+	if err := d.registry.Refresh(ctx); err != nil {
+		d.log.WithError(err).Info("registry was not read, so that a stream may be of another version than the one that is known")
+		return found
+	}
+	if version, only := d.fleet.SoftwareVersions(d.service, d.now()).Only(); only {
+		return streamOrigin{version: version, only: true, source: "registry"}
 	}
-	return ""
+	return d.lookUpOrigin()
 }
 
 // streamID returns the id of the request that brought, or is to bring, the first event of the stream.
@@ -73,34 +90,32 @@
 }
 
 // findOrigin binds a stream that the caller takes up to the software version at which it began. It returns a refusal if that
-// is not known and another version may have served than the one that does.
+// is not known.
 func (d *Dispatch) findOrigin() *Refused {
 	if d.route.Kind != route.Streaming || d.request.LastEventID == "" || d.streamVersion != nil {
 		return nil
 	}
-	version, age, source := d.lookUpOrigin()
-	if !d.bindVersion(version, source, age) {
+	if !d.bindVersion(d.confirmOrigin(d.lookUpOrigin())) {
 		return &Refused{Reason: UnknownVersion, RetryAfter: unknownVersionRetryAfter}
 	}
 	return nil
 }
 
-// lookUpOrigin returns the software version at which the stream began, the age of that record and where it was known from. The
-// version is empty if nobody knows it.
-func (d *Dispatch) lookUpOrigin() (version registry.SoftwareVersion, age time.Duration, source string) {
+// lookUpOrigin returns what this gateway or the agents have recorded of the begin of the stream.
+func (d *Dispatch) lookUpOrigin() streamOrigin {
 	if d.request.FirstRequestID == "" {
-		return "", 0, "not named"
+		return streamOrigin{source: "not named"}
 	}
 	stream := origin.Stream(d.request.FirstRequestID)
 	if version, age, ok := d.origins.Lookup(stream); ok {
-		return version, age, "gateway"
+		return streamOrigin{version: version, age: age, source: "gateway"}
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, originTimeout)
 	defer cancel()
 	if version, age, ok := d.agents.FindOrigin(ctx, stream); ok {
-		return version, age, "agent"
+		return streamOrigin{version: version, age: age, source: "agent"}
 	}
-	return "", 0, "nobody"
+	return streamOrigin{source: "nobody"}
 }
 
 // RecordOrigin records that a target has brought the first event of the stream, or goes on with it.
--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -62,7 +62,7 @@
 	targets := registerVersions(d, "v1", "v1")
 	dispatch := d.Begin(t.Context(), &request.Request{ID: "r", Model: "m1", Arrived: time.Now()}, streamRoute(true), engineService)
 	defer dispatch.Close()
-	if !dispatch.bindVersion("v1", "answer", 0) || !dispatch.ContinuesStream(targets[1]) {
+	if !dispatch.bindVersion(streamOrigin{version: "v1", source: "answer"}) || !dispatch.ContinuesStream(targets[1]) {
 		t.Fatal("want the answer of the target to continue the stream")
 	}
 	restarted := append([]registry.Target(nil), targets...)
--- a/fleet/software_version.go
+++ b/fleet/software_version.go
@@ -19,13 +19,35 @@
 // maxRegistryGap is the time between two reads of the registry from which on a version may have come and gone unseen.
 const maxRegistryGap = 5 * time.Second
 
-// SoftwareVersions returns the versions of a service's targets, now and within versionMemory. One of them is empty if the version
-// of some target is not known. complete is false if the registry has not been read for that long, so that there may have been
-// others. age is the time since a read of the registry was last put in force.
-func (f *Fleet) SoftwareVersions(service string, now time.Time) (versions map[registry.SoftwareVersion]bool, complete bool, age time.Duration) {
+// VersionView is what a gateway knows of the software versions of a service.
+type VersionView struct {
+	versions map[registry.SoftwareVersion]bool // now and within versionMemory; one is empty if that of some target is not known
+	complete bool                              // the registry was read for versionMemory without a gap, so that there were no others until the last read
+	age      time.Duration                     // since a read of the registry was last put in force
+}
+
+// Count returns the number of versions, now and within the last minute.
+func (v VersionView) Count() int { return len(v.versions) }
+
+// Complete reports whether there were no other versions within the last minute, up to the Age of the view.
+func (v VersionView) Complete() bool { return v.complete }
+
+// Age returns the time since a read of the registry was last put in force.
+func (v VersionView) Age() time.Duration { return v.age }
+
+// Only returns the version of all streams that began before the last read of the registry, empty where targets name no version; ok is
+// false if there may be several.
+func (v VersionView) Only() (version registry.SoftwareVersion, ok bool) {
+	for version = range v.versions {
+	}
+	return version, len(v.versions) <= 1 && (v.complete || version == "")
+}
+
+// SoftwareVersions returns what is known of the versions of a service's targets.
+func (f *Fleet) SoftwareVersions(service string, now time.Time) VersionView {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	versions = map[registry.SoftwareVersion]bool{}
+	versions := map[registry.SoftwareVersion]bool{}
 	for seen, at := range f.versionsSeenAt {
 		switch {
 		case now.Sub(at) > versionMemory:
@@ -39,7 +61,8 @@
 			versions[s.SoftwareVersion] = true
 		}
 	}
-	return versions, !f.registryReadSince.IsZero() && now.Sub(f.registryReadSince) >= versionMemory, now.Sub(f.registryReadAt)
+	complete := !f.registryReadSince.IsZero() && now.Sub(f.registryReadSince) >= versionMemory
+	return VersionView{versions: versions, complete: complete, age: now.Sub(f.registryReadAt)}
 }
 
 // IsCurrent reports whether no other run of a target is known than the one that a request was sent to.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"gypsumbank/origin"
 	"gypsumbank/platform"
 	"gypsumbank/probe"
+	"gypsumbank/refresh"
 	"gypsumbank/retrybudget"
 	"gypsumbank/route"
 	"gypsumbank/sender"
@@ -48,6 +49,7 @@
 	departures       *departure.Table
 	fleet            *fleet.Fleet
 	dispatcher       *dispatch.Dispatcher
+	registry         *refresh.Shared // reads of the registry for requests that need what holds now
 	budget           *retrybudget.Budget
 	agents           *agentClients
 	relay            *relayedReads
@@ -80,14 +82,13 @@
 	}
 	budget := retrybudget.New(retryLimits(config.Bounds))
 	replicaClient := platform.NewTargetClient(sender.New(connpool.New()))
-	return &Gateway{
+	g := &Gateway{
 		config:     config,
 		log:        log,
 		store:      store,
 		epochs:     epochs,
 		departures: departure.New(time.Now),
 		fleet:      f,
-		dispatcher: dispatch.New(f, replicaClient, agents, budget, crashes, origins, log, time.Now),
 		budget:     budget,
 		agents:     agents,
 		relay:      relay,
@@ -97,6 +98,9 @@
 		conns:      newConnections(),
 		started:    time.Now(),
 	}
+	g.registry = refresh.New(g.readTargets, refreshInterval)
+	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
+	return g
 }
 
 // Apply applies the log level and the retry limits of changed settings. All other settings need a restart.
@@ -133,6 +137,7 @@
 	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
+	group.Go(func() error { return g.registry.Run(serving) })
 	group.Go(func() error { return g.followRelay(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -36,8 +36,13 @@
 	// relayedRetryFactor lengthens the interval where many gateways are connected to agents that try to read the store, too,
 	// and tell them once it responds.
 	relayedRetryFactor = 4
+	// refreshInterval is the least time between two reads of the targets for requests.
+	refreshInterval = 50 * time.Millisecond
 )
 
+// errOldRead reports targets that were read from the store before it came back from an older copy.
+var errOldRead = errors.New("targets are from before a restore of the store")
+
 // newStoreBackoff returns the backoff between attempts to read a store that does not respond. With many gateways, attempts
 // at short intervals would be most of the load of the store.
 func newStoreBackoff() *backoff.ExponentialBackOff {
@@ -125,7 +130,7 @@
 		}
 		if read, ok := g.relay.newTargets(); ok {
 			g.observeEpoch(read.epoch)
-			g.installTargets(read)
+			_ = g.installTargets(read) // the next one follows
 		}
 	}
 }
@@ -164,13 +169,11 @@
 			_ = pause.For(ctx, minStoreInterval)
 			continue
 		}
-		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		read, err := g.store.Targets(readCtx)
-		cancel()
+		err := g.readTargets(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case err != nil:
+		case err != nil && !errors.Is(err, errOldRead):
 			failedAt := time.Now()
 			if g.storeLostAt.CompareAndSwap(nil, &failedAt) {
 				g.log.WithError(err).Warn("store lost while following targets")
@@ -179,10 +182,6 @@
 			continue
 		}
 		retry.Reset()
-		if len(read.InvalidIDs) > 0 {
-			g.log.WithField("entries", read.InvalidIDs).Debug("registry entries that cannot be decoded as targets")
-		}
-		g.installTargets(targetsRead{targets: read.Targets, readAt: time.Now(), epoch: read.Epoch})
 		if time.Since(g.started) < startupPhase {
 			_ = pause.For(ctx, startupPollInterval)
 			continue
@@ -192,6 +191,20 @@
 	return ctx.Err()
 }
 
+// readTargets reads the registered targets from the store and puts them in force. The error wraps errOldRead if they are not used.
+func (g *Gateway) readTargets(ctx context.Context) error {
+	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	read, err := g.store.Targets(readCtx)
+	if err != nil {
+		return err
+	}
+	if len(read.InvalidIDs) > 0 {
+		g.log.WithField("entries", read.InvalidIDs).Debug("registry entries that cannot be decoded as targets")
+	}
+	return g.installTargets(targetsRead{targets: read.Targets, readAt: time.Now(), epoch: read.Epoch})
+}
+
 // observeEpoch records an epoch of the store that an agent has read from.
 func (g *Gateway) observeEpoch(read epoch.Epoch) {
 	if read != 0 && g.epochs.Observe(read) {
@@ -200,12 +213,13 @@
 }
 
 // installTargets updates the fleet with the targets of a read of the registry and watches the agents of its engines. The first
-// read after others have failed, or after the store has come back from an older copy, shows what is missing at its return.
-func (g *Gateway) installTargets(read targetsRead) {
+// read after others have failed, or after the store has come back from an older copy, shows what is missing at its return. The
+// error is errOldRead if the targets are not used.
+func (g *Gateway) installTargets(read targetsRead) error {
 	targets, restored, ok := g.departures.Correct(read.targets, read.epoch)
 	if !ok {
 		g.log.WithField("epoch", read.epoch).Info("targets read before the store came back from an older copy, not used")
-		return
+		return errOldRead
 	}
 	g.crashes.checker.MarkRuns(targets, "registry")
 	lostAt := g.storeLostAt.Load()
@@ -226,6 +240,7 @@
 	}
 	g.targetsKnown.Store(true)
 	g.watchAgents()
+	return nil
 }
 
 // watchAgents watches the agents of all known engines and no others.
