Carry with each read of the targets its place in the store's history

Before two reads of the registry can be put in order, they have to say where in the store's history they were made: the epoch and the versions of the store at the begin and the end of the read (package history). Agents relay these with each heartbeat, also while the targets do not change. Nothing decides by them yet.

--- a/agent/relay.go
+++ b/agent/relay.go
@@ -8,7 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"gypsumbank/epoch"
+	"gypsumbank/history"
 	"gypsumbank/pause"
 	"gypsumbank/platform"
 	"gypsumbank/registry"
@@ -38,9 +38,9 @@
 	routesReadAt    time.Time
 	targets         []*wire.RegisteredTarget
 	targetsReadAt   time.Time
-	targetsRevision uint64      // number of changes of targets
-	targetsEpoch    epoch.Epoch // of the store that targets were read from
-	requestedAt     time.Time   // when a gateway last requested the reads
+	targetsRevision uint64       // number of changes of targets
+	targetsSpan     history.Span // of the latest read of the targets
+	requestedAt     time.Time    // when a gateway last requested the reads
 }
 
 // followTargets reads the registry of targets regularly while a gateway needs this agent to.
@@ -80,12 +80,12 @@
 
 // installTargets passes the targets of a read of the registry to the gateways.
 func (a *Agent) installTargets(read platform.Registry) {
-	targets, _, ok := a.departures.Correct(read.Targets, read.Epoch)
+	targets, _, ok := a.departures.Correct(read.Targets, read.Span.Epoch())
 	if !ok {
-		a.log.WithField("epoch", read.Epoch).Info("targets read before the store came back from an older copy, not used")
+		a.log.WithField("epoch", read.Span.Epoch()).Info("targets read before the store came back from an older copy, not used")
 		return
 	}
-	a.watchers.setTargets(targets, read.Epoch)
+	a.watchers.setTargets(targets, read.Span)
 }
 
 // isRelay reports whether a gateway has requested reads of the store within relayRequestTTL.
@@ -109,7 +109,7 @@
 }
 
 // setTargets records the targets just read from the registry and sends them to the gateways if they have changed.
-func (w *watchers) setTargets(targets []registry.Target, readIn epoch.Epoch) {
+func (w *watchers) setTargets(targets []registry.Target, span history.Span) {
 	registered := make([]*wire.RegisteredTarget, 0, len(targets))
 	for _, t := range targets {
 		registered = append(registered, &wire.RegisteredTarget{
@@ -121,8 +121,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.storeReads.targetsReadAt = w.now()
-	sameEpoch := w.storeReads.targetsEpoch == readIn
-	w.storeReads.targetsEpoch = readIn
+	sameEpoch := w.storeReads.targetsSpan.Epoch() == span.Epoch()
+	w.storeReads.targetsSpan = span
 	if sameEpoch && w.storeReads.targetsRevision > 0 && slices.EqualFunc(registered, w.storeReads.targets, func(a, b *wire.RegisteredTarget) bool { return proto.Equal(a, b) }) {
 		return
 	}
@@ -166,7 +166,10 @@
 	if reads.targetsReadAt.Before(oldest) {
 		oldest = reads.targetsReadAt
 	}
-	message := &wire.StoreReads{RoutesVersion: reads.routesVersion, Revision: reads.targetsRevision, StoreEpoch: uint64(reads.targetsEpoch), AgeMs: uint32(max(0, w.now().Sub(oldest)).Milliseconds())}
+	message := &wire.StoreReads{
+		RoutesVersion: reads.routesVersion, Revision: reads.targetsRevision, AgeMs: uint32(max(0, w.now().Sub(oldest)).Milliseconds()),
+		StoreEpoch: uint64(reads.targetsSpan.Epoch()), FirstVersion: reads.targetsSpan.First(), LastVersion: reads.targetsSpan.Last(),
+	}
 	if recipient.targetsRevision != reads.targetsRevision {
 		message.HasTargets, message.Targets = true, reads.targets
 		recipient.targetsRevision = reads.targetsRevision
--- a/agent/watchers_test.go
+++ b/agent/watchers_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"gypsumbank/history"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
 )
@@ -115,7 +116,7 @@
 	gateway := w.add()
 	targets := []registry.Target{{ID: "a", Service: "s", Address: "10.0.0.1:80"}}
 	w.setRoutesVersion(3)
-	w.setTargets(targets, 1)
+	w.setTargets(targets, history.New(1, 1, 1))
 	w.publish(&wire.TargetState{TargetId: "t"})
 	if received(w, gateway).GetStoreReads() != nil {
 		t.Error("store reads were sent although no gateway had requested them")
@@ -126,14 +127,14 @@
 	if reads := received(w, gateway).GetStoreReads(); reads.GetRoutesVersion() != 3 || len(reads.GetTargets()) != 1 || reads.GetAgeMs() != 400 {
 		t.Errorf("store reads %v, want routes version 3, one target and an age of 400 ms", reads)
 	}
-	w.setTargets(targets, 1)
+	w.setTargets(targets, history.New(1, 1, 1))
 	clock.advance(400 * time.Millisecond)
 	w.publish(&wire.TargetState{TargetId: "t"})
 	if reads := received(w, gateway).GetStoreReads(); reads == nil || reads.GetHasTargets() {
 		t.Errorf("store reads %v, want them without the unchanged targets", reads)
 	}
 	targets[0].Draining = true
-	w.setTargets(targets, 1)
+	w.setTargets(targets, history.New(1, 1, 1))
 	if reads := received(w, gateway).GetStoreReads(); len(reads.GetTargets()) != 1 || !reads.GetTargets()[0].GetDraining() {
 		t.Errorf("store reads %v, want the drain of the target at once", reads)
 	}
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumbank/epoch"
+	"gypsumbank/history"
 	"gypsumbank/registry"
 	"gypsumbank/wire"
 )
@@ -31,7 +32,7 @@
 type targetsRead struct {
 	targets []registry.Target
 	readAt  time.Time
-	epoch   epoch.Epoch // of the store that they were read from
+	span    history.Span // of the store's history, in which they were read
 }
 
 // storeRead is what one agent has read from the store.
@@ -70,8 +71,8 @@
 	if storeReads.GetRoutesVersion() > r.highestRoutes() {
 		r.routesRoseAt = now
 	}
-	hasChanges := read.routesVersion != storeReads.GetRoutesVersion() || storeReads.GetHasTargets() || read.epoch != readIn
-	read.epoch = readIn
+	hasChanges := read.routesVersion != storeReads.GetRoutesVersion() || storeReads.GetHasTargets() || read.span.Epoch() != readIn
+	read.span = history.New(readIn, storeReads.GetFirstVersion(), storeReads.GetLastVersion())
 	read.readAt, read.routesVersion = now.Add(-time.Duration(storeReads.GetAgeMs())*time.Millisecond), storeReads.GetRoutesVersion()
 	if hasChanges {
 		select {
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -129,7 +129,7 @@
 		case <-time.After(targetsPollInterval):
 		}
 		if read, ok := g.relay.newTargets(); ok {
-			g.observeEpoch(read.epoch)
+			g.observeEpoch(read.span.Epoch())
 			_ = g.installTargets(read) // the next one follows
 		}
 	}
@@ -202,7 +202,7 @@
 	if len(read.InvalidIDs) > 0 {
 		g.log.WithField("entries", read.InvalidIDs).Debug("registry entries that cannot be decoded as targets")
 	}
-	return g.installTargets(targetsRead{targets: read.Targets, readAt: time.Now(), epoch: read.Epoch})
+	return g.installTargets(targetsRead{targets: read.Targets, readAt: time.Now(), span: read.Span})
 }
 
 // observeEpoch records an epoch of the store that an agent has read from.
@@ -216,9 +216,9 @@
 // read after others have failed, or after the store has come back from an older copy, shows what is missing at its return. The
 // error is errOldRead if the targets are not used.
 func (g *Gateway) installTargets(read targetsRead) error {
-	targets, restored, ok := g.departures.Correct(read.targets, read.epoch)
+	targets, restored, ok := g.departures.Correct(read.targets, read.span.Epoch())
 	if !ok {
-		g.log.WithField("epoch", read.epoch).Info("targets read before the store came back from an older copy, not used")
+		g.log.WithField("epoch", read.span.Epoch()).Info("targets read before the store came back from an older copy, not used")
 		return errOldRead
 	}
 	g.crashes.checker.MarkRuns(targets, "registry")
