Put targets in force only if they are at least as new as those in force

What callers saw: requests reached targets that had left more than two seconds before (DRAIN), others were refused although sound targets were idle, while the store turned the agents away that read for the gateways.

Cause: gateways put the agents' last list in force again, however old, also over their own newer read. Reads were compared by a time that is reckoned from the arrival of messages, or not at all. Class: what arrives last replaces what is newer.

Change: a gateway puts a read in force only if all of it is at least as new, by epoch and versions of the store, as the one in force, whoever made it; of the agents' reads it takes the latest by the same order. Where a read for a request is not used, as a newer one is in force, that one serves the request; only where two reads of several pages overlap it counts as failed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"gypsumbank/epoch"
 	"gypsumbank/fleet"
 	"gypsumbank/grace"
+	"gypsumbank/history"
 	"gypsumbank/logs"
 	"gypsumbank/origin"
 	"gypsumbank/platform"
@@ -60,6 +62,8 @@
 	started          time.Time
 	routeTable       atomic.Pointer[route.Table]
 	targetsKnown     atomic.Bool
+	installing       sync.Mutex                // of targets
+	targetsInForce   history.Span              // of the read of the targets that are in force; guarded by installing
 	storeLostAt      atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
 	draining         atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
 	refusingRequests atomic.Bool               // refuses all new requests
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -101,7 +101,7 @@
 }
 
 // newTargets returns the latest read of the targets, also if they have not changed: a later read shows that they still hold. ok
-// is false if there is no read or it was the last one returned.
+// is false if there is no read or it was the last one returned. The gateway itself may have made a later one.
 func (r *relayedReads) newTargets() (read targetsRead, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,12 +136,21 @@
 	return version
 }
 
+// isLater reports whether a read was made after another: by the store's history, and by the agents' clocks where that does not tell.
+func (r *storeRead) isLater(other *storeRead) bool {
+	follows, precedes := r.span.Follows(other.span), other.span.Follows(r.span)
+	if follows != precedes {
+		return follows
+	}
+	return r.readAt.After(other.readAt)
+}
+
 // latest returns the latest read and the agent that made it; the caller holds the lock.
 func (r *relayedReads) latest() (string, *storeRead) {
 	var latestAgent string
 	var latest *storeRead
 	for agent, read := range r.reads {
-		if latest == nil || read.readAt.After(latest.readAt) {
+		if latest == nil || read.isLater(latest) {
 			latestAgent, latest = agent, read
 		}
 	}
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -40,8 +40,8 @@
 	refreshInterval = 50 * time.Millisecond
 )
 
-// errOldRead reports targets that were read from the store before it came back from an older copy.
-var errOldRead = errors.New("targets are from before a restore of the store")
+// errOldRead reports targets that may be older than those in force and are not used.
+var errOldRead = errors.New("targets may be older than those in force")
 
 // newStoreBackoff returns the backoff between attempts to read a store that does not respond. With many gateways, attempts
 // at short intervals would be most of the load of the store.
@@ -191,7 +191,8 @@
 	return ctx.Err()
 }
 
-// readTargets reads the registered targets from the store and puts them in force. The error wraps errOldRead if they are not used.
+// readTargets reads the registered targets from the store and puts them in force, unless newer ones are. The error wraps errOldRead if it
+// is not known which are newer.
 func (g *Gateway) readTargets(ctx context.Context) error {
 	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -212,10 +213,22 @@
 	}
 }
 
-// installTargets updates the fleet with the targets of a read of the registry and watches the agents of its engines. The first
-// read after others have failed, or after the store has come back from an older copy, shows what is missing at its return. The
-// error is errOldRead if the targets are not used.
+// installTargets updates the fleet with the targets of a read of the registry, unless they may be older than those in force, and
+// watches the agents of its engines. The first read after others have failed, or after the store has come back from an older copy,
+// shows what is missing at its return. The error is errOldRead if those in force may be older than the read, too.
 func (g *Gateway) installTargets(read targetsRead) error {
+	g.installing.Lock()
+	defer g.installing.Unlock()
+	if inForce := g.targetsInForce; !read.span.Follows(inForce) {
+		g.log.WithFields(logrus.Fields{
+			"epoch": read.span.Epoch(), "version": read.span.First(), "epoch-in-force": inForce.Epoch(), "version-in-force": inForce.Last(),
+		}).Debug("targets read before those in force, not used")
+		if inForce.Follows(read.span) {
+			return nil
+		}
+		return errOldRead
+	}
+	g.targetsInForce = read.span
 	targets, restored, ok := g.departures.Correct(read.targets, read.span.Epoch())
 	if !ok {
 		g.log.WithField("epoch", read.span.Epoch()).Info("targets read before the store came back from an older copy, not used")
