--- a/agent/restored_store_test.go
+++ b/agent/restored_store_test.go
@@ -34,6 +34,42 @@
 	waitForRows(t, store, rows, "the restore")
 }
 
+// TestRoutesOfARestoredStoreAreNotOlder guards against an agent that takes up the routes of an older copy, from which the store has come
+// back, until the operator has written the newer ones again: sizes and lists of models go back.
+func TestRoutesOfARestoredStoreAreNotOlder(t *testing.T) {
+	store := site.NewStore()
+	t.Cleanup(store.Close)
+	routes := func(version int) map[string]any {
+		return map[string]any{"version": version, "services": []any{map[string]any{"name": "llm", "healthPath": "/healthz"}}}
+	}
+	a := New(&settings.Config{
+		Node: settings.Node{Name: "agent-1"}, Agent: settings.Agent{Target: "127.0.0.1:1", Service: "llm"}, Store: settings.Store{Address: store.Address()},
+	}, testLogger(t))
+	a.watchers.requestRelay()
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.followRoutes(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	store.Put("op", "config", routes(4))
+	if got := (<-a.routingTables).Version(); got != 4 {
+		t.Fatalf("version %d is in force, want 4", got)
+	}
+	copied := store.Snapshot()
+	store.Put("op", "config", routes(7))
+	if got := (<-a.routingTables).Version(); got != 7 {
+		t.Fatalf("version %d is in force, want 7", got)
+	}
+	store.Restore(copied)
+	time.Sleep(1500 * time.Millisecond) // until it has read the copy
+	store.Put("op", "config", routes(9))
+	if got := (<-a.routingTables).Version(); got != 9 {
+		t.Errorf("version %d came after 7, want 9", got)
+	}
+}
+
 // startTestAgent runs an agent until the end of the test, before an engine that holds a model, and returns it with its store and engine and
 // what the store held before.
 func startTestAgent(t *testing.T) (*Agent, *site.Store, *site.Target, site.Snapshot) {
