Take up no routes at agents that are older than those in force

Cause: an agent put whatever routes it read in force; after the store has come back from an older copy these are older until the operator has written again, and with them the sizes and lists of models by which it loads. Change: as gateways do, it takes up higher versions only. TestRoutesOfARestoredStoreAreNotOlder, failing before, passes; agent passed with -race.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -211,8 +211,12 @@
 			continue
 		}
 		position = next
+		if table != nil && table.Version() < routesVersion {
+			a.log.WithFields(logrus.Fields{"version": table.Version(), "version-in-force": routesVersion}).Info("routes of an older copy of the store, not used")
+			table = nil
+		}
 		if table != nil {
-			routesVersion = max(routesVersion, table.Version())
+			routesVersion = table.Version()
 		}
 		if routesVersion > 0 {
 			a.watchers.setRoutesVersion(routesVersion)
