Keep what a report has shown an engine to hold until the registry shows something later

Cause: once an agent was silent for 3 s its engine was believed to hold what the registry had listed when the gateway last read it itself. Lists that agents relay do not have it, so that was often at the gateway's start. And a report of an earlier connection replaced a later one.

Change: the registry's entry counts against a report only if it was read 4 s after it or later; an entry that old would have been removed, so it was written after the report. Reports from before an order that another has shown are ignored.

Not covered: a gateway that was frozen may read reports out of its sockets for some ms after it has read the registry.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,8 @@
 const (
 	// reportLifetime is the age from which an agent's report is stale and the registry is used instead.
 	reportLifetime = 3 * time.Second
+	// maxEntryAge is the age of a registry entry above which it is removed: three intervals of its target's writes.
+	maxEntryAge = 4 * time.Second
 	// absenceGrace is how long a target may be missing from the registry after the store was down.
 	absenceGrace = 2500 * time.Millisecond
 	// defaultCacheTokens is the size of a target's prompt cache until its agent reports the size of its KV cache.
@@ -52,6 +54,7 @@
 	registry.Target
 	report                registry.Report // the last one from the agent
 	reportAt              time.Time       // when that report arrived; zero before the first
+	modelsAt              time.Time       // when the registry last told of the models
 	watchers              int             // number of gateways connected to the agent
 	loading               string          // model of a load in progress, or empty
 	availableAdapterSlots int             // adapter slots that are free or can be freed
@@ -137,6 +140,7 @@
 		}
 		if known == nil || known.Born != t.Born {
 			f.states[t.ID] = newState(t)
+			f.states[t.ID].modelsAt = now
 			change.Added = append(change.Added, t)
 			continue
 		}
@@ -148,6 +152,8 @@
 		}
 		if t.Models == nil {
 			t.Models = known.Models // a list relayed by an agent has no models: an agent reports only those of its own target
+		} else {
+			known.modelsAt = now
 		}
 		known.Target = t
 		known.missingUntil = time.Time{}
@@ -208,9 +214,9 @@
 	Parts []PromptPart
 }
 
-// Observe updates the state of a target from its agent's message. A message about an earlier run of the target is
-// ignored; one about a later run replaces what is known of the target, even before the registry lists that run. A
-// planned load that the agent does not report counts as in progress until unreportedLoadLifetime has passed or the
+// Observe updates the state of a target from its agent's message. A message about an earlier run of the target, or from before
+// an order that another message has shown, is ignored; one about a later run replaces what is known of the target, even before the
+// registry lists that run. A planned load that the agent does not report counts as in progress until unreportedLoadLifetime has passed or the
 // model is held.
 func (f *Fleet) Observe(id string, observation Observation, now time.Time) {
 	report := observation.Report
@@ -220,7 +226,7 @@
 	if s == nil {
 		s = f.addUnregisteredRun(id, observation, now)
 	}
-	if s == nil || report.Born < s.Born {
+	if s == nil || report.Born < s.Born || (report.Born == s.Born && report.Sequence < s.report.Sequence) {
 		return
 	}
 	if s.reportAt.IsZero() {
--- a/fleet/holdings.go
+++ b/fleet/holdings.go
@@ -28,10 +28,11 @@
 	}
 }
 
-// held returns the models that the target holds according to its agent's report, or to the registry if there is no
-// recent report.
+// held returns the models that the target holds according to its agent's last report, or to the registry if there is none or its
+// entry has certainly been written after the report.
 func (s *targetState) held(now time.Time) []registry.Model {
-	if !s.reportAt.IsZero() && now.Sub(s.reportAt) < reportLifetime {
+	isRecent := now.Sub(s.reportAt) < reportLifetime
+	if !s.reportAt.IsZero() && (isRecent || s.modelsAt.Sub(s.reportAt) < maxEntryAge) {
 		return s.report.Models
 	}
 	return s.Models
