--- a/dispatch/out_of_step_test.go
+++ b/dispatch/out_of_step_test.go
@@ -22,6 +22,7 @@
 	refused := Refused{Reason: UnknownVersion}
 	cases := map[string]struct {
 		viewAge time.Duration
+		gap     time.Duration            // without a read, half a minute ago
 		joined  registry.SoftwareVersion // of the second target, as the registry now lists it
 		away    bool                     // the registry can't be read
 		known   registry.SoftwareVersion // as agents know the version once the targets that joined are known
@@ -29,6 +30,8 @@
 	}{
 		"read at this moment":                          {joined: "v1", want: Answered{}},
 		"read a moment ago, another has joined":        {joined: "v2", want: refused},
+		"a short gap in the reads":                     {joined: "v1", gap: 1500 * time.Millisecond, want: Answered{}},
+		"a gap in which a version can come and go":     {joined: "v1", gap: 4 * time.Second, want: refused},
 		"another has joined, agents know the first":    {joined: "v2", known: "v1", want: Answered{}},
 		"another has joined, agents know the other":    {joined: "v2", known: "v2", want: Answered{}},
 		"read at this moment, no answer now":           {joined: "v1", away: true, want: refused},
@@ -45,8 +48,11 @@
 			targets := registerVersions(d, "v1", "v1")
 			now = time.Now
 			last := time.Now().Add(-c.viewAge)
+			gapFrom := last.Add(-30 * time.Second)
 			for at := last.Add(-90 * time.Second); at.Before(last); at = at.Add(readInterval) {
-				d.fleet.UpdateTargets(targets, false, at)
+				if c.gap == 0 || at.Before(gapFrom) || at.Sub(gapFrom) > c.gap-readInterval {
+					d.fleet.UpdateTargets(targets, false, at)
+				}
 			}
 			d.fleet.UpdateTargets(targets, false, last)
 			s.refresh = func() error {
