Reckon the age of a view from its read, and a gap in it from the life of an entry

Cause: the time at which a list of targets was put in force stood for that of its read, also where an agent that the store turns away relays an old one again and again; and a pause of up to 5 s between two reads did not count as a gap, although the entry of a version that came and went is removed after 3.6 s.

Change: the view has the time of its read (for own reads their begin), and 2.5 s without a read are a gap: more than what passes between the last read of a lost agent and the gateway's own, less than the life of an entry. For a minute after it unknown streams are refused, as for a minute after a start. The tests of dispatch update the view as the gateway does.

--- a/dispatch/out_of_step_test.go
+++ b/dispatch/out_of_step_test.go
@@ -14,6 +14,12 @@
 
 var errNoAnswer = errors.New("store does not answer")
 
+// readRegistry updates the fleet with a read of the registry.
+func readRegistry(d *Dispatcher, targets []registry.Target, at time.Time) {
+	d.fleet.RecordRegistryRead(at)
+	d.fleet.UpdateTargets(targets, false, at)
+}
+
 // TestUnknownStreamGoesOnOnlyOnARecentView takes up a stream of which nobody knows the software version, at a gateway that has read the
 // registry for more than a minute and has seen one version. It must not go on with it unless a read that begins then shows that no other
 // version has joined.
@@ -51,17 +57,17 @@
 			gapFrom := last.Add(-30 * time.Second)
 			for at := last.Add(-90 * time.Second); at.Before(last); at = at.Add(readInterval) {
 				if c.gap == 0 || at.Before(gapFrom) || at.Sub(gapFrom) > c.gap-readInterval {
-					d.fleet.UpdateTargets(targets, false, at)
+					readRegistry(d, targets, at)
 				}
 			}
-			d.fleet.UpdateTargets(targets, false, last)
+			readRegistry(d, targets, last)
 			s.refresh = func() error {
 				if c.away {
 					return errNoAnswer
 				}
 				joined := slices.Clone(targets)
 				joined[1].ID, joined[1].SoftwareVersion = "e3", c.joined
-				d.fleet.UpdateTargets(joined, false, time.Now())
+				readRegistry(d, joined, time.Now())
 				s.origin = c.known
 				return nil
 			}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,7 +43,7 @@
 
 	plannedStoreLoads map[string][]time.Time // by service, times of recently planned loads from the weight store
 	storeBlockedUntil map[string]time.Time   // by service, earliest time of the next load from the weight store
-	registryReadAt    time.Time              // when UpdateTargets was last called
+	registryReadAt    time.Time              // of the read that is in force
 	registryReadSince time.Time              // of the first read since when there was no gap above maxRegistryGap
 
 	versionsSeenAt map[serviceVersion]time.Time // when the registry last listed a target of the version
@@ -119,6 +119,16 @@
 	Draining []registry.Target // those that have begun to drain
 }
 
+// RecordRegistryRead records when the registry was read whose targets are, or were already, in force.
+func (f *Fleet) RecordRegistryRead(readAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.registryReadSince.IsZero() || readAt.Sub(f.registryReadAt) > maxRegistryGap {
+		f.registryReadSince = readAt
+	}
+	f.registryReadAt = readAt
+}
+
 // UpdateTargets replaces the registered targets and returns what has changed. If the store was down since the last
 // call, targets that are missing are kept for absenceGrace, since their entries may have expired while they could not
 // be renewed.
@@ -126,10 +136,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var change Change
-	if f.registryReadSince.IsZero() || now.Sub(f.registryReadAt) > maxRegistryGap {
-		f.registryReadSince = now
-	}
-	f.registryReadAt = now
 	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		listed[t.ID] = true
--- a/fleet/software_version.go
+++ b/fleet/software_version.go
@@ -16,14 +16,15 @@
 	version registry.SoftwareVersion
 }
 
-// maxRegistryGap is the time between two reads of the registry from which on a version may have come and gone unseen.
-const maxRegistryGap = 5 * time.Second
+// maxRegistryGap is the time between two reads of the registry from which on a version may have come and gone unseen: less than that after
+// which the store removes an entry that is no longer written.
+const maxRegistryGap = 2500 * time.Millisecond
 
 // VersionView is what a gateway knows of the software versions of a service.
 type VersionView struct {
 	versions map[registry.SoftwareVersion]bool // now and within versionMemory; one is empty if that of some target is not known
 	complete bool                              // the registry was read for versionMemory without a gap, so that there were no others until the last read
-	age      time.Duration                     // since a read of the registry was last put in force
+	age      time.Duration                     // of the last read of the registry
 }
 
 // Count returns the number of versions, now and within the last minute.
@@ -32,7 +33,7 @@
 // Complete reports whether there were no other versions within the last minute, up to the Age of the view.
 func (v VersionView) Complete() bool { return v.complete }
 
-// Age returns the time since a read of the registry was last put in force.
+// Age returns the time since the read of the registry that is in force.
 func (v VersionView) Age() time.Duration { return v.age }
 
 // Only returns the version of all streams that began before the last read of the registry, empty where targets name no version; ok is
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -196,6 +196,7 @@
 func (g *Gateway) readTargets(ctx context.Context) error {
 	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	began := time.Now()
 	read, err := g.store.Targets(readCtx)
 	if err != nil {
 		return err
@@ -203,7 +204,7 @@
 	if len(read.InvalidIDs) > 0 {
 		g.log.WithField("entries", read.InvalidIDs).Debug("registry entries that cannot be decoded as targets")
 	}
-	return g.installTargets(targetsRead{targets: read.Targets, readAt: time.Now(), span: read.Span})
+	return g.installTargets(targetsRead{targets: read.Targets, readAt: began, span: read.Span})
 }
 
 // observeEpoch records an epoch of the store that an agent has read from.
@@ -237,6 +238,7 @@
 	g.crashes.checker.MarkRuns(targets, "registry")
 	lostAt := g.storeLostAt.Load()
 	regained := lostAt != nil && read.readAt.After(*lostAt)
+	g.fleet.RecordRegistryRead(read.readAt)
 	change := g.fleet.UpdateTargets(targets, regained || restored, time.Now())
 	if regained && g.storeLostAt.CompareAndSwap(lostAt, nil) {
 		g.log.WithField("targets", len(targets)).Info("store regained while following targets")
