--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -21,6 +23,7 @@
 	"gypsumbank/fleet"
 	"gypsumbank/grace"
 	"gypsumbank/history"
+	"gypsumbank/keepalive"
 	"gypsumbank/logs"
 	"gypsumbank/origin"
 	"gypsumbank/platform"
@@ -44,29 +47,30 @@
 
 // Gateway accepts the requests of callers and forwards them to targets.
 type Gateway struct {
-	config           *settings.Config
-	log              *logrus.Entry
-	store            *platform.Store
-	epochs           *epoch.Tracker
-	departures       *departure.Table
-	fleet            *fleet.Fleet
-	dispatcher       *dispatch.Dispatcher
-	registry         *refresh.Shared // reads of the registry for requests that need what holds now
-	budget           *retrybudget.Budget
-	agents           *agentClients
-	relay            *relayedReads
-	crashes          *crashes
-	blocked          *blockedContents
-	dialer           *dialer.Dialer
-	conns            *connections
-	started          time.Time
-	routeTable       atomic.Pointer[route.Table]
-	targetsKnown     atomic.Bool
-	installing       sync.Mutex                // of targets
-	targetsInForce   history.Span              // of the read of the targets that are in force; guarded by installing
-	storeLostAt      atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
-	draining         atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
-	refusingRequests atomic.Bool               // refuses all new requests
+	config         *settings.Config
+	log            *logrus.Entry
+	store          *platform.Store
+	epochs         *epoch.Tracker
+	departures     *departure.Table
+	fleet          *fleet.Fleet
+	dispatcher     *dispatch.Dispatcher
+	registry       *refresh.Shared // reads of the registry for requests that need what holds now
+	budget         *retrybudget.Budget
+	agents         *agentClients
+	relay          *relayedReads
+	crashes        *crashes
+	blocked        *blockedContents
+	dialer         *dialer.Dialer
+	conns          *keepalive.Conns
+	started        time.Time
+	routeTable     atomic.Pointer[route.Table]
+	targetsKnown   atomic.Bool
+	installing     sync.Mutex                // of targets
+	targetsInForce history.Span              // of the read of the targets that are in force; guarded by installing
+	storeLostAt    atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
+	draining       atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
+	lastAnswers    context.Context           // ends when the last answers of a stop are given; requests that come later are refused
+	endAnswers     context.CancelFunc
 }
 
 // New returns a gateway with the given settings, which does nothing until Run.
@@ -99,11 +103,12 @@
 		crashes:    crashes,
 		blocked:    blockedContents,
 		dialer:     d,
-		conns:      newConnections(),
 		started:    time.Now(),
 	}
 	g.registry = refresh.New(g.readTargets, refreshInterval)
 	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
+	g.conns = keepalive.New(g.idleTimeout, log)
+	g.lastAnswers, g.endAnswers = context.WithCancel(context.Background())
 	return g
 }
 
@@ -130,14 +135,14 @@
 	}
 	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address}).Info("gateway starts")
 	callerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.trackState, ConnContext: contextWithConn,
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.TrackState, ConnContext: contextWithConn,
 		ErrorLog: discardLog(),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
-	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(listener)) })
+	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(g.conns.Listener(listener))) })
 	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
@@ -147,13 +152,14 @@
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
 	group.Go(func() error { return g.blocked.run(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
-	group.Go(func() error { return g.conns.enforceIdleTimeout(serving, g.idleTimeout) })
+	group.Go(func() error { return g.conns.Run(serving) })
 	select {
 	case <-ctx.Done():
 		g.drain()
 	case <-serving.Done():
 	}
 	stop()
+	g.conns.LogOpen()
 	closeServers(g.log, callerServer, readyServer)
 	err = group.Wait() // the goroutines that call agents.setAddresses end before agents.close
 	g.agents.close()
@@ -171,17 +177,20 @@
 	plan := grace.New(time.Now(), g.config.Gateway.Grace)
 	g.dispatcher.Stop(plan.AnswerBy())
 	g.draining.Store(true)
+	g.conns.StartDrain()
 	g.log.WithFields(logrus.Fields{
-		"refuses-in-ms": time.Until(plan.RefuseFrom()).Milliseconds(), "answers-by-ms": time.Until(plan.AnswerBy()).Milliseconds(), "closes-in-ms": time.Until(plan.CloseAt()).Milliseconds(),
+		"leaves-in-ms": time.Until(plan.LeaveFrom()).Milliseconds(), "answers-by-ms": time.Until(plan.AnswerBy()).Milliseconds(), "closes-in-ms": time.Until(plan.CloseAt()).Milliseconds(),
 	}).Info("gateway drains")
-	lastAnswers := time.AfterFunc(time.Until(plan.AnswerBy()), g.dispatcher.EndAll)
+	lastAnswers := time.AfterFunc(time.Until(plan.AnswerBy()), func() {
+		g.endAnswers()
+		g.dispatcher.EndAll()
+	})
 	defer lastAnswers.Stop()
-	time.Sleep(time.Until(plan.RefuseFrom()))
-	g.refusingRequests.Store(true)
+	time.Sleep(time.Until(plan.LeaveFrom()))
 	g.dispatcher.StopWaits()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.CloseAt())
 	defer cancel()
-	if err := g.conns.drain(ctx); err != nil {
+	if err := g.conns.Drain(ctx, plan.AnswerBy()); err != nil {
 		g.log.WithError(err).Warn("requests in progress are aborted at the end of the grace")
 	}
 }
@@ -260,9 +269,12 @@
 	}
 }
 
-// ignoreServerClosed returns nil for the error of a server that was closed on purpose.
+// discardLog returns a logger that drops the server's messages, which are about connections that callers closed.
+func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// ignoreServerClosed returns nil for the error of a server that was closed, or whose listener was, on purpose.
 func ignoreServerClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
