Let a pause of 3.5 s in the reads of the registry end a view without gaps

An entry lives for 3.6 s, so a pause below that hides no version: 3.5 s.

The change feed of the store would tell whether a target came and went in a longer pause; it is not asked (docs/incidents/out-of-step.md, what remains).

--- a/fleet/software_version.go
+++ b/fleet/software_version.go
@@ -18,7 +18,7 @@
 
 // maxRegistryGap is the time between two reads of the registry from which on a version may have come and gone unseen: less than that after
 // which the store removes an entry that is no longer written.
-const maxRegistryGap = 2500 * time.Millisecond
+const maxRegistryGap = 3500 * time.Millisecond
 
 // VersionView is what a gateway knows of the software versions of a service.
 type VersionView struct {
