--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,11 +24,13 @@
 	"gypsumbank/epoch"
 	"gypsumbank/fleet"
 	"gypsumbank/grace"
+	"gypsumbank/history"
 	"gypsumbank/keepalive"
 	"gypsumbank/logs"
 	"gypsumbank/origin"
 	"gypsumbank/platform"
 	"gypsumbank/probe"
+	"gypsumbank/refresh"
 	"gypsumbank/retrybudget"
 	"gypsumbank/route"
 	"gypsumbank/sender"
@@ -46,31 +49,34 @@
 
 // Gateway accepts the requests of callers and forwards them to targets.
 type Gateway struct {
-	config       *settings.Config
-	log          *logrus.Entry
-	store        *platform.Store
-	epochs       *epoch.Tracker
-	departures   *departure.Table
-	fleet        *fleet.Fleet
-	dispatcher   *dispatch.Dispatcher
-	budget       *retrybudget.Budget
-	agents       *agentClients
-	relay        *relayedReads
-	crashes      *crashes
-	blocked      *blockedContents
-	dialer       *dialer.Dialer
-	conns        *keepalive.Conns
-	memory       *bytebudget.Budget // bytes held for requests
-	pool         *connpool.Pool     // connections to targets
-	fds          *descriptor.Budget
-	callers      atomic.Pointer[callerListener] // nil before Run
-	started      time.Time
-	routeTable   atomic.Pointer[route.Table]
-	targetsKnown atomic.Bool
-	storeLostAt  atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
-	draining     atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
-	lastAnswers  context.Context           // ends when the last answers of a stop are given; requests that come later are refused
-	endAnswers   context.CancelFunc
+	config         *settings.Config
+	log            *logrus.Entry
+	store          *platform.Store
+	epochs         *epoch.Tracker
+	departures     *departure.Table
+	fleet          *fleet.Fleet
+	dispatcher     *dispatch.Dispatcher
+	registry       *refresh.Shared // reads of the registry for requests that need what holds now
+	budget         *retrybudget.Budget
+	agents         *agentClients
+	relay          *relayedReads
+	crashes        *crashes
+	blocked        *blockedContents
+	dialer         *dialer.Dialer
+	conns          *keepalive.Conns
+	memory         *bytebudget.Budget // bytes held for requests
+	pool           *connpool.Pool     // connections to targets
+	fds            *descriptor.Budget
+	callers        atomic.Pointer[callerListener] // nil before Run
+	started        time.Time
+	routeTable     atomic.Pointer[route.Table]
+	targetsKnown   atomic.Bool
+	installing     sync.Mutex                // of targets
+	targetsInForce history.Span              // of the read of the targets that are in force; guarded by installing
+	storeLostAt    atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
+	draining       atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
+	lastAnswers    context.Context           // ends when the last answers of a stop are given; requests that come later are refused
+	endAnswers     context.CancelFunc
 }
 
 // New returns a gateway with the given settings, which does nothing until Run.
@@ -99,7 +105,6 @@
 		epochs:     epochs,
 		departures: departure.New(time.Now),
 		fleet:      f,
-		dispatcher: dispatch.New(f, replicaClient, agents, budget, crashes, origins, log, time.Now),
 		budget:     budget,
 		agents:     agents,
 		relay:      relay,
@@ -111,6 +116,8 @@
 		memory:     newRequestMemory(config),
 		started:    time.Now(),
 	}
+	g.registry = refresh.New(g.readTargets, refreshInterval)
+	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
 	g.conns = keepalive.New(g.idleTimeout, log)
 	g.lastAnswers, g.endAnswers = context.WithCancel(context.Background())
 	return g
@@ -156,6 +163,7 @@
 	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
+	group.Go(func() error { return g.registry.Run(serving) })
 	group.Go(func() error { return g.followRelay(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
