tests: odd entries of another writer in the registry

Seen: no process ends. One row whose value is no base64 stops both from following the registry for as long as the row is there (a gateway: "cannot unmarshal string into Go struct field Row.rows.value"). Entries that no target wrote are used: ids with line breaks, port 0, addresses that are no unicast ones, slots of -1 that are 4,294,967,295 once relayed, starts in the far future, times that wrap, texts of 60 KB. There is no log line at the default level, and no counter.

Nesting beyond what the decoder takes, numbers of 1e400, fractions, other types, duplicate fields, and texts that are no JSON do no harm: these cases pass and stay as tests.

--- a/gateway/group_test.go
+++ b/gateway/group_test.go
@@ -26,6 +26,8 @@
 	agentPort int
 	log       *logrus.Entry
 
+	gatewayStore string // address of the store for gateways
+
 	mu        sync.Mutex
 	gateways  []string // addresses; empty for one that is being replaced
 	stops     []func() // by gateway
@@ -40,6 +42,7 @@
 	_, port, _ := net.SplitHostPort(freeAddress(t))
 	agentPort, _ := strconv.Atoi(port)
 	g := &gatewayGroup{t: t, store: site.NewStore(), agentPort: agentPort, log: log.WithField("test", t.Name())}
+	g.gatewayStore = g.store.Address()
 	t.Cleanup(g.store.Close)
 	t.Cleanup(g.stopAll)
 	g.store.Put("op", "config", routesDocument(1, 2000))
@@ -96,7 +99,7 @@
 	config := &settings.Config{
 		Node:    settings.Node{Name: fmt.Sprintf("gateway-%d", i), AvailabilityZone: "zone-a"},
 		Gateway: settings.Gateway{Listen: freeAddress(g.t), Ready: ready, AgentPort: g.agentPort, Grace: time.Second},
-		Store:   settings.Store{Address: g.store.Address()},
+		Store:   settings.Store{Address: g.gatewayStore},
 		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
 	}
 	stop := g.run(gateway.New(config, g.log).Run)
--- /dev/null
+++ b/gateway/odd_entries_test.go
@@ -0,0 +1,152 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gypsumbank/standin/site"
+)
+
+// followTime is the time within which gateways must use a target that has registered and not use one that has left.
+const followTime = 2 * time.Second
+
+// newRelayOnlyStore returns the address of the store for gateways whose reads of the registry fail once cut is set, and the number
+// of these.
+func newRelayOnlyStore(t *testing.T, store *site.Store) (address string, cut *atomic.Bool, refused *atomic.Int64) {
+	t.Helper()
+	cut, refused = &atomic.Bool{}, &atomic.Int64{}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: store.Address()})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cut.Load() && r.URL.Query().Get("table") == "servers" {
+			refused.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		proxy.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), cut, refused
+}
+
+// respondent returns the target that answers a request, or what came back if none does.
+func (g *gatewayGroup) respondent() string {
+	answer := g.send(func(n int) string {
+		return fmt.Sprintf("GET /safe/x HTTP/1.1\r\nHost: %s\r\nX-Gypsumbank-Request-Id: r%d\r\nConnection: close\r\n\r\n", callerHost, n)
+	})
+	head, body, found := strings.Cut(answer, "\r\n\r\n")
+	if !found || !strings.HasPrefix(head, "HTTP/1.1 200") {
+		return "none: " + answer
+	}
+	return body
+}
+
+// wantAnswers waits until requests are answered by wanted and by nobody else, and fails if they are not within followTime.
+func (g *gatewayGroup) wantAnswers(when string, wanted ...string) {
+	g.t.Helper()
+	const checks = 24
+	var seen map[string]int
+	for end := time.Now().Add(followTime); ; {
+		seen = map[string]int{}
+		for range checks {
+			seen[g.respondent()]++
+		}
+		others := checks
+		missing := 0
+		for _, id := range wanted {
+			others -= seen[id]
+			if seen[id] == 0 {
+				missing++
+			}
+		}
+		if others == 0 && missing == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			g.t.Fatalf("%s: answers by %.500q, want %v", when, fmt.Sprint(seen), wanted)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestGatewayFollowsTheRegistryBesideOddEntries has another writer leave odd entries of all kinds among those of the targets. The
+// gateways must go on to use targets that register later and to leave out those that have left, and must not use the odd ones.
+func TestGatewayFollowsTheRegistryBesideOddEntries(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		agents    int
+		relayOnly bool // gateways have the list only from agents once they are ready
+	}{
+		"the gateway reads the registry": {},
+		"agents read for the gateways":   {agents: 2},
+		"only agents can read it":        {agents: 2, relayOnly: true},
+	}
+	first := 140
+	for name, c := range cases {
+		first += 10
+		hosts := first
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newGatewayGroup(t)
+			address, cut, refused := newRelayOnlyStore(t, g.store)
+			g.gatewayStore = address
+			g.addPlainTarget("p1")
+			g.startEngines(c.agents, hosts)
+			g.startGateway(0)
+			time.Sleep(1500 * time.Millisecond)
+			cut.Store(c.relayOnly)
+			g.wantAnswers("before", "p1")
+
+			decoy := site.NewTarget("decoy", site.TextResponse(200, "decoy"))
+			t.Cleanup(decoy.Close)
+			for _, service := range []string{"plain", "engine"} {
+				for kind, odd := range site.OddEntries(decoy.RegistryEntry(service, "ready")) {
+					g.store.PutOdd("odd, "+service+", "+kind, odd)
+				}
+			}
+			time.Sleep(followTime / 2)
+			g.addPlainTarget("p2")
+			g.wantAnswers("a target registers after the odd entries", "p1", "p2")
+			g.store.Remove("servers", "p1")
+			g.wantAnswers("a target leaves", "p2")
+			if n := len(decoy.Requests()); n > 0 {
+				t.Errorf("%d requests went to the address of the odd entries: %.200q", n, decoy.Requests()[0].RequestLine)
+			}
+			if c.relayOnly && refused.Load() > 0 {
+				t.Logf("%d reads of the gateway were refused", refused.Load())
+			}
+		})
+	}
+}
+
+// TestGatewayUsesAnEntryThatIsNoLongerOdd has entries of all kinds replaced by good ones under the same key, and back.
+func TestGatewayUsesAnEntryThatIsNoLongerOdd(t *testing.T) {
+	t.Parallel()
+	g := newGatewayGroup(t)
+	g.addPlainTarget("p1")
+	g.startGateway(0)
+	const key = "p2"
+	sound := site.NewTarget(key, site.TextResponse(200, key))
+	t.Cleanup(sound.Close)
+	entry := sound.RegistryEntry("plain", "ready")
+	all := site.OddEntries(entry)
+	for _, kind := range []string{"born is 2^63-1", "address is with port 0", "slots is negative", "row has a value that is no base64", "coldRemainingMs is 1e300"} {
+		odd, ok := all[kind]
+		if !ok {
+			t.Fatalf("no odd entry %q", kind)
+		}
+		g.store.PutOdd(key, odd)
+		time.Sleep(followTime)
+		g.wantAnswers(kind, "p1")
+		g.store.Put("servers", key, entry)
+		g.wantAnswers(kind+", replaced by a good one", "p1", key)
+		g.store.PutOdd(key, odd)
+		g.wantAnswers(kind+", again", "p1")
+	}
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -24,6 +24,8 @@
 	Value   []byte `json:"value,omitempty"`
 	Version int64  `json:"ver"`               // version of the store after the write
 	Removed bool   `json:"removed,omitempty"` // the change deleted the row
+
+	rawValue string // JSON in place of the encoded value in answers, if not empty
 }
 
 // Fault is a failure that a test injects into the store.
