--- a/gateway/odd_entries_test.go
+++ b/gateway/odd_entries_test.go
@@ -150,3 +150,24 @@
 		g.wantAnswers(kind+", again", "p1")
 	}
 }
+
+// TestIDOfAnEntryAddsNothingToRequests has the only target of a service registered under ids with line breaks. Ids are part of the
+// heads of requests, so that a target would get headers and requests that no caller has sent.
+func TestIDOfAnEntryAddsNothingToRequests(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"key has line breaks", "key has a request"} {
+		g := newGatewayGroup(t)
+		target := site.NewTarget("p1", site.TextResponse(200, "p1"))
+		t.Cleanup(target.Close)
+		g.store.PutOdd("", site.OddEntries(target.RegistryEntry("plain", "ready"))[kind])
+		g.startGateway(0)
+		for range 3 {
+			g.respondent()
+		}
+		for _, received := range target.Requests() {
+			if received.Header.Get("X-Smuggled") != "" || strings.Contains(received.RequestLine, "smuggled") {
+				t.Errorf("%s: the target got %q with the header %q", kind, received.RequestLine, received.Header.Get("X-Smuggled"))
+			}
+		}
+	}
+}
