--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -179,9 +179,6 @@
 			continue
 		}
 		retry.Reset()
-		if len(read.InvalidIDs) > 0 {
-			g.log.WithField("entries", read.InvalidIDs).Debug("registry entries that cannot be decoded as targets")
-		}
 		g.installTargets(targetsRead{targets: read.Targets, readAt: time.Now(), epoch: read.Epoch})
 		if time.Since(g.started) < startupPhase {
 			_ = pause.For(ctx, startupPollInterval)
