occupancy: no order for a service without an engine

What callers saw: nothing so far. An agent ends ("invalid memory address or nil pointer dereference") once a version of the manifest lists its service without an engine while requests for a model are open, and again for each that comes in this way.

Cause: requests are refused while the limits of the engine are not known, but those that were open were decided on with them.

Change: no order is given without limits; open requests expire.

--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -190,6 +190,9 @@
 // satisfied are completed with an error.
 func (o *Occupancy) Next(now time.Time) (Order, bool) {
 	o.completeRequests(now)
+	if o.engine == nil {
+		return Order{}, false // the routes list the service no more
+	}
 	for i := 0; i < len(o.requests); i++ {
 		order, ok, err := o.nextOrder(o.requests[i], now)
 		if err != nil {
