footprint: what engines hold takes room whatever the manifest lists now

What callers saw: once a model was taken out of the manifest, engines that held it were ordered to load another one beyond their memory (LIMIT); they ended, and the streams that they served were cut.

Cause: agents (occupancy) and gateways (fleet) looked up the size of each held model in the newest manifest. One that was not listed counted as 0 MB, one with a new size as that; an open request for a retired model was ordered as if it took nothing.

Change: package footprint keeps the sizes that were listed while a model is held, the largest if there were several, for its weights and for its adapters. An agent unloads a model of which it knows no size before it loads anything, as it does after a start; a gateway plans the same. A retired model is the first to make room, and a request for one is refused as for a model that is not listed.

An agent that starts after a listed model was resized takes its new size for the one that it was loaded with.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"gypsumbank/footprint"
 	"gypsumbank/notice"
 	"gypsumbank/registry"
 	"gypsumbank/route"
@@ -29,6 +30,7 @@
 
 	mu                  sync.Mutex
 	services            map[string]route.Service    // by name
+	footprints          map[string]*footprint.Table // by service
 	states              map[string]*targetState     // by target id
 	byService           map[string][]*targetState   // the same states by service
 	measuredMsPerToken  map[string]float64          // prefill time by model, moving average
@@ -90,6 +92,7 @@
 		zone:               zone,
 		notices:            notice.New(),
 		services:           map[string]route.Service{},
+		footprints:         map[string]*footprint.Table{},
 		states:             map[string]*targetState{},
 		byService:          map[string][]*targetState{},
 		measuredMsPerToken: map[string]float64{},
@@ -102,11 +105,12 @@
 	}
 }
 
-// SetServices replaces the services by name.
+// SetServices replaces the services by name. What targets hold keeps the size that it was listed with.
 func (f *Fleet) SetServices(services map[string]route.Service) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.services = services
+	f.updateFootprints()
 }
 
 // Change lists the differences between two successive lists of registered targets.
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"gypsumbank/footprint"
 	"gypsumbank/registry"
 	"gypsumbank/route"
 )
@@ -53,6 +54,7 @@
 // planState is the input of a planning step: the copies of a service's models and the demand for them.
 type planState struct {
 	engine         *route.Engine
+	footprints     *footprint.Table
 	targets        []*targetState   // by id, without those that drain, are replaced or are in backoff
 	holders        map[string][]int // indexes in targets of those that hold or load a model
 	workMsPerS     map[string]float64
@@ -168,7 +170,7 @@
 	if engine == nil {
 		return nil
 	}
-	p := &planState{engine: engine, now: now, justStarted: f.justStarted(now), holders: map[string][]int{}, workMsPerS: f.workByModel(service, now), storeExhausted: now.Before(f.storeBlockedUntil[service]) || f.storeRateExhausted(service, engine, now)}
+	p := &planState{engine: engine, footprints: f.footprints[service], now: now, justStarted: f.justStarted(now), holders: map[string][]int{}, workMsPerS: f.workByModel(service, now), storeExhausted: now.Before(f.storeBlockedUntil[service]) || f.storeRateExhausted(service, engine, now)}
 	for _, s := range f.byService[service] {
 		if f.mustNotUse(s) || now.Before(s.backoffUntil) {
 			continue
@@ -310,6 +312,8 @@
 func (p *planState) lossOfCopy(model string, target int) float64 {
 	work := p.workMsPerS[model]
 	switch {
+	case !p.isListed(model):
+		return 0
 	case len(p.holders[model]) > 1:
 		return p.balance.lossOfCopy(model, target)
 	case work >= idleWorkMsPerS:
@@ -335,18 +339,16 @@
 	held := s.held(p.now)
 	freeMB := p.engine.WeightMemoryMB
 	for _, m := range held {
-		spec := p.engine.Models[m.Name]
-		freeMB -= spec.WeightMB + spec.AdapterMB*float64(len(m.Adapters))
+		freeMB -= p.footprints.MB(m)
 	}
 	needMB := p.engine.Models[model].WeightMB
 	if freeMB >= needMB {
-		return "", 0, true
+		return p.unknownModel(held), 0, true
 	}
 	lossMsPerS = math.Inf(1)
 	keepsVersions := p.justStarted && len(p.holders[model]) > 0 && p.streamVersion == nil
 	for _, m := range held {
-		spec := p.engine.Models[m.Name]
-		if freeMB+spec.WeightMB+spec.AdapterMB*float64(len(m.Adapters)) < needMB || p.now.Sub(s.loadedAt[m.Name]) < minimumStay {
+		if freeMB+p.footprints.MB(m) < needMB || p.mustStay(s, m.Name) {
 			continue
 		}
 		if keepsVersions && p.isOnlyCopyOfVersion(m.Name, target) {
@@ -361,6 +363,26 @@
 	return evict, lossMsPerS, evict != ""
 }
 
+// mustStay reports whether a target has loaded a model only a moment ago, which then serves before it makes room.
+func (p *planState) mustStay(s *targetState, model string) bool {
+	return p.isListed(model) && p.now.Sub(s.loadedAt[model]) < minimumStay
+}
+
+// isListed reports whether the routes list a model.
+func (p *planState) isListed(model string) bool {
+	_, listed := p.engine.Models[model]
+	return listed
+}
+
+// unknownModel returns a model whose size no list has named, or an empty string. Agents unload these before they load another model.
+func (p *planState) unknownModel(held []registry.Model) string {
+	i := slices.IndexFunc(held, func(m registry.Model) bool { return !p.footprints.IsKnown(m.Name) })
+	if i < 0 {
+		return ""
+	}
+	return held[i].Name
+}
+
 // loadTime returns the time in which a target loads a model from the fastest source that it has.
 func loadTime(model route.Model, s *targetState) time.Duration {
 	switch {
--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"gypsumbank/footprint"
 	"gypsumbank/registry"
 	"gypsumbank/route"
 )
@@ -40,6 +41,7 @@
 // Occupancy holds the open load requests and the last known state of the engine. It is not safe for concurrent use.
 type Occupancy struct {
 	engine         *route.Engine
+	footprints     *footprint.Table
 	report         registry.Report
 	requests       []*LoadRequest
 	lastUsed       map[registry.Adapter]time.Time // when an adapter was last requested or its last active request ended
@@ -49,10 +51,20 @@
 }
 
 // New returns an Occupancy without load requests; it rejects all until SetEngine is called.
-func New() *Occupancy { return &Occupancy{lastUsed: map[registry.Adapter]time.Time{}} }
+func New() *Occupancy {
+	return &Occupancy{footprints: footprint.New(), lastUsed: map[registry.Adapter]time.Time{}}
+}
 
-// SetEngine replaces the listed models with their sizes and the limits of the engine.
-func (o *Occupancy) SetEngine(engine *route.Engine) { o.engine = engine }
+// SetEngine replaces the listed models with their sizes and the limits of the engine. What the engine holds keeps the size that it was
+// listed with.
+func (o *Occupancy) SetEngine(engine *route.Engine) {
+	o.engine = engine
+	if engine == nil {
+		o.footprints.SetModels(nil)
+		return
+	}
+	o.footprints.SetModels(engine.Models)
+}
 
 // Add adds a load request, for which at most one order at a time is in progress. The request is rejected at once, by a
 // call of its Done, if its model is not listed or the limits of the engine are not known yet.
@@ -121,9 +133,15 @@
 	if o.unloading != "" && (!report.Busy || !registry.Holds(report.Models, o.unloading, "")) {
 		o.unloading = ""
 	}
+	o.footprints.Forget(o.holdsOrLoads)
 	o.completeRequests(now)
 }
 
+// holdsOrLoads reports whether the engine holds a model or is loading it.
+func (o *Occupancy) holdsOrLoads(model string) bool {
+	return model == o.loading || registry.Holds(o.report.Models, model, "")
+}
+
 // FailModel completes the load requests for a model with an error; requests for its adapters stay.
 func (o *Occupancy) FailModel(model string, err error) {
 	o.requests = slices.DeleteFunc(o.requests, func(req *LoadRequest) bool {
@@ -211,6 +229,9 @@
 // nextOrder returns the order that a load request needs next. It returns false if the request has to wait, and an error
 // if it can't be satisfied.
 func (o *Occupancy) nextOrder(req *LoadRequest, now time.Time) (Order, bool, error) {
+	if _, listed := o.engine.Models[req.Model]; !listed {
+		return Order{}, false, ErrUnknownModel
+	}
 	if registry.Holds(o.report.Models, req.Model, "") && req.Model != o.unloading {
 		return o.adapterOrder(req, now)
 	}
@@ -225,6 +246,9 @@
 	if o.report.Busy || o.loading != "" || o.unloading != "" {
 		return Order{}, false, nil
 	}
+	if model, found := o.unknownModel(); found {
+		return Order{Unload: true, Model: model}, true, nil
+	}
 	needMB := o.engine.Models[req.Model].WeightMB
 	if o.freeMB() >= needMB {
 		return Order{Model: req.Model, FromStore: !o.report.HasLocalWeights(req.Model)}, true, nil
@@ -244,6 +268,9 @@
 	if slices.Contains(o.report.LoadingAdapters, adapter) || len(o.report.LoadingAdapters) >= maxAdapterLoads {
 		return Order{}, false, nil
 	}
+	if model, found := o.unknownModel(); found {
+		return Order{Unload: true, Model: model}, true, nil
+	}
 	slotsTaken := registry.AdapterCount(o.report.Models) + len(o.report.LoadingAdapters)
 	if slotsTaken < o.engine.AdapterSlots && o.freeMB() >= o.engine.Models[req.Model].AdapterMB {
 		return Order{Model: req.Model, Adapter: req.Adapter}, true, nil
@@ -289,14 +316,23 @@
 func (o *Occupancy) freeMB() float64 {
 	free := o.engine.WeightMemoryMB
 	for _, m := range o.report.Models {
-		spec := o.engine.Models[m.Name]
-		free -= spec.WeightMB + spec.AdapterMB*float64(len(m.Adapters))
+		free -= o.footprints.MB(m)
 	}
 	for _, a := range o.report.LoadingAdapters {
-		free -= o.engine.Models[a.Model].AdapterMB
+		free -= o.footprints.AdapterMB(a.Model)
 	}
 	if o.loading != "" && !registry.Holds(o.report.Models, o.loading, "") {
-		free -= o.engine.Models[o.loading].WeightMB
+		free -= o.footprints.MB(registry.Model{Name: o.loading})
 	}
 	return free
 }
+
+// unknownModel returns a model that the engine holds and that no list since the start of this process has named. It takes memory that
+// nobody knows, and nobody may ask for it.
+func (o *Occupancy) unknownModel() (string, bool) {
+	i := slices.IndexFunc(o.report.Models, func(m registry.Model) bool { return !o.footprints.IsKnown(m.Name) })
+	if i < 0 {
+		return "", false
+	}
+	return o.report.Models[i].Name, true
+}
