--- a/gateway/group_test.go
+++ b/gateway/group_test.go
@@ -26,6 +26,8 @@
 	agentPort int
 	log       *logrus.Entry
 
+	gatewayStore string // address of the store for gateways
+
 	mu        sync.Mutex
 	gateways  []string // addresses; empty for one that is being replaced
 	stops     []func() // by gateway
@@ -40,6 +42,7 @@
 	_, port, _ := net.SplitHostPort(freeAddress(t))
 	agentPort, _ := strconv.Atoi(port)
 	g := &gatewayGroup{t: t, store: site.NewStore(), agentPort: agentPort, log: log.WithField("test", t.Name())}
+	g.gatewayStore = g.store.Address()
 	t.Cleanup(g.store.Close)
 	t.Cleanup(g.stopAll)
 	g.store.Put("op", "config", routesDocument(1, 2000))
@@ -91,7 +94,7 @@
 }
 
 // startGateway starts gateway i, or restarts it with an empty memory, and waits until it is ready.
-func (g *gatewayGroup) startGateway(i int) { g.startGatewayAt(i, g.store.Address()) }
+func (g *gatewayGroup) startGateway(i int) { g.startGatewayAt(i, g.gatewayStore) }
 
 // startGatewayAt is startGateway with an address at which the gateway reaches the store.
 func (g *gatewayGroup) startGatewayAt(i int, storeAddress string) {
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// storeTimeout bounds one read of the store.
+	// storeTimeout bounds one read of the store, of the targets that of one page.
 	storeTimeout = 600 * time.Millisecond
 	// routesLongPoll bounds one wait for changes of the routes, so that a dead connection delays a change by about a second.
 	routesLongPoll = time.Second
@@ -194,16 +194,11 @@
 // readTargets reads the registered targets from the store and puts them in force, unless newer ones are. The error wraps errOldRead if it
 // is not known which are newer.
 func (g *Gateway) readTargets(ctx context.Context) error {
-	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
 	began := time.Now()
-	read, err := g.store.Targets(readCtx)
+	read, err := g.store.Targets(ctx, storeTimeout)
 	if err != nil {
 		return err
 	}
-	if len(read.InvalidIDs) > 0 {
-		g.log.WithField("entries", read.InvalidIDs).Debug("registry entries that cannot be decoded as targets")
-	}
 	return g.installTargets(targetsRead{targets: read.Targets, readAt: began, span: read.Span})
 }
 
