Ignore relayed reads that do not tell their place in the store's history

Found on reading the diff: beside agents of an earlier release a gateway would have counted their reads as fresh, and so not read by itself, while it put none of them in force: its view would have stood still. It now reads by itself.

--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -52,8 +52,12 @@
 	return &relayedReads{reads: map[string]*storeRead{}, changed: make(chan struct{}, 1)}
 }
 
-// record stores what an agent has read from the store.
+// record stores what an agent has read from the store. Reads of agents of an earlier release, which do not tell their place in the
+// store's history, are ignored.
 func (r *relayedReads) record(agent string, storeReads *wire.StoreReads, now time.Time) {
+	if storeReads.GetLastVersion() == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	read := r.reads[agent]
--- a/gateway/relayed_test.go
+++ b/gateway/relayed_test.go
@@ -10,7 +10,7 @@
 // newStoreReads returns what an agent sends after it has read one target.
 func newStoreReads(revision uint64, age time.Duration, draining bool) *wire.StoreReads {
 	return &wire.StoreReads{
-		RoutesVersion: 1, Revision: revision, HasTargets: true, AgeMs: uint32(age.Milliseconds()),
+		RoutesVersion: 1, Revision: revision, HasTargets: true, AgeMs: uint32(age.Milliseconds()), FirstVersion: 1, LastVersion: 1,
 		Targets: []*wire.RegisteredTarget{{Id: "a", Draining: draining}},
 	}
 }
@@ -45,7 +45,7 @@
 	now := time.Unix(1000, 0)
 	relay := newRelayedReads()
 	relay.record("a", newStoreReads(1, 0, false), now)
-	relay.record("a", &wire.StoreReads{RoutesVersion: 1, Revision: 2}, now.Add(3*time.Second))
+	relay.record("a", &wire.StoreReads{RoutesVersion: 1, Revision: 2, FirstVersion: 1, LastVersion: 1}, now.Add(3*time.Second))
 	if relay.isFresh(now.Add(3 * time.Second)) {
 		t.Error("isFresh is true although the targets of the current revision are missing")
 	}
@@ -66,3 +66,16 @@
 		t.Errorf("targets %+v, %v; want those that the restarted agent has read", read.targets, ok)
 	}
 }
+
+// TestReadWithoutAVersionIsIgnored guards against a gateway that relies on an agent of an earlier release, whose reads can't be put in
+// order and would never be put in force.
+func TestReadWithoutAVersionIsIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	relay := newRelayedReads()
+	read := newStoreReads(1, 0, false)
+	read.FirstVersion, read.LastVersion = 0, 0
+	relay.record("a", read, now)
+	if _, ok := relay.newTargets(); ok || relay.isFresh(now) {
+		t.Error("a read that does not tell its place in the store's history is relied on")
+	}
+}
