Show a process that outlasts its grace as a caller still sends a refused body

What callers see: nothing more than the close; the platform kills the process, and what else is in progress with it. http.Server.Close closes one connection after the other, and a connection with a body that was refused waits up to 500 ms for its caller. net/http holds one with more than 256 KB to come open for 500 ms itself, so that it is met there.

--- a/unfinished_body_test.go
+++ b/unfinished_body_test.go
@@ -84,3 +84,38 @@
 		})
 	}
 }
+
+// TestUnreadBodiesDoNotHoldUpTheExit guards against a gateway that is killed at the end of its grace, as it waits in turn for callers who still send bodies
+// that have been refused.
+func TestUnreadBodiesDoNotHoldUpTheExit(t *testing.T) {
+	const grace, bodyBytes, interval = 2 * time.Second, 1 << 20, 20 * time.Millisecond
+	for name, callers := range map[string]int{"one": 1, "some": 20} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPlannedStop(t, grace)
+			for i := range callers {
+				conn, _, err := p.dial(p.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				_, _ = fmt.Fprintf(conn, "POST /unsafe/ HTTP/1.1\r\nHost: callers.example\r\nX-Gypsumbank-Request-Id: r%d\r\nContent-Length: %d\r\n\r\nx", i, bodyBytes)
+				go func() {
+					for {
+						if _, err := conn.Write(make([]byte, 100)); err != nil {
+							return
+						}
+						time.Sleep(interval)
+					}
+				}()
+			}
+			time.Sleep(100 * time.Millisecond)
+			stoppedAt := time.Now()
+			p.gateway.signal(syscall.SIGTERM)
+			<-p.gateway.exited
+			if took := time.Since(stoppedAt); took > grace {
+				t.Errorf("the process ended %s after the signal, with a grace of %s", took, grace)
+			}
+		})
+	}
+}
