End a process within its grace while callers still send refused bodies

What callers saw: with a grace of 2 s the process ended 2.26 s after the signal, so that the platform would have killed it.

Cause: http.Server.Close closed a connection that net/http holds open for 500 ms, as more than 256 KB of its body are to come, and that close waited 500 ms for its caller, one connection after the other.

Change: from the end on closes wait for no caller; the refusal has been written at least a fortieth of the grace before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,7 +151,7 @@
 	case <-serving.Done():
 	}
 	stop()
-	g.conns.LogOpen()
+	g.conns.End()
 	closeServers(g.log, callerServer, readyServer)
 	err = group.Wait() // the goroutines that call agents.setAddresses end before agents.close
 	g.agents.close()
--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -213,7 +213,7 @@
 // Close implements net.Conn. If the last answer was given before its request had been read, the rest of that is read first.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	lingers := c.cutShort && !c.reset
+	lingers := c.cutShort && !c.reset && !c.conns.ended.Load()
 	c.cutShort = false
 	c.mu.Unlock()
 	if lingers && c.CloseWrite() == nil {
--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -44,6 +45,7 @@
 	open     map[*conn]struct{}
 	draining bool
 	listener *listener
+	ended    atomic.Bool // the server is closed whatever its callers still send
 }
 
 // New returns an empty set of connections. The idle timeout is that of callers; 0 is without limit. It may change at any time.
@@ -190,8 +192,10 @@
 	}
 }
 
-// LogOpen logs the connections that are open when the server is closed, and whether a request is in progress on them.
-func (c *Conns) LogOpen() {
+// End is called before the server is closed. Closes wait for no caller from then on. It logs the connections that are open, and whether a request is in
+// progress on them.
+func (c *Conns) End() {
+	c.ended.Store(true)
 	for _, own := range c.all() {
 		own.mu.Lock()
 		idle, read := own.isIdle, own.readBytes
