--- a/close_sweep_test.go
+++ b/close_sweep_test.go
@@ -33,7 +33,7 @@
 		"the whole stop":             {grace: closeGrace, idleLimit: 15 * time.Second, disturb: terminate, from: 0, to: 2500 * time.Millisecond, exits: true},
 		"new connections in a stop":  {grace: closeGrace, idleLimit: 15 * time.Second, disturb: terminate, from: 0, to: 2500 * time.Millisecond, connectNew: true, exits: true},
 		"stop and hangups": {grace: closeGrace, idleLimit: 15 * time.Second, disturb: func(p *plannedStop) {
-			for range 3 {
+			for range 6 {
 				p.gateway.signal(syscall.SIGHUP)
 				terminate(p)
 			}
@@ -53,20 +53,22 @@
 	p.store.Put("op", "config", document)
 }
 
-// sweepSends has callers send one request each, spread over the time of the case, on connections that have served one before.
-func (p *plannedStop) sweepSends(c closeCase, kind stopKind, address string, oneWay time.Duration, results chan<- stopResult) {
-	const callers = 100
-	ready, moment := make(chan struct{}, callers), make(chan struct{})
+// sweepCallers is the number of callers of each kind of request.
+const sweepCallers = 100
+
+// sweepSends has callers send one request each after the moment, spread over the time of the case, on connections that have served one before.
+// It tells ready of each caller that has its connection.
+func (p *plannedStop) sweepSends(c closeCase, kind stopKind, address string, oneWay time.Duration, ready *sync.WaitGroup, moment <-chan struct{}, results chan<- stopResult) {
 	var group sync.WaitGroup
-	for i := range callers {
+	for i := range sweepCallers {
 		group.Go(func() {
-			at := max(0, c.from-oneWay+time.Duration(i)*(c.to-c.from)/callers)
+			at := max(0, c.from-oneWay+time.Duration(i)*(c.to-c.from)/sweepCallers)
 			var conn net.Conn
 			var reader *bufio.Reader
 			if !c.connectNew {
 				conn, reader = p.keptConnection(address, kind)
 			}
-			ready <- struct{}{}
+			ready.Done()
 			<-moment
 			time.Sleep(at)
 			if c.connectNew {
@@ -80,13 +82,6 @@
 			results <- result
 		})
 	}
-	for range callers {
-		<-ready
-	}
-	if c.disturb != nil {
-		c.disturb(p)
-	}
-	close(moment)
 	group.Wait()
 }
 
@@ -138,10 +133,17 @@
 					address = relay.Address()
 				}
 				results := make(chan stopResult, 1<<10)
-				var kinds sync.WaitGroup
+				var kinds, ready sync.WaitGroup
+				moment := make(chan struct{})
 				for _, kind := range []string{"safe", "unsafe"} {
-					kinds.Go(func() { p.sweepSends(c, stopKinds[kind], address, oneWay, results) })
+					ready.Add(sweepCallers)
+					kinds.Go(func() { p.sweepSends(c, stopKinds[kind], address, oneWay, &ready, moment, results) })
+				}
+				ready.Wait()
+				if c.disturb != nil {
+					c.disturb(p)
 				}
+				close(moment)
 				kinds.Wait()
 				close(results)
 				if c.exits {
