--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -225,7 +225,7 @@
 func (c *conn) Close() error {
 	defer c.conns.remove(c)
 	c.mu.Lock()
-	lingers := c.cutShort && !c.reset
+	lingers := c.cutShort && !c.reset && !c.conns.ended.Load()
 	c.cutShort = false
 	c.mu.Unlock()
 	if lingers && c.CloseWrite() == nil {
