weightstore: a spoiled load budget is begun anew

What callers saw: once another writer had spoiled the row of a service's load budget, no engine of it loaded a model from the weight store any more, for as long as the row stayed.

Cause: a row that can't be decoded was an error of each load, and one that is full far ahead was waited for.

Evidence: TestLoadsGoOnAfterAnotherWriterSpoiledTheRow (7 of 10 cases), which fails on the commit before.

Change: a row that can't be decoded, or that no load can have written, is replaced by one whose burst is used up, as after a restore of the store: it is not known how many loads began.

--- a/weightstore/budget.go
+++ b/weightstore/budget.go
@@ -64,11 +64,11 @@
 	case err != nil:
 		return err
 	default:
-		if err := json.Unmarshal(row.Value, &stored); err != nil {
-			return fmt.Errorf("decode load budget of service %s: %w", b.service, err)
+		if json.Unmarshal(row.Value, &stored) != nil {
+			return b.begin(ctx, row, float64(nowMs), limit)
 		}
 	}
-	if stored.Epoch != row.Epoch {
+	if stored.Epoch != row.Epoch || stored.isTooFar(float64(nowMs), limit) {
 		return b.begin(ctx, row, float64(nowMs), limit)
 	}
 	next, waitMs := stored.reserve(float64(nowMs), limit)
@@ -78,8 +78,8 @@
 	return b.write(ctx, row, next)
 }
 
-// begin replaces the row after the store has come back from an older copy: as it is not known how many loads began since the copy,
-// the token bucket counts as empty. The error is an ExhaustedError unless the write fails.
+// begin replaces the row after the store has come back from an older copy, or another writer has spoiled it: as it is not known how many
+// loads began, the token bucket counts as empty. The error is an ExhaustedError unless the write fails.
 func (b *Budget) begin(ctx context.Context, row platform.Row, nowMs float64, limit Limit) error {
 	intervalMs := limit.intervalMs()
 	if err := b.write(ctx, row, record{FullMs: nowMs + limit.Burst*intervalMs, Epoch: row.Epoch}); err != nil {
@@ -107,6 +107,11 @@
 	return msPerSecond / l.LoadsPerSecond
 }
 
+// isTooFar reports whether the record is none that reserve has returned, as the token bucket would be full only after more than its burst.
+func (r record) isTooFar(nowMs float64, limit Limit) bool {
+	return r.FullMs > nowMs+limit.Burst*limit.intervalMs()
+}
+
 // reserve returns the record after one more load at nowMs, or how many ms to wait if that load would exceed the limit.
 func (r record) reserve(nowMs float64, limit Limit) (next record, waitMs float64) {
 	intervalMs := limit.intervalMs()
