platform: the time for a read of the registry is for one page

What callers saw: with enough entries of another writer, gateways and agents followed the registry no more: a read of all pages had to end within 0.6 s (an agent: 0.7 s), and each read after it began at the first page again.

Cause: one time-out for all pages.

Change: each page has that time. A registry of one page, as all sites have, is read as before.

A list of many pages is followed as slowly as it is read.

--- a/agent/relay.go
+++ b/agent/relay.go
@@ -54,9 +54,7 @@
 			}
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		read, err := a.store.Targets(callCtx)
-		cancel()
+		read, err := a.store.Targets(ctx, storeTimeout)
 		switch {
 		case err != nil && !storeLost:
 			a.log.WithError(err).Warn("store lost while following targets")
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// storeTimeout bounds one read of the store.
+	// storeTimeout bounds one read of the store, of the targets that of one page.
 	storeTimeout = 600 * time.Millisecond
 	// routesLongPoll bounds one wait for changes of the routes, so that a dead connection delays a change by about a second.
 	routesLongPoll = time.Second
@@ -164,9 +164,7 @@
 			_ = pause.For(ctx, minStoreInterval)
 			continue
 		}
-		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		read, err := g.store.Targets(readCtx)
-		cancel()
+		read, err := g.store.Targets(ctx, storeTimeout)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
