--- a/odd_entries_test.go
+++ b/odd_entries_test.go
@@ -114,6 +114,10 @@
 	for _, service := range []string{"plain", "engine"} {
 		d.store.PutOddEntries("odd, "+service+", ", decoy.RegistryEntry(service, "ready"))
 	}
+	large := site.OddEntries(decoy.RegistryEntry("plain", "ready"))
+	for _, kind := range []string{"value is a nested list", "address is deeply nested", "zone is very long"} {
+		d.store.PutOdd("large, "+kind, large[kind])
+	}
 	time.Sleep(readTime)
 	d.addTarget("p2")
 	d.store.Remove("servers", "p1")
