gateway: give a body's memory back when its answer begins

The body of a request was held until its answer had been passed on, so long streams and slow callers kept room from others. Now it is dropped once the answer has begun and the body is written, unless the stream may go on at another target, which needs it.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -150,6 +150,7 @@
 	buffer := make([]byte, copyBufferBytes)
 	lastRead := time.Now()
 	for {
+		e.dropBody(answered)
 		n, err := answered.Response.Body.Read(buffer)
 		now := time.Now()
 		e.longestGap = max(e.longestGap, now.Sub(lastRead))
--- a/gateway/request_body.go
+++ b/gateway/request_body.go
@@ -15,6 +15,7 @@
 	"gypsumbank/bytebudget"
 	"gypsumbank/dispatch"
 	"gypsumbank/request"
+	"gypsumbank/sender"
 	"gypsumbank/settings"
 )
 
@@ -168,6 +169,15 @@
 	return data
 }
 
+// dropBody gives the memory of the request's body back once it can't be needed again: the answer has begun, and no other target may go on with it.
+func (e *exchange) dropBody(answered dispatch.Answered) {
+	if e.route.Resumable || len(e.request.Body) == 0 || answered.Response.WriteState() != sender.Written {
+		return
+	}
+	e.hold.Return(int64(cap(e.request.Body)))
+	e.request.Body = nil
+}
+
 // refuseForMemory logs, counts and refuses a request whose bytes don't fit into the memory.
 func (g *Gateway) refuseForMemory(w http.ResponseWriter, r *http.Request, req *request.Request, full error) {
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(dispatch.NoMemory) + `"}`).Inc()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/bytebudget"
 	"gypsumbank/dispatch"
 	"gypsumbank/platform"
 	"gypsumbank/request"
@@ -61,7 +62,7 @@
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
 	d := g.dispatcher.Begin(r.Context(), req, matchedRoute, service)
 	defer d.Close()
-	ex := &exchange{gateway: g, answer: newCallerAnswer(w, r), request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context()}
+	ex := &exchange{gateway: g, answer: newCallerAnswer(w, r), request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context(), hold: hold}
 	ex.run()
 }
 
@@ -91,7 +92,8 @@
 	request   *request.Request
 	route     *route.Route
 	dispatch  *dispatch.Dispatch
-	callerCtx context.Context // ends when the caller disconnects
+	callerCtx context.Context  // ends when the caller disconnects
+	hold      *bytebudget.Hold // memory that the request takes
 
 	longestGap  time.Duration // longest wait for a chunk of the response body
 	bodyBytes   int           // bytes received of the body of the current response
