rpcserver: reply to the calls that were read before a stop

Change: the contexts of calls still end with the server's, but their connections stay until the replies are sent, for 1 s at most. Connections are closed by the goroutine that reads them, once they have been quiet: keepalive.DrainCalls, for connections that don't carry HTTP. Bytes such as the peer's end of a call may follow the reply, so that quiet, not unread, decides there; a call is in progress microseconds after its first bytes are read. The loop over calls is the project's own, since drpc's doesn't tell when a reply has been sent.

Known limit: a call that is cut off in its very first bytes for 100 ms is closed without a reply.

--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -39,6 +39,7 @@
 	promised  time.Duration // idle timeout at the last answer
 	waiting   bool          // a read waits for the first byte
 	readBytes int64         // since it became idle
+	lastRead  time.Time     // when bytes were last read
 	closing   string        // cause for which the read that waits is to close it; empty if none
 	deadline  time.Time     // of reads, as the server has set it
 	reset     bool          // its close is to reset it
@@ -77,6 +78,29 @@
 	}
 }
 
+// closeIfQuiet has the read that waits for a request close the connection, if it has been idle and nothing has been read since a time. What was read
+// before that belongs to the last request.
+func (c *conn) closeIfQuiet(cause string, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isIdle && c.idleSince.Before(since) && c.lastRead.Before(since) {
+		c.readBytes = 0
+		c.endReadForClose(cause)
+	}
+}
+
+// closeInDrain has the read that waits for a request close the connection once it has been idle for long enough, or at the last call.
+func (c *conn) closeInDrain(now, lastCall time.Time) {
+	if !now.Before(lastCall) {
+		c.closeUnlessBusy(causeDrain)
+		return
+	}
+	c.closeIfIdle(causeDrain, func(since time.Time, _ time.Duration, first bool) bool {
+		idle := now.Sub(since)
+		return idle > maxFirstWait || !first && idle > minDrainIdle
+	})
+}
+
 // closeUnlessBusy has the read that waits for a request, or for the rest of its head, close the connection.
 func (c *conn) closeUnlessBusy(cause string) {
 	c.mu.Lock()
@@ -129,6 +153,9 @@
 	defer c.mu.Unlock()
 	c.waiting = false
 	c.readBytes += int64(n)
+	if n > 0 {
+		c.lastRead = time.Now()
+	}
 	if c.closing == "" {
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle && c.readBytes > 0 {
 			c.refusePart(causeSlowHead)
--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -20,6 +20,9 @@
 	// minDrainIdle is how long a connection must be idle to be closed in a drain. A caller that has not sent its next request within this
 	// time is not expected to send one.
 	minDrainIdle = 500 * time.Millisecond
+	// lastCallIdle is how long a connection must be quiet to be closed after the last call, if its server reads a request before it says that
+	// one is in progress.
+	lastCallIdle = 100 * time.Millisecond
 	// maxFirstWait is the same for a connection on which nothing has been read. Its first packet may have been lost and be sent again.
 	maxFirstWait = time.Second
 	// Of the idle timeout, announceNumerator / announceDenominator is announced, so that a caller who goes by it does not meet the close.
@@ -141,15 +144,29 @@
 // refused. Once no connection is open it closes the listener. It returns when no connection is left, or with the error of ctx when that ends.
 func (c *Conns) Drain(ctx context.Context, lastCall time.Time) error {
 	c.StartDrain()
-	if err := c.closeAsTheyIdle(ctx, lastCall); err != nil {
+	closeOne := func(own *conn, now time.Time) { own.closeInDrain(now, lastCall) }
+	if err := c.closeAsTheyIdle(ctx, closeOne); err != nil {
 		return err
 	}
 	c.stopAccepting()
-	return c.closeAsTheyIdle(ctx, lastCall)
+	return c.closeAsTheyIdle(ctx, closeOne)
 }
 
-// closeAsTheyIdle closes connections as they become idle until none is open.
-func (c *Conns) closeAsTheyIdle(ctx context.Context, lastCall time.Time) error {
+// DrainCalls stops accepting and closes connections once they have been quiet for minDrainIdle, or from lastCall on for lastCallIdle. It is Drain
+// for connections that don't carry HTTP, on which bytes may follow the end of a request.
+func (c *Conns) DrainCalls(ctx context.Context, lastCall time.Time) error {
+	c.stopAccepting()
+	return c.closeAsTheyIdle(ctx, func(own *conn, now time.Time) {
+		quiet := minDrainIdle
+		if !now.Before(lastCall) {
+			quiet = lastCallIdle
+		}
+		own.closeIfQuiet(causeDrain, now.Add(-quiet))
+	})
+}
+
+// closeAsTheyIdle calls closeOne for each connection from time to time until none is open.
+func (c *Conns) closeAsTheyIdle(ctx context.Context, closeOne func(own *conn, now time.Time)) error {
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -159,14 +176,7 @@
 		}
 		now := time.Now()
 		for _, own := range open {
-			if !now.Before(lastCall) {
-				own.closeUnlessBusy(causeDrain)
-				continue
-			}
-			own.closeIfIdle(causeDrain, func(since time.Time, _ time.Duration, first bool) bool {
-				idle := now.Sub(since)
-				return idle > maxFirstWait || !first && idle > minDrainIdle
-			})
+			closeOne(own, now)
 		}
 		select {
 		case <-ctx.Done():
--- a/rpcserver/server.go
+++ b/rpcserver/server.go
@@ -5,14 +5,26 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 
 	"gypsumbank/dialer"
 	"gypsumbank/handshake"
+	"gypsumbank/keepalive"
+)
+
+const (
+	// lastCallTime is the time after the begin of a stop in which calls that arrive on recently used connections are still served.
+	lastCallTime = 300 * time.Millisecond
+	// lastReplyTime is the time after the begin of a stop for the last replies.
+	lastReplyTime = time.Second
 )
 
 // Server accepts connections, authenticates them and serves the registered drpc services on them.
@@ -31,37 +43,99 @@
 // Mux returns the multiplexer on which services are registered.
 func (s *Server) Mux() *drpcmux.Mux { return s.mux }
 
-// Run serves on listener until ctx ends, and returns when all connections are closed.
+// Run serves on listener until ctx ends. The contexts of the calls in progress end with it; it returns when their replies are sent, or lastReplyTime
+// later, and all connections are closed.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
-	defer stop()
+	conns := keepalive.New(noIdleTimeout, s.log)
+	serving, endServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer s.openConns.Wait()
-	server := drpcserver.NewWithOptions(s.mux, drpcserver.Options{Manager: dialer.ManagerOptions()})
+	defer endServing()
+	drained := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(drained)
+		s.drain(ctx, conns)
+	})
+	defer stop()
+	tracked := conns.Listener(listener)
 	for {
-		conn, err := listener.Accept()
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		conn, err := tracked.Accept()
+		if ctx.Err() != nil {
+			<-drained
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
 			return fmt.Errorf("accept on %s: %w", listener.Addr(), err)
 		}
 		s.openConns.Add(1)
-		go s.serveConn(ctx, server, conn)
+		go s.serveConn(ctx, serving, conns, conn)
 	}
 }
 
-func (s *Server) serveConn(ctx context.Context, server *drpcserver.Server, conn net.Conn) {
+// drain stops accepting and closes the connections once no call is in progress on them.
+func (s *Server) drain(ctx context.Context, conns *keepalive.Conns) {
+	now := time.Now()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), now.Add(lastReplyTime))
+	defer cancel()
+	if err := conns.DrainCalls(ctx, now.Add(lastCallTime)); err != nil {
+		s.log.WithError(err).Debug("connections were open at the end of a stop")
+	}
+}
+
+// serveConn serves calls on a connection, one after the other, until serving ends; the contexts of calls end with ctx.
+func (s *Server) serveConn(ctx, serving context.Context, conns *keepalive.Conns, conn net.Conn) {
 	defer s.openConns.Done()
 	defer conn.Close()
 	if err := s.authenticate(conn); err != nil {
 		s.log.WithError(err).WithField("peer", conn.RemoteAddr()).Warn("authentication of an incoming connection failed")
 		return
 	}
-	if err := server.ServeOne(ctx, dialer.CountBytes(conn)); err != nil {
-		s.log.WithError(err).WithField("peer", conn.RemoteAddr()).Debug("serving a connection ended with an error")
+	conns.TrackState(conn, http.StateIdle)
+	manager := drpcmanager.NewWithOptions(dialer.CountBytes(conn), dialer.ManagerOptions())
+	defer func() { _ = manager.Close() }()
+	for {
+		stream, rpc, err := manager.NewServerStream(serving)
+		if err == nil {
+			conns.TrackState(conn, http.StateActive)
+			err = s.reply(ctx, stream, rpc)
+			conns.TrackState(conn, http.StateIdle)
+		}
+		if err != nil {
+			s.log.WithError(err).WithField("peer", conn.RemoteAddr()).Debug("serving a connection ended with an error")
+			return
+		}
+	}
+}
+
+// reply has the service handle a call, whose context ends with stopping at the latest, and sends the error that it returns.
+func (s *Server) reply(stopping context.Context, stream *drpcstream.Stream, rpc string) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	defer context.AfterFunc(stopping, cancel)()
+	if err := s.mux.HandleRPC(&callStream{Stream: stream, ctx: ctx}, rpc); err != nil {
+		return stream.SendError(err)
 	}
+	if err := stream.CloseSend(); err != nil {
+		return err
+	}
+	<-stream.Finished() // the peer has closed its side, too
+	return nil
+}
+
+// callStream is the stream of a call, whose context ends before its connection does.
+type callStream struct {
+	drpc.Stream
+	ctx context.Context
 }
 
+// Context implements drpc.Stream.
+func (s *callStream) Context() context.Context { return s.ctx }
+
+// noIdleTimeout is that of the connections between processes.
+func noIdleTimeout() time.Duration { return 0 }
+
 func (s *Server) authenticate(conn net.Conn) error {
 	if s.secret == nil {
 		return nil
