--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// Announce sets the header fields of an answer on a connection that tell its caller for how long it may send further requests.
+// Announce sets the header fields of an answer that is about to begin on a connection, which tell its caller for how long it may send further requests.
 func (c *Conns) Announce(answered net.Conn, header http.Header) {
 	if c.isDraining() {
 		header.Set("Connection", "close")
@@ -145,18 +145,18 @@
 func (c *Conns) Drain(ctx context.Context, lastCall time.Time) error {
 	c.StartDrain()
 	closeOne := func(own *conn, now time.Time) { own.closeInDrain(now, lastCall) }
-	if err := c.closeAsTheyIdle(ctx, closeOne); err != nil {
+	if err := c.closeAsTheyIdle(ctx, lastCall, closeOne); err != nil {
 		return err
 	}
 	c.stopAccepting()
-	return c.closeAsTheyIdle(ctx, closeOne)
+	return c.closeAsTheyIdle(ctx, lastCall, closeOne)
 }
 
 // DrainCalls stops accepting and closes connections once they have been quiet for minDrainIdle, or from lastCall on for lastCallIdle. It is Drain
 // for connections that don't carry HTTP, on which bytes may follow the end of a request.
 func (c *Conns) DrainCalls(ctx context.Context, lastCall time.Time) error {
 	c.stopAccepting()
-	return c.closeAsTheyIdle(ctx, func(own *conn, now time.Time) {
+	return c.closeAsTheyIdle(ctx, lastCall, func(own *conn, now time.Time) {
 		quiet := minDrainIdle
 		if !now.Before(lastCall) {
 			quiet = lastCallIdle
@@ -165,10 +165,12 @@
 	})
 }
 
-// closeAsTheyIdle calls closeOne for each connection from time to time until none is open.
-func (c *Conns) closeAsTheyIdle(ctx context.Context, closeOne func(own *conn, now time.Time)) error {
+// closeAsTheyIdle calls closeOne for each connection from time to time, and at lastCall, until none is open.
+func (c *Conns) closeAsTheyIdle(ctx context.Context, lastCall time.Time, closeOne func(own *conn, now time.Time)) error {
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
+	called := time.NewTimer(time.Until(lastCall))
+	defer called.Stop()
 	for {
 		open := c.all()
 		if len(open) == 0 {
@@ -181,6 +183,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-called.C:
 		case <-ticker.C:
 		}
 	}
