probe: answer the checks that are in progress as the process ends

Change: it shuts down within 0.5 s: what is in progress is answered, and idle connections are closed by the goroutine that reads them.

--- a/probe/server.go
+++ b/probe/server.go
@@ -12,7 +12,11 @@
 	"gypsumbank/webserver"
 )
 
-const ioTimeout = 5 * time.Second
+const (
+	ioTimeout = 5 * time.Second
+	// stopTime is the time at the end of the process for the last answers.
+	stopTime = 500 * time.Millisecond
+)
 
 // Server answers /healthz, /readyz and /metrics.
 type Server struct {
@@ -45,7 +49,9 @@
 	serveErr := web.Start(listener)
 	select {
 	case <-ctx.Done():
-		web.Close()
+		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTime)
+		defer cancel()
+		_ = web.Shutdown(stopCtx) // what is left at the end of the time is closed
 		return <-serveErr
 	case err := <-serveErr:
 		return err
--- a/probe/stop_test.go
+++ b/probe/stop_test.go
@@ -17,11 +17,17 @@
 
 // TestStopAnswersTheChecksItHasRead sweeps the moment of a readiness check over the stop of the server.
 func TestStopAnswersTheChecksItHasRead(t *testing.T) {
-	const (
-		checks = 200
-		spread = 40 * time.Millisecond
-	)
-	for name, work := range map[string]time.Duration{"fast checks": 0, "checks that take a while": 5 * time.Millisecond} {
+	const checks = 200
+	cases := map[string]struct {
+		work   time.Duration
+		spread time.Duration // of the checks, the stop is in its middle
+	}{
+		"fast checks":                    {0, 40 * time.Millisecond},
+		"checks that take a while":       {5 * time.Millisecond, 40 * time.Millisecond},
+		"the whole stop":                 {5 * time.Millisecond, 1400 * time.Millisecond},
+		"around the end of the last one": {5 * time.Millisecond, 1040 * time.Millisecond},
+	}
+	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			address, err := deployment.FreeAddress()
 			if err != nil {
@@ -29,16 +35,16 @@
 			}
 			ctx, stop := context.WithCancel(t.Context())
 			ended := make(chan error, 1)
-			server := probe.New(address, func() error { time.Sleep(work); return nil })
+			server := probe.New(address, func() error { time.Sleep(test.work); return nil })
 			go func() { ended <- server.Run(ctx) }()
 			conns := openConns(t, address, checks)
-			time.AfterFunc(spread/2, stop)
+			time.AfterFunc(test.spread/2, stop)
 			began := time.Now()
 			var answered, failed atomic.Int64
 			var group sync.WaitGroup
 			for i, conn := range conns {
 				group.Go(func() {
-					time.Sleep(time.Until(began.Add(spread * time.Duration(i) / checks)))
+					time.Sleep(time.Until(began.Add(test.spread * time.Duration(i) / checks)))
 					conn.Send("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
 					switch _, _, err := conn.Answer(); {
 					case err == nil:
