--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"gypsumbank/connpool"
 	"gypsumbank/departure"
+	"gypsumbank/descriptor"
 	"gypsumbank/epoch"
 	"gypsumbank/holder"
 	"gypsumbank/inventory"
@@ -108,7 +109,7 @@
 		store:          store,
 		epochs:         epochs,
 		departures:     departure.New(time.Now),
-		engine:         platform.NewTargetClient(sender.New(connpool.New())),
+		engine:         platform.NewTargetClient(sender.New(connpool.New(descriptor.New(config.Limits.Descriptors).Targets()))),
 		log:            log,
 		watchers:       newWatchers(time.Now),
 		loadRequests:   make(chan *occupancy.LoadRequest, loadRequestBuffer),
@@ -138,7 +139,7 @@
 	}
 	a.log.WithFields(logrus.Fields{"target": a.config.Agent.Target, "listen": a.config.Agent.Listen}).Info("agent starts")
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Run(ctx, listener) })
+	group.Go(func() error { return server.Run(ctx, newSilenceListener(listener, silenceTimeout)) })
 	group.Go(func() error { return a.holdOrders(ctx) })
 	group.Go(func() error { return a.followRoutes(ctx) })
 	group.Go(func() error { return a.followTargets(ctx) })
@@ -211,8 +212,12 @@
 			continue
 		}
 		position = next
+		if table != nil && table.Version() < routesVersion {
+			a.log.WithFields(logrus.Fields{"version": table.Version(), "version-in-force": routesVersion}).Info("routes of an older copy of the store, not used")
+			table = nil
+		}
 		if table != nil {
-			routesVersion = max(routesVersion, table.Version())
+			routesVersion = table.Version()
 		}
 		if routesVersion > 0 {
 			a.watchers.setRoutesVersion(routesVersion)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/connpool"
 	"gypsumbank/fleet"
 	"gypsumbank/origin"
 	"gypsumbank/registry"
@@ -38,6 +39,12 @@
 	PushOrigin(stream uint64)
 }
 
+// Registry is the registry of targets, of which the fleet is a copy.
+type Registry interface {
+	// Refresh updates the fleet by a read of the registry that begins after the call.
+	Refresh(ctx context.Context) error
+}
+
 // Quarantine finds the contents of requests under which targets crash.
 type Quarantine interface {
 	// Blocked returns for how long requests with any of the contents are to be refused; 0 if they need not be.
@@ -55,6 +62,7 @@
 	fleet      *fleet.Fleet
 	sender     Sender
 	agents     AgentClient
+	registry   Registry
 	budget     *retrybudget.Budget
 	quarantine Quarantine
 	origins    *origin.Table  // streams that began here
@@ -65,8 +73,8 @@
 }
 
 // New returns a dispatcher that reads the time from now.
-func New(f *fleet.Fleet, sender Sender, agents AgentClient, budget *retrybudget.Budget, quarantine Quarantine, origins *origin.Table, log *logrus.Entry, now func() time.Time) *Dispatcher {
-	return &Dispatcher{fleet: f, sender: sender, agents: agents, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stop: newStop()}
+func New(f *fleet.Fleet, sender Sender, agents AgentClient, registry Registry, budget *retrybudget.Budget, quarantine Quarantine, origins *origin.Table, log *logrus.Entry, now func() time.Time) *Dispatcher {
+	return &Dispatcher{fleet: f, sender: sender, agents: agents, registry: registry, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stop: newStop()}
 }
 
 // Dispatch is one request with the state of its attempts.
@@ -108,22 +116,27 @@
 	StoppingRetryAfter = 20 * time.Millisecond
 )
 
-// Begin returns the dispatch of a request on a route to a service and counts the request in the retry budget and the
-// demand. The dispatch must be closed. The given ctx ends when the caller disconnects.
-func (d *Dispatcher) Begin(ctx context.Context, req *request.Request, r *route.Route, service string) *Dispatch {
+// Deadline returns until when a request on a route must have its final answer.
+func Deadline(req *request.Request, r *route.Route) time.Time {
 	timeout := r.Timeout
 	if req.Timeout > 0 && (timeout == 0 || req.Timeout < timeout) {
 		timeout = req.Timeout
 	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return req.Arrived.Add(timeout)
+}
+
+// Begin returns the dispatch of a request on a route to a service and counts the request in the retry budget and the
+// demand. The dispatch must be closed. The given ctx ends when the caller disconnects.
+func (d *Dispatcher) Begin(ctx context.Context, req *request.Request, r *route.Route, service string) *Dispatch {
 	d.budget.CountRequest(service, d.now())
 	req.Priority = r.Priority
 	if d.fleet.RecordDemand(service, req, d.now()) {
 		d.agents.PushDemand()
 	}
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	deadline := req.Arrived.Add(timeout)
+	deadline := Deadline(req, r)
 	ctx, end := context.WithCancelCause(ctx)
 	endWithGrace := context.AfterFunc(d.stop.grace, func() { end(errGraceOver) })
 	ctx, cancelDeadline := context.WithDeadline(ctx, deadline.Add(-finalResponseMargin))
@@ -295,13 +308,7 @@
 		d.sendCount++
 		return d.handleNotRun(result, assignment, log)
 	case reply.NotSent:
-		d.excluded[choice.Target.ID] = true
-		assignment.End(fleet.Unreached, d.now())
-		log.WithError(result.Err).Info("target not reached")
-		if d.ctx.Err() != nil {
-			return d.contextOutcome(), false
-		}
-		return connectFailed{}, true
+		return d.handleNotSent(result, assignment, elapsed, log)
 	case reply.NoUsableResponse:
 		d.sendCount++
 		d.possibleRuns++
@@ -310,6 +317,30 @@
 	return Failed{Reason: AnswerLost}, false
 }
 
+// slowConnect is the time from which a connection that is not open yet counts as failed, though its caller has left.
+const slowConnect = 100 * time.Millisecond
+
+// handleNotSent has another target tried, which must not be this one again, unless the caller has left or no connection can be opened to any.
+func (d *Dispatch) handleNotSent(result reply.NotSent, assignment *fleet.Assignment, elapsed time.Duration, log *logrus.Entry) (Outcome, bool) {
+	if errors.Is(result.Err, connpool.ErrExhausted) {
+		assignment.End(fleet.Abandoned, d.now()) // the target has no part in it
+		log.WithError(result.Err).Info("no descriptor for a connection")
+		return d.finalOutcome(Refused{Reason: NoDescriptors, RetryAfter: defaultRetryAfter}), false
+	}
+	if d.ctx.Err() != nil && elapsed < slowConnect {
+		assignment.End(fleet.Abandoned, d.now())
+		log.WithError(result.Err).Info("request ended before its connection was open")
+		return d.contextOutcome(), false
+	}
+	d.excluded[assignment.Target().ID] = true
+	assignment.End(fleet.Unreached, d.now())
+	log.WithError(result.Err).Info("target not reached")
+	if d.ctx.Err() != nil {
+		return d.contextOutcome(), false
+	}
+	return connectFailed{}, true
+}
+
 // handleAnswered returns the response as the outcome, or retries the request if its status is a server error and another
 // run is allowed.
 func (d *Dispatch) handleAnswered(result reply.Answered, assignment *fleet.Assignment, log *logrus.Entry) (Outcome, bool) {
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/connpool"
 	"gypsumbank/fleet"
 	"gypsumbank/origin"
 	"gypsumbank/registry"
@@ -22,7 +24,7 @@
 	"gypsumbank/sender"
 )
 
-// scriptedClient is a Sender and AgentClient that returns the given replies in turn and then repeats the last one.
+// scriptedClient is a Sender, AgentClient and Registry that returns the given replies in turn and then repeats the last one.
 type scriptedClient struct {
 	mu          sync.Mutex
 	replies     []func() reply.Result
@@ -31,6 +33,7 @@
 	ensureErr   error                    // returned by EnsureLoaded
 	ensureTime  time.Duration            // after which EnsureLoaded returns
 	origin      registry.SoftwareVersion // of all streams, as agents know it; empty if none does
+	refresh     func() error             // called by Refresh unless it is nil
 }
 
 func (s *scriptedClient) Send(_ context.Context, _ *request.Request, delivery registry.Delivery) reply.Result {
@@ -52,6 +55,13 @@
 	return s.origin, 0, s.origin != ""
 }
 
+func (s *scriptedClient) Refresh(context.Context) error {
+	if s.refresh == nil {
+		return nil
+	}
+	return s.refresh()
+}
+
 func (s *scriptedClient) PushDemand()               {}
 func (s *scriptedClient) PushUsage(registry.Target) {}
 func (s *scriptedClient) PushOrigin(uint64)         {}
@@ -70,6 +80,10 @@
 
 func notSent() reply.Result { return reply.NotSent{Err: errors.New("refused")} }
 
+func exhausted() reply.Result {
+	return reply.NotSent{Err: fmt.Errorf("%w: %w", sender.ErrNotSent, connpool.ErrExhausted)}
+}
+
 func noResponse() reply.Result { return reply.NoUsableResponse{Err: errors.New("reset")} }
 
 // countingClock returns the current time and counts how often it is read.
@@ -115,7 +129,7 @@
 	}
 	f.UpdateTargets(targets, false, now())
 	budget := retrybudget.New(retrybudget.Limits{PerRequest: 0.2, ExtraPerWindow: 100, Window: 10 * time.Second})
-	return New(f, s, s, budget, &scriptedQuarantine{}, origin.New(now), log.WithField("test", "dispatch"), now)
+	return New(f, s, s, s, budget, &scriptedQuarantine{}, origin.New(now), log.WithField("test", "dispatch"), now)
 }
 
 func safeRoute() *route.Route {
@@ -149,6 +163,7 @@
 		"unsafe server error is forwarded":            {route: unsafeRoute(), replies: replies(respond(500)), want: Answered{}, wantSends: 1},
 		"no timeout is set":                           {route: &route.Route{Kind: route.Unsafe, MaxAttempts: 1}, replies: replies(respond(200)), want: Answered{}, wantSends: 1},
 		"refused by all targets":                      {route: unsafeRoute(), replies: replies(notRun), want: Refused{Reason: NoTarget}, wantSends: 2},
+		"no descriptor left":                          {route: unsafeRoute(), replies: replies(exhausted), want: Refused{Reason: NoDescriptors}, wantSends: 1},
 		"no target reachable":                         {route: unsafeRoute(), replies: replies(notSent), want: Refused{Reason: NoTarget}, wantSends: 2},
 		"safe is retried after a lost response":       {route: safeRoute(), replies: replies(noResponse, respond(200)), want: Answered{}, wantSends: 2},
 		"safe is retried after a server error":        {route: safeRoute(), replies: replies(respond(503), respond(200)), want: Answered{}, wantSends: 2},
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -55,9 +55,12 @@
 	NoRoute        Reason = "no-such-route"
 	BodyTooLarge   Reason = "body-too-large"
 	UnreadableBody Reason = "unreadable-body"
+	BodyStalled    Reason = "body-stalled"
+	NoMemory       Reason = "no-memory"
 	StreamBroken   Reason = "stream-broken"
 	CrashesTargets Reason = "crashes-targets"
 	UnknownVersion Reason = "stream-version-unknown"
+	NoDescriptors  Reason = "no-descriptors"
 )
 
 // finalOutcome returns refused, or a failure with the same reason if an earlier attempt may have run.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,8 @@
 const (
 	// reportLifetime is the age from which an agent's report is stale and the registry is used instead.
 	reportLifetime = 3 * time.Second
+	// maxEntryAge is the age of a registry entry above which it is removed: three intervals of its target's writes.
+	maxEntryAge = 4 * time.Second
 	// absenceGrace is how long a target may be missing from the registry after the store was down.
 	absenceGrace = 2500 * time.Millisecond
 	// defaultCacheTokens is the size of a target's prompt cache until its agent reports the size of its KV cache.
@@ -41,7 +43,7 @@
 
 	plannedStoreLoads map[string][]time.Time // by service, times of recently planned loads from the weight store
 	storeBlockedUntil map[string]time.Time   // by service, earliest time of the next load from the weight store
-	registryReadAt    time.Time              // when UpdateTargets was last called
+	registryReadAt    time.Time              // of the read that is in force
 	registryReadSince time.Time              // of the first read since when there was no gap above maxRegistryGap
 
 	versionsSeenAt map[serviceVersion]time.Time // when the registry last listed a target of the version
@@ -52,6 +54,7 @@
 	registry.Target
 	report                registry.Report // the last one from the agent
 	reportAt              time.Time       // when that report arrived; zero before the first
+	modelsAt              time.Time       // when the registry last told of the models
 	watchers              int             // number of gateways connected to the agent
 	loading               string          // model of a load in progress, or empty
 	availableAdapterSlots int             // adapter slots that are free or can be freed
@@ -117,6 +120,16 @@
 	Draining []registry.Target // those that have begun to drain
 }
 
+// RecordRegistryRead records when the registry was read whose targets are, or were already, in force.
+func (f *Fleet) RecordRegistryRead(readAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.registryReadSince.IsZero() || readAt.Sub(f.registryReadAt) > maxRegistryGap {
+		f.registryReadSince = readAt
+	}
+	f.registryReadAt = readAt
+}
+
 // UpdateTargets replaces the registered targets and returns what has changed. If the store was down since the last
 // call, targets that are missing are kept for absenceGrace, since their entries may have expired while they could not
 // be renewed.
@@ -124,10 +137,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var change Change
-	if f.registryReadSince.IsZero() || now.Sub(f.registryReadAt) > maxRegistryGap {
-		f.registryReadSince = now
-	}
-	f.registryReadAt = now
 	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		listed[t.ID] = true
@@ -138,6 +147,7 @@
 		}
 		if known == nil || known.Born != t.Born {
 			f.states[t.ID] = newState(t)
+			f.states[t.ID].modelsAt = now
 			change.Added = append(change.Added, t)
 			continue
 		}
@@ -149,12 +159,15 @@
 		}
 		if t.Models == nil {
 			t.Models = known.Models // a list relayed by an agent has no models: an agent reports only those of its own target
+		} else {
+			known.modelsAt = now
 		}
 		known.Target = t
 		known.missingUntil = time.Time{}
 	}
 	change.Removed = f.removeMissing(listed, storeWasDown, now)
 	f.indexByService()
+	f.forgetUnused(now)
 	return change
 }
 
@@ -209,9 +222,9 @@
 	Parts []PromptPart
 }
 
-// Observe updates the state of a target from its agent's message. A message about an earlier run of the target is
-// ignored; one about a later run replaces what is known of the target, even before the registry lists that run. A
-// planned load that the agent does not report counts as in progress until unreportedLoadLifetime has passed or the
+// Observe updates the state of a target from its agent's message. A message about an earlier run of the target, or from before
+// an order that another message has shown, is ignored; one about a later run replaces what is known of the target, even before the
+// registry lists that run. A planned load that the agent does not report counts as in progress until unreportedLoadLifetime has passed or the
 // model is held.
 func (f *Fleet) Observe(id string, observation Observation, now time.Time) {
 	report := observation.Report
@@ -221,7 +234,7 @@
 	if s == nil {
 		s = f.addUnregisteredRun(id, observation, now)
 	}
-	if s == nil || report.Born < s.Born {
+	if s == nil || report.Born < s.Born || (report.Born == s.Born && report.Sequence < s.report.Sequence) {
 		return
 	}
 	if s.reportAt.IsZero() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,24 +8,29 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"gypsumbank/bytebudget"
 	"gypsumbank/connpool"
 	"gypsumbank/departure"
+	"gypsumbank/descriptor"
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
 	"gypsumbank/epoch"
 	"gypsumbank/fleet"
 	"gypsumbank/grace"
+	"gypsumbank/history"
 	"gypsumbank/keepalive"
 	"gypsumbank/logs"
 	"gypsumbank/origin"
 	"gypsumbank/platform"
 	"gypsumbank/probe"
+	"gypsumbank/refresh"
 	"gypsumbank/retrybudget"
 	"gypsumbank/route"
 	"gypsumbank/sender"
@@ -44,27 +49,34 @@
 
 // Gateway accepts the requests of callers and forwards them to targets.
 type Gateway struct {
-	config       *settings.Config
-	log          *logrus.Entry
-	store        *platform.Store
-	epochs       *epoch.Tracker
-	departures   *departure.Table
-	fleet        *fleet.Fleet
-	dispatcher   *dispatch.Dispatcher
-	budget       *retrybudget.Budget
-	agents       *agentClients
-	relay        *relayedReads
-	crashes      *crashes
-	blocked      *blockedContents
-	dialer       *dialer.Dialer
-	conns        *keepalive.Conns
-	started      time.Time
-	routeTable   atomic.Pointer[route.Table]
-	targetsKnown atomic.Bool
-	storeLostAt  atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
-	draining     atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
-	lastAnswers  context.Context           // ends when the last answers of a stop are given; requests that come later are refused
-	endAnswers   context.CancelFunc
+	config         *settings.Config
+	log            *logrus.Entry
+	store          *platform.Store
+	epochs         *epoch.Tracker
+	departures     *departure.Table
+	fleet          *fleet.Fleet
+	dispatcher     *dispatch.Dispatcher
+	registry       *refresh.Shared // reads of the registry for requests that need what holds now
+	budget         *retrybudget.Budget
+	agents         *agentClients
+	relay          *relayedReads
+	crashes        *crashes
+	blocked        *blockedContents
+	dialer         *dialer.Dialer
+	conns          *keepalive.Conns
+	memory         *bytebudget.Budget // bytes held for requests
+	pool           *connpool.Pool     // connections to targets
+	fds            *descriptor.Budget
+	callers        atomic.Pointer[callerListener] // nil before Run
+	started        time.Time
+	routeTable     atomic.Pointer[route.Table]
+	targetsKnown   atomic.Bool
+	installing     sync.Mutex                // of targets
+	targetsInForce history.Span              // of the read of the targets that are in force; guarded by installing
+	storeLostAt    atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
+	draining       atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
+	lastAnswers    context.Context           // ends when the last answers of a stop are given; requests that come later are refused
+	endAnswers     context.CancelFunc
 }
 
 // New returns a gateway with the given settings, which does nothing until Run.
@@ -83,7 +95,9 @@
 		blockedContents.changed()
 	}
 	budget := retrybudget.New(retryLimits(config.Bounds))
-	replicaClient := platform.NewTargetClient(sender.New(connpool.New()))
+	fds := descriptor.New(config.Limits.Descriptors)
+	pool := connpool.New(fds.Targets())
+	replicaClient := platform.NewTargetClient(sender.New(pool))
 	g := &Gateway{
 		config:     config,
 		log:        log,
@@ -91,15 +105,19 @@
 		epochs:     epochs,
 		departures: departure.New(time.Now),
 		fleet:      f,
-		dispatcher: dispatch.New(f, replicaClient, agents, budget, crashes, origins, log, time.Now),
 		budget:     budget,
 		agents:     agents,
 		relay:      relay,
 		crashes:    crashes,
 		blocked:    blockedContents,
 		dialer:     d,
+		pool:       pool,
+		fds:        fds,
+		memory:     newRequestMemory(config),
 		started:    time.Now(),
 	}
+	g.registry = refresh.New(g.readTargets, refreshInterval)
+	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
 	g.conns = keepalive.New(g.idleTimeout, log)
 	g.lastAnswers, g.endAnswers = context.WithCancel(context.Background())
 	return g
@@ -118,17 +136,23 @@
 // Run serves callers until ctx ends. Then it drains: it returns once all requests in progress have ended or the grace is
 // over.
 func (g *Gateway) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", g.config.Gateway.Listen)
+	tcpListener, err := net.Listen("tcp", g.config.Gateway.Listen)
 	if err != nil {
 		return fmt.Errorf("gateway: cannot accept callers: %w", err)
 	}
+	listener := newCallerListener(tcpListener, g.fds.Callers())
+	g.callers.Store(listener)
 	readyListener, err := net.Listen("tcp", g.config.Gateway.Ready)
 	if err != nil {
 		return fmt.Errorf("gateway: cannot accept readiness checks: %w", err)
 	}
-	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address}).Info("gateway starts")
+	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address, "descriptors": g.fds.Limit()}).Info("gateway starts")
 	callerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.conns.TrackState, ConnContext: contextWithConn,
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: contextWithConn,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			g.conns.TrackState(conn, state)
+			listener.trackState(state)
+		},
 		ErrorLog: discardLog(),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
@@ -139,6 +163,7 @@
 	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
+	group.Go(func() error { return g.registry.Run(serving) })
 	group.Go(func() error { return g.followRelay(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
@@ -234,9 +259,10 @@
 }
 
 var (
-	errDraining  = errors.New("draining")
-	errNoRoutes  = errors.New("no routes known yet")
-	errNoTargets = errors.New("no targets known yet")
+	errDraining      = errors.New("draining")
+	errNoRoutes      = errors.New("no routes known yet")
+	errNoTargets     = errors.New("no targets known yet")
+	errNoDescriptors = errors.New("too few descriptors left for further callers")
 )
 
 // checkReady returns why the gateway must not get callers, or nil if it may.
@@ -248,10 +274,18 @@
 		return errNoRoutes
 	case !g.targetsKnown.Load():
 		return errNoTargets
+	case !g.canAccept():
+		return errNoDescriptors
 	}
 	return nil
 }
 
+// canAccept reports whether the gateway can accept further callers.
+func (g *Gateway) canAccept() bool {
+	callers := g.callers.Load()
+	return callers != nil && callers.canAccept(time.Now())
+}
+
 // closeServers closes servers and all their connections.
 func closeServers(log *logrus.Entry, servers ...*http.Server) {
 	for _, s := range servers {
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -36,8 +36,13 @@
 	// relayedRetryFactor lengthens the interval where many gateways are connected to agents that try to read the store, too,
 	// and tell them once it responds.
 	relayedRetryFactor = 4
+	// refreshInterval is the least time between two reads of the targets for requests.
+	refreshInterval = 50 * time.Millisecond
 )
 
+// errOldRead reports targets that may be older than those in force and are not used.
+var errOldRead = errors.New("targets may be older than those in force")
+
 // newStoreBackoff returns the backoff between attempts to read a store that does not respond. With many gateways, attempts
 // at short intervals would be most of the load of the store.
 func newStoreBackoff() *backoff.ExponentialBackOff {
@@ -124,8 +129,8 @@
 		case <-time.After(targetsPollInterval):
 		}
 		if read, ok := g.relay.newTargets(); ok {
-			g.observeEpoch(read.epoch)
-			g.installTargets(read)
+			g.observeEpoch(read.span.Epoch())
+			_ = g.installTargets(read) // the next one follows
 		}
 	}
 }
@@ -164,13 +169,11 @@
 			_ = pause.For(ctx, minStoreInterval)
 			continue
 		}
-		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		read, err := g.store.Targets(readCtx)
-		cancel()
+		err := g.readTargets(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case err != nil:
+		case err != nil && !errors.Is(err, errOldRead):
 			failedAt := time.Now()
 			if g.storeLostAt.CompareAndSwap(nil, &failedAt) {
 				g.log.WithError(err).Warn("store lost while following targets")
@@ -179,10 +182,6 @@
 			continue
 		}
 		retry.Reset()
-		if len(read.InvalidIDs) > 0 {
-			g.log.WithField("entries", read.InvalidIDs).Debug("registry entries that cannot be decoded as targets")
-		}
-		g.installTargets(targetsRead{targets: read.Targets, readAt: time.Now(), epoch: read.Epoch})
 		if time.Since(g.started) < startupPhase {
 			_ = pause.For(ctx, startupPollInterval)
 			continue
@@ -192,6 +191,22 @@
 	return ctx.Err()
 }
 
+// readTargets reads the registered targets from the store and puts them in force, unless newer ones are. The error wraps errOldRead if it
+// is not known which are newer.
+func (g *Gateway) readTargets(ctx context.Context) error {
+	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	began := time.Now()
+	read, err := g.store.Targets(readCtx)
+	if err != nil {
+		return err
+	}
+	if len(read.InvalidIDs) > 0 {
+		g.log.WithField("entries", read.InvalidIDs).Debug("registry entries that cannot be decoded as targets")
+	}
+	return g.installTargets(targetsRead{targets: read.Targets, readAt: began, span: read.Span})
+}
+
 // observeEpoch records an epoch of the store that an agent has read from.
 func (g *Gateway) observeEpoch(read epoch.Epoch) {
 	if read != 0 && g.epochs.Observe(read) {
@@ -199,17 +214,31 @@
 	}
 }
 
-// installTargets updates the fleet with the targets of a read of the registry and watches the agents of its engines. The first
-// read after others have failed, or after the store has come back from an older copy, shows what is missing at its return.
-func (g *Gateway) installTargets(read targetsRead) {
-	targets, restored, ok := g.departures.Correct(read.targets, read.epoch)
+// installTargets updates the fleet with the targets of a read of the registry, unless they may be older than those in force, and
+// watches the agents of its engines. The first read after others have failed, or after the store has come back from an older copy,
+// shows what is missing at its return. The error is errOldRead if those in force may be older than the read, too.
+func (g *Gateway) installTargets(read targetsRead) error {
+	g.installing.Lock()
+	defer g.installing.Unlock()
+	if inForce := g.targetsInForce; !read.span.Follows(inForce) {
+		g.log.WithFields(logrus.Fields{
+			"epoch": read.span.Epoch(), "version": read.span.First(), "epoch-in-force": inForce.Epoch(), "version-in-force": inForce.Last(),
+		}).Debug("targets read before those in force, not used")
+		if inForce.Follows(read.span) {
+			return nil
+		}
+		return errOldRead
+	}
+	g.targetsInForce = read.span
+	targets, restored, ok := g.departures.Correct(read.targets, read.span.Epoch())
 	if !ok {
-		g.log.WithField("epoch", read.epoch).Info("targets read before the store came back from an older copy, not used")
-		return
+		g.log.WithField("epoch", read.span.Epoch()).Info("targets read before the store came back from an older copy, not used")
+		return errOldRead
 	}
 	g.crashes.checker.MarkRuns(targets, "registry")
 	lostAt := g.storeLostAt.Load()
 	regained := lostAt != nil && read.readAt.After(*lostAt)
+	g.fleet.RecordRegistryRead(read.readAt)
 	change := g.fleet.UpdateTargets(targets, regained || restored, time.Now())
 	if regained && g.storeLostAt.CompareAndSwap(lostAt, nil) {
 		g.log.WithField("targets", len(targets)).Info("store regained while following targets")
@@ -220,12 +249,15 @@
 	}
 	for _, t := range change.Draining {
 		log.WithFields(logrus.Fields{"target": t.ID, "remaining-ms": t.Remaining.Milliseconds()}).Info("target leaves")
+		g.pool.Retire(t.Address)
 	}
 	for _, t := range change.Removed {
 		log.WithField("target", t.ID).Info("target removed")
+		g.pool.Retire(t.Address)
 	}
 	g.targetsKnown.Store(true)
 	g.watchAgents()
+	return nil
 }
 
 // watchAgents watches the agents of all known engines and no others.
--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -81,7 +81,7 @@
 
 // Announce sets the header fields of an answer that is about to begin on a connection, which tell its caller for how long it may send further requests.
 func (c *Conns) Announce(answered net.Conn, header http.Header) {
-	if c.isDraining() {
+	if c.isDraining() || header.Get("Connection") == "close" {
 		header.Set("Connection", "close")
 		return
 	}
@@ -104,7 +104,7 @@
 	}
 }
 
-// Run closes connections that have been idle for longer than the idle timeout, until ctx ends. Where the timeout is lowered, connections that
+// Run closes connections that have been idle for longer than the idle timeout since their last answer, until ctx ends. Where the timeout is lowered, connections that
 // are idle keep the one that held when their last answer was given, as their callers go by it.
 func (c *Conns) Run(ctx context.Context) error {
 	ticker := time.NewTicker(idleCheckInterval)
@@ -119,8 +119,8 @@
 				continue
 			}
 			for _, own := range c.all() {
-				own.closeIfIdle(causeIdleTimeout, func(since time.Time, promised time.Duration, _ bool) bool {
-					return now.Sub(since) > max(timeout, promised)
+				own.closeIfIdle(causeIdleTimeout, func(since time.Time, promised time.Duration, first bool) bool {
+					return !first && now.Sub(since) > max(timeout, promised)
 				})
 			}
 		}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,6 +30,8 @@
 	keepAliveMargin = time.Second
 	// maxResponsesRead bounds the responses that are read to find the one to a request.
 	maxResponsesRead = 4
+	// headBytes is the space for the head of a request, which grows if it is longer.
+	headBytes = 512
 	// maxHeadBytes bounds the head of a response, and maxSkippedBytes the body of a response to another request.
 	maxHeadBytes    = 256 << 10
 	maxSkippedBytes = 4 << 20
@@ -76,15 +79,15 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	if ctx.Err() != nil {
-		conn.Close()
+		_ = conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
 	stopAbort := context.AfterFunc(ctx, conn.Abort)
-	write := startWrite(conn, encodeRequest(request))
+	write := startWrite(conn.Conn, net.Buffers{encodeHead(request), request.Body})
 	response, err := readResponse(conn, request) //nolint:bodyclose // closed by the body of the returned response
 	if err != nil {
 		stopAbort()
-		conn.Close()
+		_ = conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoUsableResponse, err)
 	}
 	bodyFraming := framing.Of(response)
@@ -92,10 +95,10 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: bodyFraming, Body: body, write: write}, nil
 }
 
-// encodeRequest returns the bytes of a request. The response does not depend on how they are split into packets.
-func encodeRequest(request *Request) []byte {
+// encodeHead returns the bytes of a request before its body. The response does not depend on how they are split into packets.
+func encodeHead(request *Request) []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(len(request.Body) + 512)
+	buffer.Grow(headBytes)
 	buffer.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	for name, values := range request.Header {
 		for _, value := range values {
@@ -106,7 +109,6 @@
 		buffer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(request.Body)
 	return buffer.Bytes()
 }
 
@@ -119,7 +121,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		switch {
+		case response.StatusCode < http.StatusContinue:
+			return nil, errors.New("response with a status below 100")
+		case response.StatusCode < http.StatusOK:
 			continue
 		}
 		if request.ID == "" || response.Header.Get(request.IDHeader) == request.ID {
@@ -180,7 +185,7 @@
 func (b *responseBody) release() {
 	b.done = true
 	if !b.stopAbort() || !b.keepConn || b.response.Close || b.write.state() != Written {
-		b.conn.Close()
+		_ = b.conn.Close()
 		return
 	}
 	b.sender.pool.Put(b.conn, keepAliveTime(b.response.Header))
