Replace an answer of which nothing has been written by a failure

What callers saw: a request whose target had begun an answer with a length got nothing at all at the end of the grace or of its route's timeout, where the first bytes of that answer were still held in this process.

Cause: an answer counted as begun once its header was given to the server, whether or not anything had left the process.

Change: the status, the header and the first 2 KiB of an answer with a length that is no stream are held back; at the timeout 504 and at the end of the grace 502 take their place. What a target breaks off itself still closes the connection, as TestInvalidResponses asks. The test of requests that are still coming in uses a route whose time is longer than its grace: with 1 s the read of the body now ends by the request's own deadline, with 408.

--- a/gateway/caller_answer.go
+++ b/gateway/caller_answer.go
@@ -26,45 +26,89 @@
 	return conn
 }
 
+// maxHeldBytes is how much of an answer with a length is held back, with its status and header, so that it can still be replaced by a failure.
+const maxHeldBytes = 2 << 10
+
 // callerAnswer is the answer to a caller, as far as it has been written.
 type callerAnswer struct {
 	writer    http.ResponseWriter
-	conn      net.Conn // of the caller; nil if it is not known
-	hasChunks bool     // the caller's protocol knows chunks
-	begun     bool     // the status and header have been written
+	announce  func(net.Conn, http.Header) // sets the fields that tell for how long the connection is kept
+	conn      net.Conn                    // of the caller; nil if it is not known
+	hasChunks bool                        // the caller's protocol knows chunks
+	begun     bool                        // the status and header have been written
 	framing   framing.Framing
 	mediaType string
 	guard     resetguard.Guard // of an answer that ends with its connection
+	held      *sender.Response // whose status and header are held back; nil if none are
+	heldBody  []byte
 }
 
-func newCallerAnswer(w http.ResponseWriter, r *http.Request) *callerAnswer {
-	return &callerAnswer{writer: w, conn: connFromContext(r.Context()), hasChunks: r.ProtoAtLeast(1, 1)}
+func newCallerAnswer(w http.ResponseWriter, r *http.Request, announce func(net.Conn, http.Header)) *callerAnswer {
+	return &callerAnswer{writer: w, announce: announce, conn: connFromContext(r.Context()), hasChunks: r.ProtoAtLeast(1, 1)}
 }
 
-// begin writes the status and header of a target's answer.
-func (a *callerAnswer) begin(response *sender.Response) {
-	a.begun, a.mediaType, a.framing = true, mediaType(response.Header), framing.Chunks
-	header := a.writer.Header()
-	for name, values := range platform.AnswerHeader(response) {
-		header[name] = values
-	}
+// begin writes the status and header of a target's answer. Those of an answer with a length that is no stream are held back at first.
+func (a *callerAnswer) begin(response *sender.Response, isStream bool) {
+	a.mediaType, a.framing = mediaType(response.Header), framing.Chunks
 	switch {
 	case response.Length >= 0:
 		a.framing = framing.Length
-		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	case response.Framing == framing.Connection || !a.hasChunks:
 		a.framing = framing.Connection
+	}
+	if a.framing == framing.Length && !isStream {
+		a.held = response
+		return
+	}
+	a.writeHead(response)
+}
+
+// writeHead writes the status and header of an answer.
+func (a *callerAnswer) writeHead(response *sender.Response) {
+	a.begun = true
+	header := a.writer.Header()
+	a.announce(a.conn, header)
+	for name, values := range platform.AnswerHeader(response) {
+		header[name] = values
+	}
+	switch a.framing {
+	case framing.Length:
+		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
+	case framing.Connection:
 		header.Set("Transfer-Encoding", "identity") // has net/http send the body without chunks, and not this field
 		a.guard = resetguard.New(a.conn)
+	case framing.Chunks:
 	}
 	a.writer.WriteHeader(response.Status)
 }
 
+// writeHeld writes what is held back.
+func (a *callerAnswer) writeHeld() error {
+	if a.held == nil {
+		return nil
+	}
+	response, body := a.held, a.heldBody
+	a.held, a.heldBody = nil, nil
+	a.writeHead(response)
+	if len(body) == 0 {
+		return nil
+	}
+	_, err := a.writer.Write(body)
+	return err
+}
+
 // write writes a part of the body, at once unless the answer has a length.
 func (a *callerAnswer) write(chunk []byte) error {
 	if len(chunk) == 0 {
 		return nil
 	}
+	if a.held != nil && len(a.heldBody)+len(chunk) <= maxHeldBytes {
+		a.heldBody = append(a.heldBody, chunk...)
+		return nil
+	}
+	if err := a.writeHeld(); err != nil {
+		return err
+	}
 	if _, err := a.writer.Write(chunk); err != nil || a.framing == framing.Length {
 		return err
 	}
@@ -73,8 +117,8 @@
 
 // finish has the answer end in order.
 func (a *callerAnswer) finish() error {
-	if a.framing != framing.Connection {
-		return nil
+	if err := a.writeHeld(); err != nil || a.framing != framing.Connection {
+		return err
 	}
 	err := a.flush()
 	a.guard.Lift()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -54,11 +54,16 @@
 		e.countOutcome(servedOutcome(known))
 		return nil, false
 	case e.dispatch.TimedOut():
-		e.abort(answered, "answer cut at the timeout", "cut-at-timeout", nil)
+		e.cut(answered, "answer cut at the timeout", "cut-at-timeout", http.StatusGatewayTimeout, dispatch.TimeoutMayRun)
+		return nil, false
 	case e.dispatch.GraceOver():
-		e.abort(answered, "answer cut at the end of the grace", "cut-at-stop", nil)
+		e.cut(answered, "answer cut at the end of the grace", "cut-at-stop", http.StatusBadGateway, dispatch.Stopping)
+		return nil, false
 	case e.callerCtx.Err() != nil:
-		e.abort(answered, "caller left", "caller-left", err)
+		answered.Assignment.End(fleet.Abandoned, time.Now())
+		e.log().WithError(err).Info("caller left")
+		e.countOutcome("caller-left")
+		panic(http.ErrAbortHandler)
 	}
 	answered.Assignment.End(targetResult(known), time.Now())
 	e.judgeContents(answered, known)
@@ -81,16 +86,16 @@
 	}).Info("answer ends")
 }
 
-// abort logs and counts an answer that does not go on, though not for its target's doing, and closes the caller's connection.
-func (e *exchange) abort(answered dispatch.Answered, message, outcome string, err error) {
+// cut logs and counts an answer that does not go on, though not for its target's doing. The caller gets a failure in its place if nothing of it has
+// been written, else its connection is closed.
+func (e *exchange) cut(answered dispatch.Answered, message, outcome string, status int, reason dispatch.Reason) {
 	answered.Assignment.End(fleet.Abandoned, time.Now())
-	log := e.log()
-	if err != nil {
-		log = log.WithError(err)
+	e.log().Info(message)
+	if e.answer.begun {
+		e.countOutcome(outcome)
+		panic(http.ErrAbortHandler)
 	}
-	log.Info(message)
-	e.countOutcome(outcome)
-	panic(http.ErrAbortHandler)
+	e.refuseOrAbort(status, reason, 0)
 }
 
 // targetResult returns the result of an assignment whose answer was not passed on to its end: a target may have given all of it.
@@ -137,12 +142,11 @@
 
 // begin writes status and header of the response, once for an exchange: a resumed stream continues the first response.
 func (e *exchange) begin(answered dispatch.Answered) {
-	if e.answer.begun {
+	if e.answer.begun || e.answer.held != nil {
 		return
 	}
 	metrics.GetOrCreateHistogram(`gypsumbank_gateway_first_byte_seconds{kind="` + e.route.Kind.String() + `"}`).UpdateDuration(e.request.Arrived)
-	e.gateway.conns.Announce(e.answer.conn, e.answer.writer.Header())
-	e.answer.begin(answered.Response)
+	e.answer.begin(answered.Response, e.route.Kind == route.Streaming)
 }
 
 // copyBody copies the body to the caller as it arrives. Of a resumable stream it copies complete events only, since another
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,7 +55,7 @@
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
 	d := g.dispatcher.Begin(r.Context(), req, matchedRoute, service)
 	defer d.Close()
-	ex := &exchange{gateway: g, answer: newCallerAnswer(w, r), request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context(), hold: hold}
+	ex := &exchange{gateway: g, answer: newCallerAnswer(w, r, g.conns.Announce), request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context(), hold: hold}
 	ex.run()
 }
 
--- a/unfinished_body_test.go
+++ b/unfinished_body_test.go
@@ -41,7 +41,7 @@
 			if c.bodyBytes == 0 {
 				framing, part = "Transfer-Encoding: chunked", "1\r\nx\r\n"
 			}
-			request := fmt.Sprintf("POST /unsafe/ HTTP/1.1\r\nHost: callers.example\r\nX-Gypsumbank-Request-Id: slow\r\n%s\r\n\r\n%s", framing, part)
+			request := fmt.Sprintf("POST /unsafe-body/ HTTP/1.1\r\nHost: callers.example\r\nX-Gypsumbank-Request-Id: slow\r\n%s\r\n\r\n%s", framing, part)
 			if c.cutHead > 0 {
 				request = request[:c.cutHead]
 			}
@@ -99,7 +99,7 @@
 					t.Fatal(err)
 				}
 				defer conn.Close()
-				_, _ = fmt.Fprintf(conn, "POST /unsafe/ HTTP/1.1\r\nHost: callers.example\r\nX-Gypsumbank-Request-Id: r%d\r\nContent-Length: %d\r\n\r\nx", i, bodyBytes)
+				_, _ = fmt.Fprintf(conn, "POST /unsafe-body/ HTTP/1.1\r\nHost: callers.example\r\nX-Gypsumbank-Request-Id: r%d\r\nContent-Length: %d\r\n\r\nx", i, bodyBytes)
 				go func() {
 					for {
 						if _, err := conn.Write(make([]byte, 100)); err != nil {
