--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -112,6 +112,19 @@
 		"request read and not answered":                  {func(c *soak.Checker) { recordUnanswered(c, true, false) }, "request a got no answer, but g-1 had read it"},
 		"request neither read nor answered":              {func(c *soak.Checker) { recordUnanswered(c, false, false) }, ""},
 		"request read and not answered, its caller left": {func(c *soak.Checker) { recordUnanswered(c, true, true) }, ""},
+		"request read and not answered, its target broke off": {func(c *soak.Checker) {
+			c.RecordCut("a", false)
+			recordUnanswered(c, true, false)
+		}, ""},
+		"request read and not answered, its target disturbed": {func(c *soak.Checker) {
+			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(5)})
+			c.RecordDisturbance("t", atMs(5), atMs(6))
+			recordUnanswered(c, true, false)
+		}, ""},
+		"request read and not answered, its target calm": {func(c *soak.Checker) {
+			c.RecordArrival(soak.Arrival{RequestID: "a", Target: "t", Run: "t/1", At: atMs(5)})
+			recordUnanswered(c, true, false)
+		}, "request a got no answer, but g-1 had read it"},
 		"request read and not answered, its process killed": {func(c *soak.Checker) {
 			c.RecordDisturbance("g", atMs(5), atMs(6))
 			recordUnanswered(c, true, false)
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -46,10 +46,7 @@
 
 // violations returns what targets, processes that stop and callers have seen that must not be.
 func (k *cuts) violations(n *notices, atMostOnce map[string]bool) []string {
-	arrivals := map[string]Arrival{}
-	for _, a := range n.arrivals {
-		arrivals[a.RequestID] = a
-	}
+	arrivals := n.arrivalsByRequest()
 	var violations []string
 	for _, a := range n.arrivals {
 		if atMostOnce[a.RequestID] {
@@ -96,17 +93,20 @@
 	return n.calm(node(process), stop.at.Add(-disturbanceTail), until)
 }
 
-// CheckUnanswered checks that no process has read a request whose caller then got no answer. Requests of disturbed processes, and of callers who
-// left, do not count.
+// CheckUnanswered checks that no process has read a request whose caller then got no answer. Requests of disturbed processes, of callers who left, and
+// of targets that were disturbed or broke off their answers do not count.
 func (c *Checker) CheckUnanswered(hasRead func(process, requestID string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	arrivals := c.notices.arrivalsByRequest()
 	for _, r := range c.cuts.received {
 		sent, known := c.notices.sends[r.ID]
-		if r.Status != 0 || r.CallerLeft || !known || !c.notices.calm(node(sent.process), sent.at.Add(-disturbanceTail), r.At) {
-			continue
-		}
-		if hasRead(sent.process, r.ID) {
+		a, arrived := arrivals[r.ID]
+		switch {
+		case r.Status != 0, r.CallerLeft, !known, c.cuts.byTarget[r.ID], c.cuts.broken[r.ID]:
+		case !c.notices.calm(node(sent.process), sent.at.Add(-disturbanceTail), r.At):
+		case arrived && !c.notices.calm(a.Target, a.At.Add(-disturbanceTail), r.At):
+		case hasRead(sent.process, r.ID):
 			c.addViolation("request %s got no answer, but %s had read it", r.ID, sent.process)
 		}
 	}
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -102,6 +102,15 @@
 // node returns the node of a process, whose name has the number of the start in addition.
 func node(process string) string { return process[:max(0, strings.LastIndexByte(process, '-'))] }
 
+// arrivalsByRequest returns the last arrival of each request at a target.
+func (n *notices) arrivalsByRequest() map[string]Arrival {
+	arrivals := map[string]Arrival{}
+	for _, a := range n.arrivals {
+		arrivals[a.RequestID] = a
+	}
+	return arrivals
+}
+
 // calm reports whether a target or a node was not disturbed between two times.
 func (n *notices) calm(name string, from, until time.Time) bool {
 	for _, s := range n.disturbed[name] {
