End a stop of a server between processes also beside an accept

Cause: a connection that Accept returned in the moment in which the stop began ended the loop of the server, which then waited for its drain; the drain waited for the Accept that nobody called any more. The listener and its loop each waited for the other.

Change: the loop goes on until the listener is closed, and a connection that comes then is drained like the others. The wait for the last Accept ends with the time of the drain in any case.

--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -150,14 +150,14 @@
 	if err := c.closeAsTheyIdle(ctx, lastCall, closeOne); err != nil {
 		return err
 	}
-	c.stopAccepting()
+	c.stopAccepting(ctx)
 	return c.closeAsTheyIdle(ctx, lastCall, closeOne)
 }
 
 // DrainCalls stops accepting and closes connections once they have been quiet for minDrainIdle, or from lastCall on for lastCallIdle. It is Drain
 // for connections that don't carry HTTP, on which bytes may follow the end of a request.
 func (c *Conns) DrainCalls(ctx context.Context, lastCall time.Time) error {
-	c.stopAccepting()
+	c.stopAccepting(ctx)
 	return c.closeAsTheyIdle(ctx, lastCall, func(own *conn, now time.Time) {
 		quiet := minDrainIdle
 		if !now.Before(lastCall) {
@@ -191,14 +191,17 @@
 	}
 }
 
-// stopAccepting closes the listener and returns once no connection comes from it any more.
-func (c *Conns) stopAccepting() {
+// stopAccepting closes the listener and returns once no connection comes from it any more, or ctx ends.
+func (c *Conns) stopAccepting(ctx context.Context) {
 	c.mu.Lock()
 	l := c.listener
 	c.mu.Unlock()
 	if l != nil {
 		l.Close()
-		<-l.done
+		select {
+		case <-l.done:
+		case <-ctx.Done():
+		}
 	}
 }
 
--- a/keepalive/part_read_test.go
+++ b/keepalive/part_read_test.go
@@ -187,7 +187,7 @@
 	}
 	returned := make(chan struct{})
 	go func() {
-		conns.stopAccepting()
+		conns.stopAccepting(t.Context())
 		close(returned)
 	}()
 	select {
--- a/rpcserver/server.go
+++ b/rpcserver/server.go
@@ -59,18 +59,18 @@
 	tracked := conns.Listener(listener)
 	for {
 		conn, err := tracked.Accept()
-		if ctx.Err() != nil {
-			<-drained
+		switch {
+		case err == nil: // also one that is accepted as the stop begins, which the drain then ends
+			s.openConns.Add(1)
+			go s.serveConn(ctx, serving, conns, conn)
+		case errors.Is(err, net.ErrClosed):
+			if ctx.Err() != nil {
+				<-drained
+			}
 			return nil
-		}
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
+		case ctx.Err() == nil:
 			return fmt.Errorf("accept on %s: %w", listener.Addr(), err)
 		}
-		s.openConns.Add(1)
-		go s.serveConn(ctx, serving, conns, conn)
 	}
 }
 
