Agree on the interfaces for customers, quotas and copies of runs

This commit decodes the customers of the routes document and what engines say of copies, adds the settings of the bounds, and the messages between gateways and agents (Reserve, Routes, changes to the registry).

--- a/agent/service.go
+++ b/agent/service.go
@@ -13,7 +13,10 @@
 )
 
 // agentServer implements the RPC service that gateways call.
-type agentServer struct{ agent *Agent }
+type agentServer struct {
+	wire.DRPCAgentUnimplementedServer
+	agent *Agent
+}
 
 // Watch streams the state of the target to a gateway as it changes, and handles the heartbeats that the gateway sends.
 func (s *agentServer) Watch(stream wire.DRPCAgent_WatchStream) error {
--- a/request/request.go
+++ b/request/request.go
@@ -26,6 +26,7 @@
 	Header http.Header // end-to-end headers to forward
 	Body   []byte
 
+	Customer        string // name of the customer that holds the request's key; empty if it has none
 	Model           string
 	Adapter         string
 	PromptTokens    int
@@ -34,7 +35,7 @@
 	Parts           []Part // the prompt in order; the last part is not shared with other requests
 	LastEventID     string // event after which an interrupted stream resumes; empty for a new stream
 	FirstRequestID  string // id of the request that brought the first event of that stream; empty if the caller did not say
-	Priority        int    // of the route, 0 is the most urgent
+	Priority        int    // 0 is the most urgent
 }
 
 // WeightsKey returns the model, or "model/adapter" for a request with an adapter. KV cache entries are valid only for
--- a/route/table.go
+++ b/route/table.go
@@ -46,6 +46,7 @@
 	Priority         int           // 0 is the most urgent
 	MaxAttempts      int           // number of targets that may run one request
 	Resumable        bool          // a broken stream may be resumed at another target
+	Public           bool          // requests need no key
 	Backends         []Backend
 }
 
@@ -90,6 +91,16 @@
 	AdapterSlots        int
 	StoreLoadsPerSecond float64 // over all targets
 	TokensPerItem       int     // tokens per event of a stream
+	Copies              Copies
+}
+
+// Copies describes how the KV cache of runs can be copied from one engine to another.
+type Copies struct {
+	Backups       bool          // while the run goes on, as its KV cache grows
+	Moves         bool          // by a call
+	BytesPerToken float64       // of KV cache
+	LinkMbps      float64       // of each engine
+	Lifetime      time.Duration // of a copy that is not used
 }
 
 // Service is a group of interchangeable targets.
@@ -115,6 +126,9 @@
 	services     map[string]Service
 	routesByHost map[string][]*Route
 	routeCount   int
+
+	customers      map[string]*Customer // by name; nil if requests need no key
+	customersByKey map[keyHash]*Customer
 }
 
 // New returns a table with the given content. Within a host, routes with longer prefixes match first.
--- a/settings/gateway_agent.go
+++ b/settings/gateway_agent.go
@@ -37,6 +37,13 @@
 	RetryWindow time.Duration // length of the sliding window for retries
 	LoadWindow  time.Duration // length of the window for loads from the weight store
 	LoadBurst   float64       // factor by which the loads in a window may exceed the rate of the weight store; 1 for no excess
+
+	QuotaWindow  time.Duration // length of the sliding window for customers' quotas
+	QuotaOverage float64       // share by which the use in a window may exceed a quota
+	QuotaSlack   float64       // use in a window that is allowed on top of that, in the unit of the quota
+	KeyMaxAge    time.Duration // age of the last read of the routes up to which KeysFailClosed allows keys
+	// KeysFailClosed has keys refused while the routes can't be read, as they may have been taken away.
+	KeysFailClosed bool
 }
 
 // Limits holds the resources that the process may use.
@@ -63,6 +70,12 @@
 		RetryWindow: file.Duration("bounds", "retry-window", 10*time.Second, time.Second, time.Hour),
 		LoadWindow:  file.Duration("bounds", "load-window", 5*time.Second, time.Second, time.Hour),
 		LoadBurst:   file.Float("bounds", "load-burst", 1, 1, 10),
+
+		QuotaWindow:    file.Duration("bounds", "quota-window", 8*time.Second, time.Second, time.Hour),
+		QuotaOverage:   file.Float("bounds", "quota-overage", 0, 0, 10),
+		QuotaSlack:     file.Float("bounds", "quota-slack", 0, 0, 1e12),
+		KeyMaxAge:      file.Duration("bounds", "key-max-age", 5*time.Second, time.Second, time.Hour),
+		KeysFailClosed: file.Choice("bounds", "keys-fail-closed", "no", "yes", "no") == "yes",
 	}
 	c.Limits = Limits{
 		MemoryMiB:   int(file.Int("limits", "memory-mib", 0, 0, 1<<20)),
