Authenticate the customers of requests at the gateway

Change: where the routes list customers, each request is checked by itself: without a known key it gets 401 on a route that is not public, or 503 if an agent has read newer routes, or if keys-fail-closed is set and nobody has read the routes for key-max-age. The target gets the customer's name and no key. The decision is customer.Authenticate, without network. The customer's priority takes the place of the route's where the request is built (was dispatch.Begin); the waitlist orders equals by the route's. The memory for requests is shared by customer. Requests and tokens are counted by customer, for at most 256 names and those listed only; log lines name the customer. The keys of a customer whose name can't stand in a header field are not accepted. A table without customers is served as before.

--- /dev/null
+++ b/customer/doc.go
@@ -0,0 +1,2 @@
+// Package customer decides whose request a gateway serves, and counts the use by customer.
+package customer
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -95,6 +95,9 @@
 		log.WithField("status", result.Response.Status).Info("target failed, sending again")
 		return nil, true
 	}
+	if d.request.Customer != "" {
+		log = log.WithField("customer", d.request.Customer)
+	}
 	log.WithField("status", result.Response.Status).Info("answer begins")
 	return Answered{Response: result.Response, Assignment: assignment}, false
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -131,7 +131,6 @@
 // demand. The dispatch must be closed. The given ctx ends when the caller disconnects.
 func (d *Dispatcher) Begin(ctx context.Context, req *request.Request, r *route.Route, service string) *Dispatch {
 	d.budget.CountRequest(service, d.now())
-	req.Priority = r.Priority
 	if d.fleet.RecordDemand(service, req, d.now()) {
 		d.agents.PushDemand()
 	}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -61,6 +61,9 @@
 	CrashesTargets Reason = "crashes-targets"
 	UnknownVersion Reason = "stream-version-unknown"
 	NoDescriptors  Reason = "no-descriptors"
+	NoKey          Reason = "no-key"
+	UnknownKey     Reason = "unknown-key"
+	OldRoutes      Reason = "routes-too-old"
 )
 
 // finalOutcome returns refused, or a failure with the same reason if an earlier attempt may have run.
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -32,7 +32,7 @@
 	}
 	joins := d.place == nil
 	if joins {
-		d.place = d.waits.Join(key, waitlist.Rank{Begun: d.request.LastEventID != "", Priority: d.route.Priority, Objective: d.request.Arrived.Add(d.route.LatencyObjective)})
+		d.place = d.waits.Join(key, waitlist.Rank{Begun: d.request.LastEventID != "", Priority: d.request.Priority, RoutePriority: d.route.Priority, Objective: d.request.Arrived.Add(d.route.LatencyObjective)})
 	}
 	ahead := d.place.Ahead(now)
 	if choice.HasRoom && ahead == 0 {
--- /dev/null
+++ b/gateway/customers.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/customer"
+	"gypsumbank/dispatch"
+	"gypsumbank/platform"
+	"gypsumbank/request"
+	"gypsumbank/route"
+)
+
+// outdatedRoutesRetryAfter is the Retry-After while keys are refused as the routes can't be read. Another gateway may have read them.
+const outdatedRoutesRetryAfter = 500 * time.Millisecond
+
+// authenticate sets the customer and the priority of a request on a route. If it is not served for want of a known key, authenticate
+// refuses it and returns false. The returned request has the customer in its context, for what is logged and counted of it.
+func (g *Gateway) authenticate(w http.ResponseWriter, r *http.Request, req *request.Request, table *route.Table, matched *route.Route) (*http.Request, bool) {
+	req.Priority = matched.Priority
+	if !table.HasCustomers() {
+		return r, true
+	}
+	view := customer.View{ExpectsNewer: g.relay.expectsRoutesAfter(table.Version(), req.Arrived), TooOld: g.keysTooOld(time.Now())}
+	holder, result := customer.Authenticate(table, matched, platform.Key(r), view)
+	if result != customer.Accepted {
+		g.refuseKey(w, r, req.ID, result, table.Limits().BodyBytes)
+		return r, false
+	}
+	req.Priority = route.PriorityOf(holder, matched)
+	if holder == nil {
+		platform.SetCustomer(req, "")
+		return r, true
+	}
+	platform.SetCustomer(req, holder.Name)
+	return r.WithContext(context.WithValue(r.Context(), customerContextKey{}, holder.Name)), true
+}
+
+// refuseKey refuses a request that is not served for want of a known key. Its body has not been read.
+func (g *Gateway) refuseKey(w http.ResponseWriter, r *http.Request, requestID string, result customer.Result, bodyLimit int64) {
+	reason, status, retryAfter := dispatch.UnknownKey, http.StatusUnauthorized, time.Duration(0)
+	switch result {
+	case customer.Missing:
+		reason = dispatch.NoKey
+	case customer.Uncertain:
+		reason, status, retryAfter = dispatch.NoRoutes, http.StatusServiceUnavailable, newRoutesRetryAfter
+	case customer.Outdated:
+		reason, status, retryAfter = dispatch.OldRoutes, http.StatusServiceUnavailable, outdatedRoutesRetryAfter
+	default:
+	}
+	if status == http.StatusUnauthorized {
+		platform.SetChallenge(w.Header())
+	}
+	refuse := func() { g.refuse(w, r, requestID, reason, status, retryAfter) }
+	if r.ContentLength == 0 {
+		refuse()
+		return
+	}
+	if bodyLimit <= 0 {
+		bodyLimit = defaultMaxBodyBytes
+	}
+	g.refuseUnread(w, r, bodyLimit, refuse)
+}
+
+// keysTooOld reports whether keys are to be refused, as the routes that list them could not be read for too long.
+func (g *Gateway) keysTooOld(now time.Time) bool {
+	return g.config.Bounds.KeysFailClosed && now.Sub(g.routesConfirmedAt()) > g.config.Bounds.KeyMaxAge
+}
+
+// customerContextKey is the context key of the name of a request's customer.
+type customerContextKey struct{}
+
+// customerFromContext returns the name of the customer of a request; empty if it has none.
+func customerFromContext(ctx context.Context) string {
+	name, _ := ctx.Value(customerContextKey{}).(string)
+	return name
+}
+
+// withCustomer returns a log entry with the name of a request's customer, if it has one.
+func withCustomer(log *logrus.Entry, name string) *logrus.Entry {
+	if name == "" {
+		return log
+	}
+	return log.WithField("customer", name)
+}
+
+// memoryTeam names those that share the memory for requests with a request: its customer's, or without one those of its route.
+func memoryTeam(req *request.Request, matched *route.Route) string {
+	if req.Customer != "" {
+		return "customer " + req.Customer
+	}
+	return matched.Name
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -79,7 +79,7 @@
 // logEnd logs how an answer ended, and what tells how far it is known to be whole.
 func (e *exchange) logEnd(answered dispatch.Answered, known completeness.Completeness, events *eventBuffer) {
 	e.log().WithFields(logrus.Fields{
-		"target": answered.Assignment.Target().ID, "status": answered.Response.Status, "priority": e.route.Priority,
+		"target": answered.Assignment.Target().ID, "status": answered.Response.Status, "priority": e.request.Priority,
 		"longest-gap-ms": e.longestGap.Milliseconds(), "body-bytes": e.bodyBytes, "within-event": events.hasIncomplete(),
 		"whole": known == completeness.Whole, "completeness": known.String(),
 		"framing": answered.Response.Framing.String(), "to-caller": e.answer.framing.String(), "request-written": answered.Response.WriteState().String(),
@@ -146,6 +146,7 @@
 		return
 	}
 	metrics.GetOrCreateHistogram(`gypsumbank_gateway_first_byte_seconds{kind="` + e.route.Kind.String() + `"}`).UpdateDuration(e.request.Arrived)
+	e.gateway.usage.CountTokens(e.request.Customer, e.request.PromptTokens, e.request.MaxOutputTokens)
 	e.answer.begin(answered.Response, e.route.Kind == route.Streaming)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,11 +12,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/bytebudget"
 	"gypsumbank/connpool"
+	"gypsumbank/customer"
 	"gypsumbank/departure"
 	"gypsumbank/descriptor"
 	"gypsumbank/dialer"
@@ -65,11 +67,13 @@
 	dialer         *dialer.Dialer
 	conns          *keepalive.Conns
 	memory         *bytebudget.Budget // bytes held for requests
-	pool           *connpool.Pool     // connections to targets
+	usage          *customer.Usage
+	pool           *connpool.Pool // connections to targets
 	fds            *descriptor.Budget
 	callers        atomic.Pointer[callerListener] // nil before Run
 	started        time.Time
 	routeTable     atomic.Pointer[route.Table]
+	routesReadAt   atomic.Pointer[time.Time] // when the last read began that found no newer routes than those in force; nil before
 	targetsKnown   atomic.Bool
 	installing     sync.Mutex                // of targets
 	targetsInForce history.Span              // of the read of the targets that are in force; guarded by installing
@@ -114,6 +118,7 @@
 		pool:       pool,
 		fds:        fds,
 		memory:     newRequestMemory(config),
+		usage:      customer.NewUsage(),
 		started:    time.Now(),
 	}
 	g.registry = refresh.New(g.readTargets, refreshInterval)
@@ -156,6 +161,8 @@
 		ErrorLog: discardLog(),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
+	metrics.RegisterSet(g.usage.Metrics())
+	defer metrics.UnregisterSet(g.usage.Metrics(), false)
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
--- a/gateway/group_test.go
+++ b/gateway/group_test.go
@@ -26,7 +26,8 @@
 	agentPort int
 	log       *logrus.Entry
 
-	gatewayStore string // address of the store for gateways
+	gatewayStore string                 // address of the store for gateways
+	configure    func(*settings.Config) // changes the settings of gateways; nil for no change
 
 	mu        sync.Mutex
 	gateways  []string // addresses; empty for one that is being replaced
@@ -105,6 +106,9 @@
 		Store:   settings.Store{Address: storeAddress},
 		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
 	}
+	if g.configure != nil {
+		g.configure(config)
+	}
 	stop := g.run(gateway.New(config, g.log).Run)
 	for range 300 {
 		if response, err := http.Get("http://" + ready + "/-/readyz"); err == nil {
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -104,6 +104,17 @@
 	return latest != nil && now.Sub(latest.readAt) < relayMaxAge
 }
 
+// readAt returns when the latest read was made; zero if there is none.
+func (r *relayedReads) readAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, latest := r.latest()
+	if latest == nil {
+		return time.Time{}
+	}
+	return latest.readAt
+}
+
 // newTargets returns the latest read of the targets, also if they have not changed: a later read shows that they still hold. ok
 // is false if there is no read or it was the last one returned. The gateway itself may have made a later one.
 func (r *relayedReads) newTargets() (read targetsRead, ok bool) {
--- a/gateway/request_body.go
+++ b/gateway/request_body.go
@@ -195,7 +195,8 @@
 // refuseForMemory logs, counts and refuses a request whose bytes don't fit into the memory.
 func (g *Gateway) refuseForMemory(w http.ResponseWriter, r *http.Request, req *request.Request, full error) {
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(dispatch.NoMemory) + `"}`).Inc()
-	g.log.WithError(full).WithFields(logrus.Fields{
+	g.usage.CountRequest(req.Customer, string(dispatch.NoMemory))
+	withCustomer(g.log, req.Customer).WithError(full).WithFields(logrus.Fields{
 		"request": req.ID, "host": r.Host, "uri": r.RequestURI, "reason": dispatch.NoMemory, "status": http.StatusServiceUnavailable,
 		"body-bytes": r.ContentLength, "retry-after-ms": noMemoryRetryAfter.Milliseconds(),
 	}).Info("refused")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -47,11 +47,18 @@
 		g.refuse(w, r, id, dispatch.NoRoute, http.StatusNotFound, 0)
 		return
 	}
-	hold := g.memory.Begin(matchedRoute.Name)
+	r, ok := g.authenticate(w, r, req, table, matchedRoute)
+	if !ok {
+		return
+	}
+	hold := g.memory.Begin(memoryTeam(req, matchedRoute))
 	defer hold.Release()
 	if !g.readBody(w, r, req, hold, table.Limits().BodyBytes, dispatch.Deadline(req, matchedRoute)) {
 		return
 	}
+
+	// The quota of the customer is to be charged here: the request is whole, and nothing of it has been dispatched.
+
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
 	d := g.dispatcher.Begin(r.Context(), req, matchedRoute, service)
 	defer d.Close()
@@ -62,7 +69,9 @@
 // refuse logs, counts and refuses a request that is not dispatched.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, requestID string, reason dispatch.Reason, status int, retryAfter time.Duration) {
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(reason) + `"}`).Inc()
-	g.log.WithFields(logrus.Fields{"request": requestID, "host": r.Host, "uri": r.RequestURI, "reason": reason, "status": status}).Info("refused")
+	customerName := customerFromContext(r.Context())
+	g.usage.CountRequest(customerName, string(reason))
+	withCustomer(g.log, customerName).WithFields(logrus.Fields{"request": requestID, "host": r.Host, "uri": r.RequestURI, "reason": reason, "status": status}).Info("refused")
 	g.conns.Announce(connFromContext(r.Context()), w.Header())
 	writeRefusal(w, reason, status, retryAfter)
 }
@@ -131,6 +140,7 @@
 	kind := e.route.Kind.String()
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="` + kind + `",outcome="` + outcome + `"}`).Inc()
 	metrics.GetOrCreateHistogram(`gypsumbank_gateway_request_seconds{kind="` + kind + `"}`).UpdateDuration(e.request.Arrived)
+	e.gateway.usage.CountRequest(e.request.Customer, outcome)
 }
 
 // refuseOrAbort writes an error response, or aborts the connection if a response has begun.
@@ -148,7 +158,7 @@
 
 // log returns a log entry with the fields that all messages about the request share.
 func (e *exchange) log() *logrus.Entry {
-	return e.gateway.log.WithFields(logrus.Fields{
+	return withCustomer(e.gateway.log, e.request.Customer).WithFields(logrus.Fields{
 		"request": e.request.ID, "route": e.route.Name, "took-ms": time.Since(e.request.Arrived).Milliseconds(),
 		"model": e.request.Model, "adapter": e.request.Adapter,
 	})
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -79,6 +79,7 @@
 	for ctx.Err() == nil {
 		start := time.Now()
 		if g.relayCoversRoutes(start) {
+			g.confirmRoutes(g.relay.readAt())
 			_ = pause.For(ctx, relayPollInterval)
 			continue
 		}
@@ -104,6 +105,7 @@
 			storeLost = false
 		}
 		g.installRoutes(table)
+		g.confirmRoutes(start)
 		position = next
 		if time.Since(start) < minStoreInterval {
 			_ = pause.For(ctx, minStoreInterval)
@@ -119,6 +121,21 @@
 	return table != nil && g.relay.isFresh(now) && g.relay.routesVersion() <= table.Version()
 }
 
+// confirmRoutes records that a read that began at a time has found no newer routes than those in force.
+func (g *Gateway) confirmRoutes(readAt time.Time) {
+	if readAt.After(g.routesConfirmedAt()) {
+		g.routesReadAt.Store(&readAt)
+	}
+}
+
+// routesConfirmedAt returns when the last read began that found no newer routes than those in force.
+func (g *Gateway) routesConfirmedAt() time.Time {
+	if readAt := g.routesReadAt.Load(); readAt != nil {
+		return *readAt
+	}
+	return time.Time{}
+}
+
 // followRelay puts the targets that agents have read from the store in force, until ctx ends.
 func (g *Gateway) followRelay(ctx context.Context) error {
 	for {
@@ -156,6 +173,7 @@
 	}
 	g.routeTable.Store(table)
 	g.fleet.SetServices(table.Services())
+	g.usage.SetCustomers(table.Customers())
 	g.log.WithFields(logrus.Fields{"version": table.Version(), "routes": table.Len()}).Info("routes in force")
 	g.watchAgents() // the first routes may come after the first targets
 }
--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -11,13 +11,15 @@
 
 // Rank decides the order of the requests that wait for the same targets.
 type Rank struct {
-	Begun     bool      // the caller has a part of the answer already
-	Priority  int       // of the route, 0 is the most urgent
-	Objective time.Time // by when the answer has to begin to have its full value
+	Begun         bool      // the caller has a part of the answer already
+	Priority      int       // of the request, 0 is the most urgent
+	RoutePriority int       // orders requests of equal priority
+	Objective     time.Time // by when the answer has to begin to have its full value
 }
 
 // before reports whether a request of rank r is served before one of rank other: streams that have begun come first, then requests
-// that can still meet their objective, of these the more urgent ones, and of equally urgent ones that with the earlier objective.
+// that can still meet their objective, of these the more urgent ones, and of equally urgent ones those of the more
+// urgent route, and of these the one with the earlier objective.
 func (r Rank) before(other Rank, now time.Time) bool {
 	if r.Begun != other.Begun {
 		return r.Begun
@@ -29,6 +31,9 @@
 	if r.Priority != other.Priority {
 		return r.Priority < other.Priority
 	}
+	if r.RoutePriority != other.RoutePriority {
+		return r.RoutePriority < other.RoutePriority
+	}
 	return r.Objective.Before(other.Objective)
 }
 
--- a/waitlist/list_test.go
+++ b/waitlist/list_test.go
@@ -22,6 +22,8 @@
 		"urgent that is late waits for those on time":  {first: Rank{Objective: atMs(100)}, second: Rank{Priority: 2, Objective: atMs(300)}, nowMs: 200, secondLeads: true},
 		"late ones are ordered by urgency among them":  {first: Rank{Priority: 1, Objective: atMs(100)}, second: Rank{Objective: atMs(150)}, nowMs: 200, secondLeads: true},
 		"a stream that has begun goes first":           {first: Rank{Objective: atMs(300)}, second: Rank{Begun: true, Priority: 2, Objective: atMs(100)}, nowMs: 200, secondLeads: true},
+		"equally urgent ones of an urgent route first": {first: Rank{RoutePriority: 2, Objective: atMs(100)}, second: Rank{RoutePriority: 1, Objective: atMs(300)}, secondLeads: true},
+		"priority of the request before the route's":   {first: Rank{Priority: 2, Objective: atMs(100)}, second: Rank{Priority: 1, RoutePriority: 9, Objective: atMs(300)}, secondLeads: true},
 		"less urgent does not overtake on its arrival": {first: Rank{Objective: atMs(300)}, second: Rank{Priority: 1, Objective: atMs(100)}},
 	}
 	for name, c := range cases {
