Send gateways the changes of targets instead of the whole list

Cause: an agent that reads the store sent all registered targets to each gateway whenever one of them had changed, which grows with the square of the deployment. Change: the agent knows in which of the last 256 revisions each target changed or was removed and sends a gateway that says keeps_targets what has changed since the revision last sent to it. A gateway that lacks the base revision connects again and gets the whole list; so does one that has missed the list of a revision, which waited for the next change before.

--- a/agent/relay.go
+++ b/agent/relay.go
@@ -30,6 +30,8 @@
 	relayCheckInterval = 200 * time.Millisecond
 	// relayLongPollWait bounds a wait for changes of the routes so that a silent connection to the store is noticed.
 	relayLongPollWait = time.Second
+	// keptRevisions is the number of latest revisions of the targets since which the changes are known. A gateway that was sent an older one gets all targets.
+	keptRevisions = 256
 )
 
 // storeReads holds what an agent last read from the platform's store on behalf of the gateways.
@@ -38,9 +40,11 @@
 	routesReadAt    time.Time
 	targets         []*wire.RegisteredTarget
 	targetsReadAt   time.Time
-	targetsRevision uint64       // number of changes of targets
-	targetsSpan     history.Span // of the latest read of the targets
-	requestedAt     time.Time    // when a gateway last requested the reads
+	targetsRevision uint64            // number of changes of targets
+	changedIn       map[string]uint64 // by id of a listed target: revision in which it last changed
+	removedIn       map[string]uint64 // by id of a target that is no longer listed: revision in which it was removed; the last keptRevisions only
+	targetsSpan     history.Span      // of the latest read of the targets
+	requestedAt     time.Time         // when a gateway last requested the reads
 }
 
 // followTargets reads the registry of targets regularly while a gateway needs this agent to.
@@ -124,11 +128,59 @@
 	if sameEpoch && w.storeReads.targetsRevision > 0 && slices.EqualFunc(registered, w.storeReads.targets, func(a, b *wire.RegisteredTarget) bool { return proto.Equal(a, b) }) {
 		return
 	}
-	w.storeReads.targets = registered
-	w.storeReads.targetsRevision++
+	w.storeReads.replaceTargets(registered)
 	w.resendIfRelay()
 }
 
+// replaceTargets begins a new revision of the targets and records what has changed in it.
+func (r *storeReads) replaceTargets(targets []*wire.RegisteredTarget) {
+	r.targetsRevision++
+	before := make(map[string]*wire.RegisteredTarget, len(r.targets))
+	for _, t := range r.targets {
+		before[t.GetId()] = t
+	}
+	if r.changedIn == nil {
+		r.changedIn, r.removedIn = map[string]uint64{}, map[string]uint64{}
+	}
+	for _, t := range targets {
+		if known := before[t.GetId()]; known == nil || !proto.Equal(known, t) {
+			r.changedIn[t.GetId()] = r.targetsRevision
+		}
+		delete(before, t.GetId())
+		delete(r.removedIn, t.GetId())
+	}
+	for id := range before {
+		delete(r.changedIn, id)
+		r.removedIn[id] = r.targetsRevision
+	}
+	for id, revision := range r.removedIn {
+		if revision+keptRevisions <= r.targetsRevision {
+			delete(r.removedIn, id)
+		}
+	}
+	r.targets = targets
+}
+
+// changesSince returns the targets that were added or changed after a revision, and the ids of those that were removed. ok is false if
+// that is not known.
+func (r *storeReads) changesSince(revision uint64) (changed []*wire.RegisteredTarget, removed []string, ok bool) {
+	if revision == 0 || revision+keptRevisions <= r.targetsRevision {
+		return nil, nil, false
+	}
+	for _, t := range r.targets {
+		if r.changedIn[t.GetId()] > revision {
+			changed = append(changed, t)
+		}
+	}
+	for id, removedIn := range r.removedIn {
+		if removedIn > revision {
+			removed = append(removed, id)
+		}
+	}
+	slices.Sort(removed)
+	return changed, removed, true
+}
+
 // setRoutesVersion records that the store was just read with the given version of the routes in force, and sends the
 // version to the gateways if it is new.
 func (w *watchers) setRoutesVersion(version int64) {
@@ -151,7 +203,8 @@
 }
 
 // storeReadsFor returns the reads of the store for one gateway, with the targets only if they differ from those last sent
-// to it. It returns nil if no gateway needs them or if the routes or the targets have not been read yet. The caller holds
+// to it, and then, if the gateway understands that, with what has changed alone. Messages on a stream arrive in order or not at
+// all, so that the gateway has what was last sent to it. It returns nil if no gateway needs them or if the routes or the targets have not been read yet. The caller holds
 // the lock.
 func (w *watchers) storeReadsFor(recipient *watcher) *wire.StoreReads {
 	reads := &w.storeReads
@@ -170,6 +223,9 @@
 	}
 	if recipient.targetsRevision != reads.targetsRevision {
 		message.HasTargets, message.Targets = true, reads.targets
+		if changed, removed, ok := reads.changesSince(recipient.targetsRevision); ok && recipient.keepsTargets {
+			message.BaseRevision, message.Targets, message.RemovedIds = recipient.targetsRevision, changed, removed
+		}
 		recipient.targetsRevision = reads.targetsRevision
 	}
 	return message
--- /dev/null
+++ b/agent/sent_bytes_test.go
@@ -0,0 +1,287 @@
+package agent
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"gypsumbank/history"
+	"gypsumbank/registry"
+	"gypsumbank/wire"
+)
+
+// sentLoad is the load of the deployments that the bytes are counted for: 1.8 engines a gateway, 3.1 requests a second at each, half of
+// them with 9,190 prompt tokens, and a target that starts, turns warm, drains and leaves each 500 s.
+const (
+	enginesPerGateway     = 1.8
+	requestsPerS          = 3.1
+	longPrefillMs         = 110
+	targetLifetime        = 500 * time.Second
+	changesPerLife        = 4
+	prefillTime           = 100 * time.Millisecond
+	residence             = 900 * time.Millisecond
+	sharedPrompts         = 40
+	gatewayUpdateInterval = time.Second
+)
+
+// relayUnderLoad is an agent that reads the store for gateways, and the gateways that it sends states to, on a fake clock.
+type relayUnderLoad struct {
+	w        *watchers
+	clock    *fakeClock
+	random   *rand.Rand
+	gateways []*loadedGateway
+	targets  []registry.Target
+	running  []runningRequest
+	bytes    int
+	messages int
+}
+
+type loadedGateway struct {
+	watcher  *watcher
+	requests int
+	parts    []*wire.PromptPart
+	pending  float32
+	sentAt   time.Time
+	changed  bool
+}
+
+type runningRequest struct {
+	gateway          *loadedGateway
+	firstByte, ended time.Time
+	answered         bool
+	prefillMs        float32
+}
+
+func newRelayUnderLoad(gateways int, keepsTargets bool) *relayUnderLoad {
+	w, clock := newTestWatchers()
+	r := &relayUnderLoad{w: w, clock: clock, random: rand.New(rand.NewPCG(1, 2))}
+	for i := range int(enginesPerGateway*float64(gateways)) + 3 {
+		r.targets = append(r.targets, registry.Target{
+			ID: fmt.Sprintf("i-%010x", i), Born: clock.at.UnixNano() + int64(i), Service: "engines", Address: fmt.Sprintf("10.%d.0.%d:8000", i/200, i%200),
+			AvailabilityZone: "zone-a", Slots: 64, SoftwareVersion: "2.14.1",
+		})
+	}
+	for i := range gateways {
+		g := &loadedGateway{watcher: w.add(), sentAt: clock.at.Add(-time.Duration(i) * 7 * time.Millisecond)}
+		r.gateways = append(r.gateways, g)
+		r.heartbeat(g, i, keepsTargets)
+	}
+	w.setRoutesVersion(3)
+	w.setTargets(r.targets, history.New(1, 1, 1))
+	return r
+}
+
+func (r *relayUnderLoad) heartbeat(g *loadedGateway, i int, keepsTargets bool) {
+	r.w.handleHeartbeat(g.watcher, &wire.WatcherUpdate{
+		Node: fmt.Sprintf("frontend-%03d", i), HasDemand: true, KeepsHoldings: true, KeepsTargets: keepsTargets,
+		Uses: []*wire.ModelUse{{Model: "m", Requests: uint32(g.requests)}}, UnreadMs: g.pending, Parts: g.parts,
+	})
+	g.parts, g.changed, g.sentAt = nil, false, r.clock.at
+}
+
+// play passes a time in steps of 5 ms and counts the bytes and messages that the agent sends in it.
+func (r *relayUnderLoad) play(duration time.Duration, keepsTargets bool) {
+	const step = 5 * time.Millisecond
+	changeRate := float64(changesPerLife*len(r.targets)) / targetLifetime.Seconds()
+	for n := range int(duration / step) {
+		r.clock.advance(step)
+		if r.random.Float64() < requestsPerS*step.Seconds() {
+			r.arrive()
+		}
+		r.endRequests()
+		if r.random.Float64() < changeRate*step.Seconds() {
+			i := r.random.IntN(len(r.targets))
+			r.targets[i].Draining = !r.targets[i].Draining
+		}
+		if n%int(targetsReadInterval/step) == 0 {
+			r.w.setTargets(r.targets, history.New(1, int64(n+1), int64(n+1)))
+			r.w.setRoutesVersion(3)
+		}
+		if n%int(idleReportInterval/step) == 0 {
+			r.w.publish(r.state())
+		}
+		for i, g := range r.gateways {
+			if g.changed || r.clock.at.Sub(g.sentAt) >= gatewayUpdateInterval {
+				r.heartbeat(g, i, keepsTargets)
+			}
+		}
+		for _, g := range r.gateways {
+			if state := received(r.w, g.watcher); state != nil {
+				r.messages++
+				r.bytes += proto.Size(state)
+			}
+		}
+	}
+}
+
+func (r *relayUnderLoad) arrive() {
+	g := r.gateways[r.random.IntN(len(r.gateways))]
+	sent := runningRequest{gateway: g, firstByte: r.clock.at.Add(prefillTime / 4), ended: r.clock.at.Add(residence)}
+	prompt := r.random.Uint64N(sharedPrompts)
+	g.parts = append(g.parts, &wire.PromptPart{Hash: prompt * 0x9e3779b97f4a7c15, Tokens: 500})
+	if r.random.IntN(2) == 0 {
+		sent.prefillMs, sent.firstByte = longPrefillMs, r.clock.at.Add(prefillTime)
+		g.parts = append(g.parts, &wire.PromptPart{Hash: prompt * 0xbf58476d1ce4e5b9, Tokens: 5800})
+	}
+	g.parts = append(g.parts, &wire.PromptPart{Hash: r.random.Uint64(), Tokens: 2890})
+	g.requests++
+	g.pending += sent.prefillMs
+	g.changed = true
+	r.running = append(r.running, sent)
+}
+
+func (r *relayUnderLoad) endRequests() {
+	r.running = slices.DeleteFunc(r.running, func(each runningRequest) bool { return !r.clock.at.Before(each.ended) && r.end(each) })
+	for i := range r.running {
+		if each := &r.running[i]; !each.answered && !r.clock.at.Before(each.firstByte) {
+			each.answered, each.gateway.changed = true, true
+			each.gateway.pending -= each.prefillMs
+		}
+	}
+}
+
+func (r *relayUnderLoad) end(each runningRequest) bool {
+	each.gateway.requests--
+	each.gateway.changed = true
+	return true
+}
+
+func (r *relayUnderLoad) state() *wire.TargetState {
+	state := &wire.TargetState{
+		TargetId: "i-0000000000", Born: 1796590000000000000, Sequence: 7, Running: uint32(len(r.running)), KvUsed: uint32(3000 * len(r.running)), KvTotal: 197200, AgeMs: 40, AdapterRoom: 4,
+	}
+	for i := range 4 {
+		state.Models = append(state.Models, &wire.HeldModel{Name: fmt.Sprintf("model%05x", i), Adapters: []string{"adapter-a", "adapter-b"}})
+		state.OnDisk = append(state.OnDisk, fmt.Sprintf("model%05x", i), fmt.Sprintf("model%05x", i+4))
+	}
+	return state
+}
+
+// TestSentBytesByGateways counts what an agent that reads the store sends to 10, 30 and 100 gateways, of deployments with 30, 100 and
+// 300 VMs. Whole lists of targets at each change would grow with the square of the VMs.
+func TestSentBytesByGateways(t *testing.T) {
+	t.Parallel()
+	const played = 60 * time.Second
+	perS := func(gateways int, keepsTargets bool) (bytes, messages float64) {
+		r := newRelayUnderLoad(gateways, keepsTargets)
+		r.play(2*time.Second, keepsTargets)
+		r.bytes, r.messages = 0, 0
+		r.play(played, keepsTargets)
+		return float64(r.bytes) / played.Seconds(), float64(r.messages) / played.Seconds()
+	}
+	least, _ := perS(10, true)
+	for _, gateways := range []int{10, 30, 100} {
+		whole, wholeMessages := perS(gateways, false)
+		changes, messages := perS(gateways, true)
+		t.Logf("%d gateways: %.0f B/s and %.0f messages/s with whole lists, %.0f B/s and %.0f messages/s with changes", gateways, whole, wholeMessages, changes, messages)
+		if bound := 1.3 * least * float64(gateways) / 10; changes > bound {
+			t.Errorf("%.0f B/s at %d gateways, want at most %.0f: %.0f at 10 gateways, by the number of gateways", changes, gateways, bound, least)
+		}
+	}
+}
+
+// TestChangesOfTargetsAddUp draws changes of the registry, gateways that miss messages and such that connect again. What a gateway has
+// from whole lists and changes must be what the agent has read, and a change must not be sent as a whole list.
+func TestChangesOfTargetsAddUp(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		w, clock := newTestWatchers()
+		listed := map[string]registry.Target{}
+		read := func() {
+			targets := slices.Collect(maps.Values(listed))
+			w.setTargets(targets, history.New(1, 1, 1))
+		}
+		var gateway *watcher
+		known := map[string]bool{} // by id, whether it drains
+		revision := uint64(0)
+		connect := func() {
+			if gateway != nil {
+				w.remove(gateway)
+			}
+			gateway, known, revision = w.add(), map[string]bool{}, 0
+			w.handleHeartbeat(gateway, &wire.WatcherUpdate{Node: "g", HasDemand: true, KeepsTargets: true})
+		}
+		receive := func() {
+			state := received(w, gateway)
+			reads := state.GetStoreReads()
+			if !reads.GetHasTargets() {
+				return
+			}
+			if base := reads.GetBaseRevision(); base != revision && base != 0 {
+				t.Fatalf("changes to revision %d for a gateway that has revision %d", base, revision)
+			}
+			if (reads.GetBaseRevision() == 0) != (revision == 0 || reads.GetRevision() >= revision+keptRevisions) {
+				t.Fatalf("base revision %d, the gateway has revision %d of %d", reads.GetBaseRevision(), revision, reads.GetRevision())
+			}
+			if reads.GetBaseRevision() == 0 {
+				clear(known)
+			}
+			for _, id := range reads.GetRemovedIds() {
+				delete(known, id)
+			}
+			for _, target := range reads.GetTargets() {
+				known[target.GetId()] = target.GetDraining()
+			}
+			revision = reads.GetRevision()
+		}
+		w.setRoutesVersion(1)
+		read()
+		w.publish(&wire.TargetState{TargetId: "t"})
+		connect()
+		id := func(t *rapid.T) string { return fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "id")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"a target is listed":         func(t *rapid.T) { id := id(t); listed[id] = registry.Target{ID: id} },
+			"a target drains":            func(t *rapid.T) { id := id(t); listed[id] = registry.Target{ID: id, Draining: true} },
+			"a target is removed":        func(t *rapid.T) { delete(listed, id(t)) },
+			"the agent reads":            func(*rapid.T) { read() },
+			"many changes":               func(*rapid.T) { manyChanges(w, listed) },
+			"the gateway receives":       func(*rapid.T) { receive() },
+			"the gateway connects again": func(*rapid.T) { connect() },
+			"the gateway sends heartbeat": func(*rapid.T) {
+				w.handleHeartbeat(gateway, &wire.WatcherUpdate{Node: "g", HasDemand: true, KeepsTargets: true})
+			},
+		})
+		read()
+		clock.advance(time.Second)
+		w.publish(&wire.TargetState{TargetId: "t"})
+		receive()
+		want := map[string]bool{}
+		for id, target := range listed {
+			want[id] = target.Draining
+		}
+		if !maps.Equal(known, want) {
+			t.Fatalf("the gateway has %v, want %v", known, want)
+		}
+	})
+}
+
+// manyChanges has more revisions begin than the agent knows changes since.
+func manyChanges(w *watchers, listed map[string]registry.Target) {
+	for i := range keptRevisions + 1 {
+		changed := maps.Clone(listed)
+		changed["many"] = registry.Target{ID: "many", Born: int64(i)}
+		w.setTargets(slices.Collect(maps.Values(changed)), history.New(1, 1, 1))
+	}
+}
+
+// TestGatewaysWithoutChangesGetWholeLists covers a gateway of an earlier release beside one of this.
+func TestGatewaysWithoutChangesGetWholeLists(t *testing.T) {
+	t.Parallel()
+	w, _ := newTestWatchers()
+	gateway := w.add()
+	w.handleHeartbeat(gateway, &wire.WatcherUpdate{Node: "g", HasDemand: true})
+	w.setRoutesVersion(1)
+	w.publish(&wire.TargetState{TargetId: "t"})
+	for i := range 3 {
+		w.setTargets([]registry.Target{{ID: "a"}, {ID: "b", Born: int64(i)}}, history.New(1, 1, 1))
+		if reads := received(w, gateway).GetStoreReads(); reads.GetBaseRevision() != 0 || len(reads.GetTargets()) != 2 {
+			t.Errorf("store reads %v, want all targets", reads)
+		}
+	}
+}
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -72,6 +72,7 @@
 	holdingsRevision  uint64             // of the state last sent to it
 	quarantineSent    uint64             // revision of the quarantine up to which it has been told
 	keepsHoldings     bool               // it accepts states without unchanged holdings
+	keepsTargets      bool               // it accepts changes to the targets
 	updates           chan update
 }
 
@@ -113,7 +114,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	from.node, from.lastHeartbeatAt, from.requests, from.pendingPrefillMs = heartbeat.GetNode(), w.now(), heartbeat.GetUses(), heartbeat.GetUnreadMs()
-	from.keepsHoldings = heartbeat.GetKeepsHoldings()
+	from.keepsHoldings, from.keepsTargets = heartbeat.GetKeepsHoldings(), heartbeat.GetKeepsTargets()
 	for each := range w.members {
 		if each != from {
 			each.queuePromptParts(heartbeat.GetParts())
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -199,7 +199,7 @@
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
 		storeEpoch, _ := a.epochs.Current()
-		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true, StoreEpoch: uint64(storeEpoch)}
+		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch)}
 		if isRelay {
 			for _, d := range a.fleet.Demand(time.Now()) {
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
@@ -300,8 +300,13 @@
 		if news := state.GetQuarantine(); news != nil {
 			a.crashes.merge(address, news)
 		}
+		if storeReads := state.GetStoreReads(); storeReads != nil {
+			if err := a.relay.record(address, storeReads, time.Now()); err != nil {
+				return err
+			}
+		}
 		if state.GetEngineDown() {
-			a.applyDown(address, state)
+			a.applyDown(state)
 			continue
 		}
 		if state.GetSameHoldings() {
@@ -313,22 +318,16 @@
 	}
 }
 
-// applyDown applies what an agent sends while its engine does not answer: its reads of the store, and the end of a run.
-func (a *agentClients) applyDown(address string, state *wire.TargetState) {
-	if storeReads := state.GetStoreReads(); storeReads != nil {
-		a.relay.record(address, storeReads, time.Now())
-	}
+// applyDown applies what an agent sends while its engine does not answer: the end of a run.
+func (a *agentClients) applyDown(state *wire.TargetState) {
 	if ended := state.GetEndedRun(); ended != nil {
 		a.crashes.checker.MarkEnded(ended.GetTargetId(), ended.GetBorn(), "agent")
 	}
 	a.applyDemand(state)
 }
 
-// applyState updates the fleet, and the relayed reads of the store, from the state that an agent has sent.
+// applyState updates the fleet from the state that an agent has sent.
 func (a *agentClients) applyState(address string, state *wire.TargetState) {
-	if storeReads := state.GetStoreReads(); storeReads != nil {
-		a.relay.record(address, storeReads, time.Now())
-	}
 	report := registry.Report{
 		Born: state.GetBorn(), Busy: state.GetBusy(), Sequence: state.GetSequence(),
 		Waiting: int(state.GetWaiting()), Running: int(state.GetRunning()), KVUsed: int(state.GetKvUsed()), KVTotal: int(state.GetKvTotal()),
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -52,11 +53,15 @@
 	return &relayedReads{reads: map[string]*storeRead{}, changed: make(chan struct{}, 1)}
 }
 
+// errTargetsMissing reports that an agent has sent changes to targets which this gateway does not have, so that it must connect to the
+// agent again to get all of them.
+var errTargetsMissing = errors.New("changes to targets that are not known")
+
 // record stores what an agent has read from the store. Reads of agents of an earlier release, which do not tell their place in the
-// store's history, are ignored.
-func (r *relayedReads) record(agent string, storeReads *wire.StoreReads, now time.Time) {
+// store's history, are ignored. The error is errTargetsMissing if the targets of the agent's revision can't be known from what it has sent.
+func (r *relayedReads) record(agent string, storeReads *wire.StoreReads, now time.Time) error {
 	if storeReads.GetLastVersion() == 0 {
-		return
+		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -65,11 +70,11 @@
 		read = &storeRead{}
 		r.reads[agent] = read
 	}
-	if storeReads.GetHasTargets() {
-		read.targets, read.revision = decodeTargets(storeReads), storeReads.GetRevision()
+	if base := storeReads.GetBaseRevision(); storeReads.GetHasTargets() && (base == 0 || base == read.revision) {
+		read.targets, read.revision = applyTargets(read.targets, storeReads), storeReads.GetRevision()
 	}
 	if read.revision != storeReads.GetRevision() {
-		return // the message with the targets of this revision is missing
+		return errTargetsMissing
 	}
 	readIn := epoch.Epoch(storeReads.GetStoreEpoch())
 	if storeReads.GetRoutesVersion() > r.highestRoutes() {
@@ -84,6 +89,7 @@
 		default:
 		}
 	}
+	return nil
 }
 
 // remove drops the reads of an agent. It may have restarted, and then counts its revisions anew.
@@ -161,6 +167,28 @@
 	return latestAgent, latest
 }
 
+// applyTargets returns the targets that an agent has sent, or those known with its changes to them. It does not change the slice, which
+// may have been returned.
+func applyTargets(known []registry.Target, storeReads *wire.StoreReads) []registry.Target {
+	sent := decodeTargets(storeReads)
+	if storeReads.GetBaseRevision() == 0 {
+		return sent
+	}
+	replaced := make(map[string]bool, len(sent)+len(storeReads.GetRemovedIds()))
+	for _, t := range sent {
+		replaced[t.ID] = true
+	}
+	for _, id := range storeReads.GetRemovedIds() {
+		replaced[id] = true
+	}
+	for _, t := range known {
+		if !replaced[t.ID] {
+			sent = append(sent, t)
+		}
+	}
+	return sent
+}
+
 func decodeTargets(storeReads *wire.StoreReads) []registry.Target {
 	targets := make([]registry.Target, 0, len(storeReads.GetTargets()))
 	for _, t := range storeReads.GetTargets() {
--- a/gateway/targets_order_test.go
+++ b/gateway/targets_order_test.go
@@ -134,7 +134,7 @@
 			"an agent sends":        func(t *rapid.T) { agents[reader(t)].send(now) },
 			"a message arrives": func(t *rapid.T) {
 				if a := agents[reader(t)]; len(a.inFlight) > 0 {
-					g.relay.record(a.address, a.inFlight[0], now)
+					_ = g.relay.record(a.address, a.inFlight[0], now)
 					a.inFlight = a.inFlight[1:]
 				}
 			},
