Let agents send many gateways fewer and smaller states

Cause: with many gateways each state goes to all of them; heartbeats, changes of the load and changes of the targets were each sent at their own times, with reads of the store and prompt parts that the gateways had already. Change: above 8 gateways any message counts as the heartbeat and has the newest report; above 10 the intervals, and the change of the number of requests that is sent at once, grow with the square root of their number, a heartbeat to 600 ms at most, as gateways take a report of 900 ms for a missed one. A change of the targets is sent at once only if a target leaves, a read of the store once, a prompt part again after 3 s. Up to 8 gateways get what they got before.

--- a/agent/relay.go
+++ b/agent/relay.go
@@ -31,7 +31,7 @@
 	// relayLongPollWait bounds a wait for changes of the routes so that a silent connection to the store is noticed.
 	relayLongPollWait = time.Second
 	// keptRevisions is the number of latest revisions of the targets since which the changes are known. A gateway that was sent an older one gets all targets.
-	keptRevisions = 256
+	keptRevisions = 64
 )
 
 // storeReads holds what an agent last read from the platform's store on behalf of the gateways.
@@ -110,7 +110,8 @@
 	w.storeReads.requestedAt = w.now()
 }
 
-// setTargets records the targets just read from the registry and sends them to the gateways if they have changed.
+// setTargets records the targets just read from the registry and sends them to the gateways if they have changed. Many gateways are told
+// at once only that a target leaves, and the rest with their next state.
 func (w *watchers) setTargets(targets []registry.Target, span history.Span) {
 	registered := make([]*wire.RegisteredTarget, 0, len(targets))
 	for _, t := range targets {
@@ -128,12 +129,14 @@
 	if sameEpoch && w.storeReads.targetsRevision > 0 && slices.EqualFunc(registered, w.storeReads.targets, func(a, b *wire.RegisteredTarget) bool { return proto.Equal(a, b) }) {
 		return
 	}
-	w.storeReads.replaceTargets(registered)
-	w.resendIfRelay()
+	leaving := w.storeReads.replaceTargets(registered)
+	if leaving || len(w.live()) <= maxFewWatchers {
+		w.resendIfRelay()
+	}
 }
 
-// replaceTargets begins a new revision of the targets and records what has changed in it.
-func (r *storeReads) replaceTargets(targets []*wire.RegisteredTarget) {
+// replaceTargets begins a new revision of the targets, records what has changed in it and reports whether a target leaves or has left.
+func (r *storeReads) replaceTargets(targets []*wire.RegisteredTarget) (leaving bool) {
 	r.targetsRevision++
 	before := make(map[string]*wire.RegisteredTarget, len(r.targets))
 	for _, t := range r.targets {
@@ -145,6 +148,7 @@
 	for _, t := range targets {
 		if known := before[t.GetId()]; known == nil || !proto.Equal(known, t) {
 			r.changedIn[t.GetId()] = r.targetsRevision
+			leaving = leaving || (t.GetDraining() && !known.GetDraining())
 		}
 		delete(before, t.GetId())
 		delete(r.removedIn, t.GetId())
@@ -152,6 +156,7 @@
 	for id := range before {
 		delete(r.changedIn, id)
 		r.removedIn[id] = r.targetsRevision
+		leaving = true
 	}
 	for id, revision := range r.removedIn {
 		if revision+keptRevisions <= r.targetsRevision {
@@ -159,6 +164,7 @@
 		}
 	}
 	r.targets = targets
+	return leaving
 }
 
 // changesSince returns the targets that were added or changed after a revision, and the ids of those that were removed. ok is false if
@@ -199,18 +205,27 @@
 	if (w.lastState == nil && w.down == nil) || w.now().Sub(w.storeReads.requestedAt) >= relayRequestTTL {
 		return
 	}
+	w.useNewestState(len(w.live()))
 	w.broadcastLast()
 }
 
 // storeReadsFor returns the reads of the store for one gateway, with the targets only if they differ from those last sent
 // to it, and then, if the gateway understands that, with what has changed alone. Messages on a stream arrive in order or not at
-// all, so that the gateway has what was last sent to it. It returns nil if no gateway needs them or if the routes or the targets have not been read yet. The caller holds
+// all, so that the gateway has what was last sent to it. Where there are many gateways, each is told of a read once. It returns nil if no gateway needs them or if the routes or the targets have not been read yet. The caller holds
 // the lock.
 func (w *watchers) storeReadsFor(recipient *watcher) *wire.StoreReads {
 	reads := &w.storeReads
 	if w.now().Sub(reads.requestedAt) >= relayRequestTTL || reads.targetsRevision == 0 || reads.routesVersion == 0 {
 		return nil
 	}
+	readAt := reads.targetsReadAt
+	if reads.routesReadAt.After(readAt) {
+		readAt = reads.routesReadAt
+	}
+	if len(w.members) > maxFewWatchers && recipient.readsSentAt.Equal(readAt) && recipient.targetsRevision == reads.targetsRevision && recipient.routesSent == reads.routesVersion {
+		return nil
+	}
+	recipient.readsSentAt, recipient.routesSent = readAt, reads.routesVersion
 	// The store answers a waiting read of the routes as soon as they change, so that this read may be older than that of the
 	// targets by the difference of their intervals.
 	oldest := reads.routesReadAt.Add(relayLongPollWait - targetsReadInterval)
--- a/agent/sent_bytes_test.go
+++ b/agent/sent_bytes_test.go
@@ -23,7 +23,7 @@
 	requestsPerS          = 3.1
 	longPrefillMs         = 110
 	targetLifetime        = 500 * time.Second
-	changesPerLife        = 4
+	changesPerLife        = 3 // the end of one is the start of the next
 	prefillTime           = 100 * time.Millisecond
 	residence             = 900 * time.Millisecond
 	sharedPrompts         = 40
@@ -96,8 +96,7 @@
 		}
 		r.endRequests()
 		if r.random.Float64() < changeRate*step.Seconds() {
-			i := r.random.IntN(len(r.targets))
-			r.targets[i].Draining = !r.targets[i].Draining
+			r.changeTarget()
 		}
 		if n%int(targetsReadInterval/step) == 0 {
 			r.w.setTargets(r.targets, history.New(1, int64(n+1), int64(n+1)))
@@ -120,6 +119,20 @@
 	}
 }
 
+// changeTarget has a target begin to drain, leave, come as another run that is cold, or turn warm, in this order.
+func (r *relayUnderLoad) changeTarget() {
+	t := &r.targets[r.random.IntN(len(r.targets))]
+	switch {
+	case t.ColdRemaining > 0:
+		t.ColdRemaining = 0
+	case !t.Draining:
+		t.Draining = true
+	default:
+		t.Draining, t.ColdRemaining, t.Born = false, time.Second, t.Born+1
+		t.ID = fmt.Sprintf("i-%010x", r.random.Uint64()>>24)
+	}
+}
+
 func (r *relayUnderLoad) arrive() {
 	g := r.gateways[r.random.IntN(len(r.gateways))]
 	sent := runningRequest{gateway: g, firstByte: r.clock.at.Add(prefillTime / 4), ended: r.clock.at.Add(residence)}
@@ -164,10 +177,11 @@
 }
 
 // TestSentBytesByGateways counts what an agent that reads the store sends to 10, 30 and 100 gateways, of deployments with 30, 100 and
-// 300 VMs. Whole lists of targets at each change would grow with the square of the VMs.
+// 300 VMs: what it sends to one of them must not grow. Whole lists of targets at each change would grow with the square of the VMs, and
+// intervals that don't depend on the number of gateways in proportion to it.
 func TestSentBytesByGateways(t *testing.T) {
 	t.Parallel()
-	const played = 60 * time.Second
+	const played = 20 * time.Second
 	perS := func(gateways int, keepsTargets bool) (bytes, messages float64) {
 		r := newRelayUnderLoad(gateways, keepsTargets)
 		r.play(2*time.Second, keepsTargets)
@@ -180,7 +194,7 @@
 		whole, wholeMessages := perS(gateways, false)
 		changes, messages := perS(gateways, true)
 		t.Logf("%d gateways: %.0f B/s and %.0f messages/s with whole lists, %.0f B/s and %.0f messages/s with changes", gateways, whole, wholeMessages, changes, messages)
-		if bound := 1.3 * least * float64(gateways) / 10; changes > bound {
+		if bound := least * float64(gateways) / 10; changes > bound {
 			t.Errorf("%.0f B/s at %d gateways, want at most %.0f: %.0f at 10 gateways, by the number of gateways", changes, gateways, bound, least)
 		}
 	}
@@ -285,3 +299,71 @@
 		}
 	}
 }
+
+// TestChangeOfTargetsIsSentInTime covers many gateways: that a target leaves is sent at once, and any other change with the next state,
+// which must come within maxHeartbeatInterval though the load does not change.
+func TestChangeOfTargetsIsSentInTime(t *testing.T) {
+	t.Parallel()
+	w, clock := newTestWatchers()
+	var gateways []*watcher
+	heartbeats := func() {
+		for i, g := range gateways {
+			w.handleHeartbeat(g, &wire.WatcherUpdate{Node: fmt.Sprint("g", i), HasDemand: true, KeepsTargets: true})
+		}
+	}
+	for range 100 {
+		gateways = append(gateways, w.add())
+	}
+	heartbeats()
+	w.setRoutesVersion(1)
+	w.setTargets([]registry.Target{{ID: "a"}}, history.New(1, 1, 1))
+	w.publish(&wire.TargetState{TargetId: "t"})
+	received(w, gateways[7])
+	w.setTargets([]registry.Target{{ID: "a"}, {ID: "b"}}, history.New(1, 2, 2))
+	waited := time.Duration(0)
+	for received(w, gateways[7]).GetStoreReads().GetTargets() == nil && waited < time.Second {
+		clock.advance(idleReportInterval)
+		waited += idleReportInterval
+		w.publish(&wire.TargetState{TargetId: "t"})
+	}
+	if waited > maxHeartbeatInterval {
+		t.Errorf("a new target was sent after %s, want at most %s", waited, maxHeartbeatInterval)
+	}
+	heartbeats()
+	w.setTargets([]registry.Target{{ID: "a", Draining: true}, {ID: "b"}}, history.New(1, 3, 3))
+	if reads := received(w, gateways[7]).GetStoreReads(); len(reads.GetTargets()) != 1 || !reads.GetTargets()[0].GetDraining() {
+		t.Errorf("store reads %v, want that the target drains at once", reads)
+	}
+	w.setTargets([]registry.Target{{ID: "b"}}, history.New(1, 4, 4))
+	if reads := received(w, gateways[7]).GetStoreReads(); len(reads.GetRemovedIds()) != 1 {
+		t.Errorf("store reads %v, want that the target is removed at once", reads)
+	}
+}
+
+// TestNewestStateGoesOutWithAChangeOfLoad covers many gateways whose requests change the load more often than states are due: each message
+// must have what the engine has last reported, not what it reported before the first of these changes.
+func TestNewestStateGoesOutWithAChangeOfLoad(t *testing.T) {
+	t.Parallel()
+	w, clock := newTestWatchers()
+	var gateways []*watcher
+	for range 30 {
+		gateways = append(gateways, w.add())
+	}
+	running, oldest := 0, 0
+	for n := range 200 {
+		clock.advance(idleReportInterval / 2)
+		for i, g := range gateways {
+			w.handleHeartbeat(g, &wire.WatcherUpdate{Node: fmt.Sprint("g", i), Uses: []*wire.ModelUse{{Model: "m", Requests: uint32(n % 4)}}})
+		}
+		if n%2 == 0 {
+			running++
+			w.publish(&wire.TargetState{TargetId: "t", Running: uint32(running * runningBucket)})
+		}
+		if state := received(w, gateways[0]); state != nil {
+			oldest = max(oldest, running-int(state.GetRunning())/runningBucket)
+		}
+	}
+	if oldest > 1 {
+		t.Errorf("a state was %d reports old, want at most 1", oldest)
+	}
+}
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +40,16 @@
 	// take the same free slot. The time between two such messages is at least requestsIntervalPerWatcher for each gateway.
 	minRequestsChange          = 2
 	requestsIntervalPerWatcher = 5 * time.Millisecond
+	// scaledFrom is the number of gateways above which the intervals between states, and the change of the number of requests that is
+	// sent at once, grow with the square root of that number, so that the bytes of all states do, too.
+	scaledFrom = 10
+	// maxHeartbeatInterval bounds that growth: gateways take an agent whose report is 900 ms old for one that may be frozen.
+	maxHeartbeatInterval = 600 * time.Millisecond
+	// partInterval is the time for which a prompt part that was passed on to the gateways isn't passed on again. It is below the some
+	// nine seconds in which long prompts at the rate of a busy engine fill its KV cache.
+	partInterval = 3 * time.Second
+	// maxRememberedParts bounds the parts that are remembered for that.
+	maxRememberedParts = 4096
 )
 
 // watchers sends the newest state of the target to all gateways that watch it, and the summed demand of all gateways to the
@@ -48,12 +60,14 @@
 	mu               sync.Mutex
 	members          map[*watcher]struct{}
 	lastState        *wire.TargetState
+	unsentState      *wire.TargetState // published after lastState and not sent by itself; nil if there is none
 	down             *wire.TargetState // sent instead of lastState while the engine does not answer; nil if it does
 	holdingsRevision uint64            // number of changes of the models and weights that the target holds
 	lastSentAt       time.Time
 	loadSentAt       time.Time // of the last message between states, see broadcastLoadChange
 	demandSentAt     time.Time
 	storeReads       storeReads
+	partsPassedOn    map[uint64]time.Time // by hash of a prompt part: when it was last passed on to the gateways
 	quarantine       *quarantine.Table
 	origins          *origin.Table // of the streams of all gateways
 	blocklistDue     chan struct{} // holds a value after a content was blocked or unblocked, and when gateways begin to rely on this agent
@@ -69,6 +83,8 @@
 	pendingPrefillMs  float32
 	queuedPromptParts []*wire.PromptPart // from other gateways, not yet sent to this one
 	targetsRevision   uint64             // of the targets last sent to it
+	routesSent        int64              // version of the routes last sent to it
+	readsSentAt       time.Time          // when the store was last read of what was last sent to it
 	holdingsRevision  uint64             // of the state last sent to it
 	quarantineSent    uint64             // revision of the quarantine up to which it has been told
 	keepsHoldings     bool               // it accepts states without unchanged holdings
@@ -115,9 +131,10 @@
 	defer w.mu.Unlock()
 	from.node, from.lastHeartbeatAt, from.requests, from.pendingPrefillMs = heartbeat.GetNode(), w.now(), heartbeat.GetUses(), heartbeat.GetUnreadMs()
 	from.keepsHoldings, from.keepsTargets = heartbeat.GetKeepsHoldings(), heartbeat.GetKeepsTargets()
+	parts := w.partsToPassOn(heartbeat.GetParts())
 	for each := range w.members {
 		if each != from {
-			each.queuePromptParts(heartbeat.GetParts())
+			each.queuePromptParts(parts)
 		}
 	}
 	w.mergeQuarantine(heartbeat.GetQuarantine())
@@ -145,18 +162,39 @@
 	if w.lastState != nil && w.down == nil && sameUrgentState(w.lastState, state) {
 		sinceLast := w.now().Sub(w.lastSentAt)
 		interval := w.heartbeatInterval(len(live))
-		if sinceLast < minLoadStateInterval || (sinceLast < interval && sameLoad(w.lastState, state)) {
+		if sinceLast < min(interval, scaledByGateways(minLoadStateInterval, len(live))) || (sinceLast < interval && sameLoad(w.lastState, state)) {
+			w.unsentState = state
 			return
 		}
 	}
 	if !sameHeldModels(w.lastState, state) {
 		w.holdingsRevision++
 	}
-	w.lastState, w.lastSentAt, w.down = state, w.now(), nil
+	w.lastState, w.unsentState, w.lastSentAt, w.down = state, nil, w.now(), nil
 	w.broadcastLast()
 	w.sendDemandToPlanner()
 }
 
+// scaledByGateways returns an interval that grows with the square root of the number of gateways above scaledFrom.
+func scaledByGateways(interval time.Duration, gateways int) time.Duration {
+	return time.Duration(float64(interval) * growth(gateways))
+}
+
+// growth returns the square root of the number of gateways over scaledFrom, at least 1.
+func growth(gateways int) float64 { return math.Sqrt(max(1, float64(gateways)/scaledFrom)) }
+
+// useNewestState replaces the last state by the one published after it, if that may be sent in its place, and counts as a message that
+// the next heartbeat follows after its interval. Up to maxFewWatchers gateways get their states at their own times. The caller holds the lock.
+func (w *watchers) useNewestState(gateways int) {
+	if gateways <= maxFewWatchers || w.down != nil {
+		return
+	}
+	w.lastSentAt = w.now()
+	if w.unsentState != nil {
+		w.lastState, w.unsentState = w.unsentState, nil
+	}
+}
+
 // publishDown tells all gateways that the engine does not answer, and which of its runs has ended, unless ended is nil. It does
 // so again as a heartbeat: this process still reads the store and passes on what gateways tell each other.
 func (w *watchers) publishDown(ended *wire.EndedRun) {
@@ -165,6 +203,7 @@
 	if w.down != nil && w.now().Sub(w.lastSentAt) < w.heartbeatInterval(len(w.live())) && proto.Equal(w.down.GetEndedRun(), ended) {
 		return
 	}
+	w.unsentState = nil
 	w.down, w.lastSentAt = &wire.TargetState{EngineDown: true, EndedRun: ended, SameHoldings: true}, w.now()
 	w.broadcastLast()
 }
@@ -178,7 +217,7 @@
 	if w.now().Sub(w.storeReads.requestedAt) < relayRequestTTL {
 		interval = min(interval, relayHeartbeatInterval)
 	}
-	return interval
+	return max(interval, min(scaledByGateways(interval, gateways), maxHeartbeatInterval))
 }
 
 // broadcastLoadChange sends the last state again if, since it was sent, the pending prefill time at the target has risen by
@@ -189,10 +228,11 @@
 	}
 	live := w.live()
 	pending, requests := sumPendingPrefillMs(live), sumRequests(live)
-	prefillRose := pending >= w.lastState.GetUnreadMs()+pendingPrefillRiseMs
+	prefillRose := pending >= w.lastState.GetUnreadMs()+pendingPrefillRiseMs && (len(live) <= maxFewWatchers || w.loadChangeDue(len(live)))
 	if !prefillRose && !w.requestsChangeDue(requests, len(live)) {
 		return
 	}
+	w.useNewestState(len(live))
 	w.lastState = proto.Clone(w.lastState).(*wire.TargetState)
 	w.lastState.UnreadMs, w.lastState.Requests = pending, requests
 	w.loadSentAt = w.now()
@@ -202,10 +242,19 @@
 // requestsChangeDue reports whether a new number of requests at the target is to be sent now; the caller holds the lock.
 func (w *watchers) requestsChangeDue(requests uint32, gateways int) bool {
 	change := int(requests) - int(w.lastState.GetRequests())
-	if change > -minRequestsChange && change < minRequestsChange {
+	if least := minRequestsChange * growth(gateways); math.Abs(float64(change)) < least {
 		return false
 	}
-	return w.now().Sub(w.loadSentAt) >= time.Duration(gateways)*requestsIntervalPerWatcher
+	return w.loadChangeDue(gateways)
+}
+
+// loadChangeDue reports whether the last message about a change of the load was long enough ago; the caller holds the lock.
+func (w *watchers) loadChangeDue(gateways int) bool {
+	sentAt := w.loadSentAt
+	if gateways > maxFewWatchers && w.lastSentAt.After(sentAt) {
+		sentAt = w.lastSentAt
+	}
+	return w.now().Sub(sentAt) >= time.Duration(gateways)*requestsIntervalPerWatcher
 }
 
 // broadcastLast sends the last state, or that the engine does not answer, to all gateways; the caller holds the lock.
@@ -274,6 +323,30 @@
 	recipient.send(next)
 }
 
+// partsToPassOn returns the prompt parts that were not passed on within partInterval: requests with a shared part would have it sent to all
+// gateways each time. The caller holds the lock.
+func (w *watchers) partsToPassOn(parts []*wire.PromptPart) []*wire.PromptPart {
+	if len(parts) == 0 || len(w.members) <= maxFewWatchers {
+		return parts
+	}
+	now := w.now()
+	if len(w.partsPassedOn) > maxRememberedParts {
+		maps.DeleteFunc(w.partsPassedOn, func(_ uint64, at time.Time) bool { return now.Sub(at) >= partInterval })
+	}
+	if w.partsPassedOn == nil || len(w.partsPassedOn) > maxRememberedParts {
+		w.partsPassedOn = map[uint64]time.Time{}
+	}
+	next := make([]*wire.PromptPart, 0, len(parts))
+	for _, part := range parts {
+		if at, ok := w.partsPassedOn[part.GetHash()]; ok && now.Sub(at) < partInterval {
+			continue
+		}
+		w.partsPassedOn[part.GetHash()] = now
+		next = append(next, part)
+	}
+	return next
+}
+
 // queuePromptParts queues prompt parts for a gateway and drops the oldest above maxQueuedPromptParts.
 func (w *watcher) queuePromptParts(parts []*wire.PromptPart) {
 	w.queuedPromptParts = append(w.queuedPromptParts, parts...)
