Keep in the store which software versions have served

Cause: after all gateways and agents have lost power, gateways refuse streams of which nobody knows the software version, for a minute, also where all targets have been of one version.

Change: a row of the store has the versions of each service that serve or have lately served. The agents that read the store for gateways write it before they pass targets of a version on; a gateway that reads the registry itself does so. Resumable streams begin only at versions that the row has, so a gateway that has just started knows from one read of the row and from the registry whether there has been one version only. Package servedversions decides, versionrow reads and writes. A row of an earlier epoch of the store, or one that is spoiled, proves nothing.

Tests: go test -race ./fleet ./dispatch ./agent ./servedversions passed. TestNoStreamGoesOnAtAnotherVersion fails with the check of the epoch, the time since when the row is complete, the 70 s, the check of recorded versions or the removal of versions that are not listed switched off; it passed 1500 draws with the 10 s of absence, the second read or the read after a gap switched off, so these are not shown by it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,7 @@
 	"gypsumbank/rpcserver"
 	"gypsumbank/sender"
 	"gypsumbank/settings"
+	"gypsumbank/versionrow"
 	"gypsumbank/weightstore"
 	"gypsumbank/wire"
 )
@@ -69,6 +70,7 @@
 	store          *platform.Store
 	epochs         *epoch.Tracker
 	departures     *departure.Table
+	versions       *versionrow.Row
 	engine         *platform.TargetClient
 	log            *logrus.Entry
 	watchers       *watchers
@@ -109,6 +111,7 @@
 		store:          store,
 		epochs:         epochs,
 		departures:     departure.New(time.Now),
+		versions:       versionrow.New(store, log, time.Now),
 		engine:         platform.NewTargetClient(sender.New(connpool.New(descriptor.New(config.Limits.Descriptors).Targets()))),
 		log:            log,
 		watchers:       newWatchers(time.Now),
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -58,6 +58,7 @@
 			}
 			continue
 		}
+		began := time.Now()
 		read, err := a.store.Targets(ctx, storeTimeout)
 		switch {
 		case err != nil && !storeLost:
@@ -67,7 +68,7 @@
 		}
 		storeLost = err != nil
 		if err == nil {
-			a.installTargets(read)
+			a.installTargets(ctx, read, began)
 		}
 		interval := targetsReadInterval
 		if time.Since(started) < startupPeriod {
@@ -80,14 +81,25 @@
 	return ctx.Err()
 }
 
-// installTargets passes the targets of a read of the registry to the gateways.
-func (a *Agent) installTargets(read platform.Registry) {
+// installTargets passes the targets of a read of the registry, which began at a time, to the gateways once the store's row of software
+// versions has all of theirs.
+func (a *Agent) installTargets(ctx context.Context, read platform.Registry, began time.Time) {
 	targets, _, ok := a.departures.Correct(read.Targets, read.Span.Epoch())
 	if !ok {
 		a.log.WithField("epoch", read.Span.Epoch()).Info("targets read before the store came back from an older copy, not used")
 		return
 	}
+	a.versions.Observe(targets, read.Span.Epoch(), began, false)
+	if !a.versions.Covered() {
+		a.storeVersions(ctx)
+		if !a.versions.Covered() {
+			return
+		}
+	}
 	a.watchers.setTargets(targets, read.Span)
+	if a.versions.Due() {
+		a.storeVersions(ctx)
+	}
 }
 
 // isRelay reports whether a gateway has requested reads of the store within relayRequestTTL.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -69,6 +69,8 @@
 	log        *logrus.Entry
 	now        func() time.Time
 	stop       *stop
+
+	storedVersions Registry // the store's row of software versions; nil if it is not used
 }
 
 // New returns a dispatcher that reads the time from now.
@@ -199,7 +201,7 @@
 			return fleet.Choice{}, refused
 		}
 		now := d.now()
-		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded, SoftwareVersion: d.streamVersion, LoadsModel: d.streamVersion != nil}, now)
+		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded, SoftwareVersion: d.streamVersion, LoadsModel: d.streamVersion != nil, BeginsResumable: d.beginsResumable()}, now)
 		remaining := d.firstByteDeadline().Sub(now)
 		if refused := d.refuseStopping(choice); refused != nil {
 			return choice, refused
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -66,17 +66,21 @@
 // a read of the registry that begins now, as another version may have joined since the last. If one has, the agents of its
 // targets are asked, too.
 func (d *Dispatch) confirmOrigin(found streamOrigin) streamOrigin {
-	if _, only := d.fleet.SoftwareVersions(d.service, d.now()).Only(); found.isKnown() || !only {
-		return found
-	}
 	ctx, cancel := context.WithTimeout(d.ctx, refreshTimeout)
 	defer cancel()
+	if !found.isKnown() {
+		d.readStoredVersions(ctx)
+	}
+	if view := d.fleet.SoftwareVersions(d.service, d.now()); found.isKnown() || !d.isOnly(view) {
+		return found
+	}
 	if err := d.registry.Refresh(ctx); err != nil {
 		d.log.WithError(err).Info("registry was not read, so that a stream may be of another version than the one that is known")
 		return found
 	}
-	if version, only := d.fleet.SoftwareVersions(d.service, d.now()).Only(); only {
-		return streamOrigin{version: version, only: true, source: "registry"}
+	view := d.fleet.SoftwareVersions(d.service, d.now())
+	if version, _ := view.Only(); d.isOnly(view) {
+		return streamOrigin{version: version, only: true, source: onlyVersionSource(view)}
 	}
 	return d.lookUpOrigin()
 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -74,6 +74,8 @@
 	SoftwareVersion *registry.SoftwareVersion
 	// LoadsModel tells that the model will be loaded for the request if all targets that hold it are excluded.
 	LoadsModel bool
+	// BeginsResumable tells that the request begins a stream that its caller may take up at any gateway.
+	BeginsResumable bool
 }
 
 // Choice is the result of Choose: a target and the estimates that it was chosen by.
@@ -100,7 +102,7 @@
 func (f *Fleet) Choose(query Query, now time.Time) (choice Choice, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usable := f.usableTargets(query.Service, query.SoftwareVersion, now)
+	usable := f.withStoredVersion(f.usableTargets(query.Service, query.SoftwareVersion, now), query)
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
--- a/fleet/software_version.go
+++ b/fleet/software_version.go
@@ -24,6 +24,7 @@
 type VersionView struct {
 	versions map[registry.SoftwareVersion]bool // now and within versionMemory; one is empty if that of some target is not known
 	complete bool                              // the registry was read for versionMemory without a gap, so that there were no others until the last read
+	stored   bool                              // complete holds by what the store keeps, as the registry was read for less than versionMemory
 	age      time.Duration                     // of the last read of the registry
 }
 
@@ -60,7 +61,8 @@
 		}
 	}
 	complete := !f.registryReadSince.IsZero() && now.Sub(f.registryReadSince) >= versionMemory
-	return VersionView{versions: versions, complete: complete, age: now.Sub(f.registryReadAt)}
+	stored := !complete && f.addStoredVersions(versions, service, now)
+	return VersionView{versions: versions, complete: complete || stored, stored: stored, age: now.Sub(f.registryReadAt)}
 }
 
 // IsCurrent reports whether no other run of a target is known than the one that a request was sent to.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 	fleet          *fleet.Fleet
 	dispatcher     *dispatch.Dispatcher
 	registry       *refresh.Shared // reads of the registry for requests that need what holds now
+	versions       *storedVersions
 	budget         *retrybudget.Budget
 	agents         *agentClients
 	relay          *relayedReads
@@ -122,7 +123,9 @@
 		started:    time.Now(),
 	}
 	g.registry = refresh.New(g.readTargets, refreshInterval)
+	g.versions = newStoredVersions(store, f, relay, log)
 	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
+	g.dispatcher.UseStoredVersions(g.versions)
 	g.conns = keepalive.New(g.idleTimeout, log)
 	g.lastAnswers, g.endAnswers = context.WithCancel(context.Background())
 	return g
@@ -171,6 +174,7 @@
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
 	group.Go(func() error { return g.registry.Run(serving) })
+	group.Go(func() error { return g.versions.run(serving) })
 	group.Go(func() error { return g.followRelay(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
@@ -269,6 +273,7 @@
 	errDraining      = errors.New("draining")
 	errNoRoutes      = errors.New("no routes known yet")
 	errNoTargets     = errors.New("no targets known yet")
+	errNoVersions    = errors.New("stored software versions not known yet")
 	errNoDescriptors = errors.New("too few descriptors left for further callers")
 )
 
@@ -281,6 +286,8 @@
 		return errNoRoutes
 	case !g.targetsKnown.Load():
 		return errNoTargets
+	case !g.versions.checked():
+		return errNoVersions
 	case !g.canAccept():
 		return errNoDescriptors
 	}
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -34,6 +34,7 @@
 	targets []registry.Target
 	readAt  time.Time
 	span    history.Span // of the store's history, in which they were read
+	byAgent bool         // an agent has read them, which keeps the row of software versions
 }
 
 // storeRead is what one agent has read from the store.
@@ -131,7 +132,9 @@
 		return targetsRead{}, false
 	}
 	r.lastReturned, r.returnedAt = readKey{agent, latest.revision}, latest.readAt
-	return latest.targetsRead, true
+	read = latest.targetsRead
+	read.byAgent = true
+	return read, true
 }
 
 // routesVersion returns the highest version of the routes that any agent has read.
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -251,6 +251,7 @@
 	g.crashes.checker.MarkRuns(targets, "registry")
 	lostAt := g.storeLostAt.Load()
 	regained := lostAt != nil && read.readAt.After(*lostAt)
+	g.versions.observe(targets, read)
 	g.fleet.RecordRegistryRead(read.readAt)
 	change := g.fleet.UpdateTargets(targets, regained || restored, time.Now())
 	if regained && g.storeLostAt.CompareAndSwap(lostAt, nil) {
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -54,11 +54,15 @@
 	changeLog []Row
 	changed   chan struct{} // closed and replaced at each change of the rows or the fault
 	requests  int
+
+	clockAhead time.Duration  // by which the clock was advanced
+	reads      map[string]int // by table: reads of rows
+	writes     map[string]int // by table: transactions
 }
 
 // NewStore starts a store without rows on a free port.
 func NewStore() *Store {
-	s := &Store{startTime: time.Now(), epoch: 1, rows: map[string]Row{}, changed: make(chan struct{})}
+	s := &Store{startTime: time.Now(), epoch: 1, rows: map[string]Row{}, changed: make(chan struct{}), reads: map[string]int{}, writes: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/rows-get", s.handleGet)
 	mux.HandleFunc("GET /-/rows-feed", s.handleFeed)
@@ -92,6 +96,20 @@
 	return s.requests
 }
 
+// RowCalls returns the number of reads of rows of a table, and of transactions that expect one of them.
+func (s *Store) RowCalls(table string) (reads, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[table], s.writes[table]
+}
+
+// AdvanceClock sets the clock forward.
+func (s *Store) AdvanceClock(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clockAhead += by
+}
+
 // Put writes a row with an empty part, as operators and targets do; the value is stored as JSON.
 func (s *Store) Put(table, key string, value any) {
 	data, err := json.Marshal(value)
@@ -240,6 +258,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads[query.Get("table")]++
 	rows := []Row{}
 	for _, row := range s.rows {
 		if row.Table == query.Get("table") && row.Part == query.Get("part") && row.Key >= query.Get("from") {
@@ -321,6 +340,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, row := range body.Expected {
+		s.writes[row.Table]++
 		if s.rows[storeKey(row.Table, row.Part, row.Key)].Version != row.Version {
 			s.writeResponse(w, http.StatusPreconditionFailed, map[string]any{"rows": []Row{}})
 			return
@@ -347,7 +367,7 @@
 // writeResponse adds the store's version and clock to body and writes it as JSON; the caller holds mu.
 func (s *Store) writeResponse(w http.ResponseWriter, status int, body map[string]any) {
 	body["ver"] = s.version
-	body["nowMs"] = time.Since(s.startTime).Milliseconds()
+	body["nowMs"] = (time.Since(s.startTime) + s.clockAhead).Milliseconds()
 	s.writeEpoch(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
