Order requests by the priority of their customer, then by that of their route

Cause: with the customer's priority in place of the route's, patient requests are as urgent to an engine as urgent ones of the same customer. Change: the priority of a request is its place among all pairs of both priorities, the customer's first, on the ten levels that engines know. Tables without customers keep the route's priority.

--- a/gateway/customers.go
+++ b/gateway/customers.go
@@ -30,7 +30,7 @@
 		g.refuseKey(w, r, req.ID, result, table.Limits().BodyBytes)
 		return r, false
 	}
-	req.Priority = route.PriorityOf(holder, matched)
+	req.Priority = table.Priority(holder, matched)
 	if holder == nil {
 		platform.SetCustomer(req, "")
 		return r, true
--- a/route/customer.go
+++ b/route/customer.go
@@ -1,6 +1,10 @@
 package route
 
-import "crypto/sha256"
+import (
+	"cmp"
+	"crypto/sha256"
+	"slices"
+)
 
 // Customer is a holder of keys, as the routes list it.
 type Customer struct {
@@ -56,6 +60,7 @@
 			out.customersByKey[sha256.Sum256([]byte(key))] = c
 		}
 	}
+	out.priorities = out.allPriorities()
 	return &out
 }
 
@@ -77,10 +82,49 @@
 // Customers returns all customers by name; nil if there are none.
 func (t *Table) Customers() map[string]*Customer { return t.customers }
 
-// PriorityOf returns the priority of a customer's requests on a route, 0 for the most urgent; the customer may be nil.
-func PriorityOf(c *Customer, r *Route) int {
+// PriorityLevels is the number of priorities that engines tell apart, from 0 for the most urgent.
+const PriorityLevels = 10
+
+// priorityPair is what the priority of a request follows from: the customer's comes first, and the route's orders the requests of customers
+// with the same priority.
+type priorityPair struct{ customer, route int }
+
+func (p priorityPair) compare(other priorityPair) int {
+	return cmp.Or(cmp.Compare(p.customer, other.customer), cmp.Compare(p.route, other.route))
+}
+
+// pairOf returns the priorities of a customer's requests on a route; the customer may be nil.
+func pairOf(c *Customer, r *Route) priorityPair {
 	if c != nil && c.Priority != nil {
-		return *c.Priority
+		return priorityPair{customer: *c.Priority, route: r.Priority}
+	}
+	return priorityPair{customer: r.Priority, route: r.Priority}
+}
+
+// Priority returns the priority of a customer's requests on a route, 0 for the most urgent; the customer may be nil. Without customers it
+// is the route's, else the place of both priorities among all pairs that the table has, on PriorityLevels levels.
+func (t *Table) Priority(c *Customer, r *Route) int {
+	if !t.HasCustomers() {
+		return r.Priority
+	}
+	place, found := slices.BinarySearchFunc(t.priorities, pairOf(c, r), priorityPair.compare)
+	if !found || len(t.priorities) <= PriorityLevels {
+		return min(place, PriorityLevels-1)
+	}
+	return place * PriorityLevels / len(t.priorities)
+}
+
+// allPriorities returns the priorities that requests may have, in order.
+func (t *Table) allPriorities() []priorityPair {
+	var pairs []priorityPair
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			pairs = append(pairs, pairOf(nil, r))
+			for _, c := range t.customers {
+				pairs = append(pairs, pairOf(c, r))
+			}
+		}
 	}
-	return r.Priority
+	slices.SortFunc(pairs, priorityPair.compare)
+	return slices.Compact(pairs)
 }
--- a/route/table.go
+++ b/route/table.go
@@ -129,6 +129,7 @@
 
 	customers      map[string]*Customer // by name; nil if requests need no key
 	customersByKey map[keyHash]*Customer
+	priorities     []priorityPair // that requests of customers may have, in order
 }
 
 // New returns a table with the given content. Within a host, routes with longer prefixes match first.
