Send a rise of the waiting prompts at once with up to 48 gateways

Change: a rise of the expected prefill time is sent at once again up to 48 gateways; the other intervals stay.

--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -45,6 +45,9 @@
 	scaledFrom = 10
 	// maxHeartbeatInterval bounds that growth: gateways take an agent whose report is 900 ms old for one that may be frozen.
 	maxHeartbeatInterval = 600 * time.Millisecond
+	// immediateRiseWatchers is the number of gateways up to which a rise of the waiting prompts is sent at once, whatever was sent before. A
+	// later one had more gateways send to the same engine meanwhile.
+	immediateRiseWatchers = 48
 	// partInterval is the time for which a prompt part that was passed on to the gateways isn't passed on again. It is below the some
 	// nine seconds in which long prompts at the rate of a busy engine fill its KV cache.
 	partInterval = 3 * time.Second
@@ -228,7 +231,7 @@
 	}
 	live := w.live()
 	pending, requests := sumPendingPrefillMs(live), sumRequests(live)
-	prefillRose := pending >= w.lastState.GetUnreadMs()+pendingPrefillRiseMs && (len(live) <= maxFewWatchers || w.loadChangeDue(len(live)))
+	prefillRose := pending >= w.lastState.GetUnreadMs()+pendingPrefillRiseMs && (len(live) <= immediateRiseWatchers || w.loadChangeDue(len(live)))
 	if !prefillRose && !w.requestsChangeDue(requests, len(live)) {
 		return
 	}
