--- a/route/table.go
+++ b/route/table.go
@@ -126,6 +126,7 @@
 	services     map[string]Service
 	routesByHost map[string][]*Route
 	routeCount   int
+	document     []byte
 
 	customers      map[string]*Customer // by name; nil if requests need no key
 	customersByKey map[keyHash]*Customer
@@ -153,6 +154,16 @@
 	return t
 }
 
+// WithDocument returns a copy of the table with the document that it was decoded from, which must not be changed any more.
+func (t *Table) WithDocument(document []byte) *Table {
+	out := *t
+	out.document = document
+	return &out
+}
+
+// Document returns the document that the table was decoded from.
+func (t *Table) Document() []byte { return t.document }
+
 // Version returns the version number, which rises with each publication.
 func (t *Table) Version() int64 { return t.version }
 
