Take routes from agents where the store turns a gateway away

Cause: a gateway that alone can't read the store learns from agents that there are newer routes, and goes on with its own: revoked keys work and new ones do not, for as long as that lasts.

Change: agents hand out the document of the routes that they last read (Agent.Routes), only a newer version than the gateway has. The document is put in force as an own read is, so only a higher version. No call of the store is added.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -76,7 +77,8 @@
 	loadRequests   chan *occupancy.LoadRequest
 	routingTables  chan *route.Table
 	fencingTokens  chan int64
-	routesNeeded   chan struct{} // holds a value after a request for a model that the routes do not list
+	routesRead     atomic.Pointer[route.Table] // that gateways may ask for; nil before the first read
+	routesNeeded   chan struct{}               // holds a value after a request for a model that the routes do not list
 	runID          int64
 
 	// The fields below are used only by the goroutine of controlLoop.
@@ -218,6 +220,7 @@
 		}
 		if table != nil {
 			routesVersion = table.Version()
+			a.routesRead.Store(table) // before gateways learn of its version
 		}
 		if routesVersion > 0 {
 			a.watchers.setRoutesVersion(routesVersion)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,7 @@
 	routesReadAt   atomic.Pointer[time.Time] // when the last read began that found no newer routes than those in force; nil before
 	targetsKnown   atomic.Bool
 	installing     sync.Mutex                // of targets
+	replacing      sync.Mutex                // of routes
 	targetsInForce history.Span              // of the read of the targets that are in force; guarded by installing
 	storeLostAt    atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
 	draining       atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
@@ -172,6 +173,7 @@
 	group.Go(func() error { return g.followTargets(serving) })
 	group.Go(func() error { return g.registry.Run(serving) })
 	group.Go(func() error { return g.followRelay(serving) })
+	group.Go(func() error { return g.followRelayedRoutes(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
 	group.Go(func() error { return g.blocked.run(serving) })
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -26,6 +26,7 @@
 	returnedAt   time.Time     // time of the last read that was returned
 	routesRoseAt time.Time     // when the highest version of the routes that an agent has read was first reported
 	changed      chan struct{} // holds a value after a change of targets or of the version of the routes
+	routesRose   chan struct{} // holds a value after an agent has read a higher version of the routes than all others
 }
 
 // targetsRead is one read of the registered targets.
@@ -49,7 +50,7 @@
 }
 
 func newRelayedReads() *relayedReads {
-	return &relayedReads{reads: map[string]*storeRead{}, changed: make(chan struct{}, 1)}
+	return &relayedReads{reads: map[string]*storeRead{}, changed: make(chan struct{}, 1), routesRose: make(chan struct{}, 1)}
 }
 
 // record stores what an agent has read from the store. Reads of agents of an earlier release, which do not tell their place in the
@@ -74,6 +75,10 @@
 	readIn := epoch.Epoch(storeReads.GetStoreEpoch())
 	if storeReads.GetRoutesVersion() > r.highestRoutes() {
 		r.routesRoseAt = now
+		select {
+		case r.routesRose <- struct{}{}:
+		default:
+		}
 	}
 	hasChanges := read.routesVersion != storeReads.GetRoutesVersion() || storeReads.GetHasTargets() || read.span.Epoch() != readIn
 	read.span = history.New(readIn, storeReads.GetFirstVersion(), storeReads.GetLastVersion())
@@ -135,6 +140,19 @@
 	return r.highestRoutes()
 }
 
+// agentsAfter returns the addresses of the agents that have read a newer version of the routes than the given one.
+func (r *relayedReads) agentsAfter(version int64) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var agents []string
+	for agent, read := range r.reads {
+		if read.routesVersion > version {
+			agents = append(agents, agent)
+		}
+	}
+	return agents
+}
+
 // expectsRoutesAfter reports whether an agent has lately read a newer version of the routes than the given one.
 func (r *relayedReads) expectsRoutesAfter(version int64, now time.Time) bool {
 	r.mu.Lock()
--- a/gateway/relayed_routes_test.go
+++ b/gateway/relayed_routes_test.go
@@ -1,7 +1,12 @@
 package gateway_test
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +17,37 @@
 // changeBound is the time from the confirmation of a change of the routes until it must be in force.
 const changeBound = 3 * time.Second
 
+// storeFront passes calls on to a store until it is cut.
+type storeFront struct {
+	address string
+	cut     atomic.Bool
+	calls   atomic.Int64 // while it was cut
+}
+
+// newStoreFront returns a front of the store that, while it is cut, refuses all calls or lets them wait for an answer.
+func newStoreFront(t *testing.T, store *site.Store, silent bool) *storeFront {
+	front := &storeFront{}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: store.Address()})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !front.cut.Load() {
+			proxy.ServeHTTP(w, r)
+			return
+		}
+		front.calls.Add(1)
+		for silent && front.cut.Load() && r.Context().Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(func() {
+		front.cut.Store(false)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	front.address = strings.TrimPrefix(server.URL, "http://")
+	return front
+}
+
 // keyRequest returns the bytes of a request with a key on a connection of its own.
 func keyRequest(path, key string) string {
 	return getRequest(path, "Connection: close", "Authorization: Token "+key)
@@ -49,6 +85,45 @@
 	}
 }
 
+// TestChangeOfKeysWhileTheStoreTurnsTheGatewayAway guards against a gateway that goes on to accept revoked keys, or refuses new ones for
+// good, as it alone can't read the store: agents have read the newer routes and hand them out.
+func TestChangeOfKeysWhileTheStoreTurnsTheGatewayAway(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		firstEngine int
+		silent      bool
+	}{
+		"calls are refused":      {firstEngine: 160},
+		"calls are not answered": {firstEngine: 164, silent: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newGatewayGroup(t)
+			front := newStoreFront(t, g.store, c.silent)
+			g.gatewayStore = front.address
+			g.store.Put("op", "config", customersDocument(2, map[string][]string{"acme": {"old"}}))
+			g.addPlainTarget("p1")
+			g.startEngines(2, c.firstEngine)
+			g.startGateway(0)
+			time.Sleep(2 * time.Second) // until the agents read the store for it
+			g.waitForStatus(0, keyRequest("/safe/a", "old"), "200", changeBound)
+			g.waitForStatus(0, keyRequest("/safe/a", "new"), "401", 0)
+			front.cut.Store(true)
+			for version := 3; version < 6; version++ {
+				accepted, refused := "new", "old"
+				if version%2 == 0 {
+					accepted, refused = refused, accepted
+				}
+				g.store.Put("op", "config", customersDocument(version, map[string][]string{"acme": {accepted}}))
+				g.waitForStatus(0, keyRequest("/safe/a", refused), "401", changeBound, "200", "503")
+				g.waitForStatus(0, keyRequest("/safe/a", accepted), "200", 0)
+			}
+			t.Logf("%d calls of the store were made in vain", front.calls.Load())
+		})
+	}
+}
+
 // TestKeysWhileNoRoutesCanBeRead guards against keys that are accepted for longer than keys-fail-closed allows, and against refusals
 // for good or of public routes as the store is away.
 func TestKeysWhileNoRoutesCanBeRead(t *testing.T) {
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -167,6 +167,8 @@
 
 // installRoutes puts a routing table in force unless the one in force is as new or newer.
 func (g *Gateway) installRoutes(table *route.Table) {
+	g.replacing.Lock()
+	defer g.replacing.Unlock()
 	current := g.routeTable.Load()
 	if table == nil || (current != nil && table.Version() <= current.Version()) {
 		return
