Have streams that may not be repeated go on at a copy of their run

Engines can copy the KV cache of a run to a second engine as it grows.

Package standby decides which runs are worth a copy and at which engine: runs whose copy takes no more than a slot's share of the KV cache always, longer ones while the first engine is at risk, at engines of the same software version that hold the model, with a reserve of cache and slots for runs. The fleet gives the facts and reserves the room. The gateway names the second engine with the first send, passes on whole events only, and has a stream that breaks off go on at the second engine, whose events must be numbered on without a gap. It counts as a retry.

An agent now tells at once which run of its engine has ended, also while a poll has no answer: it opens a connection after 100 ms, and a refused one proves the end. After 350 ms without an answer it names the run as silent, where engines copy runs. Gateways end the attempts at a run that has ended 50 ms after the news unless bytes still come, and streams at a silent one after 300 ms if they have a copy. Where engines copy no runs, nothing changes but that callers may learn of a proven end sooner.

Tests: go test -race passes for standby, fleet, dispatch, agent, sender and platform. For gateway the new tests pass, and a whole run on a machine with a load of 29 on 7 cores took 304 s and failed in TestCutAnswerToACallerWithoutChunksIsReset, in which no try of the request was sent; alone this test passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -89,6 +89,8 @@
 	lastReport      registry.Report
 	lastReportAt    time.Time
 	engineDown      bool
+	silentSince     time.Time // when the first poll began that had no answer since the last answer; zero after one
+	silenceLogged   bool      // that the engine is silent, since then
 	fencingToken    int64
 	restUntil       time.Time // until when the engine wants no calls
 	unansweredOrder *platform.Order
--- a/agent/control.go
+++ b/agent/control.go
@@ -70,19 +70,18 @@
 // calls is not asked; gateways are told that nothing new is known.
 func (a *Agent) pollEngine(ctx context.Context) {
 	if a.engineRests() {
-		a.watchers.publishDown(nil)
+		a.silentSince = time.Time{}
+		a.watchers.publishDown(a.downState(nil))
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	report, err := a.engine.Report(callCtx, a.config.Agent.Target)
+	report, err := a.readReport(ctx)
 	if err != nil {
 		a.recordRest(err)
 		if !a.engineDown {
 			a.log.WithError(err).Info("engine does not answer")
 		}
 		a.engineDown = true
-		a.watchers.publishDown(a.endedRun(err))
+		a.watchers.publishDown(a.downState(a.endedRun(err)))
 		return
 	}
 	if a.engineDown {
--- a/agent/down_test.go
+++ b/agent/down_test.go
@@ -18,7 +18,7 @@
 	if state := received(w, gateway); state.GetTargetId() != "e1" {
 		t.Fatalf("state %v, want that of e1", state)
 	}
-	ended := &wire.EndedRun{TargetId: "e1", Born: 1}
+	ended := &wire.TargetState{EngineDown: true, SameHoldings: true, EndedRun: &wire.EndedRun{TargetId: "e1", Born: 1}}
 	for beat := range 5 {
 		w.publishDown(ended)
 		state := received(w, gateway)
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -156,15 +156,15 @@
 	w.sendDemandToPlanner()
 }
 
-// publishDown tells all gateways that the engine does not answer, and which of its runs has ended, unless ended is nil. It does
+// publishDown tells all gateways that the engine does not answer, by a state that names the run that has ended or is silent, if any. It does
 // so again as a heartbeat: this process still reads the store and passes on what gateways tell each other.
-func (w *watchers) publishDown(ended *wire.EndedRun) {
+func (w *watchers) publishDown(state *wire.TargetState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.down != nil && w.now().Sub(w.lastSentAt) < w.heartbeatInterval(len(w.live())) && proto.Equal(w.down.GetEndedRun(), ended) {
+	if w.down != nil && w.now().Sub(w.lastSentAt) < w.heartbeatInterval(len(w.live())) && proto.Equal(w.down, state) {
 		return
 	}
-	w.down, w.lastSentAt = &wire.TargetState{EngineDown: true, EndedRun: ended, SameHoldings: true}, w.now()
+	w.down, w.lastSentAt = state, w.now()
 	w.broadcastLast()
 }
 
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -24,14 +24,15 @@
 	if d.sendCount > 0 && !d.budget.AllowRetry(d.service, d.fleet.GatewayCount(), now) {
 		return d.finalOutcome(Refused{Reason: NoRetryBudget, RetryAfter: defaultRetryAfter}), false
 	}
-	assignment := d.fleet.Assign(choice, d.request, now)
-	if d.request.Model != "" {
-		d.agents.PushUsage(choice.Target)
-		assignment.OnEnd(func() { d.agents.PushUsage(choice.Target) })
-	}
-	result := d.sender.Send(d.ctx, d.request, registry.Delivery{
+	delivery := registry.Delivery{
 		Target: choice.Target, TimeLeft: d.deadline.Sub(now), AtMostOnce: !d.route.Repeatable(), KVCacheSource: choice.FetchFrom,
-	})
+	}
+	backup := d.chooseBackup(choice, now)
+	if backup != nil {
+		delivery.BackupAddress = backup.Target().Address
+	}
+	assignment := d.assign(choice, backup, now)
+	result := d.sender.Send(d.attemptContext(), d.request, delivery)
 	elapsed := d.now().Sub(now)
 	log := d.log.WithFields(logrus.Fields{
 		"target": choice.Target.ID, "waited-ms": now.Sub(d.request.Arrived).Milliseconds(), "expected-ms": choice.Expected.Milliseconds(), "took-ms": elapsed.Milliseconds(),
@@ -144,6 +145,9 @@
 	if d.canRetry() {
 		return nil, true
 	}
+	if outcome, ok := d.GoOn(assignment.Target(), d.request.LastEventID, result.Err); ok {
+		return outcome, false
+	}
 	return Failed{Reason: AnswerLost}, false
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -69,11 +69,12 @@
 	log        *logrus.Entry
 	now        func() time.Time
 	stop       *stop
+	attempts   *engineAttempts
 }
 
 // New returns a dispatcher that reads the time from now.
 func New(f *fleet.Fleet, sender Sender, agents AgentClient, registry Registry, budget *retrybudget.Budget, quarantine Quarantine, origins *origin.Table, log *logrus.Entry, now func() time.Time) *Dispatcher {
-	return &Dispatcher{fleet: f, sender: sender, agents: agents, registry: registry, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stop: newStop()}
+	return &Dispatcher{fleet: f, sender: sender, agents: agents, registry: registry, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stop: newStop(), attempts: newEngineAttempts(log, now)}
 }
 
 // Dispatch is one request with the state of its attempts.
@@ -92,6 +93,9 @@
 	// streamVersion is the software version that wrote the first event of the stream, at which alone it may go on; nil for a
 	// stream without events.
 	streamVersion *registry.SoftwareVersion
+	backup        *fleet.Backup   // copy of the run of the attempt in progress, at which its stream may go on; nil without one
+	wentOn        bool            // the attempt in progress goes on from a copy
+	engineAttempt *engineAttempt  // in progress; nil for a plain service
 	place         *waitlist.Place // while the request waits for room
 	wait          wait            // in progress; zero if there is none
 	log           *logrus.Entry
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -51,6 +51,7 @@
 	pendingRemoved bool      // no longer among the target's pending requests
 	ended          bool
 	onEnd          func()
+	backup         *Backup // copy of the run; nil without one
 }
 
 // OnEnd sets a function that End calls once; it must be set before End is called.
@@ -116,6 +117,9 @@
 	}
 	a.removePending()
 	a.ended = true
+	if a.backup != nil {
+		a.backup.end(result, now)
+	}
 	s := a.state
 	s.inflight--
 	if a.request.Model != "" {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -49,6 +49,8 @@
 	registryReadSince time.Time              // of the first read since when there was no gap above maxRegistryGap
 
 	versionsSeenAt map[serviceVersion]time.Time // when the registry last listed a target of the version
+
+	backups map[string]map[*Backup]struct{} // by id of the engine that keeps the copies of this gateway's runs; nil before the first
 }
 
 // targetState is what is known of one run of a target, that is one start of its process.
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -21,6 +21,7 @@
 	"gypsumbank/origin"
 	"gypsumbank/pause"
 	"gypsumbank/registry"
+	"gypsumbank/standby"
 	"gypsumbank/wire"
 )
 
@@ -59,6 +60,8 @@
 	epochs  *epoch.Tracker
 	log     *logrus.Entry
 
+	recordEngine func(host, targetID string, born int64, condition standby.Condition) // called for each state of an engine
+
 	mu             sync.Mutex
 	cancelWatch    map[string]context.CancelFunc
 	agentAddresses []string                 // of all agents; replaced, never changed
@@ -74,6 +77,7 @@
 	return &agentClients{
 		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, crashes: crashes, origins: origins, epochs: epochs, log: log,
 		cancelWatch: map[string]context.CancelFunc{}, queuedOrigins: map[string][]uint64{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
+		recordEngine: func(string, string, int64, standby.Condition) {},
 	}
 }
 
@@ -313,13 +317,16 @@
 	}
 }
 
-// applyDown applies what an agent sends while its engine does not answer: its reads of the store, and the end of a run.
+// applyDown applies what an agent sends while its engine does not answer: its reads of the store, and the end of a run, or that a run is silent.
 func (a *agentClients) applyDown(address string, state *wire.TargetState) {
 	if storeReads := state.GetStoreReads(); storeReads != nil {
 		a.relay.record(address, storeReads, time.Now())
 	}
 	if ended := state.GetEndedRun(); ended != nil {
 		a.crashes.checker.MarkEnded(ended.GetTargetId(), ended.GetBorn(), "agent")
+		a.recordEngine(registry.Host(address), ended.GetTargetId(), ended.GetBorn(), standby.Ended)
+	} else if state.GetTargetId() != "" {
+		a.recordEngine(registry.Host(address), state.GetTargetId(), state.GetBorn(), standby.Silent)
 	}
 	a.applyDemand(state)
 }
@@ -339,6 +346,7 @@
 		report.Models = append(report.Models, registry.Model{Name: m.GetName(), Adapters: m.GetAdapters()})
 	}
 	a.crashes.checker.MarkRuns([]registry.Target{{ID: state.GetTargetId(), Born: report.Born}}, "agent")
+	a.recordEngine(registry.Host(address), state.GetTargetId(), report.Born, standby.Answers)
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
 		Report: report, Host: registry.Host(address), Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), PlannedHere: state.GetPlanner() == a.name,
 		AvailableAdapterSlots: int(state.GetAdapterRoom()), QueuedPrefillMs: float64(state.GetUnreadMs()), Requests: int(state.GetRequests()), Parts: decodeParts(state),
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -21,8 +21,19 @@
 	incomplete []byte // bytes of an event that has arrived in part; after track, the end of these at least
 	lastID     string // id of the last complete event
 	began      bool   // any bytes have arrived
+	numbering  numbering
+	unnumbered bool // with numbered: the stream can't go on elsewhere, as an id was not the next number or an event was too long
 }
 
+// numbering is what is asked of the ids of events.
+type numbering int
+
+const (
+	rising   numbering = iota // each id follows the last one, see follows
+	numbered                  // all events pass; whether each id is the next number is recorded
+	nextOnly                  // each id is the number after the last one
+)
+
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
@@ -65,7 +76,7 @@
 			id = string(bytes.TrimSpace(value))
 		}
 	}
-	if e.lastID != "" && !onlyComments && !follows(id, e.lastID) {
+	if !onlyComments && !e.mayFollow(id) {
 		return false
 	}
 	if id != "" {
@@ -74,6 +85,45 @@
 	return true
 }
 
+// mayFollow reports whether an event with an id may come next.
+func (e *eventBuffer) mayFollow(id string) bool {
+	switch e.numbering {
+	case numbered:
+		e.unnumbered = e.unnumbered || !isNext(id, e.lastID)
+		return true
+	case nextOnly:
+		return isNext(id, e.lastID)
+	case rising:
+	}
+	return e.lastID == "" || follows(id, e.lastID)
+}
+
+// isNext reports whether an id is the number after another one, or any number if that is empty.
+func isNext(id, last string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	if last == "" || err != nil {
+		return err == nil
+	}
+	lastNumber, err := strconv.ParseUint(last, 10, 64)
+	return err == nil && number == lastNumber+1
+}
+
+// addNumbered is addChunk for a stream with numbered events. Once they are not, the stream is passed on as it comes.
+func (e *eventBuffer) addNumbered(chunk []byte) []byte {
+	if e.unnumbered {
+		e.track(chunk)
+		return chunk
+	}
+	whole, err := e.addChunk(chunk)
+	if err == nil && !e.unnumbered {
+		return whole
+	}
+	rest := e.incomplete
+	e.incomplete, e.unnumbered = nil, true
+	e.track(rest)
+	return append(whole, rest...)
+}
+
 // follows reports whether an event with an id may come after one with another: numbers must rise, and other ids differ.
 func follows(id, last string) bool {
 	number, err := strconv.ParseUint(id, 10, 64)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -36,8 +36,8 @@
 	}
 	e.begin(answered)
 	e.bodyBytes, e.firstByteAt, e.originRecorded = 0, time.Time{}, false
-	events := &eventBuffer{lastID: e.request.LastEventID}
 	isStream := e.route.Kind == route.Streaming && answered.Response.Status < http.StatusMultipleChoices
+	events := e.newEvents(answered, isStream)
 	err := e.copyBody(answered, events, isStream)
 	known := completeness.Of(answered.Response.Framing, err)
 	if isStream {
@@ -68,6 +68,9 @@
 	answered.Assignment.End(targetResult(known), time.Now())
 	e.judgeContents(answered, known)
 	e.logBrokenAnswer(answered.Assignment.Target().ID, events.lastID, err)
+	if outcome, ok := e.goOn(answered, events, err); ok {
+		return outcome, true
+	}
 	if e.route.Kind != route.Streaming || !e.route.Resumable {
 		e.countOutcome(string(dispatch.StreamBroken))
 		panic(http.ErrAbortHandler)
@@ -76,6 +79,43 @@
 	return e.dispatch.Resume(answered.Assignment.Target(), events.lastID), true
 }
 
+// newEvents returns the buffer for the events of an answer. Of a stream that can go on at a copy only whole events are passed on, and it can
+// do so only if their ids are numbers without gaps; those of the second engine must follow the last one.
+func (e *exchange) newEvents(answered dispatch.Answered, isStream bool) *eventBuffer {
+	events := &eventBuffer{lastID: e.request.LastEventID}
+	switch {
+	case e.dispatch.WentOn():
+		events.numbering = nextOnly
+	case e.dispatch.HasCopy() && isStream && mediaType(answered.Response.Header) == eventStreamType:
+		events.numbering = numbered
+	default:
+		e.dispatch.DropCopy()
+	}
+	return events
+}
+
+// eventStreamType is the media type of server-sent events.
+const eventStreamType = "text/event-stream"
+
+// goOn has a stream that an engine has broken off go on at the copy of its run. It returns false if there is none to go on at.
+func (e *exchange) goOn(answered dispatch.Answered, events *eventBuffer, err error) (dispatch.Outcome, bool) {
+	var unwritable *callerError
+	if !e.dispatch.HasCopy() || errors.As(err, &unwritable) {
+		return nil, false
+	}
+	answered.Response.Abort()
+	return e.dispatch.GoOn(answered.Assignment.Target(), events.lastID, err)
+}
+
+// callerError reports that a part of an answer could not be written to its caller.
+type callerError struct{ err error }
+
+// Error returns the message of the write.
+func (c *callerError) Error() string { return "answer was not written to its caller: " + c.err.Error() }
+
+// Unwrap returns the error of the write.
+func (c *callerError) Unwrap() error { return c.err }
+
 // logEnd logs how an answer ended, and what tells how far it is known to be whole.
 func (e *exchange) logEnd(answered dispatch.Answered, known completeness.Completeness, events *eventBuffer) {
 	e.log().WithFields(logrus.Fields{
@@ -168,7 +208,7 @@
 			e.recordOrigin(chunk, answered.Assignment.Target())
 		}
 		if err := e.answer.write(chunk); err != nil {
-			return err
+			return &callerError{err}
 		}
 		if invalid != nil {
 			return invalid
@@ -196,14 +236,21 @@
 	return e.answer.finish()
 }
 
-// passableEvents returns the bytes of a stream to pass on now that a chunk has arrived: of a resumable stream the events that
+// passableEvents returns the bytes of a stream to pass on now that a chunk has arrived: of a stream that may go on elsewhere the events that
 // are complete, else the chunk. The error reports what follows these and must not be passed on.
 func (e *exchange) passableEvents(chunk []byte, events *eventBuffer) ([]byte, error) {
-	if e.route.Resumable {
-		return events.addChunk(chunk)
+	if events.numbering == numbered {
+		whole := events.addNumbered(chunk)
+		if events.unnumbered {
+			e.dispatch.DropCopy()
+		}
+		return whole, nil
 	}
-	events.track(chunk)
-	return chunk, nil
+	if events.numbering == rising && !e.route.Resumable {
+		events.track(chunk)
+		return chunk, nil
+	}
+	return events.addChunk(chunk)
 }
 
 // recordBodyBytes records that n bytes of a response body have arrived.
@@ -211,6 +258,9 @@
 	if n > 0 && e.firstByteAt.IsZero() {
 		e.firstByteAt = now
 	}
+	if n > 0 {
+		e.dispatch.RecordBytes(now)
+	}
 	e.bodyBytes += n
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,6 +118,7 @@
 	}
 	g.registry = refresh.New(g.readTargets, refreshInterval)
 	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
+	agents.recordEngine = g.dispatcher.RecordEngine
 	g.conns = keepalive.New(g.idleTimeout, log)
 	g.lastAnswers, g.endAnswers = context.WithCancel(context.Background())
 	return g
@@ -168,6 +169,7 @@
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
 	group.Go(func() error { return g.blocked.run(serving) })
+	group.Go(func() error { return g.dispatcher.WatchEngines(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
 	group.Go(func() error { return g.conns.Run(serving) })
 	select {
--- a/gateway/request_body.go
+++ b/gateway/request_body.go
@@ -185,7 +185,7 @@
 
 // dropBody gives the memory of the request's body back once it can't be needed again: the answer has begun, and no other target may go on with it.
 func (e *exchange) dropBody(answered dispatch.Answered) {
-	if e.route.Resumable || len(e.request.Body) == 0 || answered.Response.WriteState() != sender.Written {
+	if e.route.Resumable || e.dispatch.HasCopy() || len(e.request.Body) == 0 || answered.Response.WriteState() != sender.Written {
 		return
 	}
 	e.hold.Return(int64(cap(e.request.Body)))
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -1,10 +1,15 @@
 package reply
 
 import (
+	"errors"
+
 	"gypsumbank/registry"
 	"gypsumbank/sender"
 )
 
+// ErrInvalid reports an answer that its target may go on with, but that must not be passed on.
+var ErrInvalid = errors.New("answer is invalid")
+
 // Result is how one attempt to send a request ended: Answered, NotRun, NotSent or NoUsableResponse.
 type Result interface{ isResult() }
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -47,6 +47,7 @@
 	IDHeader    string        // name of the header in which the target echoes ID
 	ID          string        // id of the request; not checked if empty
 	MaxConnIdle time.Duration // how long a reused connection may have been idle; 0 for a connection of its own
+	Reset       bool          // reset the connection if there is no usable response, so that the target learns of it at once
 }
 
 // Response is the HTTP response of a target. Its body must be closed.
@@ -63,6 +64,15 @@
 // WriteState returns how far the request of the response has been written.
 func (r *Response) WriteState() WriteState { return r.write.state() }
 
+// Abort resets the connection unless the body has been read to the end, so that the target stops its work on the request.
+func (r *Response) Abort() {
+	if body, ok := r.Body.(*responseBody); ok && !body.done {
+		body.done = true
+		body.stopAbort()
+		body.conn.Abort()
+	}
+}
+
 // Sender sends requests over pooled connections.
 type Sender struct {
 	pool *connpool.Pool
@@ -87,6 +97,9 @@
 	response, err := readResponse(conn, request) //nolint:bodyclose // closed by the body of the returned response
 	if err != nil {
 		stopAbort()
+		if request.Reset {
+			conn.Abort()
+		}
 		_ = conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoUsableResponse, err)
 	}
--- a/standin/site/control.go
+++ b/standin/site/control.go
@@ -61,6 +61,10 @@
 	if !isControlPath(request.URL.Path) {
 		return false
 	}
+	if t.isFrozen() {
+		_, _ = conn.Read(make([]byte, 1)) // until the caller closes the connection
+		return true
+	}
 	if rest := t.refuseControl(); rest > 0 {
 		writeResponse(conn, http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %.3f\r\n", rest.Seconds()), "")
 		return true
--- a/standin/site/framed.go
+++ b/standin/site/framed.go
@@ -55,12 +55,12 @@
 		if _, err := io.WriteString(conn, head+"\r\n"+FrameBody(f, pieces)[:bytes]); err != nil {
 			return false
 		}
-		return endConnection(conn, request, end)
+		return EndConnection(conn, request, end)
 	}
 }
 
-// endConnection ends a connection that has been written to, and reports whether it stays open, which it never does.
-func endConnection(conn net.Conn, request *ReceivedRequest, end End) bool {
+// EndConnection ends a connection that has been written to, and reports whether it stays open, which it never does.
+func EndConnection(conn net.Conn, request *ReceivedRequest, end End) bool {
 	switch end {
 	case EndReset:
 		resetguard.New(conn) // also for a close meanwhile
--- a/standin/site/target.go
+++ b/standin/site/target.go
@@ -42,6 +42,7 @@
 	unansweredOrders int // next orders that get no response
 	conns            map[net.Conn]struct{}
 	down             bool          // after a crash, until its next run
+	frozen           bool          // gives no answer on its control paths
 	leaving          bool          // says so in the answers to its control paths
 	rest             time.Duration // that refusals of its control paths ask for; 0 if it refuses none
 	controlCalls     []time.Time
@@ -167,6 +168,26 @@
 	})
 }
 
+// Freeze makes the target give no answer on its control paths, as a process that is suspended. Its listener and connections stay open.
+func (t *Target) Freeze() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.frozen = true
+}
+
+// StopListening refuses new connections and leaves those that are open without an answer, as a process that has ended beyond a gateway which
+// drops what its kernel sends.
+func (t *Target) StopListening() {
+	t.Freeze()
+	t.listener.Close()
+}
+
+func (t *Target) isFrozen() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.frozen
+}
+
 // ClearDisk removes all weights from the target's disk.
 func (t *Target) ClearDisk() {
 	t.mu.Lock()
