Check that names of customers on the wire stay in platform/

Cause: the check knew none of the names that came with customers.

Change: the pattern has the header field with the customer's name and the fields of the routes document. With the header's name in route/ the test fails.

Tests: go test -run PlatformNames . passes.

--- a/platform_names_test.go
+++ b/platform_names_test.go
@@ -10,7 +10,7 @@
 
 // platformNamePattern matches names that the users' platform gives to headers, paths and fields on the wire. Only the folder
 // platform/ and the stand-in for the platform, standin/site/, may contain them.
-var platformNamePattern = regexp.MustCompile(`X-Gypsumbank-(Request-Id|Deadline|Prompt|Response|Expect|Not-Executed|Instance|Model|Token|Request-Priority|Weight|Pin|Hold|Length|Kv)|/-/(rows|blob|kv|hold|order|report)|Kv-(From|Fetch)|GYPSUMBANK_BOOT|"(routeKind|targetLatencyMs|coldRemainingMs|maxAttempts|atHand|inMemory|onDisk|adapterSlots|kvTotal|kvUsed|gapAimMs|loadsPerS)"`)
+var platformNamePattern = regexp.MustCompile(`X-Gypsumbank-(Request-Id|Deadline|Prompt|Response|Expect|Not-Executed|Instance|Model|Token|Request-Priority|Weight|Pin|Hold|Length|Kv|Tenant)|/-/(rows|blob|kv|hold|order|report)|Kv-(From|Fetch)|GYPSUMBANK_BOOT|"(routeKind|targetLatencyMs|coldRemainingMs|maxAttempts|atHand|inMemory|onDisk|adapterSlots|kvTotal|kvUsed|gapAimMs|loadsPerS|tenants|apiKeys|ratePerS|plainTokens|token_budget)"`)
 
 // TestPlatformNamesStayInTheirFolder checks that no other Go file outside of tests contains a wire name of the platform.
 func TestPlatformNamesStayInTheirFolder(t *testing.T) {
