Give no answer up while its caller takes what has arrived

News of an engine's end gave up attempts whose last bytes may wait to be read behind a slow caller. The time now counts from when the next part is awaited. Tests: TestSlowCallerKeepsWhatHasArrived and TestGiveUpAt pass with -race.

--- a/dispatch/engine_news.go
+++ b/dispatch/engine_news.go
@@ -38,7 +38,8 @@
 	requestID  string
 	sentAt     time.Time
 	hasCopy    bool
-	lastByteAt atomic.Int64 // Unix time in ns at which a part of the answer's body arrived last; 0 before the first
+	lastByteAt atomic.Int64 // Unix time in ns at which a part of the answer's body was read last; 0 before the first
+	readingAt  atomic.Int64 // since when the answer, or its next part, is awaited; 0 while the caller takes the last part
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
 }
@@ -50,7 +51,7 @@
 
 // snapshot returns the attempt as the decision depends on it.
 func (a *engineAttempt) snapshot() standby.Attempt {
-	out := standby.Attempt{SentAt: a.sentAt, HasCopy: a.hasCopy}
+	out := standby.Attempt{SentAt: a.sentAt, HasCopy: a.hasCopy, ReadingAt: time.Unix(0, a.readingAt.Load())}
 	if ns := a.lastByteAt.Load(); ns != 0 {
 		out.LastByteAt = time.Unix(0, ns)
 	}
@@ -83,6 +84,7 @@
 // begin adds an attempt to send a request to a target. Its context ends with ctx, or when the attempt is given up.
 func (e *engineAttempts) begin(ctx context.Context, target registry.Target, requestID string, hasCopy bool, now time.Time) *engineAttempt {
 	a := &engineAttempt{run: engineRun{target.ID, target.Born}, host: registry.Host(target.Address), requestID: requestID, sentAt: now, hasCopy: hasCopy}
+	a.readingAt.Store(now.UnixNano())
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -188,7 +190,7 @@
 			if !ok {
 				continue
 			}
-			if now.Before(at) {
+			if a.readingAt.Load() == 0 || now.Before(at) {
 				pending = true
 				continue
 			}
@@ -225,9 +227,17 @@
 // WatchEngines ends attempts on news of their engines until ctx ends.
 func (d *Dispatcher) WatchEngines(ctx context.Context) error { return d.attempts.run(ctx) }
 
-// RecordBytes records that a part of the body of the answer in progress has arrived.
+// RecordRead records that the next part of the body of the answer in progress is awaited.
+func (d *Dispatch) RecordRead(now time.Time) {
+	if d.engineAttempt != nil {
+		d.engineAttempt.readingAt.Store(now.UnixNano())
+	}
+}
+
+// RecordBytes records that a part of the body of the answer in progress has been read, and is passed on.
 func (d *Dispatch) RecordBytes(now time.Time) {
 	if d.engineAttempt != nil {
+		d.engineAttempt.readingAt.Store(0)
 		d.engineAttempt.lastByteAt.Store(now.UnixNano())
 	}
 }
--- a/dispatch/go_on_test.go
+++ b/dispatch/go_on_test.go
@@ -226,3 +226,28 @@
 		t.Error("the stream is given up by news that is three seconds old")
 	}
 }
+
+// TestSlowCallerKeepsWhatHasArrived guards against answers that are cut on news of their engine's end though all of their bytes have arrived, as the
+// caller takes them slowly.
+func TestSlowCallerKeepsWhatHasArrived(t *testing.T) {
+	d, targets := newCopyingDispatcher(&scriptedClient{})
+	now := time.Unix(1000, 0)
+	d.attempts.now = func() time.Time { return now }
+	dispatch := beginCopied(t.Context(), d)
+	defer dispatch.Close()
+	dispatch.engineAttempt = d.attempts.begin(t.Context(), targets[0], "r", false, now)
+	dispatch.RecordBytes(now.Add(time.Millisecond))
+	now = now.Add(10 * time.Millisecond)
+	d.RecordEngine("", targets[0].ID, 1, standby.Ended)
+	now = now.Add(time.Second)
+	if d.attempts.giveUpDue(now); dispatch.engineAttempt.isGivenUp() {
+		t.Fatal("the attempt is given up while its caller takes what has arrived")
+	}
+	dispatch.RecordRead(now)
+	if d.attempts.giveUpDue(now.Add(40 * time.Millisecond)); dispatch.engineAttempt.isGivenUp() {
+		t.Fatal("the attempt is given up before its next bytes can be read")
+	}
+	if d.attempts.giveUpDue(now.Add(60 * time.Millisecond)); !dispatch.engineAttempt.isGivenUp() {
+		t.Error("the attempt waits on for an engine that has ended")
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -197,6 +197,7 @@
 	lastRead := time.Now()
 	for {
 		e.dropBody(answered)
+		e.dispatch.RecordRead(time.Now())
 		n, err := answered.Response.Body.Read(buffer)
 		now := time.Now()
 		e.longestGap = max(e.longestGap, now.Sub(lastRead))
--- a/standby/news.go
+++ b/standby/news.go
@@ -1,6 +1,9 @@
 package standby
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Condition is what an agent says of its engine.
 type Condition int
@@ -26,11 +29,12 @@
 // Attempt is a request that is at an engine.
 type Attempt struct {
 	SentAt     time.Time
-	LastByteAt time.Time // when a part of the answer's body arrived last; zero before the first
+	LastByteAt time.Time // when a part of the answer's body was read last; zero before the first
+	ReadingAt  time.Time // since when the next part is awaited; zero while the caller takes the last one: more may have arrived
 	HasCopy    bool      // the run can go on at a second engine
 }
 
-// GiveUpAt returns when an attempt is given up if no byte arrives until then, by news of its engine that came at a time. ok is false if it is not:
+// GiveUpAt returns when an attempt that awaits bytes is given up if none arrives until then, by news of its engine that came at a time. ok is false if it is not:
 // silence alone is no reason to end an answer that has no copy, and bytes that keep coming disprove that the process has ended.
 func GiveUpAt(a Attempt, condition Condition, newsAt time.Time) (at time.Time, ok bool) {
 	switch condition {
@@ -38,20 +42,15 @@
 		if !a.SentAt.Before(newsAt) || a.LastByteAt.After(newsAt.Add(inFlightTime)) {
 			return time.Time{}, false
 		}
-		return latest(newsAt, a.LastByteAt).Add(inFlightTime), true
+		return latest(newsAt, a.LastByteAt, a.ReadingAt).Add(inFlightTime), true
 	case Silent:
 		if !a.HasCopy || a.LastByteAt.IsZero() {
 			return time.Time{}, false
 		}
-		return latest(newsAt, a.LastByteAt).Add(silenceLimit), true
+		return latest(newsAt, a.LastByteAt, a.ReadingAt).Add(silenceLimit), true
 	case Answers:
 	}
 	return time.Time{}, false
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
--- a/standby/news_test.go
+++ b/standby/news_test.go
@@ -18,6 +18,7 @@
 		"ended, stream with a copy":                           {attempt: Attempt{SentAt: at(-900), LastByteAt: at(-30), HasCopy: true}, condition: Ended, wantMs: 50},
 		"ended, stream without a copy":                        {attempt: Attempt{SentAt: at(-900), LastByteAt: at(-30)}, condition: Ended, wantMs: 50},
 		"ended, before the first byte":                        {attempt: Attempt{SentAt: at(-100)}, condition: Ended, wantMs: 50},
+		"ended, slow caller has taken the last part":          {attempt: Attempt{SentAt: at(-900), LastByteAt: at(-400), ReadingAt: at(700)}, condition: Ended, wantMs: 750},
 		"ended, bytes were in flight":                         {attempt: Attempt{SentAt: at(-900), LastByteAt: at(30)}, condition: Ended, wantMs: 80},
 		"ended, but bytes keep coming":                        {attempt: Attempt{SentAt: at(-900), LastByteAt: at(60)}, condition: Ended, never: true},
 		"ended, sent after the news":                          {attempt: Attempt{SentAt: at(10)}, condition: Ended, never: true},
