Test the processes against crowds of uncontrolled clients

Cause: clients outside our control sent many large bodies, whole or piece by piece or in chunks, most stopping one byte short of their end, and a process ran out of memory. No test guards against that.

Change: tests that start gateway, agent, entry and sidecar as processes (built without the race detector, whose memory is several times that of the program) and have crowds meet them: bodies, chunks, heads, unread answers, silent connections, messages that don't end. They check that the process lives, that its peak memory (VmHWM) and its descriptors stay under the limits of the settings, and that an ordinary request is answered with the crowd still connected. Limits: 64 MiB, 1,400 descriptors (the proportion of the smallest gateway VM), body limit 1 MiB, 875 connections, 1,750 where only descriptors are at stake. Crowds and bounds are to stay. The entry and the sidecar have no setting for their memory yet; the bound is the same.

--- a/cluster_test.go
+++ b/cluster_test.go
@@ -31,7 +31,11 @@
 	if os.Getenv(runAsProgramVariable) != "" {
 		os.Exit(execute())
 	}
-	os.Exit(m.Run())
+	status := m.Run()
+	if programDir != "" {
+		_ = os.RemoveAll(programDir) // a directory that stays is the system's to remove
+	}
+	os.Exit(status)
 }
 
 // cluster is a deployment in which every role and stand-in runs as a process of its own.
--- a/process_test.go
+++ b/process_test.go
@@ -40,9 +40,15 @@
 // startProcess runs a command of the program as a process, which is killed at the end of the test. The output is logged if the
 // test fails.
 func startProcess(t testing.TB, name string, args ...string) *process {
+	t.Helper()
+	return startProgram(t, os.Args[0], name, args...)
+}
+
+// startProgram is startProcess with the path of the program.
+func startProgram(t testing.TB, path, name string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, output: &lockedBuffer{}, exited: make(chan struct{})}
-	p.cmd = exec.Command(os.Args[0], args...)
+	p.cmd = exec.Command(path, args...)
 	const exitAtOnce = "GORACE=atexit_sleep_ms=0" // not a second later, as a program with the race detector does
 	p.cmd.Env = append(os.Environ(), runAsProgramVariable+"=1", exitAtOnce)
 	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
