Ask a plain target again that was slow

Cause: the expected time of a plain target is the moving average of what its answers took, of any age. Where it exceeded what every caller allows, all requests were refused with 503 overload, and none was sent that would have shown that the target is fast again. Beside a crowd of slow readers or of small chunks no ordinary request was answered in 30 s.

Change: the expected time halves every second once no answer has come for a second. The cost by which targets are compared stays as it was.

Test: TestSlowPlainTargetIsAskedAgain. go test ./fleet ./dispatch passes.

--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"gypsumbank/registry"
@@ -21,6 +22,8 @@
 )
 
 const (
+	// latencyHalfLife is the time without answers after which the average latency of a plain target begins to fade, and in which it halves then.
+	latencyHalfLife = time.Second
 	// sampleWeight is the weight of a new sample in the moving average of a plain target's latency.
 	sampleWeight = 0.15
 	// fasterSampleWeight and slowerSampleWeight are the weights of a new sample of a model's prefill time that is below
@@ -160,7 +163,8 @@
 func (a *Assignment) recordFirstByteTime(tookMs float64, now time.Time) {
 	s := a.state
 	if a.request.Model == "" {
-		s.latencyMs = movingAverage(s.latencyMs, tookMs)
+		known := max(s.fadedLatencyMs(now), min(s.latencyMs, tookMs)) // no less than both, so that a target that is seldom used does not look fast
+		s.latencyMs, s.latencyAt = movingAverage(known, tookMs), now
 		return
 	}
 	s.performance.addFirstByte(tookMs, a.choice.baselineMs, now)
@@ -169,6 +173,16 @@
 	}
 }
 
+// fadedLatencyMs returns the average latency of a plain target, which halves every latencyHalfLife without an answer. A target that was slow is so asked
+// again, though all requests would be too late by what its last answers took.
+func (s *targetState) fadedLatencyMs(now time.Time) float64 {
+	unseen := now.Sub(s.latencyAt)
+	if s.latencyMs == 0 || unseen <= latencyHalfLife {
+		return s.latencyMs
+	}
+	return s.latencyMs * math.Exp2(1-float64(unseen)/float64(latencyHalfLife))
+}
+
 // updatePrefillMsPerToken moves a model's average prefill time quickly towards faster samples and slowly towards slower
 // ones, since most samples include time in the target's queue behind requests of other gateways.
 func (f *Fleet) updatePrefillMsPerToken(model string, sampleMsPerToken float64) {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -167,7 +167,7 @@
 			best, bestCostMs = s, costMs
 		}
 	}
-	return Choice{Target: best.Target, Expected: durationFromMs(max(1, best.latencyMs)), ReportAge: now.Sub(f.registryReadAt), Candidates: len(usable), HasRoom: true}
+	return Choice{Target: best.Target, Expected: durationFromMs(max(1, best.fadedLatencyMs(now))), ReportAge: now.Sub(f.registryReadAt), Candidates: len(usable), HasRoom: true}
 }
 
 // chooseHolder returns the target with the lowest cost of those that hold the model.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,7 +81,8 @@
 	requestsByAdapter map[registry.Adapter]int // this gateway's requests by adapter
 	promptCache       *promptCache             // estimate of what the target's KV cache holds
 
-	latencyMs         float64 // time to the first byte at a plain target, moving average
+	latencyMs         float64   // time to the first byte at a plain target, moving average
+	latencyAt         time.Time // of the last answer that it includes
 	performance       performance
 	connectFailures   int       // in a row
 	backoffUntil      time.Time // until when the target gets requests only if all others are in backoff, too
--- a/fleet/plain_test.go
+++ b/fleet/plain_test.go
@@ -53,3 +53,41 @@
 		t.Errorf("%d of 40 requests went to the near target after its refusals, want most", near)
 	}
 }
+
+// TestSlowPlainTargetIsAskedAgain guards against a service that is refused for good: the answers of its only target took longer than any caller waits, so that no
+// request is sent that would show that it is fast again.
+func TestSlowPlainTargetIsAskedAgain(t *testing.T) {
+	const slow, fast, patience = 10 * time.Second, 20 * time.Millisecond, 500 * time.Millisecond
+	f := New("a")
+	f.SetServices(map[string]route.Service{"plain": {Name: "plain"}})
+	f.UpdateTargets([]registry.Target{{ID: "only", Service: "plain", AvailabilityZone: "a", Address: "10.0.0.1:80", Slots: 6}}, false, start)
+	req := &request.Request{ID: "r"}
+	answer := func(now time.Time, took time.Duration) {
+		choice, ok := f.Choose(Query{Service: "plain", Request: req}, now)
+		if !ok {
+			t.Fatal("no target")
+		}
+		a := f.Assign(choice, req, now)
+		a.Start(now.Add(took))
+		a.End(Served, now.Add(took))
+	}
+	expected := func(now time.Time) time.Duration {
+		choice, _ := f.Choose(Query{Service: "plain", Request: req}, now)
+		return choice.Expected
+	}
+	for range 20 {
+		answer(start, slow)
+	}
+	now := start.Add(slow)
+	if got := expected(now); got < patience {
+		t.Fatalf("%s expected of a target that is slow", got)
+	}
+	now = now.Add(10 * time.Second)
+	if got := expected(now); got > patience {
+		t.Errorf("%s expected of a target that has not been asked for 10 s, want less than %s", got, patience)
+	}
+	answer(now, fast)
+	if got := expected(now.Add(fast)); got > patience {
+		t.Errorf("%s expected after a fast answer, want less than %s", got, patience)
+	}
+}
