Bound what callers of a gateway hold by its memory

Cause: only bodies were counted against the memory. Connections were bounded by descriptors alone, heads by constants, callers that read nothing by nothing. A body that stood still kept its memory until the deadline of its request, and silent connections kept all places for 10 s.

Change: one account holds bytes of bodies, requests and connections. The connections are bounded by half of it as well as by the descriptors; those on which nothing has come give way while others wait. A body that comes in below limits.body-bytes-per-second (64 KiB/s) for 2 s is refused with 408 where memory or places are short. Heads are bounded by maxHeaderBytes and headerTimeoutMs of the routes (431, 408). A caller must take each 64 KiB of its answer within limits.write-timeout (10 s). The system's buffers of a connection are limits.socket-buffer-kib. A write that fails is the caller's doing and counts no longer against the target. The readiness server has 64 places and short times.

--- a/gateway/caller_answer.go
+++ b/gateway/caller_answer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,6 +28,9 @@
 	return conn
 }
 
+// errCallerWrite reports that an answer could not be written to its caller, who has gone or does not read it. The target has no part in it.
+var errCallerWrite = errors.New("caller does not take the answer")
+
 // maxHeldBytes is how much of an answer with a length is held back, with its status and header, so that it can still be replaced by a failure.
 const maxHeldBytes = 2 << 10
 
@@ -93,8 +98,10 @@
 	if len(body) == 0 {
 		return nil
 	}
-	_, err := a.writer.Write(body)
-	return err
+	if _, err := a.writer.Write(body); err != nil {
+		return fmt.Errorf("%w: %w", errCallerWrite, err)
+	}
+	return nil
 }
 
 // write writes a part of the body, at once unless the answer has a length.
@@ -109,8 +116,11 @@
 	if err := a.writeHeld(); err != nil {
 		return err
 	}
-	if _, err := a.writer.Write(chunk); err != nil || a.framing == framing.Length {
-		return err
+	if _, err := a.writer.Write(chunk); err != nil {
+		return fmt.Errorf("%w: %w", errCallerWrite, err)
+	}
+	if a.framing == framing.Length {
+		return nil
 	}
 	return a.flush()
 }
@@ -125,4 +135,9 @@
 	return err
 }
 
-func (a *callerAnswer) flush() error { return http.NewResponseController(a.writer).Flush() }
+func (a *callerAnswer) flush() error {
+	if err := http.NewResponseController(a.writer).Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errCallerWrite, err)
+	}
+	return nil
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -59,7 +59,7 @@
 	case e.dispatch.GraceOver():
 		e.cut(answered, "answer cut at the end of the grace", "cut-at-stop", http.StatusBadGateway, dispatch.Stopping)
 		return nil, false
-	case e.callerCtx.Err() != nil:
+	case e.callerCtx.Err() != nil, errors.Is(err, errCallerWrite):
 		answered.Assignment.End(fleet.Abandoned, time.Now())
 		e.log().WithError(err).Info("caller left")
 		e.countOutcome("caller-left")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,8 +38,14 @@
 )
 
 const (
-	maxHeaderBytes = 64 << 10
-	headerTimeout  = 10 * time.Second
+	// defaultMaxHeaderBytes and headerTimeout bound heads where the routes don't, or are not known yet.
+	defaultMaxHeaderBytes = 64 << 10
+	headerTimeout         = 10 * time.Second
+	// maxHeaderBytes and maxHeaderTimeout are above what the routes allow in practice, which bounds each connection.
+	maxHeaderBytes   = 1 << 20
+	maxHeaderTimeout = time.Minute
+	// maxCheckConns is the number of connections for readiness checks; the platform needs one or two.
+	maxCheckConns = 64
 	// planInterval is the interval at which model loads are planned.
 	planInterval = 100 * time.Millisecond
 	// maxPlansPerTick bounds the model loads that are started for a service each planInterval. It is enough to start
@@ -64,6 +70,7 @@
 	blocked        *blockedContents
 	dialer         *dialer.Dialer
 	conns          *keepalive.Conns
+	checkConns     *keepalive.Conns
 	memory         *bytebudget.Budget // bytes held for requests
 	pool           *connpool.Pool     // connections to targets
 	fds            *descriptor.Budget
@@ -119,6 +126,11 @@
 	g.registry = refresh.New(g.readTargets, refreshInterval)
 	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
 	g.conns = keepalive.New(g.idleTimeout, log)
+	g.conns.SetLimits(g.callerLimits())
+	g.checkConns = keepalive.New(func() time.Duration { return headerTimeout }, log)
+	g.checkConns.SetLimits(checkLimits())
+	g.memory.SetPace(int64(config.Limits.BodyPace))
+	g.memory.CountBeside(func() int64 { return int64(g.conns.Open()) * connBytes })
 	g.lastAnswers, g.endAnswers = context.WithCancel(context.Background())
 	return g
 }
@@ -140,27 +152,29 @@
 	if err != nil {
 		return fmt.Errorf("gateway: cannot accept callers: %w", err)
 	}
-	listener := newCallerListener(tcpListener, g.fds.Callers())
+	listener := newCallerListener(tcpListener, g.maxCallers())
 	g.callers.Store(listener)
 	readyListener, err := net.Listen("tcp", g.config.Gateway.Ready)
 	if err != nil {
 		return fmt.Errorf("gateway: cannot accept readiness checks: %w", err)
 	}
-	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address, "descriptors": g.fds.Limit()}).Info("gateway starts")
+	g.log.WithFields(logrus.Fields{"listen": g.config.Gateway.Listen, "store": g.config.Store.Address, "descriptors": g.fds.Limit(), "callers": g.maxCallers(), "request-bytes": g.memory.Limit()}).Info("gateway starts")
 	callerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: contextWithConn,
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: maxHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: contextWithConn,
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			g.conns.TrackState(conn, state)
 			listener.trackState(state)
 		},
 		ErrorLog: discardLog(),
 	}
-	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
+	readyServer := &http.Server{
+		Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.checkConns.TrackState, ErrorLog: discardLog(),
+	}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(g.conns.Listener(listener))) })
-	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
+	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(g.checkConns.Listener(readyListener))) })
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
 	group.Go(func() error { return g.registry.Run(serving) })
@@ -170,6 +184,7 @@
 	group.Go(func() error { return g.blocked.run(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
 	group.Go(func() error { return g.conns.Run(serving) })
+	group.Go(func() error { return g.checkConns.Run(serving) })
 	select {
 	case <-ctx.Done():
 		g.drain()
@@ -177,6 +192,7 @@
 	}
 	stop()
 	g.conns.End()
+	g.checkConns.End()
 	closeServers(g.log, callerServer, readyServer)
 	err = group.Wait() // the goroutines that call agents.setAddresses end before agents.close
 	g.agents.close()
--- a/gateway/request_body.go
+++ b/gateway/request_body.go
@@ -11,7 +11,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"gypsumbank/bytebudget"
 	"gypsumbank/dispatch"
@@ -23,10 +22,6 @@
 const (
 	// exchangeBytes is what a request takes beside its body: its header, buffers and stacks.
 	exchangeBytes = 64 << 10
-	// firstBodyBytes is the first buffer for a body of unknown length.
-	firstBodyBytes = 16 << 10
-	// bodyGrowth is the factor by which that buffer grows. It is large, as bodies that don't fit are to be refused early.
-	bodyGrowth = 16
 	// requestMemoryDivisor is the part of the memory that may hold requests by default: one in so many bytes.
 	requestMemoryDivisor = 2
 	// noMemoryRetryAfter is the Retry-After of a request that doesn't fit into the memory.
@@ -36,8 +31,6 @@
 	// lingerTime is how long a caller that sends on after its answer is listened to, as a close would destroy the answer.
 	lingerTime  = 2 * time.Second
 	bytesPerMiB = 1 << 20
-	// defaultMemoryBytes is taken for the memory of a VM that does not tell it.
-	defaultMemoryBytes = 256 * bytesPerMiB
 )
 
 // errReadStopped reports a body that was still coming in at the time of the last answers.
@@ -47,35 +40,25 @@
 func newRequestMemory(config *settings.Config) *bytebudget.Budget {
 	limit := int64(config.Gateway.RequestMemoryMiB) * bytesPerMiB
 	if limit == 0 {
-		limit = availableMemory(config.Limits) / requestMemoryDivisor
+		limit = bytebudget.AvailableMemory(config.Limits.MemoryMiB) / requestMemoryDivisor
 	}
 	memory := bytebudget.New(limit)
 	metrics.GetOrCreateGauge("gypsumbank_gateway_request_bytes", func() float64 { return float64(memory.Held()) })
 	return memory
 }
 
-// availableMemory returns the bytes of memory that the process may use: its limit, or all that the VM has.
-func availableMemory(limits settings.Limits) int64 {
-	if limits.MemoryMiB > 0 {
-		return int64(limits.MemoryMiB) * bytesPerMiB
-	}
-	var info unix.Sysinfo_t
-	if unix.Sysinfo(&info) != nil {
-		return defaultMemoryBytes
-	}
-	return int64(info.Totalram * uint64(info.Unit))
-}
-
 // readBody reads the body of a request of up to limit bytes into req, once hold has room for it. If that fails, it refuses the request
 // and returns false.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request.Request, hold *bytebudget.Hold, limit int64, deadline time.Time) bool {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := readWithin(g.lastAnswers, w, deadline, r.ContentLength, func() ([]byte, error) {
-		return readWhole(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, hold)
+	body, err := readWithin(g.lastAnswers, w, deadline, r.ContentLength, hold, func() ([]byte, error) {
+		if err := hold.Reserve(exchangeBytes); err != nil {
+			return nil, err
+		}
+		return bytebudget.ReadBody(r.Body, r.ContentLength, limit, hold)
 	})
-	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errReadStopped):
 		g.conns.AnsweredEarly(connFromContext(r.Context()))
@@ -85,7 +68,7 @@
 		hold.Release()
 		g.refuseUnread(w, r, limit, func() { g.refuseForMemory(w, r, req, err) })
 		return false
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bytebudget.ErrTooLong):
 		g.refuseUnread(w, r, limit, func() { g.refuse(w, r, req.ID, dispatch.BodyTooLarge, http.StatusRequestEntityTooLarge, 0) })
 		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -100,8 +83,9 @@
 	return true
 }
 
-// readWithin has read read a body of a length, -1 if it is unknown, until the deadline at the latest, or until ctx ends: then with errReadStopped.
-func readWithin(ctx context.Context, w http.ResponseWriter, deadline time.Time, length int64, read func() ([]byte, error)) ([]byte, error) {
+// readWithin has read read a body of a length, -1 if it is unknown, until the deadline at the latest, until it gives way because it comes in slowly, or until ctx
+// ends: then with errReadStopped.
+func readWithin(ctx context.Context, w http.ResponseWriter, deadline time.Time, length int64, hold *bytebudget.Hold, read func() ([]byte, error)) ([]byte, error) {
 	if length == 0 {
 		return read()
 	}
@@ -109,10 +93,12 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
+	hold.Receive(func() { _ = controller.SetReadDeadline(time.Now()) }, time.Now()) // fails only if the connection is closed
 	stopRead := context.AfterFunc(ctx, func() {
 		_ = controller.SetReadDeadline(time.Now()) // fails only if the connection is closed
 	})
 	body, err := read()
+	hold.EndReceive()
 	if !stopRead() {
 		return nil, errReadStopped
 	}
@@ -122,67 +108,6 @@
 	return body, controller.SetReadDeadline(time.Time{})
 }
 
-// readWhole reads a body of a length, -1 if it is unknown, or up to limit bytes of it. It reserves the bytes before it reads them.
-func readWhole(body io.Reader, length, limit int64, hold *bytebudget.Hold) ([]byte, error) {
-	if length > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	if err := hold.Reserve(exchangeBytes); err != nil {
-		return nil, err
-	}
-	if length < 0 {
-		return readGrowing(body, limit, hold)
-	}
-	if err := hold.Reserve(length); err != nil {
-		return nil, err
-	}
-	data := make([]byte, length)
-	_, err := io.ReadFull(body, data)
-	return data, err
-}
-
-// readGrowing reads a body of unknown length into a buffer that grows as far as the hold does.
-func readGrowing(body io.Reader, limit int64, hold *bytebudget.Hold) ([]byte, error) {
-	var data []byte
-	for {
-		if len(data) == cap(data) {
-			var err error
-			if data, err = resize(data, min(max(firstBodyBytes, bodyGrowth*int64(cap(data))), limit+1), hold); err != nil {
-				return nil, err
-			}
-		}
-		n, err := body.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return trim(data, hold), nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-// resize returns a copy of data with another capacity, and has the hold follow.
-func resize(data []byte, capacity int64, hold *bytebudget.Hold) ([]byte, error) {
-	if err := hold.Reserve(capacity); err != nil {
-		return nil, err
-	}
-	copied := append(make([]byte, 0, capacity), data...)
-	hold.Return(int64(cap(data)))
-	return copied, nil
-}
-
-// trim returns data without the capacity beyond it, unless that is less than half or there is no room for the copy.
-func trim(data []byte, hold *bytebudget.Hold) []byte {
-	if len(data) > cap(data)/2 {
-		return data
-	}
-	if trimmed, err := resize(data, int64(len(data)), hold); err == nil {
-		return trimmed
-	}
-	return data
-}
-
 // dropBody gives the memory of the request's body back once it can't be needed again: the answer has begun, and no other target may go on with it.
 func (e *exchange) dropBody(answered dispatch.Answered) {
 	if e.route.Resumable || len(e.request.Body) == 0 || answered.Response.WriteState() != sender.Written {
--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -50,13 +50,17 @@
 	cutShort  bool          // answered before its request had been read to the end
 	refused   bool          // a head of which a part was read has been refused; nothing more is read or answered
 	ended     bool          // no more is read
+	used      bool          // a request has been in progress on it
+	slow      bool          // its caller has not taken an answer in time
+
+	writeDeadline time.Time // as the server has set it
 }
 
 // setBusy records that a request is in progress.
 func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isIdle = false
+	c.isIdle, c.used = false, true
 }
 
 // setIdle records that the last request has been answered.
@@ -163,7 +167,7 @@
 	if refused {
 		return 0, net.ErrClosed
 	}
-	return c.tcpConn.Write(p)
+	return c.writeWithin(p)
 }
 
 // endRead records what a read has brought. If the read was ended for the connection to be closed, it closes the connection, or has it read again
@@ -176,13 +180,20 @@
 	if n > 0 {
 		c.lastRead = time.Now()
 	}
+	if c.closing == "" && c.conns.limits.NoHeads {
+		return false, false
+	}
 	if c.closing == "" {
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle && c.readBytes > 0 {
 			c.refusePart(causeSlowHead)
 			return false, true
 		}
+		if c.isIdle && c.conns.isHeadTooLong(c.readBytes) {
+			c.refusePart(causeLongHead)
+			return false, true
+		}
 		if n > 0 && c.isIdle && !c.ended && c.deadline.IsZero() {
-			c.deadline = time.Now().Add(headStartTime)
+			c.deadline = time.Now().Add(c.conns.headerTimeout(headStartTime))
 			_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed already
 		}
 		return false, false
@@ -210,13 +221,14 @@
 // refusals are the answers to a request whose head is not read to the end, by the cause.
 var refusals = map[string]string{
 	causeSlowHead: "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	causeLongHead: "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
 	causeDrain:    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
 }
 
 // refusePart refuses a request of which a part has been read; the caller holds the lock.
 func (c *conn) refusePart(cause string) {
-	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // a failure ends the write
-	_, _ = io.WriteString(c.tcpConn, refusals[cause])  // a caller that has left needs no answer
+	_ = c.tcpConn.SetWriteDeadline(time.Now().Add(lingerTime)) // a failure ends the write
+	_, _ = io.WriteString(c.tcpConn, refusals[cause])          // a caller that has left needs no answer
 	c.cutShort, c.refused = true, true
 	c.conns.logClose(c, cause, time.Since(c.idleSince), c.readBytes, false)
 }
@@ -225,6 +237,9 @@
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isIdle && !deadline.IsZero() {
+		deadline = c.capHeadDeadline(deadline)
+	}
 	c.deadline = deadline
 	if c.closing != "" || c.ended {
 		return nil
@@ -232,6 +247,26 @@
 	return c.tcpConn.SetReadDeadline(deadline)
 }
 
+// capHeadDeadline returns the deadline for the read of a head that its server has set, no later than the limits allow; the caller holds the lock.
+func (c *conn) capHeadDeadline(deadline time.Time) time.Time {
+	timeout := c.conns.headerTimeout(0)
+	if timeout <= 0 {
+		return deadline
+	}
+	if capped := time.Now().Add(timeout); capped.Before(deadline) {
+		return capped
+	}
+	return deadline
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = deadline
+	return c.tcpConn.SetWriteDeadline(deadline)
+}
+
 // SetDeadline implements net.Conn.
 func (c *conn) SetDeadline(deadline time.Time) error {
 	if err := c.SetReadDeadline(deadline); err != nil {
@@ -256,7 +291,7 @@
 	c.cutShort = false
 	c.mu.Unlock()
 	if lingers && c.CloseWrite() == nil {
-		_ = c.tcpConn.SetReadDeadline(time.Now().Add(lingerTime)) // a failure ends the copy
+		_ = c.tcpConn.SetReadDeadline(time.Now().Add(c.conns.linger())) // a failure ends the copy
 		_, _ = io.Copy(io.Discard, c.tcpConn)
 	}
 	return c.tcpConn.Close()
--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -37,12 +37,17 @@
 	causeIdleTimeout = "idle-timeout"
 	causeEnd         = "end"
 	causeSlowHead    = "slow-head"
+	causeLongHead    = "long-head"
+	causeNoRoom      = "no-room"
+	causeSlowReader  = "slow-reader"
 )
 
 // Conns are the open connections of a server. Its methods are safe for concurrent use.
 type Conns struct {
 	idleTimeout func() time.Duration
 	log         *logrus.Entry
+	limits      Limits
+	places      chan struct{} // holds a value for each connection that is open or about to be accepted; nil without a limit
 
 	mu       sync.Mutex
 	open     map[*conn]struct{}
@@ -60,7 +65,7 @@
 func (c *Conns) Listener(inner net.Listener) net.Listener {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.listener = &listener{Listener: inner, conns: c, done: make(chan struct{})}
+	c.listener = &listener{Listener: inner, conns: c, done: make(chan struct{}), closed: make(chan struct{})}
 	return c.listener
 }
 
@@ -258,6 +263,10 @@
 
 func (c *Conns) remove(own *conn) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	_, open := c.open[own]
 	delete(c.open, own)
+	c.mu.Unlock()
+	if open {
+		c.freePlace()
+	}
 }
--- a/settings/config.go
+++ b/settings/config.go
@@ -22,12 +22,13 @@
 	Entry    Entry
 	Sidecar  Sidecar
 
+	Limits Limits
+
 	// The sections below apply only to a gateway or an agent, which run on the users' platform.
 	Gateway Gateway
 	Agent   Agent
 	Store   Store
 	Bounds  Bounds
-	Limits  Limits
 }
 
 // Node identifies the process within its deployment.
@@ -122,6 +123,7 @@
 func (c *Config) readEntryOrSidecar(file *inifile.File) {
 	c.Node = readNode(file)
 	c.Platform = readPlatform(file)
+	c.Limits = readLimits(file)
 	if file.HasSection("entry") {
 		c.Entry = readEntry(file)
 	}
--- a/settings/gateway_agent.go
+++ b/settings/gateway_agent.go
@@ -46,10 +46,15 @@
 	KeysFailClosed bool
 }
 
-// Limits holds the resources that the process may use.
+// Limits holds the resources that the process may use, and those that its callers may take.
 type Limits struct {
 	MemoryMiB   int // 0 for no limit
 	Descriptors int // 0 for the system's limit
+
+	BodyPace        int           // bytes a second below which a body that comes in gives way where memory is short
+	WriteTimeout    time.Duration // time for a caller to take each 64 KiB of an answer
+	MessageTimeout  time.Duration // time in which a message of another process must arrive
+	SocketBufferKiB int           // buffers of the system for a connection of a caller, in each direction; 0 for the system's choice
 }
 
 // isGatewayOrAgent reports whether the settings are for a process on the users' platform rather than in an own deployment.
@@ -77,10 +82,7 @@
 		KeyMaxAge:      file.Duration("bounds", "key-max-age", 5*time.Second, time.Second, time.Hour),
 		KeysFailClosed: file.Choice("bounds", "keys-fail-closed", "no", "yes", "no") == "yes",
 	}
-	c.Limits = Limits{
-		MemoryMiB:   int(file.Int("limits", "memory-mib", 0, 0, 1<<20)),
-		Descriptors: int(file.Int("limits", "descriptors", 0, 0, 1<<24)),
-	}
+	c.Limits = readLimits(file)
 	if file.HasSection("gateway") {
 		c.Gateway = readGateway(file)
 	}
@@ -89,6 +91,17 @@
 	}
 }
 
+func readLimits(file *inifile.File) Limits {
+	return Limits{
+		MemoryMiB:       int(file.Int("limits", "memory-mib", 0, 0, 1<<20)),
+		Descriptors:     int(file.Int("limits", "descriptors", 0, 0, 1<<24)),
+		BodyPace:        int(file.Int("limits", "body-bytes-per-second", 64<<10, 1, 1<<30)),
+		WriteTimeout:    file.Duration("limits", "write-timeout", 10*time.Second, 100*time.Millisecond, time.Hour),
+		MessageTimeout:  file.Duration("limits", "message-timeout", 10*time.Second, 100*time.Millisecond, time.Hour),
+		SocketBufferKiB: int(file.Int("limits", "socket-buffer-kib", 128, 0, 1<<20)),
+	}
+}
+
 func readGateway(file *inifile.File) Gateway {
 	file.Required("gateway", "listen", "IP:PORT")
 	file.Required("gateway", "ready", "IP:PORT")
