Bound the connections and messages between processes by memory

Cause: drpc reads a message of up to 32 MiB into memory for each connection, without a limit on their number or on the time. Agents accept them from anyone: 1.5 GB beside messages that stop, and more descriptors than the settings allow beside silent connections.

Change: the server follows the frames on each connection and reserves what a message above 16 KiB takes before it reads on, bounds the time in which it must arrive (limits.message-timeout, 10 s) and the connections by descriptors and memory. Silent ones give way. The silence timeout of agents moves into the server, so that agents' connections are known to it. Connections that carry no HTTP got a read deadline of 10 s meant for heads; they no longer do. Entry and sidecar read [limits], set the runtime's memory limit by it and write no more lines than a gateway.

TestSilentConnectionsEnd now goes by a stream of the server, as the listener that it tested is gone; its bounds stay.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,7 +56,10 @@
 	// takes over.
 	maxRewriteDelay = 2 * time.Second
 	// historyLostDelay bounds the reads of all routes from a store that keeps no history.
-	historyLostDelay      = 200 * time.Millisecond
+	historyLostDelay = 200 * time.Millisecond
+	// silenceTimeout is the time after which a connection on which a gateway sends nothing is closed. It exceeds the time for which gateways keep idle
+	// connections, and that of calls, so that it ends only those to gateways that are gone without a close.
+	silenceTimeout        = 2 * time.Minute
 	budgetRetryInterval   = 250 * time.Millisecond
 	budgetMaxAttempts     = 3
 	identifyRetryInterval = 300 * time.Millisecond
@@ -134,12 +137,14 @@
 		return fmt.Errorf("agent: %w", err)
 	}
 	server := rpcserver.New(nil, a.log)
+	server.SetLimits(a.config.Limits)
+	server.SetSilenceTimeout(silenceTimeout)
 	if err := wire.DRPCRegisterAgent(server.Mux(), &agentServer{agent: a}); err != nil {
 		return fmt.Errorf("agent: register RPC service: %w", err)
 	}
 	a.log.WithFields(logrus.Fields{"target": a.config.Agent.Target, "listen": a.config.Agent.Listen}).Info("agent starts")
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Run(ctx, newSilenceListener(listener, silenceTimeout)) })
+	group.Go(func() error { return server.Run(ctx, listener) })
 	group.Go(func() error { return a.holdOrders(ctx) })
 	group.Go(func() error { return a.followRoutes(ctx) })
 	group.Go(func() error { return a.followTargets(ctx) })
--- a/agent/replaced_gateways_test.go
+++ b/agent/replaced_gateways_test.go
@@ -127,72 +127,79 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			address := startSilenceServer(t, New(&settings.Config{Store: settings.Store{Address: freeAddress(t)}}, discardLogger()), timeout)
+			d := dialer.New(nil)
+			t.Cleanup(func() { d.Close() })
+			gateway, err := d.Dial(t.Context(), address)
 			if err != nil {
 				t.Fatal(err)
 			}
-			listener := newSilenceListener(inner, timeout)
-			t.Cleanup(func() { listener.Close() })
-			gateway, err := net.Dial("tcp", inner.Addr().String())
+			t.Cleanup(func() { gateway.Close() })
+			stream, err := wire.NewDRPCAgentClient(gateway).Watch(t.Context())
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Cleanup(func() { gateway.Close() })
-			conn, err := listener.Accept()
-			if err != nil {
+			if err := stream.Send(&wire.WatcherUpdate{Node: "gateway-1"}); err != nil {
 				t.Fatal(err)
 			}
-			t.Cleanup(func() { conn.Close() })
 			began := time.Now()
 			go func() {
 				for test.sends && time.Since(began) < 4*timeout {
-					_, _ = gateway.Write([]byte("x"))
+					_ = stream.Send(&wire.WatcherUpdate{Node: "gateway-1"})
 					time.Sleep(timeout / 10)
 				}
 			}()
-			var readErr error
-			for readErr == nil {
-				_, readErr = conn.Read(make([]byte, 1))
+			var recvErr error
+			for recvErr == nil {
+				_, recvErr = stream.Recv()
 			}
 			took, want := time.Since(began), timeout
 			if test.sends {
 				want = 4 * timeout
 			}
 			if took < want || took > want+2*timeout {
-				t.Errorf("reads failed after %s, want some %s: %v", took, want, readErr)
+				t.Errorf("the connection ended after %s, want some %s: %v", took, want, recvErr)
 			}
 		})
 	}
 }
 
-// TestSilentGatewayIsForgotten has a gateway stop both to send and to read, while the agent has more to send than its buffers hold.
-func TestSilentGatewayIsForgotten(t *testing.T) {
-	t.Parallel()
-	const (
-		timeout = 300 * time.Millisecond
-		within  = 3 * time.Second
-	)
+// startSilenceServer starts a server of an agent that closes connections on which nothing comes for a time, and returns its address.
+func startSilenceServer(t *testing.T, a *Agent, timeout time.Duration) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := New(&settings.Config{Store: settings.Store{Address: freeAddress(t)}}, discardLogger())
 	server := rpcserver.New(nil, discardLogger())
+	server.SetSilenceTimeout(timeout)
 	if err := wire.DRPCRegisterAgent(server.Mux(), &agentServer{agent: a}); err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- server.Run(ctx, newSilenceListener(listener, timeout)) }()
+	go func() { ended <- server.Run(ctx, listener) }()
 	t.Cleanup(func() {
 		stop()
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
 	})
+	return listener.Addr().String()
+}
+
+// TestSilentGatewayIsForgotten has a gateway stop both to send and to read, while the agent has more to send than its buffers hold.
+func TestSilentGatewayIsForgotten(t *testing.T) {
+	t.Parallel()
+	const (
+		timeout = 300 * time.Millisecond
+		within  = 3 * time.Second
+	)
+	a := New(&settings.Config{Store: settings.Store{Address: freeAddress(t)}}, discardLogger())
+	address := startSilenceServer(t, a, timeout)
 	d := dialer.New(nil)
 	t.Cleanup(func() { d.Close() })
-	gateway, err := d.Dial(t.Context(), listener.Addr().String())
+	gateway, err := d.Dial(t.Context(), address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd_entry.go
+++ b/cmd_entry.go
@@ -19,7 +19,10 @@
 			if err != nil {
 				return err
 			}
-			e, err := entry.New(config, logs.New(config.Log, config.Node, env.Err))
+			limitHeap(config.Limits)
+			out := logs.NewWriter(env.Err)
+			defer out.Close()
+			e, err := entry.New(config, logs.New(config.Log, config.Node, out))
 			if err != nil {
 				return err
 			}
--- a/cmd_sidecar.go
+++ b/cmd_sidecar.go
@@ -19,7 +19,10 @@
 			if err != nil {
 				return err
 			}
-			s, err := sidecar.New(config, logs.New(config.Log, config.Node, env.Err))
+			limitHeap(config.Limits)
+			out := logs.NewWriter(env.Err)
+			defer out.Close()
+			s, err := sidecar.New(config, logs.New(config.Log, config.Node, out))
 			if err != nil {
 				return err
 			}
--- a/crowd_test.go
+++ b/crowd_test.go
@@ -105,7 +105,7 @@
 // stayed in their bounds, and that it answers an ordinary request.
 func (c *crowdTest) run(t *testing.T, members crowd) {
 	t.Helper()
-	if err := c.tryOrdinary(); err != nil {
+	if err := c.tryOrdinary(t); err != nil {
 		t.Fatalf("ordinary request before the crowd: %v", err)
 	}
 	mostDescriptors := c.watchDescriptors()
@@ -137,7 +137,7 @@
 		})
 	}
 	sending.Wait()
-	ordinaryErr := c.tryOrdinary()
+	ordinaryErr := c.tryOrdinary(t)
 	most := mostDescriptors()
 	select {
 	case <-c.exited:
@@ -187,14 +187,21 @@
 }
 
 // tryOrdinary repeats an ordinary request until it is answered, the process has ended or the caller's patience has.
-func (c *crowdTest) tryOrdinary() error {
+func (c *crowdTest) tryOrdinary(t *testing.T) error {
 	const interval = 200 * time.Millisecond
 	until := time.Now().Add(ordinaryPatience)
+	failures := map[string]int{}
+	defer func() {
+		if len(failures) > 0 {
+			t.Logf("ordinary requests that were not answered: %v", failures)
+		}
+	}()
 	for {
 		err := c.ordinary()
 		if err == nil || time.Now().After(until) {
 			return err
 		}
+		failures[err.Error()]++
 		select {
 		case <-c.exited:
 			return errors.New("the process has ended")
--- a/rpcserver/server.go
+++ b/rpcserver/server.go
@@ -15,9 +15,12 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcstream"
 
+	"gypsumbank/bytebudget"
+	"gypsumbank/descriptor"
 	"gypsumbank/dialer"
 	"gypsumbank/handshake"
 	"gypsumbank/keepalive"
+	"gypsumbank/settings"
 )
 
 const (
@@ -25,6 +28,16 @@
 	lastCallTime = 300 * time.Millisecond
 	// lastReplyTime is the time after the begin of a stop for the last replies.
 	lastReplyTime = time.Second
+	// memoryDivisor is the part of the memory that connections, and the messages that come in on them, may each take: one in so many bytes.
+	memoryDivisor = 4
+	// connBytes is what a connection takes beside long messages: buffers and stacks.
+	connBytes = 48 << 10
+	// inactivityTimeout is how long a connection may have no call in progress. Callers close theirs after a third of it.
+	inactivityTimeout = 90 * time.Second
+	// silentWait is how long a connection on which nothing has come is kept while others wait for places. Callers open connections to send calls.
+	silentWait = 100 * time.Millisecond
+	// defaultMessageTimeout bounds the time in which a message must arrive where no limits are set.
+	defaultMessageTimeout = 10 * time.Second
 )
 
 // Server accepts connections, authenticates them and serves the registered drpc services on them.
@@ -33,11 +46,31 @@
 	mux       *drpcmux.Mux
 	log       *logrus.Entry
 	openConns sync.WaitGroup
+	limits    keepalive.Limits
+	messages  *bytebudget.Budget // bytes held for messages that come in
+	timeout   time.Duration      // for a message to arrive
+	silence   time.Duration      // after which a connection on which nothing comes is closed; 0 for never
 }
 
 // New returns a server without services. If secret is nil, connections are not authenticated.
 func New(secret *handshake.Secret, log *logrus.Entry) *Server {
-	return &Server{secret: secret, mux: drpcmux.New(), log: log}
+	s := &Server{secret: secret, mux: drpcmux.New(), log: log}
+	s.SetLimits(settings.Limits{})
+	return s
+}
+
+// SetSilenceTimeout has connections closed on which nothing comes for a time, whether calls are in progress or not. It is called before Run.
+func (s *Server) SetSilenceTimeout(timeout time.Duration) { s.silence = timeout }
+
+// SetLimits bounds the connections and the messages that come in on them, by what the process may use. It is called before Run.
+func (s *Server) SetLimits(limits settings.Limits) {
+	share := bytebudget.AvailableMemory(limits.MemoryMiB) / memoryDivisor
+	s.limits = keepalive.Limits{NoHeads: true, SilentWait: silentWait, MaxOpen: max(1, min(descriptor.New(limits.Descriptors).Callers(), int(share/connBytes)))}
+	s.messages = bytebudget.New(share)
+	s.timeout = limits.MessageTimeout
+	if s.timeout == 0 {
+		s.timeout = defaultMessageTimeout
+	}
 }
 
 // Mux returns the multiplexer on which services are registered.
@@ -47,6 +80,7 @@
 // later, and all connections are closed.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
 	conns := keepalive.New(noIdleTimeout, s.log)
+	conns.SetLimits(s.limits)
 	serving, endServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer s.openConns.Wait()
 	defer endServing()
@@ -93,7 +127,12 @@
 		return
 	}
 	conns.TrackState(conn, http.StateIdle)
-	manager := drpcmanager.NewWithOptions(dialer.CountBytes(conn), dialer.ManagerOptions())
+	hold := s.messages.Begin(peerHost(conn))
+	defer hold.Release()
+	options := dialer.ManagerOptions()
+	options.InactivityTimeout = inactivityTimeout
+	metered := &messageMeter{Conn: conn, hold: hold, maxBytes: int64(options.Reader.MaximumBufferSize), timeout: s.timeout, silence: s.silence}
+	manager := drpcmanager.NewWithOptions(dialer.CountBytes(metered), options)
 	defer func() { _ = manager.Close() }()
 	for {
 		stream, rpc, err := manager.NewServerStream(serving)
@@ -133,6 +172,15 @@
 // Context implements drpc.Stream.
 func (s *callStream) Context() context.Context { return s.ctx }
 
+// peerHost returns the host at the other end of a connection.
+func peerHost(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return conn.RemoteAddr().String()
+	}
+	return host
+}
+
 // noIdleTimeout is that of the connections between processes.
 func noIdleTimeout() time.Duration { return 0 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -75,6 +75,7 @@
 		crashes:  &crashRecord{},
 		runs:     map[string]*run{},
 	}
+	s.server.SetLimits(config.Limits)
 	s.node.OnStatus(s.fillStatus)
 	if config.Sidecar.Kind == vmlist.RoleModel {
 		s.initModelTarget()
--- a/site.go
+++ b/site.go
@@ -59,6 +59,11 @@
 func tuneRuntime(limits settings.Limits) {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
+	limitHeap(limits)
+}
+
+// limitHeap has the runtime collect garbage more often where the heap comes close to the memory of the process.
+func limitHeap(limits settings.Limits) {
 	if limits.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(float64(limits.MemoryMiB) * memoryLimitFraction * (1 << 20)))
 	}
--- a/uncontrolled_clients_test.go
+++ b/uncontrolled_clients_test.go
@@ -78,7 +78,7 @@
 	s.t.Helper()
 	addresses := freeAddresses(s.t, 4)
 	_, agentPort, _ := net.SplitHostPort(addresses[3])
-	settings := fmt.Sprintf("[node]\nname = g1\navailability-zone = zone-a\n[log]\nlevel = warning\n[gateway]\nlisten = %s\nready = %s\nmetrics = %s\nagent-port = %s\n[store]\naddress = %s\n[limits]\nmemory-mib = %d\ndescriptors = %d\n",
+	settings := fmt.Sprintf("[node]\nname = g1\navailability-zone = zone-a\n[log]\nlevel = warning\n[gateway]\nlisten = %s\nready = %s\nmetrics = %s\nagent-port = %s\n[store]\naddress = %s\n[limits]\nmemory-mib = %d\ndescriptors = %d\nwrite-timeout = 2s\n",
 		addresses[0], addresses[1], addresses[2], agentPort, s.store.Address(), memoryMiB, descriptors)
 	c := &cluster{t: s.t, dir: s.t.TempDir()}
 	gateway = startMeasuredProcess(s.t, "g1", "gateway", "--config="+c.writeFile("gateway.ini", settings))
@@ -148,7 +148,7 @@
 	const memoryMiB, descriptors, bodyBytes = 184, 4100, 4 << 20 // those of the smallest gateway
 	_, callers, _, _ := newCrowdSite(t, bodyBytes).startGateway(memoryMiB, descriptors)
 	c := &crowdTest{process: &process{exited: make(chan struct{})}, ordinary: ordinaryPost(callers)}
-	if err := c.tryOrdinary(); err != nil {
+	if err := c.tryOrdinary(t); err != nil {
 		t.Fatal(err)
 	}
 	if err := postBytes(callers, bodyBytes); err != nil {
@@ -216,19 +216,24 @@
 	return c
 }
 
+// ownLimits are the settings of what an entry or a sidecar may use.
+func ownLimits() string {
+	return fmt.Sprintf("[limits]\nmemory-mib = %d\ndescriptors = %d\n", crowdMemoryMiB, crowdDescriptors)
+}
+
 // startMeasuredSidecar starts the sidecar of the ledger as a process whose memory is measured.
 func (c *cluster) startMeasuredSidecar(name string) {
 	section := fmt.Sprintf("[sidecar]\nkind = service\nservice = ledger\ntarget = %s\n", c.address("target-ledger-00"))
-	path := c.writeSettings(name, c.size.Zone(0), c.address(name), section)
+	path := c.writeSettings(name, c.size.Zone(0), c.address(name), section+ownLimits())
 	c.sidecars[name] = startMeasuredProcess(c.t, name, "sidecar", "--config="+path)
 	c.registerVM(vmlist.VM{Name: name, Address: c.address(name), AvailabilityZone: c.size.Zone(0), Role: vmlist.RoleService, Service: "ledger"})
 }
 
 // startMeasuredEntry starts an entry, with at most as many connections of callers as half of the descriptors, as a process whose memory is measured.
 func (c *cluster) startMeasuredEntry(name string) *process {
-	section := fmt.Sprintf("[entry]\nlisten = %s\ngrace = 5s\nread-timeout = 2s\nmax-connections = %d\nmax-body-bytes = %d\nmax-header-bytes = %d\n",
+	section := fmt.Sprintf("[entry]\nlisten = %s\ngrace = 5s\nread-timeout = 2s\nwrite-timeout = 2s\nmax-connections = %d\nmax-body-bytes = %d\nmax-header-bytes = %d\n",
 		c.address(name), crowdDescriptors/2, crowdBodyBytes, crowdHeaderBytes)
-	path := c.writeSettings(name, c.size.Zone(0), c.address("peers-of-"+name), section)
+	path := c.writeSettings(name, c.size.Zone(0), c.address("peers-of-"+name), section+ownLimits())
 	entry := startMeasuredProcess(c.t, name, "entry", "--config="+path)
 	c.registerVM(vmlist.VM{Name: name, Address: c.address("peers-of-" + name), AvailabilityZone: c.size.Zone(0), Role: vmlist.RoleEntry})
 	return entry
