Read the bodies of an entry's callers once there is memory for them

Cause: fasthttp read whole bodies before the handler ran, up to max-connections times max-body-bytes: 2.2 GB beside a crowd of large chunks. Callers that read nothing kept their connections for good, so that an ordinary request was refused for 30 s. The server of health checks and metrics read bodies of 4 MB and had no bound on its connections.

Change: bodies are streamed and read by the account that the gateway has, with the copies that a call takes; connections are bounded by memory as well, silent ones give way, and answers are written within entry.write-timeout. Refusals are 503 no_memory, 408 and 413 with the outcome not-run. Health checks: 64 places, heads of 8 KiB, bodies of 4 KiB.

--- a/entry/call.go
+++ b/entry/call.go
@@ -75,7 +75,7 @@
 		Service:        serviceName,
 		Method:         string(ctx.Method()),
 		Path:           path,
-		Body:           append([]byte(nil), ctx.PostBody()...),
+		Body:           ctx.PostBody(), // which readBody has allocated
 		IdempotencyKey: key,
 	}}
 	c.request.Fingerprint = suspect.Fingerprint(c.request.GetCustomer(), serviceName, c.request.GetMethod(), path, string(c.request.GetBody()))
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -124,7 +124,9 @@
 	ctx.Response.Header.Set(outcomeHeader, outcomeRun)
 	conn := ctx.Conn()
 	e.activeRequests.Add(1)
+	job.caller.streams = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer job.caller.release()
 		defer e.activeRequests.Add(-1)
 		defer stopJob()
 		e.writeStream(w, conn, job, first, ok)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,8 +11,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"gypsumbank/bytebudget"
 	"gypsumbank/grace"
 	"gypsumbank/handshake"
+	"gypsumbank/keepalive"
 	"gypsumbank/lifecycle"
 	"gypsumbank/limiter"
 	"gypsumbank/node"
@@ -43,7 +45,8 @@
 	log            *logrus.Entry
 	draining       atomic.Bool
 	activeRequests atomic.Int64
-	requests       context.Context // that of all requests; ends with errStopping shortly before the grace does
+	memory         *bytebudget.Budget // bytes held for callers
+	requests       context.Context    // that of all requests; ends with errStopping shortly before the grace does
 	endRequests    context.CancelCauseFunc
 
 	mu           sync.Mutex
@@ -77,11 +80,21 @@
 		IdleTimeout:                  config.Entry.IdleTimeout,
 		MaxRequestBodySize:           config.Entry.MaxBodyBytes,
 		ReadBufferSize:               config.Entry.MaxHeaderBytes,
-		Concurrency:                  config.Entry.MaxConnections,
+		StreamRequestBody:            true, // bodies are read once there is memory for them
+		Concurrency:                  config.Entry.MaxConnections + spareConcurrency,
 		Logger:                       log.WithField("part", "http"),
 		DisablePreParseMultipartForm: true,
 		LogAllErrors:                 false,
 	})
+	e.memory = newRequestMemory(config, e.httpServer)
+	e.httpServer.SetLimits(keepalive.Limits{
+		MaxOpen:           maxCallers(config, e.memory.Limit()),
+		SilentWait:        silentWait,
+		WriteTimeout:      config.Entry.WriteTimeout,
+		SocketBufferBytes: config.Limits.SocketBufferKiB << 10,
+		MakeRoom:          func() { e.memory.MakeRoom(connBytes(config), time.Now()) },
+	})
+	e.peerServer.SetLimits(config.Limits)
 	if err := wire.DRPCRegisterNode(e.peerServer.Mux(), e.node); err != nil {
 		return nil, fmt.Errorf("register RPC service node: %w", err)
 	}
--- a/entry/error_response.go
+++ b/entry/error_response.go
@@ -32,7 +32,7 @@
 	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		failed = clientError(fasthttp.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than allowed")
+		failed = bodyTooLargeError()
 	case errors.As(err, &headersTooLarge):
 		failed = clientError(fasthttp.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than allowed")
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/entry/http.go
+++ b/entry/http.go
@@ -41,6 +41,9 @@
 	plan      allowance.Plan
 	snapshot  *snapshot.Snapshot
 	requestID string
+
+	release func() // gives the memory of the request back
+	streams bool   // the answer is a stream, whose end calls release
 }
 
 // handle answers a health probe or a request of a caller.
@@ -57,9 +60,22 @@
 		failed.write(ctx)
 		return
 	}
-	if failed := e.serveRequest(ctx, caller); failed != nil {
+	hold := e.memory.Begin(caller.customer.Name())
+	caller.release = hold.Release
+	if failed := e.readBody(ctx, hold); failed != nil {
+		hold.Release()
+		ctx.SetConnectionClose()
+		e.httpServer.AnsweredEarly(ctx.Conn())
+		failed.write(ctx)
+		return
+	}
+	failed = e.serveRequest(ctx, caller)
+	if failed != nil {
 		failed.write(ctx)
 	}
+	if !caller.streams {
+		hold.Release()
+	}
 }
 
 func (e *Entry) serveRequest(ctx *fasthttp.RequestCtx, caller *caller) *errorResponse {
--- a/probe/server.go
+++ b/probe/server.go
@@ -9,13 +9,21 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"gypsumbank/keepalive"
 	"gypsumbank/webserver"
 )
 
 const (
-	ioTimeout = 5 * time.Second
+	ioTimeout = 2 * time.Second
 	// stopTime is the time at the end of the process for the last answers.
 	stopTime = 500 * time.Millisecond
+	// maxConns is the number of connections, of which a platform's checks and a scraper of metrics need a few.
+	maxConns = 64
+	// silentWait is how long a connection on which nothing has come is kept while others wait for places. Checks come from near by and send at once.
+	silentWait = 20 * time.Millisecond
+	// maxHeaderBytes and maxBodyBytes bound requests; checks have no body.
+	maxHeaderBytes = 8 << 10
+	maxBodyBytes   = 4 << 10
 )
 
 // Server answers /healthz, /readyz and /metrics.
@@ -45,7 +53,11 @@
 			ctx.Error("not found", fasthttp.StatusNotFound)
 		}
 	}
-	web := webserver.New(&fasthttp.Server{Handler: handler, ReadTimeout: ioTimeout, WriteTimeout: ioTimeout})
+	web := webserver.New(&fasthttp.Server{
+		Handler: handler, ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, Concurrency: 2 * maxConns,
+		ReduceMemoryUsage: true,
+	})
+	web.SetLimits(keepalive.Limits{MaxOpen: maxConns, SilentWait: silentWait})
 	serveErr := web.Start(listener)
 	select {
 	case <-ctx.Done():
--- a/webserver/server.go
+++ b/webserver/server.go
@@ -51,6 +51,16 @@
 	return s
 }
 
+// SetLimits bounds what the callers of the server may take. It is called before Start.
+func (s *Server) SetLimits(limits keepalive.Limits) { s.conns.SetLimits(limits) }
+
+// Open returns the number of open connections.
+func (s *Server) Open() int { return s.conns.Open() }
+
+// AnsweredEarly records that a request on a connection is answered though it has not been read to the end. The close of the connection, which the answer must
+// announce, then waits for the caller, as it would destroy the answer otherwise.
+func (s *Server) AnsweredEarly(conn net.Conn) { s.conns.AnsweredEarly(conn) }
+
 // Start serves on listener, which must accept TCP connections, until Close or Shutdown. The returned channel receives one
 // value when serving has ended: an error, or nil after Close or Shutdown.
 func (s *Server) Start(listener net.Listener) <-chan error {
@@ -97,10 +107,10 @@
 	}
 }
 
-// handle calls the handler and has the connection end with the answer during a shutdown.
+// handle calls the handler and has the connection end with the answer during a shutdown, and while few places are left.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	s.handler(ctx)
-	if s.isStopping() {
+	if s.isStopping() || s.conns.IsCrowded() {
 		ctx.SetConnectionClose()
 	}
 }
