--- a/gateway/request_body.go
+++ b/gateway/request_body.go
@@ -110,7 +110,7 @@
 
 // dropBody gives the memory of the request's body back once it can't be needed again: the answer has begun, and no other target may go on with it.
 func (e *exchange) dropBody(answered dispatch.Answered) {
-	if e.route.Resumable || len(e.request.Body) == 0 || answered.Response.WriteState() != sender.Written {
+	if e.route.Resumable || e.dispatch.HasCopy() || len(e.request.Body) == 0 || answered.Response.WriteState() != sender.Written {
 		return
 	}
 	e.hold.Return(int64(cap(e.request.Body)))
@@ -120,7 +120,8 @@
 // refuseForMemory logs, counts and refuses a request whose bytes don't fit into the memory.
 func (g *Gateway) refuseForMemory(w http.ResponseWriter, r *http.Request, req *request.Request, full error) {
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_requests_total{kind="none",outcome="` + string(dispatch.NoMemory) + `"}`).Inc()
-	g.log.WithError(full).WithFields(logrus.Fields{
+	g.usage.CountRequest(req.Customer, string(dispatch.NoMemory))
+	withCustomer(g.log, req.Customer).WithError(full).WithFields(logrus.Fields{
 		"request": req.ID, "host": r.Host, "uri": r.RequestURI, "reason": dispatch.NoMemory, "status": http.StatusServiceUnavailable,
 		"body-bytes": r.ContentLength, "retry-after-ms": noMemoryRetryAfter.Milliseconds(),
 	}).Info("refused")
