--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -194,14 +194,15 @@
 // target resumes after the last one. It returns nil once the body has ended.
 func (e *exchange) copyBody(answered dispatch.Answered, events *eventBuffer, isStream bool) error {
 	buffer := make([]byte, copyBufferBytes)
-	lastRead := time.Now()
+	if e.lastChunkAt.IsZero() {
+		e.lastChunkAt = time.Now()
+	}
 	for {
 		e.dropBody(answered)
 		e.dispatch.RecordRead(time.Now())
 		n, err := answered.Response.Body.Read(buffer)
 		now := time.Now()
-		e.longestGap = max(e.longestGap, now.Sub(lastRead))
-		lastRead = now
+		e.longestGap = max(e.longestGap, now.Sub(e.lastChunkAt))
 		e.recordBodyBytes(n, now)
 		chunk := buffer[:n]
 		var invalid error
@@ -261,6 +262,7 @@
 		e.firstByteAt = now
 	}
 	if n > 0 {
+		e.lastChunkAt = now
 		e.dispatch.RecordBytes(now)
 	}
 	e.bodyBytes += n
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -98,7 +98,8 @@
 	callerCtx context.Context  // ends when the caller disconnects
 	hold      *bytebudget.Hold // memory that the request takes
 
-	longestGap  time.Duration // longest wait for a chunk of the response body
+	longestGap  time.Duration // longest wait for a chunk of the response body, that between two targets of a stream included
+	lastChunkAt time.Time     // when the last chunk arrived, or the first response body began; zero before
 	bodyBytes   int           // bytes received of the body of the current response
 	firstByteAt time.Time     // when the first of these arrived; zero before
 	// originRecorded is set once events of the current response have been passed on.
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -79,10 +79,13 @@
 // causeOfDuration returns how long a request that was answered waited, took to its first byte and paused, and explains
 // the longest of these.
 func (t *Trace) causeOfDuration(last logLine) string {
-	var answerBegins logLine
+	var answerBegins, goesOn logLine
 	for _, l := range t.requestLines {
-		if l.message == "answer begins" {
+		switch l.message {
+		case "answer begins":
 			answerBegins = l
+		case "stream goes on at its copy":
+			goesOn = l
 		}
 	}
 	waited, firstByte, longestPause := answerBegins.duration("waited-ms"), answerBegins.duration("took-ms"), last.duration("longest-gap-ms")
@@ -93,6 +96,8 @@
 		return summary + "; it waited at the gateway for a model or a retry" + t.loadEventsOf(last.field("model"))
 	case firstByte >= longestPause:
 		return summary + "; the target's queue and the prefill (" + answerBegins.field("unread") + " tokens) took longest" + t.lastChangeOf(answerBegins.field("target"))
+	case goesOn.message != "":
+		return summary + "; target " + goesOn.field("from") + " broke off and the stream went on at its copy, target " + goesOn.field("to") + t.lastChangeOf(goesOn.field("from"))
 	case longestPause >= noticeablePause:
 		return summary + "; the target paused within the answer, as it does while it prefills other prompts" + t.lastChangeOf(answerBegins.field("target"))
 	}
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -47,6 +47,11 @@
 			log:  answerBegins("01.500", "e1", "0", "60") + answerEnds("02.000", "450"),
 			want: []string{"longest pause 450ms", "paused within the answer"},
 		},
+		"engine ended, the run went on elsewhere": {
+			log: answerBegins("01.500", "e1", "0", "60") + logLine("01.900", "g1", `"msg":"answer broken off",`+requestField+`,"target":"e1","error":"unexpected EOF"`) +
+				logLine("01.950", "g1", `"msg":"stream goes on at its copy",`+requestField+`,"from":"e1","to":"e2","last-event":"4","took-ms":50`) + answerEnds("02.000", "90"),
+			want: []string{"served completely", "target e1 broke off and the stream went on at its copy, target e2"},
+		},
 		"waited for a model": {
 			log: logLine("01.000", "g2", `"msg":"model load begins","model":"m1","target":"e1"`) +
 				logLine("01.600", "g2", `"msg":"model loaded","model":"m1","target":"e1"`) +
