Add keepers and accounts of customers' quotas

The quota of a customer holds for all gateways together. Package quota decides without network, clock or goroutine: agents keep equal parts of each quota and grant some of them to gateways for 400 ms; a gateway's account asks ahead of need, lets requests wait together behind one call, and remembers refusals for the time that the keeper named. Agents answer Reserve; gateways have the calls, not yet their use.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -72,6 +72,7 @@
 	engine         *platform.TargetClient
 	log            *logrus.Entry
 	watchers       *watchers
+	quotas         *quotaKeeper
 	modelInventory *inventory.Inventory
 	loadRequests   chan *occupancy.LoadRequest
 	routingTables  chan *route.Table
@@ -112,6 +113,7 @@
 		engine:         platform.NewTargetClient(sender.New(connpool.New(descriptor.New(config.Limits.Descriptors).Targets()))),
 		log:            log,
 		watchers:       newWatchers(time.Now),
+		quotas:         newQuotaKeeper(config.Bounds),
 		loadRequests:   make(chan *occupancy.LoadRequest, loadRequestBuffer),
 		routingTables:  make(chan *route.Table, 1),
 		fencingTokens:  make(chan int64, 1),
@@ -146,6 +148,7 @@
 	group.Go(func() error { return a.modelInventory.Run(ctx) })
 	group.Go(func() error { return a.keepBlocklist(ctx) })
 	group.Go(func() error { return a.controlLoop(ctx) })
+	group.Go(func() error { return a.quotas.run(ctx) })
 	group.Go(func() error { return probe.New(a.config.Agent.Metrics, func() error { return nil }).Run(ctx) })
 	err = group.Wait()
 	a.log.WithError(err).Info("agent stops")
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -61,6 +61,8 @@
 	CrashesTargets Reason = "crashes-targets"
 	UnknownVersion Reason = "stream-version-unknown"
 	NoDescriptors  Reason = "no-descriptors"
+	QuotaExceeded  Reason = "quota-exceeded"
+	QuotaUnknown   Reason = "quota-unknown" // no agent that keeps it answers
 )
 
 // finalOutcome returns refused, or a failure with the same reason if an earlier attempt may have run.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	departures     *departure.Table
 	fleet          *fleet.Fleet
 	dispatcher     *dispatch.Dispatcher
+	quotas         *quotas
 	registry       *refresh.Shared // reads of the registry for requests that need what holds now
 	budget         *retrybudget.Budget
 	agents         *agentClients
@@ -110,6 +111,7 @@
 		relay:      relay,
 		crashes:    crashes,
 		blocked:    blockedContents,
+		quotas:     newQuotas(config, d, log),
 		dialer:     d,
 		pool:       pool,
 		fds:        fds,
@@ -168,6 +170,7 @@
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
 	group.Go(func() error { return g.blocked.run(serving) })
+	group.Go(func() error { return g.quotas.run(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
 	group.Go(func() error { return g.conns.Run(serving) })
 	select {
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -268,4 +268,5 @@
 		}
 	}
 	g.agents.setAddresses(addresses)
+	g.quotas.setAgents(g.agents.addresses())
 }
--- /dev/null
+++ b/quota/doc.go
@@ -0,0 +1,4 @@
+// Package quota keeps customers' quotas over all gateways. Keepers, in agents, own equal parts of each quota and grant some of them to
+// gateways for a short time; each gateway has an account for each customer, which asks keepers ahead of need. The package has no network,
+// clock or goroutine.
+package quota
--- /dev/null
+++ b/quota/hard_rule_test.go
@@ -0,0 +1,96 @@
+package quota
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gypsumbank/route"
+)
+
+// TestWindowsHoldUnderFaults guards against more than the bound in any window while gateways are cut off, killed, replaced and frozen, keepers
+// are lost, restarted, replaced, frozen and seen late, messages are lost and the limit changes, with requests at up to ten times the quota.
+func TestWindowsHoldUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := rapid.SampledFrom([]customerLoad{
+			smallCustomer, largeCustomer,
+			{quota: route.Quota{Unit: route.Requests, PerSecond: 20, Burst: 20}, costs: []float64{1}},
+			{quota: route.Quota{Unit: route.Tokens, PerSecond: 100_000, Burst: 5_000}, costs: []float64{500, 3_000}},
+		}).Draw(t, "customer")
+		bounds := rapid.SampledFrom([]Bounds{firstDeployment, {Window: 8 * time.Second}, {Window: 3 * time.Second, Overage: 0.05, Slack: 1000}}).Draw(t, "bounds")
+		gateways := rapid.IntRange(1, 8).Draw(t, "gateways")
+		agents := rapid.IntRange(1, 6).Draw(t, "agents")
+		s := newSimulation(bounds, c.quota, gateways, agents, rapid.Uint64().Draw(t, "seed"))
+		s.lossRate = rapid.SampledFrom([]float64{0, 0.01, 0.2}).Draw(t, "loss rate")
+		gateway := func(t *rapid.T) *simGateway { return s.gateways[rapid.IntRange(0, gateways-1).Draw(t, "gateway")] }
+		agentName := func(t *rapid.T) string { return rapid.SampledFrom(sortedKeys(s.agents)).Draw(t, "agent") }
+		span := func(t *rapid.T, longest time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(longest)).Draw(t, "span"))
+		}
+		started, listChangedAt := agents, s.now.Add(-time.Hour)
+		// Views differ for 3 s at most, so that the registry changes only once all gateways have seen the change before.
+		canList := func() bool { return s.now.Sub(listChangedAt) > viewLag }
+		t.Repeat(map[string]func(*rapid.T){
+			"load": func(t *rapid.T) {
+				share := rapid.SampledFrom([]float64{0.3, 1, 3, 10}).Draw(t, "share")
+				c.offer(s, s.gateways[:rapid.IntRange(1, gateways).Draw(t, "used")], share, 1, span(t, 4*time.Second))
+			},
+			"pause": func(t *rapid.T) { s.run(span(t, 6*time.Second)) },
+			"cut a gateway off": func(t *rapid.T) {
+				gateway(t).cutUntil = s.now.Add(span(t, 5*time.Second))
+			},
+			"replace a gateway": func(t *rapid.T) { s.startGateway(gateway(t)) },
+			"freeze a gateway": func(t *rapid.T) {
+				gateway(t).frozenUntil = s.now.Add(span(t, 12*time.Second))
+			},
+			"freeze an agent": func(t *rapid.T) {
+				s.agents[agentName(t)].frozenUntil = s.now.Add(span(t, 12*time.Second))
+			},
+			"restart an agent": func(t *rapid.T) {
+				s.agents[agentName(t)] = &simAgent{keeper: NewKeeper(bounds, s.now)}
+			},
+			"lose an agent": func(t *rapid.T) {
+				name := agentName(t)
+				if !canList() || len(s.listed) < 2 {
+					t.Skip("the registry does not change now")
+				}
+				s.agents[name].isDown = rapid.Bool().Draw(t, "is down")
+				s.unlist(name)
+				listChangedAt = s.now
+			},
+			"list an agent": func(t *rapid.T) {
+				name := agentName(t)
+				if !canList() || slices.Contains(s.listed, name) {
+					t.Skip("the registry does not change now")
+				}
+				if s.agents[name].isDown {
+					s.agents[name] = &simAgent{keeper: NewKeeper(bounds, s.now)}
+				}
+				s.list(append(slices.Clone(s.listed), name))
+				listChangedAt = s.now
+			},
+			"add an agent": func(t *rapid.T) {
+				if !canList() || started > 12 {
+					t.Skip("the registry does not change now")
+				}
+				s.startAgent("new-" + string(rune('a'+started)))
+				started++
+				listChangedAt = s.now
+			},
+			"change the limit": func(t *rapid.T) {
+				factor := rapid.SampledFrom([]float64{0.2, 0.5, 2, 5}).Draw(t, "factor")
+				quota := s.quota
+				quota.PerSecond, quota.Burst = quota.PerSecond*factor, quota.Burst*factor
+				s.setQuota(quota)
+				c.quota = quota
+			},
+			"": func(t *rapid.T) {
+				if _, err := s.checkWindows(); err != nil {
+					t.Fatal(err)
+				}
+			},
+		})
+	})
+}
