--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -77,7 +78,8 @@
 	loadRequests   chan *occupancy.LoadRequest
 	routingTables  chan *route.Table
 	fencingTokens  chan int64
-	routesNeeded   chan struct{} // holds a value after a request for a model that the routes do not list
+	routesRead     atomic.Pointer[route.Table] // that gateways may ask for; nil before the first read
+	routesNeeded   chan struct{}               // holds a value after a request for a model that the routes do not list
 	runID          int64
 
 	// The fields below are used only by the goroutine of controlLoop.
@@ -90,6 +92,8 @@
 	lastReport      registry.Report
 	lastReportAt    time.Time
 	engineDown      bool
+	silentSince     time.Time // when the first poll began that had no answer since the last answer; zero after one
+	silenceLogged   bool      // that the engine is silent, since then
 	fencingToken    int64
 	restUntil       time.Time // until when the engine wants no calls
 	unansweredOrder *platform.Order
@@ -221,6 +225,7 @@
 		}
 		if table != nil {
 			routesVersion = table.Version()
+			a.routesRead.Store(table) // before gateways learn of its version
 		}
 		if routesVersion > 0 {
 			a.watchers.setRoutesVersion(routesVersion)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -63,6 +63,9 @@
 	NoDescriptors  Reason = "no-descriptors"
 	QuotaExceeded  Reason = "quota-exceeded"
 	QuotaUnknown   Reason = "quota-unknown" // no agent that keeps it answers
+	NoKey          Reason = "no-key"
+	UnknownKey     Reason = "unknown-key"
+	OldRoutes      Reason = "routes-too-old"
 )
 
 // finalOutcome returns refused, or a failure with the same reason if an earlier attempt may have run.
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -21,6 +21,7 @@
 	"gypsumbank/origin"
 	"gypsumbank/pause"
 	"gypsumbank/registry"
+	"gypsumbank/standby"
 	"gypsumbank/wire"
 )
 
@@ -59,6 +60,8 @@
 	epochs  *epoch.Tracker
 	log     *logrus.Entry
 
+	recordEngine func(host, targetID string, born int64, condition standby.Condition) // called for each state of an engine
+
 	mu             sync.Mutex
 	cancelWatch    map[string]context.CancelFunc
 	agentAddresses []string                 // of all agents; replaced, never changed
@@ -74,6 +77,7 @@
 	return &agentClients{
 		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, crashes: crashes, origins: origins, epochs: epochs, log: log,
 		cancelWatch: map[string]context.CancelFunc{}, queuedOrigins: map[string][]uint64{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
+		recordEngine: func(string, string, int64, standby.Condition) {},
 	}
 }
 
@@ -199,7 +203,7 @@
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
 		storeEpoch, _ := a.epochs.Current()
-		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true, StoreEpoch: uint64(storeEpoch)}
+		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch)}
 		if isRelay {
 			for _, d := range a.fleet.Demand(time.Now()) {
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
@@ -300,6 +304,11 @@
 		if news := state.GetQuarantine(); news != nil {
 			a.crashes.merge(address, news)
 		}
+		if storeReads := state.GetStoreReads(); storeReads != nil {
+			if err := a.relay.record(address, storeReads, time.Now()); err != nil {
+				return err
+			}
+		}
 		if state.GetEngineDown() {
 			a.applyDown(address, state)
 			continue
@@ -313,22 +322,19 @@
 	}
 }
 
-// applyDown applies what an agent sends while its engine does not answer: its reads of the store, and the end of a run.
+// applyDown applies what an agent sends while its engine does not answer: the end of a run, or that a run is silent.
 func (a *agentClients) applyDown(address string, state *wire.TargetState) {
-	if storeReads := state.GetStoreReads(); storeReads != nil {
-		a.relay.record(address, storeReads, time.Now())
-	}
 	if ended := state.GetEndedRun(); ended != nil {
 		a.crashes.checker.MarkEnded(ended.GetTargetId(), ended.GetBorn(), "agent")
+		a.recordEngine(registry.Host(address), ended.GetTargetId(), ended.GetBorn(), standby.Ended)
+	} else if state.GetTargetId() != "" {
+		a.recordEngine(registry.Host(address), state.GetTargetId(), state.GetBorn(), standby.Silent)
 	}
 	a.applyDemand(state)
 }
 
-// applyState updates the fleet, and the relayed reads of the store, from the state that an agent has sent.
+// applyState updates the fleet from the state that an agent has sent.
 func (a *agentClients) applyState(address string, state *wire.TargetState) {
-	if storeReads := state.GetStoreReads(); storeReads != nil {
-		a.relay.record(address, storeReads, time.Now())
-	}
 	report := registry.Report{
 		Born: state.GetBorn(), Busy: state.GetBusy(), Sequence: state.GetSequence(),
 		Waiting: int(state.GetWaiting()), Running: int(state.GetRunning()), KVUsed: int(state.GetKvUsed()), KVTotal: int(state.GetKvTotal()),
@@ -339,6 +345,7 @@
 		report.Models = append(report.Models, registry.Model{Name: m.GetName(), Adapters: m.GetAdapters()})
 	}
 	a.crashes.checker.MarkRuns([]registry.Target{{ID: state.GetTargetId(), Born: report.Born}}, "agent")
+	a.recordEngine(registry.Host(address), state.GetTargetId(), report.Born, standby.Answers)
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
 		Report: report, Host: registry.Host(address), Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), PlannedHere: state.GetPlanner() == a.name,
 		AvailableAdapterSlots: int(state.GetAdapterRoom()), QueuedPrefillMs: float64(state.GetUnreadMs()), Requests: int(state.GetRequests()), Parts: decodeParts(state),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,11 +12,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"gypsumbank/bytebudget"
 	"gypsumbank/connpool"
+	"gypsumbank/customer"
 	"gypsumbank/departure"
 	"gypsumbank/descriptor"
 	"gypsumbank/dialer"
@@ -66,13 +68,16 @@
 	dialer         *dialer.Dialer
 	conns          *keepalive.Conns
 	memory         *bytebudget.Budget // bytes held for requests
-	pool           *connpool.Pool     // connections to targets
+	usage          *customer.Usage
+	pool           *connpool.Pool // connections to targets
 	fds            *descriptor.Budget
 	callers        atomic.Pointer[callerListener] // nil before Run
 	started        time.Time
 	routeTable     atomic.Pointer[route.Table]
+	routesReadAt   atomic.Pointer[time.Time] // when the last read began that found no newer routes than those in force; nil before
 	targetsKnown   atomic.Bool
 	installing     sync.Mutex                // of targets
+	replacing      sync.Mutex                // of routes
 	targetsInForce history.Span              // of the read of the targets that are in force; guarded by installing
 	storeLostAt    atomic.Pointer[time.Time] // when the first read of the targets failed since the last that succeeded; nil if none did
 	draining       atomic.Bool               // reports itself as not ready, so that the platform sends no new callers
@@ -116,10 +121,12 @@
 		pool:       pool,
 		fds:        fds,
 		memory:     newRequestMemory(config),
+		usage:      customer.NewUsage(),
 		started:    time.Now(),
 	}
 	g.registry = refresh.New(g.readTargets, refreshInterval)
 	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
+	agents.recordEngine = g.dispatcher.RecordEngine
 	g.conns = keepalive.New(g.idleTimeout, log)
 	g.lastAnswers, g.endAnswers = context.WithCancel(context.Background())
 	return g
@@ -158,6 +165,8 @@
 		ErrorLog: discardLog(),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
+	metrics.RegisterSet(g.usage.Metrics())
+	defer metrics.UnregisterSet(g.usage.Metrics(), false)
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
@@ -167,10 +176,12 @@
 	group.Go(func() error { return g.followTargets(serving) })
 	group.Go(func() error { return g.registry.Run(serving) })
 	group.Go(func() error { return g.followRelay(serving) })
+	group.Go(func() error { return g.followRelayedRoutes(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
 	group.Go(func() error { return g.blocked.run(serving) })
 	group.Go(func() error { return g.quotas.run(serving) })
+	group.Go(func() error { return g.dispatcher.WatchEngines(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
 	group.Go(func() error { return g.conns.Run(serving) })
 	select {
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -11,7 +12,9 @@
 
 	"gypsumbank/dialer"
 	"gypsumbank/dispatch"
+	"gypsumbank/platform"
 	"gypsumbank/quota"
+	"gypsumbank/request"
 	"gypsumbank/route"
 	"gypsumbank/settings"
 	"gypsumbank/wire"
@@ -74,12 +77,24 @@
 	q.views.Update(addresses, now)
 }
 
+// chargeQuota charges a request to the quota of its customer. If the quota has no room for it, chargeQuota refuses it and returns false.
+func (g *Gateway) chargeQuota(w http.ResponseWriter, r *http.Request, req *request.Request, table *route.Table) (*quotaCharge, bool) {
+	customer, ok := table.Customer(req.Customer)
+	if !ok || !customer.Quota.IsLimited() {
+		return nil, true
+	}
+	cost := customer.Quota.Cost(req.PromptTokens, req.MaxOutputTokens, platform.NamesTokens(r))
+	charge, ok := g.quotas.charge(req.ID, customer, table.Version(), cost)
+	if !ok {
+		reason, retryAfter := charge.refusal()
+		g.refuse(w, r, req.ID, reason, http.StatusTooManyRequests, retryAfter)
+	}
+	return charge, ok
+}
+
 // charge charges a request to its customer's quota of the given version of the routes. It waits for the agents that keep the quota if what
 // they have granted does not cover the cost, at most quota.AskTimeout and the time of one call.
 func (q *quotas) charge(requestID string, customer *route.Customer, version int64, cost float64) (charge *quotaCharge, ok bool) {
-	if !customer.Quota.IsLimited() {
-		return nil, true
-	}
 	q.mu.Lock()
 	now := time.Now()
 	q.tick(now)
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 	returnedAt   time.Time     // time of the last read that was returned
 	routesRoseAt time.Time     // when the highest version of the routes that an agent has read was first reported
 	changed      chan struct{} // holds a value after a change of targets or of the version of the routes
+	routesRose   chan struct{} // holds a value after an agent has read a higher version of the routes than all others
 }
 
 // targetsRead is one read of the registered targets.
@@ -49,14 +51,18 @@
 }
 
 func newRelayedReads() *relayedReads {
-	return &relayedReads{reads: map[string]*storeRead{}, changed: make(chan struct{}, 1)}
+	return &relayedReads{reads: map[string]*storeRead{}, changed: make(chan struct{}, 1), routesRose: make(chan struct{}, 1)}
 }
 
+// errTargetsMissing reports that an agent has sent changes to targets which this gateway does not have, so that it must connect to the
+// agent again to get all of them.
+var errTargetsMissing = errors.New("changes to targets that are not known")
+
 // record stores what an agent has read from the store. Reads of agents of an earlier release, which do not tell their place in the
-// store's history, are ignored.
-func (r *relayedReads) record(agent string, storeReads *wire.StoreReads, now time.Time) {
+// store's history, are ignored. The error is errTargetsMissing if the targets of the agent's revision can't be known from what it has sent.
+func (r *relayedReads) record(agent string, storeReads *wire.StoreReads, now time.Time) error {
 	if storeReads.GetLastVersion() == 0 {
-		return
+		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -65,15 +71,19 @@
 		read = &storeRead{}
 		r.reads[agent] = read
 	}
-	if storeReads.GetHasTargets() {
-		read.targets, read.revision = decodeTargets(storeReads), storeReads.GetRevision()
+	if base := storeReads.GetBaseRevision(); storeReads.GetHasTargets() && (base == 0 || base == read.revision) {
+		read.targets, read.revision = applyTargets(read.targets, storeReads), storeReads.GetRevision()
 	}
 	if read.revision != storeReads.GetRevision() {
-		return // the message with the targets of this revision is missing
+		return errTargetsMissing
 	}
 	readIn := epoch.Epoch(storeReads.GetStoreEpoch())
 	if storeReads.GetRoutesVersion() > r.highestRoutes() {
 		r.routesRoseAt = now
+		select {
+		case r.routesRose <- struct{}{}:
+		default:
+		}
 	}
 	hasChanges := read.routesVersion != storeReads.GetRoutesVersion() || storeReads.GetHasTargets() || read.span.Epoch() != readIn
 	read.span = history.New(readIn, storeReads.GetFirstVersion(), storeReads.GetLastVersion())
@@ -84,6 +94,7 @@
 		default:
 		}
 	}
+	return nil
 }
 
 // remove drops the reads of an agent. It may have restarted, and then counts its revisions anew.
@@ -104,6 +115,17 @@
 	return latest != nil && now.Sub(latest.readAt) < relayMaxAge
 }
 
+// readAt returns when the latest read was made; zero if there is none.
+func (r *relayedReads) readAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, latest := r.latest()
+	if latest == nil {
+		return time.Time{}
+	}
+	return latest.readAt
+}
+
 // newTargets returns the latest read of the targets, also if they have not changed: a later read shows that they still hold. ok
 // is false if there is no read or it was the last one returned. The gateway itself may have made a later one.
 func (r *relayedReads) newTargets() (read targetsRead, ok bool) {
@@ -124,6 +146,19 @@
 	return r.highestRoutes()
 }
 
+// agentsAfter returns the addresses of the agents that have read a newer version of the routes than the given one.
+func (r *relayedReads) agentsAfter(version int64) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var agents []string
+	for agent, read := range r.reads {
+		if read.routesVersion > version {
+			agents = append(agents, agent)
+		}
+	}
+	return agents
+}
+
 // expectsRoutesAfter reports whether an agent has lately read a newer version of the routes than the given one.
 func (r *relayedReads) expectsRoutesAfter(version int64, now time.Time) bool {
 	r.mu.Lock()
@@ -161,6 +196,28 @@
 	return latestAgent, latest
 }
 
+// applyTargets returns the targets that an agent has sent, or those known with its changes to them. It does not change the slice, which
+// may have been returned.
+func applyTargets(known []registry.Target, storeReads *wire.StoreReads) []registry.Target {
+	sent := decodeTargets(storeReads)
+	if storeReads.GetBaseRevision() == 0 {
+		return sent
+	}
+	replaced := make(map[string]bool, len(sent)+len(storeReads.GetRemovedIds()))
+	for _, t := range sent {
+		replaced[t.ID] = true
+	}
+	for _, id := range storeReads.GetRemovedIds() {
+		replaced[id] = true
+	}
+	for _, t := range known {
+		if !replaced[t.ID] {
+			sent = append(sent, t)
+		}
+	}
+	return sent
+}
+
 func decodeTargets(storeReads *wire.StoreReads) []registry.Target {
 	targets := make([]registry.Target, 0, len(storeReads.GetTargets()))
 	for _, t := range storeReads.GetTargets() {
