--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -56,13 +56,14 @@
 	if !g.readBody(w, r, req, hold, table.Limits().BodyBytes, dispatch.Deadline(req, matchedRoute)) {
 		return
 	}
-
-	// The quota of the customer is to be charged here: the request is whole, and nothing of it has been dispatched.
-
+	charge, ok := g.chargeQuota(w, r, req, table)
+	if !ok {
+		return
+	}
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
 	d := g.dispatcher.Begin(r.Context(), req, matchedRoute, service)
 	defer d.Close()
-	ex := &exchange{gateway: g, answer: newCallerAnswer(w, r, g.conns.Announce), request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context(), hold: hold}
+	ex := &exchange{gateway: g, answer: newCallerAnswer(w, r, g.conns.Announce), request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context(), hold: hold, charge: charge}
 	ex.run()
 }
 
@@ -97,6 +98,7 @@
 	dispatch  *dispatch.Dispatch
 	callerCtx context.Context  // ends when the caller disconnects
 	hold      *bytebudget.Hold // memory that the request takes
+	charge    *quotaCharge     // to the quota of its customer
 
 	longestGap  time.Duration // longest wait for a chunk of the response body, that between two targets of a stream included
 	lastChunkAt time.Time     // when the last chunk arrived, or the first response body began; zero before
@@ -120,6 +122,9 @@
 			outcome = resumed
 			continue
 		case dispatch.Refused:
+			if !e.answer.begun {
+				e.charge.refund()
+			}
 			e.refuseOrAbort(http.StatusServiceUnavailable, o.Reason, o.RetryAfter)
 		case dispatch.Failed:
 			status := http.StatusBadGateway
