--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,7 +58,10 @@
 	// takes over.
 	maxRewriteDelay = 2 * time.Second
 	// historyLostDelay bounds the reads of all routes from a store that keeps no history.
-	historyLostDelay      = 200 * time.Millisecond
+	historyLostDelay = 200 * time.Millisecond
+	// silenceTimeout is the time after which a connection on which a gateway sends nothing is closed. It exceeds the time for which gateways keep idle
+	// connections, and that of calls, so that it ends only those to gateways that are gone without a close.
+	silenceTimeout        = 2 * time.Minute
 	budgetRetryInterval   = 250 * time.Millisecond
 	budgetMaxAttempts     = 3
 	identifyRetryInterval = 300 * time.Millisecond
@@ -74,11 +78,13 @@
 	engine         *platform.TargetClient
 	log            *logrus.Entry
 	watchers       *watchers
+	quotas         *quotaKeeper
 	modelInventory *inventory.Inventory
 	loadRequests   chan *occupancy.LoadRequest
 	routingTables  chan *route.Table
 	fencingTokens  chan int64
-	routesNeeded   chan struct{} // holds a value after a request for a model that the routes do not list
+	routesRead     atomic.Pointer[route.Table] // that gateways may ask for; nil before the first read
+	routesNeeded   chan struct{}               // holds a value after a request for a model that the routes do not list
 	runID          int64
 
 	// The fields below are used only by the goroutine of controlLoop.
@@ -91,6 +97,8 @@
 	lastReport      registry.Report
 	lastReportAt    time.Time
 	engineDown      bool
+	silentSince     time.Time // when the first poll began that had no answer since the last answer; zero after one
+	silenceLogged   bool      // that the engine is silent, since then
 	fencingToken    int64
 	restUntil       time.Time // until when the engine wants no calls
 	unansweredOrder *platform.Order
@@ -115,6 +123,7 @@
 		engine:         platform.NewTargetClient(sender.New(connpool.New(descriptor.New(config.Limits.Descriptors).Targets()))),
 		log:            log,
 		watchers:       newWatchers(time.Now),
+		quotas:         newQuotaKeeper(config.Bounds),
 		loadRequests:   make(chan *occupancy.LoadRequest, loadRequestBuffer),
 		routingTables:  make(chan *route.Table, 1),
 		fencingTokens:  make(chan int64, 1),
@@ -137,18 +146,21 @@
 		return fmt.Errorf("agent: %w", err)
 	}
 	server := rpcserver.New(nil, a.log)
+	server.SetLimits(a.config.Limits)
+	server.SetSilenceTimeout(silenceTimeout)
 	if err := wire.DRPCRegisterAgent(server.Mux(), &agentServer{agent: a}); err != nil {
 		return fmt.Errorf("agent: register RPC service: %w", err)
 	}
 	a.log.WithFields(logrus.Fields{"target": a.config.Agent.Target, "listen": a.config.Agent.Listen}).Info("agent starts")
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Run(ctx, newSilenceListener(listener, silenceTimeout)) })
+	group.Go(func() error { return server.Run(ctx, listener) })
 	group.Go(func() error { return a.holdOrders(ctx) })
 	group.Go(func() error { return a.followRoutes(ctx) })
 	group.Go(func() error { return a.followTargets(ctx) })
 	group.Go(func() error { return a.modelInventory.Run(ctx) })
 	group.Go(func() error { return a.keepBlocklist(ctx) })
 	group.Go(func() error { return a.controlLoop(ctx) })
+	group.Go(func() error { return a.quotas.run(ctx) })
 	group.Go(func() error { return probe.New(a.config.Agent.Metrics, func() error { return nil }).Run(ctx) })
 	err = group.Wait()
 	a.log.WithError(err).Info("agent stops")
@@ -221,6 +233,7 @@
 		}
 		if table != nil {
 			routesVersion = table.Version()
+			a.routesRead.Store(table) // before gateways learn of its version
 		}
 		if routesVersion > 0 {
 			a.watchers.setRoutesVersion(routesVersion)
