--- a/gateway/stored_versions_test.go
+++ b/gateway/stored_versions_test.go
@@ -18,7 +18,7 @@
 }
 
 // newPowerCutGroup starts engines of the given software versions at loopback addresses from 127.0.1.first on, with their agents and two
-// gateways, and lets a minute and more pass on the store's clock once the versions are stored.
+// gateways, and waits until the versions are stored.
 func newPowerCutGroup(t *testing.T, first int, versions ...string) *powerCutGroup {
 	p := &powerCutGroup{gatewayGroup: newGatewayGroup(t), engines: map[string]*site.Target{}}
 	for i, version := range versions {
@@ -33,7 +33,6 @@
 	p.startGateway(0)
 	p.startGateway(1)
 	time.Sleep(1500 * time.Millisecond)
-	p.store.AdvanceClock(2 * time.Minute)
 	return p
 }
 
@@ -70,12 +69,18 @@
 	t.Parallel()
 	cases := map[string]struct {
 		versions []string
+		young    bool                   // the store has just begun
 		disturb  func(p *powerCutGroup) // while all gateways and agents are off
 		restart  func(p *powerCutGroup) // nil: startAll
 		wentOn   bool
 	}{
-		"one version":  {versions: []string{"v1", "v1"}, wentOn: true},
-		"two versions": {versions: []string{"v1", "v2"}},
+		"one version":                 {versions: []string{"v1", "v1"}, wentOn: true},
+		"one version, new deployment": {versions: []string{"v1", "v1"}, young: true, wentOn: true},
+		"two versions":                {versions: []string{"v1", "v2"}},
+		"another has just left, new deployment": {versions: []string{"v1", "v2"}, young: true, disturb: func(p *powerCutGroup) {
+			p.store.Remove("servers", "e1-v2")
+			p.engines["e1-v2"].Close()
+		}},
 		"another has just left": {versions: []string{"v1", "v2"}, disturb: func(p *powerCutGroup) {
 			p.store.Remove("servers", "e1-v2")
 			p.engines["e1-v2"].Close()
@@ -110,6 +115,9 @@
 			if answer := p.sendTo(0, streamRequest("begun")); versionsOf(answer) == "" {
 				t.Fatalf("stream did not begin: %q", answer)
 			}
+			if !c.young {
+				p.store.AdvanceClock(2 * time.Minute)
+			}
 			p.cutPower()
 			if c.disturb != nil {
 				c.disturb(p)
--- a/servedversions/record.go
+++ b/servedversions/record.go
@@ -59,6 +59,8 @@
 type Service struct {
 	// SinceMs is the time since when no version has been used before it was recorded.
 	SinceMs int64 `json:"since-ms"`
+	// Whole tells that the record has had all versions since the store has existed.
+	Whole bool `json:"whole,omitempty"`
 	// GoneMs holds by version when it was found to be no longer listed, 0 while it is served.
 	GoneMs map[registry.SoftwareVersion]int64 `json:"gone-ms"`
 }
@@ -108,10 +110,7 @@
 
 // update returns the record with the listed versions as served and with those as gone that are served and absent, and whether it differs.
 func (r Record) update(listed Listing, absent func(Key) bool, nowMs int64) (Record, bool) {
-	next := New(r.Epoch)
-	for name, s := range r.Services {
-		next.Services[name] = Service{SinceMs: s.SinceMs, GoneMs: maps.Clone(s.GoneMs)}
-	}
+	next := r.clone()
 	changed := false
 	for k := range listed {
 		if r.Serves(k) {
@@ -164,6 +163,9 @@
 	proofs := make(map[string]Proof, len(r.Services))
 	for name, s := range r.Services {
 		proof := Proof{Age: time.Duration(nowMs-s.SinceMs) * time.Millisecond, Left: map[registry.SoftwareVersion]time.Duration{}}
+		if s.Whole {
+			proof.Age = max(proof.Age, Window)
+		}
 		for version, gone := range s.GoneMs {
 			left := Window
 			if gone > 0 {
@@ -177,3 +179,51 @@
 	}
 	return proofs
 }
+
+const (
+	// firstEpoch is that of a store that has never come back from a copy.
+	firstEpoch = 1
+	// maxHistoryAge is the age of a store up to which all changes of the registry are read: later there are too many.
+	maxHistoryAge = 2 * time.Minute
+)
+
+// NeedsHistory reports whether a record that is to be written at a time of the store's clock in place of another has services that the other
+// lacks, in a store that is so young that its history can show all versions that have served.
+func (r Record) NeedsHistory(found Record, nowMs int64) bool {
+	if r.Epoch > firstEpoch || nowMs > maxHistoryAge.Milliseconds() {
+		return false
+	}
+	for name := range r.Services {
+		if _, known := found.Services[name]; !known {
+			return true
+		}
+	}
+	return false
+}
+
+// WithHistory returns the record with all versions that the registry has ever listed, for the services that the record found before lacks.
+func (r Record) WithHistory(found Record, ever Listing, nowMs int64) Record {
+	next := r.clone()
+	for name, s := range next.Services {
+		if _, known := found.Services[name]; known {
+			continue
+		}
+		s.Whole = true
+		next.Services[name] = s
+		for k := range ever {
+			if _, recorded := s.GoneMs[k.Version]; k.Service == name && !recorded {
+				s.GoneMs[k.Version] = max(nowMs, 1)
+			}
+		}
+	}
+	return next
+}
+
+// clone returns a copy that may be changed.
+func (r Record) clone() Record {
+	next := New(r.Epoch)
+	for name, s := range r.Services {
+		next.Services[name] = Service{SinceMs: s.SinceMs, Whole: s.Whole, GoneMs: maps.Clone(s.GoneMs)}
+	}
+	return next
+}
--- a/versionrow/row.go
+++ b/versionrow/row.go
@@ -25,6 +25,7 @@
 type Store interface {
 	Row(ctx context.Context, table, part, key string) (platform.Row, int64, error)
 	CompareAndSwap(ctx context.Context, row platform.Row) (int64, error)
+	TargetHistory(ctx context.Context, readIn epoch.Epoch) ([]registry.Target, error)
 }
 
 // Found is a read of the row and what it proves.
@@ -94,7 +95,7 @@
 	r.mu.Unlock()
 	began := r.now()
 	row, nowMs, err := r.store.Row(ctx, Table, "", Key)
-	record := servedversions.New(row.Epoch)
+	record, valid := servedversions.New(row.Epoch), true
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		row = platform.Row{Table: Table, Key: Key, Epoch: row.Epoch}
@@ -102,6 +103,7 @@
 		return Found{}, fmt.Errorf("read served software versions: %w", err)
 	default:
 		if record, err = servedversions.Decode(row.Value, row.Epoch, nowMs); err != nil {
+			valid = false
 			r.log.WithError(err).Warn("stored software versions prove nothing")
 		}
 	}
@@ -112,6 +114,13 @@
 	if !write || !mayWrite {
 		return found, nil
 	}
+	if valid && next.NeedsHistory(record, nowMs) {
+		if ever, err := r.store.TargetHistory(ctx, row.Epoch); err == nil {
+			next = next.WithHistory(record, servedversions.NewListing(ever), nowMs)
+		} else {
+			r.log.WithError(err).Info("registry's history is not known, stored software versions prove nothing at first")
+		}
+	}
 	if row.Value, err = next.Encode(); err != nil {
 		return found, fmt.Errorf("encode served software versions: %w", err)
 	}
--- a/versionrow/row_test.go
+++ b/versionrow/row_test.go
@@ -134,6 +134,52 @@
 	}
 }
 
+// TestRowOfANewStoreHasTheVersionsOfItsHistory guards against a row that is taken for whole without the versions that served before it was
+// first written, and against one that proves nothing in a new deployment although the registry's history is known.
+func TestRowOfANewStoreHasTheVersionsOfItsHistory(t *testing.T) {
+	cases := map[string]struct {
+		disturb func(store *site.Store)
+		whole   bool
+	}{
+		"new store":       {whole: true},
+		"history is lost": {disturb: func(store *site.Store) { store.SetFault(site.LoseHistory) }},
+		"older store":     {disturb: func(store *site.Store) { store.AdvanceClock(10 * time.Minute) }},
+		"restored store":  {disturb: func(store *site.Store) { store.Restore(store.Snapshot()) }},
+		"spoiled row":     {disturb: func(store *site.Store) { store.Put(versionrow.Table, versionrow.Key, "spoiled") }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			store := newStore(t)
+			target := site.NewTarget("e1", site.TextResponse(200, ""))
+			t.Cleanup(target.Close)
+			entry := target.RegistryEntry("llm", "ready")
+			entry["version"] = "v0"
+			store.Put("servers", "e1", entry)
+			store.Remove("servers", "e1")
+			if c.disturb != nil {
+				c.disturb(store)
+			}
+			row, client := newRow(t, store)
+			read, _, err := client.Row(t.Context(), versionrow.Table, "", versionrow.Key)
+			if err != nil && !errors.Is(err, platform.ErrNotFound) {
+				t.Fatal(err)
+			}
+			row.Observe(targetsOf("v1"), read.Epoch, time.Now(), false)
+			if _, err := sync(t, row); err != nil {
+				t.Fatal(err)
+			}
+			found, err := sync(t, row)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, earlier := found.Proofs["llm"].Left["v0"]
+			if whole := found.Proofs["llm"].Age >= time.Minute; whole != c.whole || earlier != c.whole {
+				t.Errorf("whole %v with the earlier version %v, want %v: %+v", whole, earlier, c.whole, found)
+			}
+		})
+	}
+}
+
 // TestVersionThatIsGoneIsMarkedOnce has a version leave and come back.
 func TestVersionThatIsGoneIsMarkedOnce(t *testing.T) {
 	store := newStore(t)
