--- a/gateway/group_test.go
+++ b/gateway/group_test.go
@@ -89,7 +89,7 @@
 		Node:   settings.Node{Name: "agent-" + id, AvailabilityZone: "zone-a"},
 		Agent:  settings.Agent{Listen: net.JoinHostPort(host, strconv.Itoa(g.agentPort)), Target: engine.Address(), Service: "engine"},
 		Store:  settings.Store{Address: g.store.Address()},
-		Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1},
+		Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1, QuotaWindow: quotaWindow, QuotaOverage: quotaOverage},
 	}
 	return g.run(agent.New(config, g.log).Run)
 }
@@ -104,7 +104,7 @@
 		Node:    settings.Node{Name: fmt.Sprintf("gateway-%d", i), AvailabilityZone: "zone-a"},
 		Gateway: settings.Gateway{Listen: freeAddress(g.t), Ready: ready, AgentPort: g.agentPort, Grace: time.Second},
 		Store:   settings.Store{Address: storeAddress},
-		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
+		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, QuotaWindow: quotaWindow, QuotaOverage: quotaOverage},
 	}
 	if g.configure != nil {
 		g.configure(config)
--- a/quota/hard_rule_test.go
+++ b/quota/hard_rule_test.go
@@ -35,7 +35,7 @@
 		// Views differ for 3 s at most, so that the registry changes only once all gateways have seen the change before.
 		canList := func() bool { return s.now.Sub(listChangedAt) > viewLag }
 		t.Repeat(map[string]func(*rapid.T){
-			"load": func(t *rapid.T) {},
+			"load":  func(t *rapid.T) {},
 			"pause": func(t *rapid.T) { s.run(span(t, 6*time.Second)) },
 			"cut a gateway off": func(t *rapid.T) {
 				gateway(t).cutUntil = s.now.Add(span(t, 5*time.Second))
