Count more for a connection of an entry

Cause: beside slow readers the entry's peak was 62,324 KiB of 65,536 allowed; a connection holds its context, its buffers and an answer that is not taken. Change: 48 KiB beside the buffer for heads in place of 32.

--- a/entry/request_body.go
+++ b/entry/request_body.go
@@ -19,7 +19,7 @@
 	// connsDivisor is the part of that which connections may take: one in so many bytes.
 	connsDivisor = 2
 	// connBaseBytes is what a connection takes beside the buffer for its heads: other buffers and stacks.
-	connBaseBytes = 32 << 10
+	connBaseBytes = 48 << 10
 	// exchangeBytes is what a request takes beside its body.
 	exchangeBytes = 32 << 10
 	// bodyCopies is how often a body is held while it is sent on: as it came, encoded for the sidecar, and in the buffer of that connection.
