--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 	departures     *departure.Table
 	fleet          *fleet.Fleet
 	dispatcher     *dispatch.Dispatcher
+	quotas         *quotas
 	registry       *refresh.Shared // reads of the registry for requests that need what holds now
 	budget         *retrybudget.Budget
 	agents         *agentClients
@@ -122,6 +123,7 @@
 		relay:      relay,
 		crashes:    crashes,
 		blocked:    blockedContents,
+		quotas:     newQuotas(config, d, log),
 		dialer:     d,
 		pool:       pool,
 		fds:        fds,
@@ -192,6 +194,7 @@
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
 	group.Go(func() error { return g.blocked.run(serving) })
+	group.Go(func() error { return g.quotas.run(serving) })
 	group.Go(func() error { return g.dispatcher.WatchEngines(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
 	group.Go(func() error { return g.conns.Run(serving) })
