Refuse a body that is announced too long before any of it comes

Cause: with streamed bodies fasthttp waits for the first 8 KiB before it calls the handler, so that an entry answered 408 after its read timeout in place of 413 at once (TestBadRequests/oversized_body). A request that is refused before its body was read was closed without regard to what its caller still sends.

--- a/crowd_test.go
+++ b/crowd_test.go
@@ -233,14 +233,14 @@
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
 	return map[string]crowd{
 		"bodies at once": {conns: conns, send: func(conn net.Conn, number int) error {
-			return writeParts(conn, withLength(limit), whole[:limit-missing(number, 1)])
+			return writeParts(conn, withLength(limit), whole[:limit-missing(number)])
 		}},
 		"bodies piece by piece": {conns: conns, send: func(conn net.Conn, number int) error {
 			const pieceBytes, pause = 16 << 10, 5 * time.Millisecond
 			if err := writeParts(conn, withLength(limit)); err != nil {
 				return err
 			}
-			for rest := whole[:limit-missing(number, 1)]; len(rest) > 0; rest = rest[min(len(rest), pieceBytes):] {
+			for rest := whole[:limit-missing(number)]; len(rest) > 0; rest = rest[min(len(rest), pieceBytes):] {
 				if err := writeParts(conn, rest[:min(len(rest), pieceBytes)]); err != nil {
 					return err
 				}
@@ -252,13 +252,13 @@
 			const chunks = 4
 			body := bytes.Repeat(chunk(whole[:limit/chunks]), chunks)
 			body = append(body, "0\r\n\r\n"...)
-			return writeParts(conn, chunked, body[:len(body)-missing(number, 1)])
+			return writeParts(conn, chunked, body[:len(body)-missing(number)])
 		}},
 		"chunks of one byte": {conns: conns, send: func(conn net.Conn, number int) error {
 			const bodyBytes = 32 << 10 // a longer one takes the crowd's time for little more memory
 			body := bytes.Repeat(chunk([]byte("x")), bodyBytes)
 			body = append(body, "0\r\n\r\n"...)
-			return writeParts(conn, chunked, body[:len(body)-missing(number, 1)])
+			return writeParts(conn, chunked, body[:len(body)-missing(number)])
 		}},
 		"length over the limit": {conns: conns, send: func(conn net.Conn, _ int) error {
 			if err := writeParts(conn, withLength(1<<30)); err != nil {
@@ -293,11 +293,11 @@
 }
 
 // missing returns how many bytes a member of a crowd does not send of its body.
-func missing(number, bytes int) int {
+func missing(number int) int {
 	if number%oneInWhole == 0 {
 		return 0
 	}
-	return bytes
+	return 1
 }
 
 // chunk returns data as one chunk of a body.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,6 +80,7 @@
 		IdleTimeout:                  config.Entry.IdleTimeout,
 		MaxRequestBodySize:           config.Entry.MaxBodyBytes,
 		ReadBufferSize:               config.Entry.MaxHeaderBytes,
+		HeaderReceived:               e.markOversized,
 		StreamRequestBody:            true, // bodies are read once there is memory for them
 		Concurrency:                  config.Entry.MaxConnections + spareConcurrency,
 		Logger:                       log.WithField("part", "http"),
--- a/entry/http.go
+++ b/entry/http.go
@@ -48,6 +48,10 @@
 
 // handle answers a health probe or a request of a caller.
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
+	if isOversized(ctx) { // the body follows on the connection, which must not be read as a request
+		e.refuseUnread(ctx, bodyTooLargeError())
+		return
+	}
 	if e.probe.Handle(ctx) {
 		return
 	}
@@ -57,16 +61,14 @@
 	ctx.Response.Header.Set(requestIDHeader, requestID)
 	caller, failed := e.authenticate(ctx, requestID)
 	if failed != nil {
-		failed.write(ctx)
+		e.refuseUnread(ctx, failed)
 		return
 	}
 	hold := e.memory.Begin(caller.customer.Name())
 	caller.release = hold.Release
 	if failed := e.readBody(ctx, hold); failed != nil {
 		hold.Release()
-		ctx.SetConnectionClose()
-		e.httpServer.AnsweredEarly(ctx.Conn())
-		failed.write(ctx)
+		e.refuseUnread(ctx, failed)
 		return
 	}
 	failed = e.serveRequest(ctx, caller)
--- a/entry/request_body.go
+++ b/entry/request_body.go
@@ -28,6 +28,8 @@
 	minBodies = 2
 	// spareConcurrency is added to the connections that fasthttp may serve, as it counts one for a moment longer than its place is taken.
 	spareConcurrency = 64
+	// oversizedHeader is the field by which markOversized tells the handler of its finding. Callers can't set it.
+	oversizedHeader = "Gypsumbank-Oversized"
 	// silentWait is how long a connection on which nothing has come is kept while others wait for places. Callers send a request as soon as they are connected.
 	silentWait = 200 * time.Millisecond
 	// noMemoryRetryAfter is the Retry-After of a request that doesn't fit into the memory.
@@ -54,6 +56,30 @@
 	return max(1, min(config.Entry.MaxConnections, int(memoryBytes/connsDivisor/connBytes(config))))
 }
 
+// markOversized marks a request whose body is announced as longer than allowed, and has fasthttp read none of it: it would wait for the first bytes before the
+// handler can refuse the request.
+func (e *Entry) markOversized(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	header.Del(oversizedHeader)
+	if header.ContentLength() > e.config.Entry.MaxBodyBytes {
+		header.SetContentLength(0)
+		header.Set(oversizedHeader, "1")
+	}
+	return fasthttp.RequestConfig{}
+}
+
+func isOversized(ctx *fasthttp.RequestCtx) bool {
+	return len(ctx.Request.Header.Peek(oversizedHeader)) > 0
+}
+
+// refuseUnread answers a request whose body, if it has one, has not been read to its end. The connection then ends with the answer.
+func (e *Entry) refuseUnread(ctx *fasthttp.RequestCtx, failed *errorResponse) {
+	if isOversized(ctx) || ctx.RequestBodyStream() != nil && ctx.Request.Header.ContentLength() != 0 {
+		ctx.SetConnectionClose()
+		e.httpServer.AnsweredEarly(ctx.Conn())
+	}
+	failed.write(ctx)
+}
+
 // readBody reads the body of a request, once hold has room for it and its copies.
 func (e *Entry) readBody(ctx *fasthttp.RequestCtx, hold *bytebudget.Hold) *errorResponse {
 	if err := hold.Reserve(exchangeBytes); err != nil {
@@ -63,13 +89,7 @@
 	if stream == nil {
 		return nil
 	}
-	length, limit := int64(ctx.Request.Header.ContentLength()), int64(e.config.Entry.MaxBodyBytes)
-	if length > limit {
-		return bodyTooLargeError()
-	}
-	if length < 0 {
-		length = -1
-	}
+	length, limit := max(-1, int64(ctx.Request.Header.ContentLength())), int64(e.config.Entry.MaxBodyBytes)
 	copies := max(0, length) * (bodyCopies - 1)
 	if err := hold.Reserve(copies); err != nil {
 		return noMemoryError(err)
--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -180,23 +180,8 @@
 	if n > 0 {
 		c.lastRead = time.Now()
 	}
-	if c.closing == "" && c.conns.limits.NoHeads {
-		return false, false
-	}
 	if c.closing == "" {
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle && c.readBytes > 0 {
-			c.refusePart(causeSlowHead)
-			return false, true
-		}
-		if c.isIdle && c.conns.isHeadTooLong(c.readBytes) {
-			c.refusePart(causeLongHead)
-			return false, true
-		}
-		if n > 0 && c.isIdle && !c.ended && c.deadline.IsZero() {
-			c.deadline = time.Now().Add(c.conns.headerTimeout(headStartTime))
-			_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed already
-		}
-		return false, false
+		return false, c.checkHead(n, err)
 	}
 	cause := c.closing
 	c.closing = ""
@@ -218,6 +203,25 @@
 	return false, true
 }
 
+// checkHead refuses a request whose head takes too long or is too long, and reports whether it has. The caller holds the lock.
+func (c *conn) checkHead(n int, err error) (refused bool) {
+	if c.conns.limits.NoHeads || !c.isIdle {
+		return false
+	}
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.readBytes > 0:
+		c.refusePart(causeSlowHead)
+		return true
+	case c.conns.isHeadTooLong(c.readBytes):
+		c.refusePart(causeLongHead)
+		return true
+	case n > 0 && !c.ended && c.deadline.IsZero():
+		c.deadline = time.Now().Add(c.conns.headerTimeout(headStartTime))
+		_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed already
+	}
+	return false
+}
+
 // refusals are the answers to a request whose head is not read to the end, by the cause.
 var refusals = map[string]string{
 	causeSlowHead: "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
--- a/keepalive/conns.go
+++ b/keepalive/conns.go
@@ -202,7 +202,7 @@
 	l := c.listener
 	c.mu.Unlock()
 	if l != nil {
-		l.Close()
+		_ = l.Close() // it is closed already if it fails
 		select {
 		case <-l.done:
 		case <-ctx.Done():
