--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -156,7 +156,7 @@
 		q.tick(now)
 		for name, account := range q.accounts {
 			for _, ask := range account.Returns(now) {
-				go q.call(ctx, ask)
+				go q.giveBack(ctx, ask)
 			}
 			if account.IsIdle(now) {
 				delete(q.accounts, name)
@@ -166,6 +166,14 @@
 	}
 }
 
+// giveBack makes a call that only returns what was not used. If it fails, the keeper counts that as used.
+func (q *quotas) giveBack(ctx context.Context, ask quota.Ask) {
+	if _, err := q.call(ctx, ask); err != nil {
+		q.log.WithError(err).WithFields(logrus.Fields{"customer": ask.Reservation.Customer, "agent": ask.Keeper, "returned": ask.Reservation.Returned}).
+			Debug("agent did not take back a part of a quota")
+	}
+}
+
 // tick notices a freeze of this process, in which it may have missed changes of the agents. The caller holds the lock.
 func (q *quotas) tick(now time.Time) {
 	if gap := now.Sub(q.tickedAt); gap > maxQuotaTickGap {
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -81,7 +81,7 @@
 	b := k.bucket(in, now)
 	b.advance(now, k.started)
 	b.setLimit(in.Limit, k.bounds, now)
-	b.credit(in.Returned, in.ReturnedAge, now)
+	b.credit(in.Returned, in.ReturnedAge)
 	b.lastReserved = now
 	level, continuous := b.level, !now.Add(-in.KeeperFor).After(b.continuousTill)
 	if continuous {
@@ -184,7 +184,7 @@
 
 // credit adds what a gateway returns of grants that it asked for within the given age. The level is then as if that had not been granted:
 // a bucket that was full in the meantime would have been full without the grant, too, and gains nothing.
-func (b *bucket) credit(returned float64, age time.Duration, now time.Time) {
+func (b *bucket) credit(returned float64, age time.Duration) {
 	if !(returned > 0) {
 		return
 	}
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -55,6 +55,8 @@
 type simGateway struct {
 	account     *Account
 	views       Views
+	revision    int // of the views that keepers are from
+	keepers     []KeeperSince
 	limit       route.Quota
 	version     int64
 	tickedAt    time.Time
@@ -159,8 +161,10 @@
 	}
 	g.tickedAt = s.now
 	g.views.Update(g.listedNow, s.now)
-	keepers := g.views.Keepers(simCustomer)
-	g.account.SetLimit(NewLimit(g.version, g.limit, len(keepers)), keepers)
+	if g.revision != g.views.Revision() {
+		g.revision, g.keepers = g.views.Revision(), g.views.Keepers(simCustomer)
+	}
+	g.account.SetLimit(NewLimit(g.version, g.limit, len(g.keepers)), g.keepers)
 }
 
 func (s *simulation) startAgent(name string) {
