--- a/agent/agent.go
+++ b/agent/agent.go
@@ -72,6 +72,7 @@
 	engine         *platform.TargetClient
 	log            *logrus.Entry
 	watchers       *watchers
+	turns          *prefillTurns
 	modelInventory *inventory.Inventory
 	loadRequests   chan *occupancy.LoadRequest
 	routingTables  chan *route.Table
@@ -103,6 +104,8 @@
 func New(config *settings.Config, log *logrus.Entry) *Agent {
 	epochs := epoch.New()
 	store := platform.NewStore(config.Store.Address, epochs, log)
+	watchers := newWatchers(time.Now)
+	watchers.prefillTurns = newPrefillTurns(time.Now, log, watchers.loadChanged)
 	return &Agent{
 		modelInventory: inventory.New(store, config.Agent.Target, epochs, log),
 		config:         config,
@@ -111,7 +114,8 @@
 		departures:     departure.New(time.Now),
 		engine:         platform.NewTargetClient(sender.New(connpool.New(descriptor.New(config.Limits.Descriptors).Targets()))),
 		log:            log,
-		watchers:       newWatchers(time.Now),
+		watchers:       watchers,
+		turns:          watchers.prefillTurns,
 		loadRequests:   make(chan *occupancy.LoadRequest, loadRequestBuffer),
 		routingTables:  make(chan *route.Table, 1),
 		fencingTokens:  make(chan int64, 1),
--- a/agent/service.go
+++ b/agent/service.go
@@ -24,6 +24,8 @@
 	defer cancel()
 	watcher := s.agent.watchers.add()
 	defer s.agent.watchers.remove(watcher)
+	turns := s.agent.turns.add()
+	defer s.agent.turns.remove(turns)
 	go func() {
 		defer cancel()
 		for {
@@ -31,6 +33,10 @@
 			if err != nil {
 				return
 			}
+			s.agent.turns.handle(turns, heartbeat)
+			if heartbeat.GetTurnsOnly() {
+				continue
+			}
 			s.agent.observeEpoch(epoch.Epoch(heartbeat.GetStoreEpoch()), heartbeat.GetNode())
 			s.agent.watchers.handleHeartbeat(watcher, heartbeat)
 		}
@@ -39,6 +45,10 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-turns.ready:
+			if err := stream.Send(s.agent.turns.take(turns)); err != nil {
+				return err
+			}
 		case next := <-watcher.updates:
 			if err := stream.Send(s.agent.watchers.stateFor(next, watcher)); err != nil {
 				return err
@@ -97,6 +107,7 @@
 		InMemory: r.InMemory, OnDisk: r.OnDisk, Loading: a.occupancy.Loading(),
 		AgeMs:       uint32(time.Since(a.lastReportAt).Milliseconds()),
 		AdapterRoom: uint32(a.occupancy.AvailableAdapterSlots(time.Now())),
+		GrantsTurns: true,
 	}
 	for _, m := range a.occupancy.Models() {
 		state.Models = append(state.Models, &wire.HeldModel{Name: m.Name, Adapters: m.Adapters})
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -71,6 +71,7 @@
 	quarantine       *quarantine.Table
 	origins          *origin.Table // of the streams of all gateways
 	blocklistDue     chan struct{} // holds a value after a content was blocked or unblocked, and when gateways begin to rely on this agent
+	prefillTurns     *prefillTurns // nil if there are none
 	relayRequested   chan struct{} // receives a value when a gateway needs reads of the store and none did before
 }
 
@@ -154,7 +155,7 @@
 	defer w.mu.Unlock()
 	live := w.live()
 	state.Watchers = uint32(len(live))
-	state.UnreadMs = sumPendingPrefillMs(live)
+	state.UnreadMs, state.WaitingMs = w.unreadMs(live)
 	state.Requests = sumRequests(live)
 	if planner := planner(live); planner != nil {
 		state.Planner = planner.node
@@ -227,14 +228,15 @@
 		return
 	}
 	live := w.live()
-	pending, requests := sumPendingPrefillMs(live), sumRequests(live)
+	pending, waiting := w.unreadMs(live)
+	requests := sumRequests(live)
 	prefillRose := pending >= w.lastState.GetUnreadMs()+pendingPrefillRiseMs && (len(live) <= maxFewWatchers || w.loadChangeDue(len(live)))
 	if !prefillRose && !w.requestsChangeDue(requests, len(live)) {
 		return
 	}
 	w.useNewestState(len(live))
 	w.lastState = proto.Clone(w.lastState).(*wire.TargetState)
-	w.lastState.UnreadMs, w.lastState.Requests = pending, requests
+	w.lastState.UnreadMs, w.lastState.WaitingMs, w.lastState.Requests = pending, waiting, requests
 	w.loadSentAt = w.now()
 	w.broadcastLast()
 }
@@ -289,6 +291,24 @@
 	return sum
 }
 
+// loadChanged sends the last state again if the load has changed enough.
+func (w *watchers) loadChanged() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.broadcastLoadChange()
+}
+
+// unreadMs returns the expected prefill time, in ms, of the prompts that wait at the target or for a turn there, and the part of
+// it that waits for a turn; the caller holds the lock.
+func (w *watchers) unreadMs(live []*watcher) (total, waiting float32) {
+	total = sumPendingPrefillMs(live)
+	if w.prefillTurns == nil {
+		return total, 0
+	}
+	waiting, granted := w.prefillTurns.workMs()
+	return total + granted + waiting, waiting
+}
+
 // sumRequests returns the number of requests that the gateways have at the target.
 func sumRequests(members []*watcher) uint32 {
 	sum := uint32(0)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -34,6 +34,8 @@
 	FindOrigin(ctx context.Context, stream uint64) (version registry.SoftwareVersion, age time.Duration, ok bool)
 	// PushUsage sends the requests of this gateway that are in progress at a target to its agent.
 	PushUsage(target registry.Target)
+	// AskTurn asks the agent of a target for a turn to have a long prompt prefilled; ok is false if it can't be asked.
+	AskTurn(target registry.Target, request TurnRequest) (turn Turn, ok bool)
 	// PushOrigin tells agents at which software version a stream has begun.
 	PushOrigin(stream uint64)
 }
@@ -66,6 +68,7 @@
 	quarantine Quarantine
 	origins    *origin.Table  // streams that began here
 	waits      *waitlist.List // requests that wait for room at an engine
+	returns    *returnMemory
 	log        *logrus.Entry
 	now        func() time.Time
 	stop       *stop
@@ -73,7 +76,7 @@
 
 // New returns a dispatcher that reads the time from now.
 func New(f *fleet.Fleet, sender Sender, agents AgentClient, registry Registry, budget *retrybudget.Budget, quarantine Quarantine, origins *origin.Table, log *logrus.Entry, now func() time.Time) *Dispatcher {
-	return &Dispatcher{fleet: f, sender: sender, agents: agents, registry: registry, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), log: log, now: now, stop: newStop()}
+	return &Dispatcher{fleet: f, sender: sender, agents: agents, registry: registry, budget: budget, quarantine: quarantine, origins: origins, waits: waitlist.New(), returns: newReturnMemory(), log: log, now: now, stop: newStop()}
 }
 
 // Dispatch is one request with the state of its attempts.
@@ -94,6 +97,8 @@
 	streamVersion *registry.SoftwareVersion
 	place         *waitlist.Place // while the request waits for room
 	wait          wait            // in progress; zero if there is none
+	turn          *Turn           // to have the prompt prefilled; nil if the request has none
+	returned      bool            // the caller has come back after a refusal for lack of room
 	log           *logrus.Entry
 }
 
@@ -143,9 +148,11 @@
 		cancelDeadline()
 		end(nil)
 	}
+	contents := req.Contents()
 	return &Dispatch{
-		Dispatcher: d, request: req, contents: req.Contents(), route: r, service: service,
-		ctx: ctx, cancel: cancel, deadline: deadline,
+		Dispatcher: d, request: req, contents: contents, route: r, service: service,
+		returned: d.returns.has(contents[len(contents)-1].Hash, d.now()),
+		ctx:      ctx, cancel: cancel, deadline: deadline,
 		excluded: map[string]bool{},
 		log:      d.log.WithFields(logrus.Fields{"request": req.ID, "route": r.Name, "kind": r.Kind.String(), "service": service}),
 	}
@@ -170,9 +177,18 @@
 			return d.contextOutcome()
 		}
 		if refused != nil {
-			return d.finalOutcome(*refused)
+			return d.refuse(*refused)
 		}
+		choice, mayBegin, refused := d.takePrefillTurn(choice)
+		if refused != nil {
+			return d.refuse(*refused)
+		}
+		if !mayBegin {
+			continue
+		}
+		sendsBefore := d.sendCount
 		outcome, retry := d.attempt(choice)
+		d.endPrefillTurn(sendsBefore)
 		if !retry {
 			return outcome
 		}
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -34,6 +34,7 @@
 	ensureTime  time.Duration            // after which EnsureLoaded returns
 	origin      registry.SoftwareVersion // of all streams, as agents know it; empty if none does
 	refresh     func() error             // called by Refresh unless it is nil
+	askTurn     func(registry.Target, TurnRequest) (Turn, bool)
 }
 
 func (s *scriptedClient) Send(_ context.Context, _ *request.Request, delivery registry.Delivery) reply.Result {
@@ -66,6 +67,13 @@
 func (s *scriptedClient) PushUsage(registry.Target) {}
 func (s *scriptedClient) PushOrigin(uint64)         {}
 
+func (s *scriptedClient) AskTurn(target registry.Target, request TurnRequest) (Turn, bool) {
+	if s.askTurn == nil {
+		return Turn{}, false
+	}
+	return s.askTurn(target, request)
+}
+
 func respond(status int) func() reply.Result {
 	return func() reply.Result {
 		return reply.Answered{Response: &sender.Response{
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/fleet"
+	"gypsumbank/turns"
 	"gypsumbank/waitlist"
 )
 
@@ -32,7 +33,7 @@
 	}
 	joins := d.place == nil
 	if joins {
-		d.place = d.waits.Join(key, waitlist.Rank{Begun: d.request.LastEventID != "", Priority: d.request.Priority, RoutePriority: d.route.Priority, Objective: d.request.Arrived.Add(d.route.LatencyObjective)})
+		d.place = d.waits.Join(key, d.waitRank(choice))
 	}
 	ahead := d.place.Ahead(now)
 	if choice.HasRoom && ahead == 0 {
@@ -43,7 +44,9 @@
 	remaining := d.firstByteDeadline().Sub(now)
 	if joins {
 		d.beginWait("room", predicted, remaining)
-		remaining = time.Duration(maxPredictedShare * float64(remaining))
+		if !d.returned || !d.fleet.UsesTurns() {
+			remaining = time.Duration(maxPredictedShare * float64(remaining))
+		}
 	}
 	if predicted+minResponseTime > remaining {
 		d.log.WithFields(logrus.Fields{
@@ -59,6 +62,16 @@
 	return false, d.pauseWait(interval)
 }
 
+// waitRank returns the rank of the request among those that wait for room. With many gateways it is that of requests that wait for
+// a prefill turn.
+func (d *Dispatch) waitRank(choice fleet.Choice) waitlist.Rank {
+	rank := waitlist.Rank{Begun: d.request.LastEventID != "", Priority: d.request.Priority, RoutePriority: d.route.Priority, Objective: d.request.Arrived.Add(d.route.LatencyObjective)}
+	if d.fleet.UsesTurns() {
+		rank.Cost = &turns.Rank{Priority: rank.Priority, Objective: rank.Objective, Prefill: choice.PrefillTime(), Returned: d.returned}
+	}
+	return rank
+}
+
 // wait is a wait for room or for a model.
 type wait struct {
 	cause     string // room or model
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -90,7 +90,9 @@
 	HasRoom       bool          // the target can begin to serve the request at once; for a plain service: it accepts one now by what it has said of itself
 	SlotInterval  time.Duration // average time between two free slots of all holders of the model while all slots are taken, or between two turns by a limit
 	TurnWait      time.Duration // until the target accepts a request, by what it has said of itself; part of Expected
+	PrefillQueue  time.Duration // until a long prompt gets its turn to be prefilled, if those that wait for one go first; not part of Expected
 	prefillMs     float64       // expected time to prefill and fetch those tokens
+	queueMs       float64       // part of the expected time in which the prompts that wait at the target are prefilled
 	baselineMs    float64       // expected time to the first byte at a target of usual speed that need not load the adapter
 }
 
@@ -198,7 +200,8 @@
 		if lacksAdapter && (s.report.Busy || s.loading != "" || (s.availableAdapterSlots == 0 && !s.reportAt.IsZero())) {
 			expectedMs += adapterWaitMs
 		}
-		costMs := expectedMs + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + f.capacityCost(s, req, now) + s.occupancyCost(now) + affinityCost(prefixHashes, s.ID) +
+		turnQueueMs := s.turnQueueMs(prefillMs, now)
+		costMs := expectedMs + turnQueueMs + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + f.capacityCost(s, req, now) + s.occupancyCost(now) + affinityCost(prefixHashes, s.ID) +
 			f.mixingCost(s.Service, req, ranks[s.ID]) + s.unresponsiveCost(now) + fetchCostMs
 		if s.ColdRemaining > 0 {
 			costMs += coldStartCostMs
@@ -211,7 +214,7 @@
 			best = Choice{
 				Target: s.Target, LacksAdapter: lacksAdapter, Expected: durationFromMs(expectedMs), PrefillTokens: prefillTokens, FetchFrom: fetchFrom, FetchTokens: fetchTokens, Candidates: len(holders),
 				ReportAge: s.reportAge(now), HasRoom: s.hasRoom(req, now), SlotInterval: durationFromMs(s.slotIntervalMs() / float64(len(holders))),
-				prefillMs: prefillMs, baselineMs: baselineMs,
+				PrefillQueue: durationFromMs(turnQueueMs), prefillMs: prefillMs, queueMs: queueMs, baselineMs: baselineMs,
 			}
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -75,6 +75,8 @@
 	unsentParts       []PromptPart             // prompt parts sent to the target and not yet reported to its agent
 	pendingPrefillMs  float64                  // expected prefill time of this gateway's pending requests
 	backlog           backlog                  // prefill work of all gateways that waits at the target
+	ownTurnWaitMs     float64                  // expected prefill time of this gateway's requests that wait for a turn
+	othersTurnWaitMs  float64                  // the same of other gateways' requests
 	pendingCount      int                      // number of pending requests
 	pending           map[*Assignment]struct{} // this gateway's requests without a first byte
 	requestsByModel   map[string]int           // this gateway's requests by model
@@ -220,6 +222,8 @@
 	AvailableAdapterSlots int
 	// QueuedPrefillMs is the expected prefill time of the prompts that all gateways have waiting there.
 	QueuedPrefillMs float64
+	// TurnWaitMs is the part of QueuedPrefillMs that waits for a turn and has not been sent.
+	TurnWaitMs float64
 	// Requests is the number of requests that all gateways have there.
 	Requests int
 	// Parts holds prompt parts that other gateways have sent there since the last message.
@@ -251,7 +255,8 @@
 		f.indexByService()
 	}
 	s.report, s.reportAt, s.watchers, s.plannedHere, s.availableAdapterSlots = report, now, observation.Watchers, observation.PlannedHere, observation.AvailableAdapterSlots
-	s.othersPrefillMs = max(0, observation.QueuedPrefillMs-s.pendingPrefillMs)
+	s.othersPrefillMs = max(0, observation.QueuedPrefillMs-observation.TurnWaitMs-s.pendingPrefillMs)
+	s.othersTurnWaitMs = max(0, observation.TurnWaitMs-s.ownTurnWaitMs)
 	s.othersInflight = max(0, observation.Requests-s.reportedInflight)
 	s.backlog.set(s.pendingPrefillMs+s.othersPrefillMs, now)
 	if report.KVTotal > 0 {
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -67,13 +67,14 @@
 	connected      map[string]bool          // addresses of the agents whose states arrive
 	pushDemand     chan struct{}            // closed and replaced to send the demand now
 	pushUsage      map[string]chan struct{} // by agent address; holds a value if the requests in progress at its target have changed
+	turnLinks      map[string]*turnLink     // by address of a connected agent
 	watchers       sync.WaitGroup
 }
 
 func newAgentClients(name string, port int, d *dialer.Dialer, f *fleet.Fleet, relay *relayedReads, crashes *crashes, origins *origin.Table, epochs *epoch.Tracker, log *logrus.Entry) *agentClients {
 	return &agentClients{
 		name: name, port: strconv.Itoa(port), dialer: d, fleet: f, relay: relay, crashes: crashes, origins: origins, epochs: epochs, log: log,
-		cancelWatch: map[string]context.CancelFunc{}, queuedOrigins: map[string][]uint64{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{},
+		cancelWatch: map[string]context.CancelFunc{}, queuedOrigins: map[string][]uint64{}, connected: map[string]bool{}, pushDemand: make(chan struct{}), pushUsage: map[string]chan struct{}{}, turnLinks: map[string]*turnLink{},
 	}
 }
 
@@ -276,19 +277,21 @@
 	if err != nil {
 		return err
 	}
-	heartbeatsDone := make(chan struct{})
-	go func() {
-		defer close(heartbeatsDone)
-		a.sendHeartbeats(ctx, address, stream)
-	}()
+	link := newTurnLink()
+	var sending sync.WaitGroup
+	sending.Go(func() { a.sendHeartbeats(ctx, address, stream) })
+	sending.Go(func() { link.send(ctx, a.name, stream) })
 	defer func() {
 		cancel()
 		conn.Close()
-		<-heartbeatsDone
+		a.setTurnLink(address, nil)
+		link.close()
+		sending.Wait()
 		a.relay.remove(address)
 		a.setConnected(address, false)
 	}()
 	a.setConnected(address, true)
+	a.setTurnLink(address, link)
 	var lastHoldings *wire.TargetState // the last state with the lists of what the target holds
 	for {
 		state, err := stream.Recv()
@@ -297,6 +300,10 @@
 		}
 		timeout.Reset(agentTimeout)
 		onState()
+		link.apply(state)
+		if state.GetGrantsOnly() {
+			continue
+		}
 		if news := state.GetQuarantine(); news != nil {
 			a.crashes.merge(address, news)
 		}
@@ -340,7 +347,7 @@
 	a.crashes.checker.MarkRuns([]registry.Target{{ID: state.GetTargetId(), Born: report.Born}}, "agent")
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
 		Report: report, Host: registry.Host(address), Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), PlannedHere: state.GetPlanner() == a.name,
-		AvailableAdapterSlots: int(state.GetAdapterRoom()), QueuedPrefillMs: float64(state.GetUnreadMs()), Requests: int(state.GetRequests()), Parts: decodeParts(state),
+		AvailableAdapterSlots: int(state.GetAdapterRoom()), QueuedPrefillMs: float64(state.GetUnreadMs()), TurnWaitMs: float64(state.GetWaitingMs()), Requests: int(state.GetRequests()), Parts: decodeParts(state),
 	}, time.Now())
 	a.applyDemand(state)
 }
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -300,19 +300,18 @@
 	return next
 }
 
-// Work returns the expected time to prefill the prompts that wait for a turn, and those that were granted one and that isKnown
-// does not report as known otherwise.
-func (q *Queue) Work(isKnown func(owner Owner, grantedAt time.Time) bool) time.Duration {
-	total := time.Duration(0)
+// Work returns the expected time to prefill the prompts that wait for a turn, and that of those which were granted one and that
+// isKnown does not report as known otherwise.
+func (q *Queue) Work(isKnown func(owner Owner, grantedAt time.Time) bool) (waits, granted time.Duration) {
 	for _, w := range q.waiting {
-		total += w.prefill
+		waits += w.prefill
 	}
 	for _, t := range q.turns {
 		if !isKnown(t.owner, t.grantedAt) {
-			total += t.prefill
+			granted += t.prefill
 		}
 	}
-	return total
+	return waits, granted
 }
 
 // Len returns the number of requests that wait and of turns that have not ended.
--- a/turns/simulation_test.go
+++ b/turns/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -33,7 +34,8 @@
 
 // job is one request of the simulation. Times are since the begin.
 type job struct {
-	id                          uint64
+	index                       int    // in the jobs
+	id                          uint64 // of the latest attempt
 	load                        *load
 	owner                       Owner
 	arrived, granted, firstByte time.Duration
@@ -82,8 +84,12 @@
 	return 200*time.Microsecond + time.Duration(s.random.Int64N(int64(6800*time.Microsecond)))
 }
 
-func (s *simulation) after(d time.Duration, do func()) {
-	s.events = append(s.events, event{s.now + d, do})
+func (s *simulation) after(d time.Duration, do func()) { s.at(s.now+d, do) }
+
+// at has something happen at a time; what was added first happens first.
+func (s *simulation) at(at time.Duration, do func()) {
+	i := sort.Search(len(s.events), func(i int) bool { return s.events[i].at > at })
+	s.events = slices.Insert(s.events, i, event{at, do})
 }
 
 // run simulates loads over a number of gateways until everything has ended.
@@ -99,9 +105,9 @@
 			if at >= l.to {
 				break
 			}
-			j := &job{load: l, owner: Owner(1 + s.random.IntN(gateways)), arrived: at, left: l.prefill}
+			j := &job{index: len(s.jobs), load: l, owner: Owner(1 + s.random.IntN(gateways)), arrived: at, left: l.prefill}
 			s.jobs = append(s.jobs, j)
-			s.events = append(s.events, event{at, func() { s.arrive(j) }})
+			s.at(at, func() { s.arrive(j) })
 		}
 		end = max(end, l.to+2*l.patience)
 	}
@@ -120,14 +126,9 @@
 }
 
 func (s *simulation) takeDue() []event {
-	var due []event
-	s.events = slices.DeleteFunc(s.events, func(e event) bool {
-		if e.at <= s.now {
-			due = append(due, e)
-		}
-		return e.at <= s.now
-	})
-	slices.SortStableFunc(due, func(a, b event) int { return int(a.at - b.at) })
+	i := sort.Search(len(s.events), func(i int) bool { return s.events[i].at > s.now })
+	due := slices.Clone(s.events[:i])
+	s.events = s.events[i:]
 	return due
 }
 
@@ -140,11 +141,11 @@
 		return
 	}
 	s.after(s.delay(), func() {
-		j.id = uint64(slices.Index(s.jobs, j)) + 1 + uint64(len(j.refusedAt))<<32
+		j.id = uint64(j.index) + 1 + uint64(len(j.refusedAt))<<32
 		started := origin.Add(j.arrived)
 		giveUp := started.Add(j.load.patience - j.load.prefill)
 		s.queue.Ask(j.owner, Request{
-			ID: j.id, Content: uint64(slices.Index(s.jobs, j)) + 1, GiveUp: giveUp,
+			ID: j.id, Content: uint64(j.index) + 1, GiveUp: giveUp,
 			Rank: Rank{Priority: j.load.priority, Objective: started.Add(j.load.objective), Prefill: j.load.prefill},
 		}, s.time())
 		s.advance()
--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"gypsumbank/turns"
 )
 
 // Key identifies the targets that a request waits for: those of a service that hold a model.
@@ -15,6 +17,8 @@
 	Priority      int       // of the request, 0 is the most urgent
 	RoutePriority int       // orders requests of equal priority
 	Objective     time.Time // by when the answer has to begin to have its full value
+	// Cost is what a wait costs the caller; where both requests have it, it decides between those of equal Begun.
+	Cost *turns.Rank
 }
 
 // before reports whether a request of rank r is served before one of rank other: streams that have begun come first, then requests
@@ -24,6 +28,9 @@
 	if r.Begun != other.Begun {
 		return r.Begun
 	}
+	if r.Cost != nil && other.Cost != nil {
+		return r.Cost.Compare(*other.Cost, now) < 0
+	}
 	missed, otherMissed := now.After(r.Objective), now.After(other.Objective)
 	if missed != otherMissed {
 		return otherMissed
