--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -45,6 +45,9 @@
 	scaledFrom = 10
 	// maxHeartbeatInterval bounds that growth: gateways take an agent whose report is 900 ms old for one that may be frozen.
 	maxHeartbeatInterval = 600 * time.Millisecond
+	// immediateRiseWatchers is the number of gateways up to which a rise of the waiting prompts is sent at once, whatever was sent before. A
+	// later one had more gateways send to the same engine meanwhile.
+	immediateRiseWatchers = 48
 	// partInterval is the time for which a prompt part that was passed on to the gateways isn't passed on again. It is below the some
 	// nine seconds in which long prompts at the rate of a busy engine fill its KV cache.
 	partInterval = 3 * time.Second
@@ -196,16 +199,16 @@
 	}
 }
 
-// publishDown tells all gateways that the engine does not answer, and which of its runs has ended, unless ended is nil. It does
+// publishDown tells all gateways that the engine does not answer, by a state that names the run that has ended or is silent, if any. It does
 // so again as a heartbeat: this process still reads the store and passes on what gateways tell each other.
-func (w *watchers) publishDown(ended *wire.EndedRun) {
+func (w *watchers) publishDown(state *wire.TargetState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.down != nil && w.now().Sub(w.lastSentAt) < w.heartbeatInterval(len(w.live())) && proto.Equal(w.down.GetEndedRun(), ended) {
+	if w.down != nil && w.now().Sub(w.lastSentAt) < w.heartbeatInterval(len(w.live())) && proto.Equal(w.down, state) {
 		return
 	}
 	w.unsentState = nil
-	w.down, w.lastSentAt = &wire.TargetState{EngineDown: true, EndedRun: ended, SameHoldings: true}, w.now()
+	w.down, w.lastSentAt = state, w.now()
 	w.broadcastLast()
 }
 
@@ -230,7 +233,7 @@
 	live := w.live()
 	pending, waiting := w.unreadMs(live)
 	requests := sumRequests(live)
-	prefillRose := pending >= w.lastState.GetUnreadMs()+pendingPrefillRiseMs && (len(live) <= maxFewWatchers || w.loadChangeDue(len(live)))
+	prefillRose := pending >= w.lastState.GetUnreadMs()+pendingPrefillRiseMs && (len(live) <= immediateRiseWatchers || w.loadChangeDue(len(live)))
 	if !prefillRose && !w.requestsChangeDue(requests, len(live)) {
 		return
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -49,6 +49,8 @@
 	registryReadSince time.Time              // of the first read since when there was no gap above maxRegistryGap
 
 	versionsSeenAt map[serviceVersion]time.Time // when the registry last listed a target of the version
+
+	backups map[string]map[*Backup]struct{} // by id of the engine that keeps the copies of this gateway's runs; nil before the first
 }
 
 // targetState is what is known of one run of a target, that is one start of its process.
@@ -83,7 +85,8 @@
 	requestsByAdapter map[registry.Adapter]int // this gateway's requests by adapter
 	promptCache       *promptCache             // estimate of what the target's KV cache holds
 
-	latencyMs         float64 // time to the first byte at a plain target, moving average
+	latencyMs         float64   // time to the first byte at a plain target, moving average
+	latencyAt         time.Time // of the last answer that it includes
 	performance       performance
 	connectFailures   int       // in a row
 	backoffUntil      time.Time // until when the target gets requests only if all others are in backoff, too
