--- a/agent/agent.go
+++ b/agent/agent.go
@@ -78,6 +78,7 @@
 	engine         *platform.TargetClient
 	log            *logrus.Entry
 	watchers       *watchers
+	turns          *prefillTurns
 	quotas         *quotaKeeper
 	modelInventory *inventory.Inventory
 	loadRequests   chan *occupancy.LoadRequest
@@ -113,6 +114,8 @@
 func New(config *settings.Config, log *logrus.Entry) *Agent {
 	epochs := epoch.New()
 	store := platform.NewStore(config.Store.Address, epochs, log)
+	watchers := newWatchers(time.Now)
+	watchers.prefillTurns = newPrefillTurns(time.Now, log, watchers.loadChanged)
 	return &Agent{
 		modelInventory: inventory.New(store, config.Agent.Target, epochs, log),
 		config:         config,
@@ -122,7 +125,8 @@
 		versions:       versionrow.New(store, log, time.Now),
 		engine:         platform.NewTargetClient(sender.New(connpool.New(descriptor.New(config.Limits.Descriptors).Targets()))),
 		log:            log,
-		watchers:       newWatchers(time.Now),
+		watchers:       watchers,
+		turns:          watchers.prefillTurns,
 		quotas:         newQuotaKeeper(config.Bounds),
 		loadRequests:   make(chan *occupancy.LoadRequest, loadRequestBuffer),
 		routingTables:  make(chan *route.Table, 1),
