Spread the choices of many gateways by what they cannot have seen

Cause: gateways with the same reports, up to 300 ms old, chose the same engine at the same moment; long and short prompts were kept on different ends of the lists of holders, which made the load uneven by design, and a pair of gateway and engine met too rarely to use a connection again. Change: package spread lays the requests that other gateways are expected to have sent since the reports on the candidates with the lowest costs until these are level, and draws a candidate by its part, connected ones first. From 7 gateways on fleet.Choose uses it for engines and plain targets, adds the cost of an engine with more requests than the mean, 60 ms at twice the mean and more at a slow one, and the cost of opening a connection, and leaves out the separation of long and short prompts. With fewer gateways the least cost is chosen as before. connpool tells whether a connection can be reused. The idle times are as they were.

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
@@ -81,6 +82,18 @@
 	return conn, err
 }
 
+// CanReuse reports whether an idle connection to address could be reused by Get now.
+func (p *Pool) CanReuse(address string, maxIdle time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return false
+	}
+	now, latest := time.Now(), idle[len(idle)-1]
+	return now.Sub(latest.idleSince) <= maxIdle && now.Before(latest.reuseUntil)
+}
+
 // hashID returns the hash by which the id of a request is remembered.
 func hashID(requestID string) uint64 { return xxhash.Sum64String(requestID) }
 
@@ -102,6 +115,7 @@
 		now := time.Now()
 		if now.Sub(conn.idleSince) <= maxIdle && now.Before(conn.reuseUntil) && quietconn.IsQuiet(conn.Conn) {
 			conn.Reused = true
+			metrics.GetOrCreateCounter(`gypsumbank_target_connections_total{use="reused"}`).Inc()
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -125,6 +139,7 @@
 		return nil, err
 	}
 	p.open[conn] = struct{}{}
+	metrics.GetOrCreateCounter(`gypsumbank_target_connections_total{use="opened"}`).Inc()
 	return conn, nil
 }
 
--- a/connpool/pool_test.go
+++ b/connpool/pool_test.go
@@ -185,3 +185,26 @@
 	address, _ := openConns(t)
 	getConns(t, pool, address, 1)
 }
+
+// TestReusableConnectionsAreTold guards against a choice of target by connections that are then opened anew.
+func TestReusableConnectionsAreTold(t *testing.T) {
+	t.Parallel()
+	address, _ := openConns(t)
+	pool := connpool.New(connpool.Unlimited)
+	conns := getConns(t, pool, address, 2)
+	if pool.CanReuse(address, longIdle) {
+		t.Error("a connection in use is told as one to be reused")
+	}
+	pool.Put(conns[0], 200*time.Millisecond)
+	if !pool.CanReuse(address, longIdle) || pool.CanReuse("127.0.0.1:1", longIdle) {
+		t.Error("want the idle connection, and none to another address")
+	}
+	time.Sleep(50 * time.Millisecond)
+	if pool.CanReuse(address, 10*time.Millisecond) {
+		t.Error("a connection that was idle for too long for the request is told as one to be reused")
+	}
+	time.Sleep(200 * time.Millisecond)
+	if pool.CanReuse(address, longIdle) {
+		t.Error("a connection whose time is over is told as one to be reused")
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -203,7 +203,7 @@
 			return fleet.Choice{}, refused
 		}
 		now := d.now()
-		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, Exclude: d.excluded, SoftwareVersion: d.streamVersion, LoadsModel: d.streamVersion != nil}, now)
+		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, AtMostOnce: !d.route.Repeatable(), Exclude: d.excluded, SoftwareVersion: d.streamVersion, LoadsModel: d.streamVersion != nil}, now)
 		remaining := d.firstByteDeadline().Sub(now)
 		if refused := d.refuseStopping(choice); refused != nil {
 			return choice, refused
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -72,6 +72,8 @@
 	s.pendingPrefillMs += choice.prefillMs
 	if req.Model != "" {
 		s.requestsByModel[req.Model]++
+	} else {
+		f.countPlainArrival(s.Service, now)
 	}
 	if req.Adapter != "" {
 		s.requestsByAdapter[registry.Adapter{Model: req.Model, Name: req.Adapter}]++
--- a/fleet/backlog.go
+++ b/fleet/backlog.go
@@ -6,31 +6,31 @@
 )
 
 const (
-	// backlogTimeConstant is the time constant of a target's average backlog.
-	backlogTimeConstant = 2 * time.Second
+	// loadTimeConstant is the time constant of the average load of a target.
+	loadTimeConstant = 2 * time.Second
 	// maxBacklogCostMs is the upper bound of backlogCost.
 	maxBacklogCostMs = 200
 )
 
-// backlog is the time average of the prefill work that waits at a target, in ms.
-type backlog struct {
-	averageMs float64
-	currentMs float64 // since updatedAt
+// loadAverage is the time average of a measure of a target's load: the prefill work that waits there, in ms, or the number of requests.
+type loadAverage struct {
+	average   float64
+	current   float64 // since updatedAt
 	updatedAt time.Time
 }
 
-// set records that the waiting work is now currentMs.
-func (b *backlog) set(currentMs float64, now time.Time) {
-	b.averageMs, b.currentMs, b.updatedAt = b.valueAt(now), currentMs, now
+// set records that the load is now current.
+func (b *loadAverage) set(current float64, now time.Time) {
+	b.average, b.current, b.updatedAt = b.valueAt(now), current, now
 }
 
 // valueAt returns the average at a time at or after the last update.
-func (b *backlog) valueAt(now time.Time) float64 {
+func (b *loadAverage) valueAt(now time.Time) float64 {
 	if b.updatedAt.IsZero() {
 		return 0
 	}
-	left := math.Exp(-float64(max(0, now.Sub(b.updatedAt))) / float64(backlogTimeConstant))
-	return b.currentMs + (b.averageMs-b.currentMs)*left
+	left := math.Exp(-float64(max(0, now.Sub(b.updatedAt))) / float64(loadTimeConstant))
+	return b.current + (b.average-b.current)*left
 }
 
 // backlogCost returns a cost in ms of a target for a request with a short prompt: while prompts wait there to be prefilled,
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -36,6 +36,8 @@
 	mixingCostTokens = 4000
 	// runningRequestMs is the delay of a first byte by each running request in the target's batch.
 	runningRequestMs = 0.6
+	// plainLoadFactor is by how many times its latency the cost of a plain target rises until its slots are taken.
+	plainLoadFactor = 2
 	// failedAnswerCostMs is the cost of a target at an error rate of 1.
 	failedAnswerCostMs = 1500
 	// refusalCostMs is the cost of a plain target that refuses all requests. With many gateways a target's refusals tell more
@@ -72,6 +74,7 @@
 	Exclude map[string]bool // ids of targets that must not be chosen
 	// SoftwareVersion is the only one whose targets may be chosen, nil for any: that of the target which began the stream.
 	SoftwareVersion *registry.SoftwareVersion
+	AtMostOnce      bool // the request must not run twice; fewer idle connections can be used for it
 	// LoadsModel tells that the model will be loaded for the request if all targets that hold it are excluded.
 	LoadsModel bool
 }
@@ -90,11 +93,13 @@
 	HasRoom       bool          // the target can begin to serve the request at once; for a plain service: it accepts one now by what it has said of itself
 	SlotInterval  time.Duration // average time between two free slots of all holders of the model while all slots are taken, or between two turns by a limit
 	TurnWait      time.Duration // until the target accepts a request, by what it has said of itself; part of Expected
+	Rank          int           // number of candidates with a lower cost
+	Connected     bool          // an idle connection to the target can be used
 	prefillMs     float64       // expected time to prefill and fetch those tokens
 	baselineMs    float64       // expected time to the first byte at a target of usual speed that need not load the adapter
 }
 
-// Choose returns the target with the lowest cost for a request. If none of the service's usable targets holds the
+// Choose returns the target with the lowest cost for a request or, among many gateways, one with a low cost, see pick. If none of the service's usable targets holds the
 // model, the choice has no target and LacksModel is set. ok is false if the service has no usable target, or if all
 // that could serve the request are excluded.
 func (f *Fleet) Choose(query Query, now time.Time) (choice Choice, ok bool) {
@@ -124,9 +129,9 @@
 	}
 	usable = f.withTurns(usable, now)
 	if engine == nil || query.Request.Model == "" {
-		return f.applyTurn(f.choosePlain(usable, now), now), true
+		return f.applyTurn(f.choosePlain(usable, query, now), now), true
 	}
-	return f.applyTurn(f.chooseHolder(usable, query.Request, now), now), true
+	return f.applyTurn(f.chooseHolder(usable, query, now), now), true
 }
 
 // usableTargets returns the targets that accept requests, of one software version unless that is nil. Those in backoff are only
@@ -149,35 +154,41 @@
 	return available
 }
 
-// choosePlain returns the target of a plain service with the lowest cost. The average latency of a target is
+// option is a target that may be chosen, with the estimates by which it is compared.
+type option struct {
+	target *targetState
+	choice Choice
+	costMs float64
+}
+
+// choosePlain returns the target of a plain service with the lowest cost, or one with a low cost. The average latency of a target is
 // multiplied by a factor that grows from 1 if it is idle to 3 if this gateway's requests use all of its slots.
-func (f *Fleet) choosePlain(usable []*targetState, now time.Time) Choice {
-	var best *targetState
-	bestCostMs := 0.0
+func (f *Fleet) choosePlain(usable []*targetState, query Query, now time.Time) Choice {
+	options := make([]option, 0, len(usable))
 	for _, s := range usable {
 		latencyMs := max(1, s.latencyMs)
-		costMs := latencyMs*(1+2*float64(s.inflight)/float64(max(1, s.Slots))) + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + s.performance.refusalRate(now)*refusalCostMs + s.unresponsiveCost(now)
+		costMs := latencyMs*(1+plainLoadFactor*float64(s.inflight)/float64(max(1, s.Slots))) + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + s.performance.refusalRate(now)*refusalCostMs + s.unresponsiveCost(now)
 		if s.inflight >= s.Slots {
 			costMs += fullCostMs
 		}
 		if s.ColdRemaining > 0 {
 			costMs += latencyMs
 		}
-		if best == nil || costMs < bestCostMs {
-			best, bestCostMs = s, costMs
-		}
+		options = append(options, option{target: s, costMs: costMs, choice: Choice{
+			Target: s.Target, Expected: durationFromMs(latencyMs), ReportAge: now.Sub(f.registryReadAt), Candidates: len(usable), HasRoom: true,
+		}})
 	}
-	return Choice{Target: best.Target, Expected: durationFromMs(max(1, best.latencyMs)), ReportAge: now.Sub(f.registryReadAt), Candidates: len(usable), HasRoom: true}
+	return f.pick(options, query, now)
 }
 
-// chooseHolder returns the target with the lowest cost of those that hold the model.
-func (f *Fleet) chooseHolder(holders []*targetState, req *request.Request, now time.Time) Choice {
+// chooseHolder returns the target with the lowest cost of those that hold the model, or one with a low cost.
+func (f *Fleet) chooseHolder(holders []*targetState, query Query, now time.Time) Choice {
+	req := query.Request
 	prefixHashes := req.PrefixHashes()
 	ranks := holderRanks(holders)
 	sources := newPrefixSources(holders, req, prefixHashes, now)
-	var best Choice
-	bestCostMs := 0.0
-	for i, s := range holders {
+	options := make([]option, 0, len(holders))
+	for _, s := range holders {
 		prefillTokens := s.uncachedTokens(req, prefixHashes)
 		fetchFrom, fetchTokens := sources.choose(s, prefillTokens, f.prefillMsPerToken(req.Model))
 		prefillTokens -= fetchTokens
@@ -206,16 +217,13 @@
 		if !isLongPrompt(req) {
 			costMs += s.backlogCost(now) * f.promptMixes[s.Service].separation()
 		}
-		if i == 0 || costMs < bestCostMs {
-			bestCostMs = costMs
-			best = Choice{
-				Target: s.Target, LacksAdapter: lacksAdapter, Expected: durationFromMs(expectedMs), PrefillTokens: prefillTokens, FetchFrom: fetchFrom, FetchTokens: fetchTokens, Candidates: len(holders),
-				ReportAge: s.reportAge(now), HasRoom: s.hasRoom(req, now), SlotInterval: durationFromMs(s.slotIntervalMs() / float64(len(holders))),
-				prefillMs: prefillMs, baselineMs: baselineMs,
-			}
-		}
+		options = append(options, option{target: s, costMs: costMs, choice: Choice{
+			Target: s.Target, LacksAdapter: lacksAdapter, Expected: durationFromMs(expectedMs), PrefillTokens: prefillTokens, FetchFrom: fetchFrom, FetchTokens: fetchTokens, Candidates: len(holders),
+			ReportAge: s.reportAge(now), HasRoom: s.hasRoom(req, now), SlotInterval: durationFromMs(s.slotIntervalMs() / float64(len(holders))),
+			prefillMs: prefillMs, baselineMs: baselineMs,
+		}})
 	}
-	return best
+	return f.pick(options, query, now)
 }
 
 // holderRanks returns a rank between 0 and 1 for each holder of a model. The order is the same at each gateway and for
@@ -239,8 +247,11 @@
 // mixingCost returns a cost in ms that keeps long prompts and the streams of short ones on different targets: it
 // favours holders of high rank for long prompts and of low rank for others. An engine interleaves prefill with
 // decoding, so a long prompt causes gaps in the streams of other requests. Where there are few long prompts, the cost is
-// lower, as it would leave the holders of high rank idle.
+// lower, as it would leave the holders of high rank idle. Among many gateways it is 0, as it makes the load uneven.
 func (f *Fleet) mixingCost(service string, req *request.Request, rank float64) float64 {
+	if f.gatewayCountLocked() >= evenFromGateways {
+		return 0
+	}
 	maxCostMs := mixingCostTokens * f.prefillMsPerToken(req.Model) * f.promptMixes[service].separation()
 	if isLongPrompt(req) {
 		return maxCostMs * (1 - rank)
--- /dev/null
+++ b/fleet/even_load.go
@@ -0,0 +1,152 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"gypsumbank/spread"
+)
+
+const (
+	// evenFromGateways is the number of gateways from which their choices are spread. Fewer gateways know most of the load
+	// themselves, and the least cost is even.
+	evenFromGateways = 7
+	// minStepMs is the least by which a further request is taken to raise the cost of a target: costs are not known better.
+	minStepMs = 10
+	// unevenCostMs is the cost of an engine that has twice the average number of requests of the candidates; it is below the time to
+	// prefill the 6,300 tokens that long prompts share, 164 ms, and above that of another availability zone.
+	unevenCostMs = 60
+	// connectionCostMs is the cost of opening a connection: round trips between availability zones and a slot of the target's connections.
+	connectionCostMs = 20
+	// arrivalsTimeConstant is the time constant of the average rate of requests for a plain service.
+	arrivalsTimeConstant = 3 * time.Second
+)
+
+// arrivals is the average rate of this gateway's requests.
+type arrivals struct {
+	perS      float64
+	updatedAt time.Time
+}
+
+// add counts a request.
+func (a *arrivals) add(now time.Time) {
+	a.perS = a.valueAt(now) + 1/arrivalsTimeConstant.Seconds()
+	a.updatedAt = now
+}
+
+// valueAt returns the rate decayed to a time at or after the last request.
+func (a *arrivals) valueAt(now time.Time) float64 {
+	if a == nil {
+		return 0
+	}
+	return a.perS * math.Exp(-float64(max(0, now.Sub(a.updatedAt)))/float64(arrivalsTimeConstant))
+}
+
+// countPlainArrival counts a request for a plain service; the caller holds the lock.
+func (f *Fleet) countPlainArrival(service string, now time.Time) {
+	if f.plainArrivals[service] == nil {
+		f.plainArrivals[service] = &arrivals{}
+	}
+	f.plainArrivals[service].add(now)
+}
+
+// pick returns the choice with the lowest cost or, among many gateways, one by the shares of spread.Shares; the caller holds the lock.
+func (f *Fleet) pick(options []option, query Query, now time.Time) Choice {
+	least := 0
+	for i := range options {
+		if options[i].costMs < options[least].costMs {
+			least = i
+		}
+	}
+	if len(options) == 1 || f.gatewayCountLocked() < evenFromGateways {
+		return options[least].choice
+	}
+	addUnevenCosts(options, now)
+	if open := withRoom(options); len(open) > 0 {
+		options = open
+	}
+	candidates := make([]spread.Candidate, 0, len(options))
+	for _, o := range options {
+		candidates = append(candidates, f.candidate(o, query, now))
+	}
+	chosen := f.chooseAmong(candidates, f.random.Float64())
+	choice := options[chosen].choice
+	choice.Connected = candidates[chosen].Connected
+	for _, o := range options {
+		if o.costMs < options[chosen].costMs {
+			choice.Rank++
+		}
+	}
+	return choice
+}
+
+// addUnevenCosts adds to the costs of engines what makes their load uneven: the number of requests there, averaged over two seconds and
+// counted as more at a slow one, compared with the mean of the candidates.
+func addUnevenCosts(options []option, now time.Time) {
+	mean := 0.0
+	for _, o := range options {
+		mean += o.target.occupancy.valueAt(now)
+	}
+	mean = max(1, mean/float64(len(options)))
+	for i, o := range options {
+		options[i].costMs += unevenCostMs * (o.target.occupancy.valueAt(now)*o.target.performance.slowness(now)/mean - 1)
+	}
+}
+
+// LoadRatio returns the largest number of requests of all gateways at an engine, averaged over two seconds, over the mean of the engines
+// that have a recent report; 0 without any.
+func (f *Fleet) LoadRatio(now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum, most, engines := 0.0, 0.0, 0
+	for _, s := range f.states {
+		if now.Sub(s.reportAt) >= reportLifetime || f.mustNotUse(s) {
+			continue
+		}
+		load := s.occupancy.valueAt(now)
+		sum, most = sum+load, max(most, load)
+		engines++
+	}
+	if sum == 0 {
+		return 0
+	}
+	return most / (sum / float64(engines))
+}
+
+// withRoom returns the options whose targets can begin to serve the request at once.
+func withRoom(options []option) []option {
+	open := make([]option, 0, len(options))
+	for _, o := range options {
+		if o.choice.HasRoom {
+			open = append(open, o)
+		}
+	}
+	return open
+}
+
+// candidate returns an option with the requests of other gateways that it is expected to have got unseen, and what a further request would
+// cost it.
+func (f *Fleet) candidate(o option, query Query, now time.Time) spread.Candidate {
+	s := o.target
+	c := spread.Candidate{CostMs: o.costMs, Connected: f.isConnected != nil && f.isConnected(s.Address, query.AtMostOnce)}
+	if !c.Connected {
+		c.CostMs += connectionCostMs
+	}
+	slots := float64(max(1, s.Slots))
+	if f.services[s.Service].Engine == nil || query.Request.Model == "" {
+		latencyMs := max(1, s.latencyMs)
+		c.StepMs = max(minStepMs, plainLoadFactor*latencyMs/slots)
+		// Nobody tells how many requests of other gateways are there: as many as of this one are expected of each.
+		perTarget := f.plainArrivals[s.Service].valueAt(now) / float64(o.choice.Candidates)
+		c.Unseen = float64(f.gatewayCountLocked()-1) * perTarget * latencyMs / 1000
+		return c
+	}
+	residenceMs := s.residenceMs
+	if residenceMs == 0 {
+		residenceMs = defaultResidenceMs
+	}
+	age := float64(max(0, min(reportLifetime, now.Sub(s.reportAt)))) / float64(time.Millisecond)
+	c.Unseen = float64(s.othersInflight) * age / residenceMs
+	c.StepMs = max(minStepMs, runningRequestMs+fullOccupancyCostMs/slots+o.choice.prefillMs)
+	return c
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -8,6 +11,7 @@
 	"gypsumbank/notice"
 	"gypsumbank/registry"
 	"gypsumbank/route"
+	"gypsumbank/spread"
 )
 
 const (
@@ -50,6 +54,11 @@
 
 	versionsSeenAt map[serviceVersion]time.Time // when the registry last listed a target of the version
 
+	random        *rand.Rand                                 // for choices among many gateways
+	isConnected   func(address string, atMostOnce bool) bool // an idle connection can be used; nil if that is not known
+	plainArrivals map[string]*arrivals                       // this gateway's requests by plain service
+	chooseAmong   func([]spread.Candidate, float64) int      // spread.Choose, or another one in tests
+
 	backups map[string]map[*Backup]struct{} // by id of the engine that keeps the copies of this gateway's runs; nil before the first
 }
 
@@ -76,7 +85,8 @@
 	othersPrefillMs   float64                  // expected prefill time of other gateways' pending requests
 	unsentParts       []PromptPart             // prompt parts sent to the target and not yet reported to its agent
 	pendingPrefillMs  float64                  // expected prefill time of this gateway's pending requests
-	backlog           backlog                  // prefill work of all gateways that waits at the target
+	backlog           loadAverage              // prefill work of all gateways that waits at the target
+	occupancy         loadAverage              // number of requests of all gateways at the target
 	pendingCount      int                      // number of pending requests
 	pending           map[*Assignment]struct{} // this gateway's requests without a first byte
 	requestsByModel   map[string]int           // this gateway's requests by model
@@ -108,9 +118,27 @@
 		storeBlockedUntil:  map[string]time.Time{},
 		plannedStoreLoads:  map[string][]time.Time{},
 		versionsSeenAt:     map[serviceVersion]time.Time{},
+		random:             rand.New(rand.NewPCG(0, 0)),
+		plainArrivals:      map[string]*arrivals{},
+		chooseAmong:        spread.Choose,
 	}
 }
 
+// Seed sets where the sequence of numbers begins that choices among many gateways are drawn by. It must differ between gateways.
+func (f *Fleet) Seed(seed uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.random = rand.New(rand.NewPCG(seed, 0))
+}
+
+// SetConnections sets the function that tells whether an idle connection to an address can be used for a request, or for one that must
+// not run twice. The function must not call the fleet.
+func (f *Fleet) SetConnections(isConnected func(address string, atMostOnce bool) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isConnected = isConnected
+}
+
 // SetServices replaces the services by name. What targets hold keeps the size that it was listed with.
 func (f *Fleet) SetServices(services map[string]route.Service) {
 	f.mu.Lock()
@@ -203,12 +231,15 @@
 	}
 }
 
-// indexByService rebuilds byService from states; the caller holds the lock.
+// indexByService rebuilds byService from states, in the order of the ids, so that choices repeat under a seed; the caller holds the lock.
 func (f *Fleet) indexByService() {
 	f.byService = make(map[string][]*targetState, len(f.byService))
 	for _, s := range f.states {
 		f.byService[s.Service] = append(f.byService[s.Service], s)
 	}
+	for _, states := range f.byService {
+		slices.SortFunc(states, func(a, b *targetState) int { return cmp.Compare(a.ID, b.ID) })
+	}
 }
 
 // Observation is a message of an agent about its target.
@@ -256,6 +287,8 @@
 	s.othersPrefillMs = max(0, observation.QueuedPrefillMs-s.pendingPrefillMs)
 	s.othersInflight = max(0, observation.Requests-s.reportedInflight)
 	s.backlog.set(s.pendingPrefillMs+s.othersPrefillMs, now)
+	s.occupancy.set(float64(s.inflight+s.othersInflight), now)
+	s.performance.rare = observation.Watchers >= evenFromGateways
 	if report.KVTotal > 0 {
 		s.promptCache.limitTokens = int(promptCacheShare * float64(report.KVTotal))
 	}
--- a/fleet/performance.go
+++ b/fleet/performance.go
@@ -9,6 +9,9 @@
 	// slownessTimeConstant is the time constant with which measured slowness decays, so that a target which was slow
 	// gets requests again.
 	slownessTimeConstant = 3 * time.Second
+	// rareSlownessTimeConstant is the same where there are many gateways, each of which sees an answer of the target only every few
+	// seconds.
+	rareSlownessTimeConstant = 10 * time.Second
 	// failureTimeConstant is the same for the error rate. A target that has failed gets few requests that could show
 	// its recovery.
 	failureTimeConstant = 8 * time.Second
@@ -30,12 +33,21 @@
 	served, failed     float64 // decaying numbers of answers
 	accepted, refused  float64 // decaying numbers of requests that the target has run and refused
 	decayedAt          time.Time
+	rare               bool // this gateway sees few of the target's answers
+}
+
+// slownessTimeConstant returns the time constant with which measured slowness decays.
+func (p *performance) slownessTimeConstant() time.Duration {
+	if p.rare {
+		return rareSlownessTimeConstant
+	}
+	return slownessTimeConstant
 }
 
 // decay reduces the weight of earlier answers according to the time since the last call.
 func (p *performance) decay(now time.Time) {
 	age := max(0, now.Sub(p.decayedAt))
-	slownessLeft := math.Exp(-float64(age) / float64(slownessTimeConstant))
+	slownessLeft := math.Exp(-float64(age) / float64(p.slownessTimeConstant()))
 	failuresLeft := math.Exp(-float64(age) / float64(failureTimeConstant))
 	p.tookMs, p.baselineMs = p.tookMs*slownessLeft, p.baselineMs*slownessLeft
 	p.served, p.failed = p.served*failuresLeft, p.failed*failuresLeft
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -103,6 +104,9 @@
 	fds := descriptor.New(config.Limits.Descriptors)
 	pool := connpool.New(fds.Targets())
 	replicaClient := platform.NewTargetClient(sender.New(pool))
+	f.Seed(xxhash.Sum64String(config.Node.Name) ^ uint64(time.Now().UnixNano()))
+	f.SetConnections(replicaClient.IsConnected)
+	metrics.GetOrCreateGauge("gypsumbank_gateway_engine_load_ratio", func() float64 { return f.LoadRatio(time.Now()) })
 	g := &Gateway{
 		config:     config,
 		log:        log,
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -81,6 +81,11 @@
 // New returns a sender that gets its connections from pool.
 func New(pool *connpool.Pool) *Sender { return &Sender{pool: pool} }
 
+// CanReuse reports whether a request to address would be sent on a connection that has been idle for at most maxIdle.
+func (s *Sender) CanReuse(address string, maxIdle time.Duration) bool {
+	return s.pool.CanReuse(address, maxIdle)
+}
+
 // Send sends request once and returns the response after its header was read. If ctx ends before the body has been read to
 // the end, the connection is reset. The error wraps ErrNotSent or ErrNoUsableResponse.
 func (s *Sender) Send(ctx context.Context, address string, request *Request) (*Response, error) {
