--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -175,7 +175,7 @@
 			costMs += latencyMs
 		}
 		options = append(options, option{target: s, costMs: costMs, choice: Choice{
-			Target: s.Target, Expected: durationFromMs(latencyMs), ReportAge: now.Sub(f.registryReadAt), Candidates: len(usable), HasRoom: true,
+			Target: s.Target, Expected: durationFromMs(max(1, s.fadedLatencyMs(now))), ReportAge: now.Sub(f.registryReadAt), Candidates: len(usable), HasRoom: true,
 		}})
 	}
 	return f.pick(options, query, now)
