--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -61,6 +61,8 @@
 	CrashesTargets Reason = "crashes-targets"
 	UnknownVersion Reason = "stream-version-unknown"
 	NoDescriptors  Reason = "no-descriptors"
+	QuotaExceeded  Reason = "quota-exceeded"
+	QuotaUnknown   Reason = "quota-unknown" // no agent that keeps it answers
 	NoKey          Reason = "no-key"
 	UnknownKey     Reason = "unknown-key"
 	OldRoutes      Reason = "routes-too-old"
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -53,6 +53,7 @@
 	registryReadSince time.Time              // of the first read since when there was no gap above maxRegistryGap
 
 	versionsSeenAt map[serviceVersion]time.Time // when the registry last listed a target of the version
+	storedVersions storedVersions
 
 	random        *rand.Rand                                 // for choices among many gateways
 	isConnected   func(address string, atMostOnce bool) bool // an idle connection can be used; nil if that is not known
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,9 @@
 	departures     *departure.Table
 	fleet          *fleet.Fleet
 	dispatcher     *dispatch.Dispatcher
+	quotas         *quotas
 	registry       *refresh.Shared // reads of the registry for requests that need what holds now
+	versions       *storedVersions
 	budget         *retrybudget.Budget
 	agents         *agentClients
 	relay          *relayedReads
@@ -126,6 +128,7 @@
 		relay:      relay,
 		crashes:    crashes,
 		blocked:    blockedContents,
+		quotas:     newQuotas(config, d, log),
 		dialer:     d,
 		pool:       pool,
 		fds:        fds,
@@ -134,7 +137,9 @@
 		started:    time.Now(),
 	}
 	g.registry = refresh.New(g.readTargets, refreshInterval)
+	g.versions = newStoredVersions(store, f, relay, log)
 	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
+	g.dispatcher.UseStoredVersions(g.versions)
 	agents.recordEngine = g.dispatcher.RecordEngine
 	g.conns = keepalive.New(g.idleTimeout, log)
 	g.conns.SetLimits(g.callerLimits())
@@ -191,11 +196,13 @@
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
 	group.Go(func() error { return g.registry.Run(serving) })
+	group.Go(func() error { return g.versions.run(serving) })
 	group.Go(func() error { return g.followRelay(serving) })
 	group.Go(func() error { return g.followRelayedRoutes(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
 	group.Go(func() error { return g.crashes.checker.Run(serving) })
 	group.Go(func() error { return g.blocked.run(serving) })
+	group.Go(func() error { return g.quotas.run(serving) })
 	group.Go(func() error { return g.dispatcher.WatchEngines(serving) })
 	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
 	group.Go(func() error { return g.conns.Run(serving) })
@@ -293,6 +300,7 @@
 	errDraining      = errors.New("draining")
 	errNoRoutes      = errors.New("no routes known yet")
 	errNoTargets     = errors.New("no targets known yet")
+	errNoVersions    = errors.New("stored software versions not known yet")
 	errNoDescriptors = errors.New("too few descriptors left for further callers")
 )
 
@@ -305,6 +313,8 @@
 		return errNoRoutes
 	case !g.targetsKnown.Load():
 		return errNoTargets
+	case !g.versions.checked():
+		return errNoVersions
 	case !g.canAccept():
 		return errNoDescriptors
 	}
