--- a/fleet/even_load_test.go
+++ b/fleet/even_load_test.go
@@ -40,6 +40,7 @@
 	slow     int     // each of this many engines takes three times as long; 0 for none
 	gone     int     // each of this many engines accepts no connection from the middle on; 0 for none
 	seed     uint64
+	subsets  bool // each gateway takes the least cost of its own subset of the holders
 	played   time.Duration
 }
 
@@ -128,7 +129,10 @@
 		f.Seed(uint64(g))
 		idle[g] = map[string][]time.Time{}
 		f.SetConnections(func(address string, atMostOnce bool) bool { return usableIdle(idle[g][address], atMostOnce, now) >= 0 })
-		if choose != nil {
+		switch {
+		case p.subsets:
+			f.chooseAmong = leastInSubset(g)
+		case choose != nil:
 			f.chooseAmong = choose
 		}
 		fleets[g] = f
@@ -366,6 +370,15 @@
 	}
 	return map[string]func([]spread.Candidate, float64) int{
 		"a least cost": nil,
+		"a2 least cost with that of unevenness": func(candidates []spread.Candidate, _ float64) int {
+			least := 0
+			for i := range candidates {
+				if candidates[i].CostMs < candidates[least].CostMs {
+					least = i
+				}
+			}
+			return least
+		},
 		"b better of two": func(candidates []spread.Candidate, draw float64) int {
 			n := len(candidates)
 			k := int(draw * float64(n*(n-1)))
@@ -383,6 +396,29 @@
 	}
 }
 
+// leastInSubset returns a choice of the least cost among a quarter of the candidates, two at least: each gets the same number of gateways.
+// If those of the subset cost far more than another, all are compared.
+func leastInSubset(gateway int) func([]spread.Candidate, float64) int {
+	return func(candidates []spread.Candidate, _ float64) int {
+		n := len(candidates)
+		size := min(n, max(2, n/4))
+		least, leastOfAll := -1, 0
+		for j := range n {
+			i := (gateway*size + j) % n
+			if j < size && (least < 0 || candidates[i].CostMs < candidates[least].CostMs) {
+				least = i
+			}
+			if candidates[i].CostMs < candidates[leastOfAll].CostMs {
+				leastOfAll = i
+			}
+		}
+		if candidates[least].CostMs > candidates[leastOfAll].CostMs+unevenCostMs {
+			return leastOfAll
+		}
+		return least
+	}
+}
+
 // evenLoadPlays returns the loads that the choices are weighed under. The engines hold 48 models in turn, each with 2 to 20 holders.
 func evenLoadPlays(played time.Duration) map[string]enginesPlay {
 	holders := append([]int{20, 14, 10, 8, 6, 5}, slices.Repeat([]int{2, 2, 2, 2, 2, 3}, 7)...)
@@ -408,6 +444,12 @@
 				t.Logf("%s, %s: %s", name, way, play.run(choose))
 			})
 		}
+		t.Run(name+"/d least cost in a subset", func(t *testing.T) {
+			t.Parallel()
+			subsets := play
+			subsets.subsets = true
+			t.Logf("%s, d least cost in a subset: %s", name, subsets.run(spread.Choose))
+		})
 	}
 }
 
