Let keepers take over sooner, within more of the tolerated excess

A new keeper was in debt of up to 3 s of its rate after the 3 s for late views. While it takes over it may use 0.95 of the excess in place of 0.6: 2.6 s for large customers and 1.2 s for small ones. go test ./quota and 600 checks of TestWindowsHoldUnderFaults pass.

--- a/quota/limit.go
+++ b/quota/limit.go
@@ -16,6 +16,8 @@
 	viewLag = 3 * time.Second
 	// usableShare is the share of the tolerated excess that is used: the rest covers requests that wait between admission and their begin.
 	usableShare = 0.6
+	// takeoverShare is the share of the excess that may be used while a keeper takes over from another one or from itself before a restart.
+	takeoverShare = 0.95
 	// burstShare is the share of the tolerated excess by which a bucket exceeds the burst. It also exceeds it by the refill of burstWindows
 	// windows: with bursts of three times the usual use for 3 s, customers stay within their quota over a window, but not over 3 s.
 	burstShare   = 0.5
@@ -52,7 +54,7 @@
 	capacity float64 // what the bucket holds at most
 	usable   float64 // bound on what is granted in a window and the lifetime of a grant, less what is returned of it
 	// debt is the level at which a keeper begins that does not know what was granted before: with it, the grants of before, at most capacity
-	// and the refill, and its own are together within usable.
+	// and the refill, and its own are together within the bound.
 	debt float64
 }
 
@@ -72,6 +74,6 @@
 		capacity: (l.Burst + burstShare*excess + burstWindows*b.Window.Seconds()*l.PerSecond) / n,
 		usable:   usable / n,
 	}
-	p.debt = max(0, p.capacity+p.rate*span-p.usable)
+	p.debt = max(0, p.capacity+p.rate*span-(quota+takeoverShare*excess)/n)
 	return p
 }
