Take pauses of up to 2 s for a busy machine, not a freeze

TestGatewaysKeepAQuotaTogether failed once of four runs, with 29 requests served where 193 were wanted, beside other tests at a load average of 37 on 7 cores. The likely cause, not shown: pauses above 1 s were taken for freezes, after which keepers count as new, and calls took longer than 70 ms. Views may differ for 3 s, so that 2 s are still safe. TestLowerVersionIsIgnored did not find a keeper that takes over a lower version; it does now.

go test ./quota and go test -race -run Quota ./gateway pass.

--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -24,7 +24,7 @@
 	// quotaTickInterval is the interval at which unused grants are returned, and a freeze of this process is noticed by its being
 	// longer than maxQuotaTickGap.
 	quotaTickInterval = 100 * time.Millisecond
-	maxQuotaTickGap   = time.Second
+	maxQuotaTickGap   = 2 * time.Second
 	// maxQuotaLabels bounds the customers that metrics name; all others are counted as quotaOtherLabel.
 	maxQuotaLabels  = 64
 	quotaOtherLabel = "other"
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -12,7 +12,7 @@
 	maxCustomers = 16384
 	// A process that was not scheduled for maxTickGap was frozen. It then grants nothing for flushTime, which is longer than gateways wait:
 	// calls that it finds were made long ago, by gateways that may have other keepers now.
-	maxTickGap = time.Second
+	maxTickGap = 2 * time.Second
 	flushTime  = 250 * time.Millisecond
 	// minWait is the shortest wait that a keeper names.
 	minWait = 20 * time.Millisecond
--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -104,6 +104,8 @@
 	lowered := reservation(100, longAgo)
 	lowered.Limit.Version, lowered.Limit.PerSecond, lowered.Limit.Burst = 2, testLimit.PerSecond/5, testLimit.Burst/5
 	k.Reserve(lowered, pass(0))
+	k.Reserve(reservation(100, longAgo), pass(0))
+	pass(time.Minute)
 	if granted, most := drain(k, longAgo, pass(0)), firstDeployment.part(lowered.Limit).capacity; granted > most {
 		t.Errorf("granted %.0f by the older limit, want at most %.0f", granted, most)
 	}
