--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -74,6 +74,8 @@
 	SoftwareVersion *registry.SoftwareVersion
 	// LoadsModel tells that the model will be loaded for the request if all targets that hold it are excluded.
 	LoadsModel bool
+	// BeginsResumable tells that the request begins a stream that its caller may take up at any gateway.
+	BeginsResumable bool
 }
 
 // Choice is the result of Choose: a target and the estimates that it was chosen by.
@@ -90,7 +92,9 @@
 	HasRoom       bool          // the target can begin to serve the request at once; for a plain service: it accepts one now by what it has said of itself
 	SlotInterval  time.Duration // average time between two free slots of all holders of the model while all slots are taken, or between two turns by a limit
 	TurnWait      time.Duration // until the target accepts a request, by what it has said of itself; part of Expected
+	PrefillQueue  time.Duration // until a long prompt gets its turn to be prefilled, if those that wait for one go first; not part of Expected
 	prefillMs     float64       // expected time to prefill and fetch those tokens
+	queueMs       float64       // part of the expected time in which the prompts that wait at the target are prefilled
 	baselineMs    float64       // expected time to the first byte at a target of usual speed that need not load the adapter
 }
 
@@ -100,7 +104,7 @@
 func (f *Fleet) Choose(query Query, now time.Time) (choice Choice, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usable := f.usableTargets(query.Service, query.SoftwareVersion, now)
+	usable := f.withStoredVersion(f.usableTargets(query.Service, query.SoftwareVersion, now), query)
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
@@ -198,7 +202,8 @@
 		if lacksAdapter && (s.report.Busy || s.loading != "" || (s.availableAdapterSlots == 0 && !s.reportAt.IsZero())) {
 			expectedMs += adapterWaitMs
 		}
-		costMs := expectedMs + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + f.capacityCost(s, req, now) + s.occupancyCost(now) + affinityCost(prefixHashes, s.ID) +
+		turnQueueMs := s.turnQueueMs(prefillMs, now)
+		costMs := expectedMs + turnQueueMs + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + f.capacityCost(s, req, now) + s.occupancyCost(now) + affinityCost(prefixHashes, s.ID) +
 			f.mixingCost(s.Service, req, ranks[s.ID]) + s.unresponsiveCost(now) + fetchCostMs
 		if s.ColdRemaining > 0 {
 			costMs += coldStartCostMs
@@ -211,7 +216,7 @@
 			best = Choice{
 				Target: s.Target, LacksAdapter: lacksAdapter, Expected: durationFromMs(expectedMs), PrefillTokens: prefillTokens, FetchFrom: fetchFrom, FetchTokens: fetchTokens, Candidates: len(holders),
 				ReportAge: s.reportAge(now), HasRoom: s.hasRoom(req, now), SlotInterval: durationFromMs(s.slotIntervalMs() / float64(len(holders))),
-				prefillMs: prefillMs, baselineMs: baselineMs,
+				PrefillQueue: durationFromMs(turnQueueMs), prefillMs: prefillMs, queueMs: queueMs, baselineMs: baselineMs,
 			}
 		}
 	}
