--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,6 +28,7 @@
 	"gypsumbank/rpcserver"
 	"gypsumbank/sender"
 	"gypsumbank/settings"
+	"gypsumbank/versionrow"
 	"gypsumbank/weightstore"
 	"gypsumbank/wire"
 )
@@ -73,9 +74,11 @@
 	store          *platform.Store
 	epochs         *epoch.Tracker
 	departures     *departure.Table
+	versions       *versionrow.Row
 	engine         *platform.TargetClient
 	log            *logrus.Entry
 	watchers       *watchers
+	turns          *prefillTurns
 	quotas         *quotaKeeper
 	modelInventory *inventory.Inventory
 	loadRequests   chan *occupancy.LoadRequest
@@ -111,15 +114,19 @@
 func New(config *settings.Config, log *logrus.Entry) *Agent {
 	epochs := epoch.New()
 	store := platform.NewStore(config.Store.Address, epochs, log)
+	watchers := newWatchers(time.Now)
+	watchers.prefillTurns = newPrefillTurns(time.Now, log, watchers.loadChanged)
 	return &Agent{
 		modelInventory: inventory.New(store, config.Agent.Target, epochs, log),
 		config:         config,
 		store:          store,
 		epochs:         epochs,
 		departures:     departure.New(time.Now),
+		versions:       versionrow.New(store, log, time.Now),
 		engine:         platform.NewTargetClient(sender.New(connpool.New(descriptor.New(config.Limits.Descriptors).Targets()))),
 		log:            log,
-		watchers:       newWatchers(time.Now),
+		watchers:       watchers,
+		turns:          watchers.prefillTurns,
 		quotas:         newQuotaKeeper(config.Bounds),
 		loadRequests:   make(chan *occupancy.LoadRequest, loadRequestBuffer),
 		routingTables:  make(chan *route.Table, 1),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,7 @@
 	dispatcher     *dispatch.Dispatcher
 	quotas         *quotas
 	registry       *refresh.Shared // reads of the registry for requests that need what holds now
+	versions       *storedVersions
 	budget         *retrybudget.Budget
 	agents         *agentClients
 	relay          *relayedReads
@@ -132,7 +133,9 @@
 		started:    time.Now(),
 	}
 	g.registry = refresh.New(g.readTargets, refreshInterval)
+	g.versions = newStoredVersions(store, f, relay, log)
 	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
+	g.dispatcher.UseStoredVersions(g.versions)
 	agents.recordEngine = g.dispatcher.RecordEngine
 	g.conns = keepalive.New(g.idleTimeout, log)
 	g.conns.SetLimits(g.callerLimits())
@@ -189,6 +192,7 @@
 	group.Go(func() error { return g.followRoutes(serving) })
 	group.Go(func() error { return g.followTargets(serving) })
 	group.Go(func() error { return g.registry.Run(serving) })
+	group.Go(func() error { return g.versions.run(serving) })
 	group.Go(func() error { return g.followRelay(serving) })
 	group.Go(func() error { return g.followRelayedRoutes(serving) })
 	group.Go(func() error { return g.planLoads(serving) })
@@ -292,6 +296,7 @@
 	errDraining      = errors.New("draining")
 	errNoRoutes      = errors.New("no routes known yet")
 	errNoTargets     = errors.New("no targets known yet")
+	errNoVersions    = errors.New("stored software versions not known yet")
 	errNoDescriptors = errors.New("too few descriptors left for further callers")
 )
 
@@ -304,6 +309,8 @@
 		return errNoRoutes
 	case !g.targetsKnown.Load():
 		return errNoTargets
+	case !g.versions.checked():
+		return errNoVersions
 	case !g.canAccept():
 		return errNoDescriptors
 	}
