--- a/fleet/even_load_test.go
+++ b/fleet/even_load_test.go
@@ -45,17 +45,16 @@
 }
 
 type playedEngine struct {
-	id      int
-	slow    float64
-	gone    bool
-	queue   []*playedRun // to be prefilled
-	running []*playedRun
-	cache   *promptCache
-	parts   []PromptPart
-	present map[int]int // requests by gateway
-	// busyStepMs is the time that the engine has left for its current chunk or step.
-	chunkMs  float64
-	loadTime float64 // requests x seconds
+	id       int
+	slow     float64
+	gone     bool
+	queue    []*playedRun // to be prefilled
+	running  []*playedRun
+	cache    *promptCache
+	parts    []PromptPart
+	present  map[int]int // requests by gateway
+	chunkMs  float64     // left of the current chunk and step
+	loadTime float64     // requests x seconds
 	count    int
 	refused  int
 	reports  []playedReport
@@ -559,10 +558,9 @@
 			fleets = append(fleets, f)
 		}
 		type run struct {
-			a      *Assignment
-			id     string
-			ends   time.Time
-			served bool
+			a    *Assignment
+			id   string
+			ends time.Time
 		}
 		var running []run
 		count, total, refusals, tookMs := map[string]int{}, 0, 0, 0.0
