Remember a customer's grants while its limit is lowered and raised again

Change: grants count as the same share of a keeper's part at each change. 20,000 checks pass; the new test of that sequence fails without the change.

--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -172,10 +172,11 @@
 	}
 	old := b.part
 	b.limit, b.part = next, bounds.part(next)
-	if b.part.rate < old.rate {
+	if old.rate > 0 && b.part.rate != old.rate {
 		ratio := b.part.rate / old.rate
+		// What was granted counts as the same share of the part. It is scaled back where a limit is raised again, or grants would be forgotten.
 		b.history.scale(ratio)
-		if b.level < 0 {
+		if b.level < 0 && ratio < 1 {
 			b.level *= ratio // a debt takes as long to make up for as before
 		}
 	}
--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -149,3 +149,28 @@
 		t.Errorf("an empty bucket gained %.1f of 2000 returned", gained)
 	}
 }
+
+// TestGrantsAreRememberedWhileTheLimitIsLow guards against a window in which a customer uses more than its quota, as its limit was lowered and raised
+// again in the meantime.
+func TestGrantsAreRememberedWhileTheLimitIsLow(t *testing.T) {
+	k, pass := newTestKeeper()
+	total, limit := 0.0, testLimit
+	ask := func(factor, amount float64, now time.Time) float64 {
+		limit.Version++
+		limit.PerSecond, limit.Burst = factor*testLimit.PerSecond, factor*testLimit.Burst
+		in := reservation(amount, longAgo)
+		in.Limit = limit
+		return k.Reserve(in, now).Granted
+	}
+	for range 5 { // within one window
+		now := pass(1900 * time.Millisecond)
+		for granted := 1.0; granted > 0; total += granted {
+			granted = ask(1, 1000, now)
+		}
+		ask(0.2, 0, now)
+		ask(1, 0, now)
+	}
+	if total > testPart.usable {
+		t.Errorf("granted %.0f within a window, want at most %.0f", total, testPart.usable)
+	}
+}
