--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -148,9 +148,7 @@
 	if d.canRetry() {
 		return nil, true
 	}
-	if outcome, ok := d.GoOn(assignment.Target(), d.request.LastEventID, result.Err); ok {
-		return outcome, false
-	}
+	// It does not go on at the copy of its run: a run that ends its engine as it begins has none, and would begin once more there.
 	return Failed{Reason: AnswerLost}, false
 }
 
