--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -99,23 +99,13 @@
 
 // goOn has a stream that an engine has broken off go on at the copy of its run. It returns false if there is none to go on at.
 func (e *exchange) goOn(answered dispatch.Answered, events *eventBuffer, err error) (dispatch.Outcome, bool) {
-	var unwritable *callerError
-	if !e.dispatch.HasCopy() || errors.As(err, &unwritable) {
+	if !e.dispatch.HasCopy() || errors.Is(err, errCallerWrite) {
 		return nil, false
 	}
 	answered.Response.Abort()
 	return e.dispatch.GoOn(answered.Assignment.Target(), events.lastID, err)
 }
 
-// callerError reports that a part of an answer could not be written to its caller.
-type callerError struct{ err error }
-
-// Error returns the message of the write.
-func (c *callerError) Error() string { return "answer was not written to its caller: " + c.err.Error() }
-
-// Unwrap returns the error of the write.
-func (c *callerError) Unwrap() error { return c.err }
-
 // logEnd logs how an answer ended, and what tells how far it is known to be whole.
 func (e *exchange) logEnd(answered dispatch.Answered, known completeness.Completeness, events *eventBuffer) {
 	e.log().WithFields(logrus.Fields{
@@ -211,7 +201,7 @@
 			e.recordOrigin(chunk, answered.Assignment.Target())
 		}
 		if err := e.answer.write(chunk); err != nil {
-			return &callerError{err}
+			return err
 		}
 		if invalid != nil {
 			return invalid
--- a/keepalive/limits.go
+++ b/keepalive/limits.go
@@ -24,7 +24,7 @@
 
 // Limits bound what the callers of a server may take. The zero value bounds nothing.
 type Limits struct {
-	// MaxOpen is the number of connections that may be open; further ones wait in the system's queue. Connections on which nothing has come give way to them.
+	// MaxOpen is the number of connections that may be open; further ones wait in the system's queue. Connections on which nothing has come are closed to make room for them.
 	MaxOpen int
 	// HeaderBytes returns the length up to which heads are read, HeaderTimeout the time for one, from the connection's begin or the head's first byte on; 0 for
 	// no limit. They may change at any time.
