--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	./gypsumbank demo --once
 
 test: ## run all tests with the race detector
-	go test -race -count=1 -timeout 25m $(if $(SKIP),-skip '$(SKIP)') ./...
+	go test -race -count=1 -p 1 -timeout 25m $(if $(SKIP),-skip '$(SKIP)') ./...
 
 lint: tools ## check format and lint
 	@test -z "$$($(GOBIN)/gofumpt -l $(SOURCES))" || { echo "gofumpt would change:"; $(GOBIN)/gofumpt -l $(SOURCES); exit 1; }
