Have one number of gateways from which choices are spread and turns are taken

Cause: even load and prefill turns each named the same threshold of more than six gateways. Change: manyGateways is the one; two comments use the plain term for an interrupted body.

--- a/bytebudget/budget.go
+++ b/bytebudget/budget.go
@@ -23,7 +23,7 @@
 // is kept from others. Its methods are safe for concurrent use.
 type Budget struct {
 	limit  int64
-	pace   int64        // bytes a second below which bodies that come in give way
+	pace   int64        // bytes a second below which bodies that come in are interrupted
 	beside func() int64 // bytes that are held beside the requests', such as for connections; nil for none
 
 	mu     sync.Mutex
@@ -38,7 +38,7 @@
 	return &Budget{limit: limit, pace: DefaultPace, byTeam: map[string]int64{}, receivers: map[*Hold]struct{}{}}
 }
 
-// SetPace sets the pace in bytes a second below which bodies that come in give way. It is called before the first Begin.
+// SetPace sets the pace in bytes a second below which bodies that come in are interrupted where memory is short. It is called before the first Begin.
 func (b *Budget) SetPace(pace int64) { b.pace = max(1, pace) }
 
 // CountBeside has the bytes that beside returns count as held. It is called before the first Begin; beside must not use the budget.
--- a/bytebudget/receive.go
+++ b/bytebudget/receive.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// DefaultPace is the pace in bytes a second below which a body gives way where memory is short. No proper caller sends more slowly for slowAllowance.
+	// DefaultPace is the pace in bytes a second below which a body is interrupted where memory is short. No proper caller sends more slowly for slowAllowance.
 	DefaultPace = 64 << 10
 	// slowAllowance is how long a body may pause, for packets that are lost, before it counts as slow.
 	slowAllowance = 2 * time.Second
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -254,7 +254,7 @@
 // decoding, so a long prompt causes gaps in the streams of other requests. Where there are few long prompts, the cost is
 // lower, as it would leave the holders of high rank idle. Among many gateways it is 0, as it makes the load uneven.
 func (f *Fleet) mixingCost(service string, req *request.Request, rank float64) float64 {
-	if f.gatewayCountLocked() >= evenFromGateways {
+	if f.gatewayCountLocked() >= manyGateways {
 		return 0
 	}
 	maxCostMs := mixingCostTokens * f.prefillMsPerToken(req.Model) * f.promptMixes[service].separation()
--- a/fleet/even_load.go
+++ b/fleet/even_load.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// evenFromGateways is the number of gateways from which their choices are spread. Fewer gateways know most of the load
-	// themselves, and the least cost is even.
-	evenFromGateways = 7
+	// manyGateways is the number of gateways from which their choices are spread and long prompts are sent in turns. Fewer gateways know most of
+	// the load themselves, so that the least cost is even, and learn each other's requests soon enough to choose another target.
+	manyGateways = 7
 	// minStepMs is the least by which a further request is taken to raise the cost of a target: costs are not known better.
 	minStepMs = 10
 	// unevenCostMs is the cost of an engine that has twice the average number of requests of the candidates; it is below the time to
@@ -58,7 +58,7 @@
 			least = i
 		}
 	}
-	if len(options) == 1 || f.gatewayCountLocked() < evenFromGateways {
+	if len(options) == 1 || f.gatewayCountLocked() < manyGateways {
 		return options[least].choice
 	}
 	addUnevenCosts(options, now)
--- a/fleet/even_load_test.go
+++ b/fleet/even_load_test.go
@@ -138,7 +138,7 @@
 	}
 	watchers := p.gateways
 	if choose == nil {
-		watchers = evenFromGateways - 1
+		watchers = manyGateways - 1
 	}
 	requests, late, refused, opened := 0, 0, 0, 0
 	longs, longMs, prefilled := 0, 0.0, 0.0
@@ -486,7 +486,7 @@
 // TestFewGatewaysChooseTheLeastCost guards deployments with few gateways against a choice other than the one they had.
 func TestFewGatewaysChooseTheLeastCost(t *testing.T) {
 	t.Parallel()
-	for _, gateways := range []int{1, 4, evenFromGateways - 1} {
+	for _, gateways := range []int{1, 4, manyGateways - 1} {
 		f := newTestFleet([]string{"hot"}, []string{"hot"}, []string{"hot"})
 		observation := newObservation(registry.Report{Born: 1, Models: []registry.Model{{Name: "hot"}}})
 		observation.Watchers = gateways
@@ -603,7 +603,7 @@
 		}
 		return float64(most) * 3 / float64(total), float64(refusals) / float64(total), tookMs / float64(total)
 	}
-	leastBusiest, leastRefused, leastMs := play(evenFromGateways - 1)
+	leastBusiest, leastRefused, leastMs := play(manyGateways - 1)
 	busiest, refused, meanMs := play(gateways)
 	t.Logf("least cost: busiest %.2f of the mean, refused %.4f, mean %.1f ms; even: %.2f, %.4f, %.1f ms", leastBusiest, leastRefused, leastMs, busiest, refused, meanMs)
 	if busiest > 1.3 || refused > 0.01 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -295,7 +295,7 @@
 	s.othersInflight = max(0, observation.Requests-s.reportedInflight)
 	s.backlog.set(s.pendingPrefillMs+s.othersPrefillMs, now)
 	s.occupancy.set(float64(s.inflight+s.othersInflight), now)
-	s.performance.rare = observation.Watchers >= evenFromGateways
+	s.performance.rare = observation.Watchers >= manyGateways
 	if report.KVTotal > 0 {
 		s.promptCache.limitTokens = int(promptCacheShare * float64(report.KVTotal))
 	}
--- a/fleet/turns.go
+++ b/fleet/turns.go
@@ -7,15 +7,11 @@
 	"gypsumbank/turns"
 )
 
-// maxGatewaysWithoutTurns is the number of gateways up to which long prompts are sent without a turn: few gateways know each
-// other's requests soon enough to choose another target.
-const maxGatewaysWithoutTurns = 6
-
 // maxTurnReportAge is the age of an agent's last report above which it is not asked for a turn: two of its heartbeats.
 const maxTurnReportAge = time.Second
 
 // UsesTurns reports whether there are so many gateways that long prompts are prefilled in turns.
-func (f *Fleet) UsesTurns() bool { return f.GatewayCount() > maxGatewaysWithoutTurns }
+func (f *Fleet) UsesTurns() bool { return f.GatewayCount() >= manyGateways }
 
 // NeedsTurn reports whether the request is to be sent in a turn: it takes long to prefill, and the target's agent has
 // reported lately.
