Do not let a sound request explain the crashes of the one beside it

Cause: gateways report one crash at different times. A sound request that was in progress at three of the targets that ended could reach three reports first and be blocked. From then on it explained those crashes for the request that had ended the targets, which then counted none of them. Without the store, targets that are back keep the identity of their earlier run, so no further crash counted and the request ended targets for good (TestRequestThatEndsEachTargetIsRefusedAtAllGateways). In one of ten runs beside load the log shows the sound request blocked by the agent 0.1 s after the third end and the other one not; there the gateways' own counts still blocked it 0.4 s later.

Change: a blocked content explains no crash of a content that was in progress at all of its crashes and that no more requests share. Both are then blocked.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -120,7 +120,7 @@
 	defer t.mu.Unlock()
 	var leading Evidence
 	for _, content := range contents {
-		times := t.unexplainedCrashes(content.Hash)
+		times := t.unexplainedCrashes(content)
 		if len(times) > leading.Crashes || (len(times) == leading.Crashes && content.Rank > leading.Content.Rank) {
 			leading = Evidence{Content: content, Crashes: len(times), Counted: countCrashes(content, times)}
 		}
@@ -251,7 +251,7 @@
 func (t *Table) likelyCause(suspects []request.Content) (cause request.Content, ok bool) {
 	most := 0
 	for _, content := range suspects {
-		count := countCrashes(content, t.unexplainedCrashes(content.Hash))
+		count := countCrashes(content, t.unexplainedCrashes(content))
 		if count < t.crashesToBlock(content.Hash) {
 			continue
 		}
@@ -263,11 +263,11 @@
 }
 
 // unexplainedCrashes returns the times of the crashes that have a content and no cause that is blocked; the caller holds the lock.
-func (t *Table) unexplainedCrashes(hash uint64) []time.Time {
-	runs := t.mentions[hash]
+func (t *Table) unexplainedCrashes(content request.Content) []time.Time {
+	runs := t.mentions[content.Hash]
 	times := make([]time.Time, 0, len(runs))
 	for _, run := range runs {
-		if c := t.crashes[run]; !t.explained(c) {
+		if c := t.crashes[run]; !t.explained(c, content) {
 			times = append(times, c.at)
 		}
 	}
@@ -283,16 +283,32 @@
 	return crashesToBlock
 }
 
-// explained reports whether a crash has a cause that was blocked then or has been blocked since; the caller holds the lock.
-func (t *Table) explained(c *crash) bool {
-	for hash := range c.contents {
-		if e := t.entries[hash]; e != nil && e.blocked && c.at.Before(e.at.Add(e.blockDuration())) {
+// explained reports whether a crash of a content has a cause that was blocked then or has been blocked since. Another content explains no
+// crash of one that may as well be the cause: reports of a crash come from several gateways, so the one that was blocked first may have
+// been in progress beside the cause. The caller holds the lock.
+func (t *Table) explained(c *crash, content request.Content) bool {
+	for hash, rank := range c.contents {
+		e := t.entries[hash]
+		if e == nil || !e.blocked || !c.at.Before(e.at.Add(e.blockDuration())) {
+			continue
+		}
+		if hash == content.Hash || content.Rank < rank || !t.inAllCrashesOf(hash, content.Hash) {
 			return true
 		}
 	}
 	return false
 }
 
+// inAllCrashesOf reports whether a content was in progress at each crash of a blocked one; the caller holds the lock.
+func (t *Table) inAllCrashesOf(blocked, hash uint64) bool {
+	for _, run := range t.mentions[blocked] {
+		if _, ok := t.crashes[run].contents[hash]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // setEntry replaces the entry of a content; the caller holds the lock.
 func (t *Table) setEntry(hash uint64, next entry) {
 	if t.entries[hash] == nil && len(t.entries) >= maxEntries {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -154,6 +154,73 @@
 	}
 }
 
+// TestSoundRequestDoesNotHideTheCause guards against a sound request that was in progress at each target that ended, is reported first and
+// blocked, and explains the crashes from then on, so that the request that ends the targets goes on.
+func TestSoundRequestDoesNotHideTheCause(t *testing.T) {
+	sound, cause := plainRequest("/sound"), plainRequest("/ends-targets")
+	both := append(plainRequest("/sound"), cause...)
+	type report struct {
+		run      uint64
+		contents []request.Content
+	}
+	cases := map[string]struct {
+		reports []report
+		blocked bool
+	}{
+		"one report is late":            {[]report{{1, both}, {2, both}, {3, sound}, {3, cause}}, true},
+		"all reports are late":          {[]report{{1, sound}, {2, sound}, {3, sound}, {1, cause}, {2, cause}, {3, cause}}, true},
+		"one more target ends":          {[]report{{1, both}, {2, both}, {3, sound}, {4, cause}, {3, cause}}, true},
+		"it was at two of three":        {[]report{{1, both}, {2, both}, {3, sound}}, false},
+		"it was at two and one besides": {[]report{{1, both}, {2, both}, {3, sound}, {4, cause}}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := &fakeClock{at: time.Unix(1000, 0)}
+			table := quarantine.New(clock.now)
+			for _, r := range c.reports {
+				clock.advance(30 * time.Millisecond)
+				table.Blame(r.run, r.contents)
+			}
+			if table.Blocked(sound) == 0 {
+				t.Error("the request that was reported first is not blocked")
+			}
+			if blocked := table.Blocked(cause) > 0; blocked != c.blocked {
+				t.Errorf("the other request is blocked: %t, want %t", blocked, c.blocked)
+			}
+		})
+	}
+}
+
+// TestSharedPartThatWasBlockedFirstDoesNotHideTheCause guards against a part that most requests share and that is reported first: the
+// rarer part that ends targets must be blocked too, and not the other way round.
+func TestSharedPartThatWasBlockedFirstDoesNotHideTheCause(t *testing.T) {
+	contents := promptRequest("sys", "bad", "own")[:2]
+	shared, rare := contents[:1], contents[1:]
+	cases := map[string]struct {
+		first, second []request.Content
+		blocked       bool
+	}{
+		"shared part first": {shared, rare, true},
+		"rare part first":   {rare, shared, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := &fakeClock{at: time.Unix(1000, 0)}
+			table := quarantine.New(clock.now)
+			for run := range uint64(3) {
+				clock.advance(300 * time.Millisecond)
+				table.Blame(run, c.first)
+			}
+			for run := range uint64(3) {
+				table.Blame(run, c.second)
+			}
+			if blocked := table.Blocked(c.second) > 0; table.Blocked(c.first) == 0 || blocked != c.blocked {
+				t.Errorf("the part reported last is blocked: %t, want %t", blocked, c.blocked)
+			}
+		})
+	}
+}
+
 // TestPopularRequestIsNotBlamedForAnOutage has many targets end at the same time while a request is in progress at each of them that
 // was answered a moment before, at the gateway that sees the ends or at another.
 func TestPopularRequestIsNotBlamedForAnOutage(t *testing.T) {
