Let a caller wait for what a connection has to tell

Cause: a request that begins on an idle connection has to know for a round trip whether the target resets or ends it. Change: StaysQuiet waits for a time and returns early if bytes, an end or a reset arrive; what arrived while the timer was late is seen, too. Tested by the tests of packages connpool, sender, keepalive and jsonclient, which use it or IsQuiet.

--- a/quietconn/conn.go
+++ b/quietconn/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -42,20 +43,38 @@
 
 // IsQuiet reports whether a connection is open and has no bytes to read.
 func IsQuiet(conn net.Conn) bool {
+	quiet := false
+	err := peek(conn, func(nothing bool) bool {
+		quiet = nothing
+		return true
+	})
+	return err == nil && quiet
+}
+
+// StaysQuiet reports whether a connection is open and has no bytes to read for a time; it returns as soon as this ends. The connection has
+// no read deadline afterwards.
+func StaysQuiet(conn net.Conn, wait time.Duration) bool {
+	if conn.SetReadDeadline(time.Now().Add(wait)) != nil {
+		return false
+	}
+	_ = peek(conn, func(nothing bool) bool { return !nothing }) // what has arrived by a late timer is seen below
+	return conn.SetReadDeadline(time.Time{}) == nil && IsQuiet(conn)
+}
+
+// peek tells done whether there is nothing to read and the connection is open, again whenever it may have changed until done returns true
+// or the read deadline has passed.
+func peek(conn net.Conn, done func(nothing bool) bool) error {
 	withRaw, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return errors.ErrUnsupported
 	}
 	raw, err := withRaw.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	return raw.Read(func(fd uintptr) bool {
 		var peeked [1]byte
 		_, _, recvErr := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = recvErr == unix.EAGAIN
-		return true
+		return done(recvErr == unix.EAGAIN)
 	})
-	return err == nil && quiet
 }
