Keep idle connections as announced and validate those that may be stale

Cause: targets announce Keep-Alive timeout=10, but idle connections were closed after 4 s, and requests that must not run twice passed over those idle for more than 1.5 s. Change: the idle time is the announced one less 1 s, at most a minute; without an announcement 4 s as before. Beyond a number of connections to a target (SetLongIdle) those that have been idle longest keep the 4 s.

A request that must not run twice begins on a connection idle for more than 1.5 s by its method and waits for the round trip of the dial and 1 ms. A reset, end or byte in that time has it sent on a new connection; nothing has run. Requests that may be sent again do the same after 4 s, from which they opened a connection before. A connection whose dial took over 19 ms is not validated but passed over. A request that ends meanwhile counts as not sent. Connections that are too old for one request stay in the pool for others.

Tests: go test -race ./connpool ./sender ./platform ./reply ./dispatch ./service ./jsonclient. The new ones fail without the wait, without the new connection and without the look after the wait.

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -28,7 +28,8 @@
 	// keepAliveInterval is the interval of TCP keep-alive probes, which detect a dead connection while a response is awaited.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
-	maxIdlePerTarget  = 16
+	// maxIdlePerTarget bounds the idle connections to a target.
+	maxIdlePerTarget = 16
 	// sweepInterval is the interval at which connections whose idle time is over are closed, while there are idle ones.
 	sweepInterval = time.Second
 	// rememberedIDs is the number of requests on a connection whose ids are remembered. A late copy of an answer comes within fewer.
@@ -42,9 +43,13 @@
 // ErrExhausted is returned if no further connection may be opened, whatever the target.
 var ErrExhausted = errors.New("no descriptor left for a connection")
 
+// BriefIdle is how long an idle connection is kept if its target announces no timeout, or beyond the number set with SetLongIdle.
+const BriefIdle = 4 * time.Second
+
 // Pool holds idle connections by target address and closes them when their time is over. Its methods are safe for concurrent use.
 type Pool struct {
 	maxConns int
+	longIdle func() int // idle connections to a target that are kept for longer than BriefIdle
 	mu       sync.Mutex
 	dialing  int                // connections that are being opened
 	open     map[*Conn]struct{} // idle and in use
@@ -59,23 +64,37 @@
 	limit      *readLimit
 	pool       *Pool
 	Reused     bool
+	MayBeStale bool // reused after a long idle time: Validate must begin the request
 	retired    bool // closed once it is not in use
 	address    string
-	idleSince  time.Time // when the connection was returned to the pool
-	reuseUntil time.Time // when to stop reusing it, since the target may close it
-	carried    []uint64  // hashes of the ids of the latest requests on it
+	roundTrip  time.Duration // that the dial took
+	idleSince  time.Time     // when the connection was returned to the pool
+	reuseUntil time.Time     // when to stop reusing it, since the target may close it
+	carried    []uint64      // hashes of the ids of the latest requests on it
 }
 
 // New returns an empty pool that has at most maxConns connections open, idle ones included.
 func New(maxConns int) *Pool {
-	return &Pool{maxConns: maxConns, open: map[*Conn]struct{}{}, idle: map[string][]*Conn{}}
+	return &Pool{
+		maxConns: maxConns, longIdle: func() int { return maxIdlePerTarget }, open: map[*Conn]struct{}{}, idle: map[string][]*Conn{},
+	}
+}
+
+// SetLongIdle sets the function that tells how many idle connections to a target are kept for longer than BriefIdle. It must be set before
+// the pool is used.
+func (p *Pool) SetLongIdle(longIdle func() int) { p.longIdle = longIdle }
+
+// Reuse tells which idle connections a request may be sent on.
+type Reuse struct {
+	MaxIdle       time.Duration // how long a connection may have been idle; 0 for a new connection
+	ValidateAfter time.Duration // idle time from which the request must begin with Validate
 }
 
-// Get returns a pooled connection to address that has been idle for at most maxIdle, or dials a new one, always if maxIdle is
-// 0. The error is ErrExhausted if none may be opened. Pooled connections that are not fit for reuse are closed. One that has carried a request with the same id is not used, unless the
-// id is empty: a second copy of the answer to that one could not be told from the answer to this one.
-func (p *Pool) Get(ctx context.Context, address string, maxIdle time.Duration, requestID string) (*Conn, error) {
-	conn, err := p.get(ctx, address, maxIdle, hashID(requestID))
+// Get returns a pooled connection to address, or dials a new one. The error is ErrExhausted if none may be opened. Pooled connections that
+// their target has closed are closed. One that has carried a request with the same id is not used, unless the id is empty: a second copy of
+// the answer to that one could not be told from the answer to this one.
+func (p *Pool) Get(ctx context.Context, address string, reuse Reuse, requestID string) (*Conn, error) {
+	conn, err := p.get(ctx, address, reuse, hashID(requestID))
 	if err == nil && requestID != "" {
 		conn.carry(hashID(requestID))
 	}
@@ -83,15 +102,17 @@
 }
 
 // CanReuse reports whether an idle connection to address could be reused by Get now.
-func (p *Pool) CanReuse(address string, maxIdle time.Duration) bool {
+func (p *Pool) CanReuse(address string, reuse Reuse) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[address]
-	if len(idle) == 0 {
-		return false
-	}
-	now, latest := time.Now(), idle[len(idle)-1]
-	return now.Sub(latest.idleSince) <= maxIdle && now.Before(latest.reuseUntil)
+	now := time.Now()
+	return slices.ContainsFunc(p.idle[address], func(conn *Conn) bool { return conn.fits(reuse, now) })
+}
+
+// fits reports whether a request may be sent on the idle connection.
+func (c *Conn) fits(reuse Reuse, now time.Time) bool {
+	idle := now.Sub(c.idleSince)
+	return idle <= reuse.MaxIdle && now.Before(c.reuseUntil) && (idle <= reuse.ValidateAfter || c.canValidate())
 }
 
 // hashID returns the hash by which the id of a request is remembered.
@@ -106,21 +127,20 @@
 }
 
 // get does the work of Get.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, id uint64) (*Conn, error) {
-	for maxIdle > 0 {
-		conn := p.popIdle(address, id)
+func (p *Pool) get(ctx context.Context, address string, reuse Reuse, id uint64) (*Conn, error) {
+	for {
+		conn := p.popIdle(address, reuse, id)
 		if conn == nil {
-			break
+			return p.dial(ctx, address)
 		}
-		now := time.Now()
-		if now.Sub(conn.idleSince) <= maxIdle && now.Before(conn.reuseUntil) && quietconn.IsQuiet(conn.Conn) {
-			conn.Reused = true
+		if quietconn.IsQuiet(conn.Conn) {
+			conn.Reused, conn.MayBeStale = true, time.Since(conn.idleSince) > reuse.ValidateAfter
 			metrics.GetOrCreateCounter(`gypsumbank_target_connections_total{use="reused"}`).Inc()
 			return conn, nil
 		}
+		metrics.GetOrCreateCounter(`gypsumbank_target_connections_total{use="stale"}`).Inc()
 		_ = conn.Close()
 	}
-	return p.dial(ctx, address)
 }
 
 // dial opens a connection, for which it closes the one that has been idle longest if there are maxConns.
@@ -177,12 +197,14 @@
 		Control:         setTCPUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 	}
+	start := time.Now()
 	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	roundTrip := time.Since(start)
 	limit := &readLimit{conn: opened, left: math.MaxInt64}
-	return &Conn{Conn: opened, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, pool: p, address: address}, nil
+	return &Conn{Conn: opened, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, pool: p, address: address, roundTrip: roundTrip}, nil
 }
 
 // Close closes the connection.
@@ -207,6 +229,7 @@
 // Put returns conn to the pool, from which it may be reused for at most keepFor. It closes conn if keepFor is not positive, unread data is
 // buffered or its target was retired, and the oldest idle connection if the target already has maxIdlePerTarget.
 func (p *Pool) Put(conn *Conn, keepFor time.Duration) {
+	longIdle := p.longIdle()
 	now := time.Now()
 	conn.idleSince, conn.reuseUntil = now, now.Add(keepFor)
 	if keepFor <= 0 || conn.Reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
@@ -224,10 +247,21 @@
 		_ = p.closeConn(idle[0])
 		idle = slices.Delete(idle, 0, 1)
 	}
-	p.idle[conn.address] = append(idle, conn)
+	idle = append(idle, conn)
+	p.idle[conn.address] = idle
+	if beyond := len(idle) - 1 - max(0, longIdle); beyond >= 0 {
+		idle[beyond].limitIdle(BriefIdle)
+	}
 	p.scheduleSweep()
 }
 
+// limitIdle shortens the time for which the idle connection may be reused; the caller holds the lock of the pool.
+func (c *Conn) limitIdle(limit time.Duration) {
+	if until := c.idleSince.Add(limit); until.Before(c.reuseUntil) {
+		c.reuseUntil = until
+	}
+}
+
 // scheduleSweep has the expired connections closed after sweepInterval; the caller holds the lock.
 func (p *Pool) scheduleSweep() {
 	if p.sweeping {
@@ -289,14 +323,17 @@
 	_ = c.Close()
 }
 
-// popIdle removes and returns the most recently used idle connection to address that has not carried a request with the id, or nil
-// if there is none.
-func (p *Pool) popIdle(address string, id uint64) *Conn {
+// popIdle removes and returns the most recently used idle connection to address that a request may be sent on and that has not carried one
+// with the id, or nil if there is none.
+func (p *Pool) popIdle(address string, reuse Reuse, id uint64) *Conn {
+	if reuse.MaxIdle <= 0 {
+		return nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[address]
+	idle, now := p.idle[address], time.Now()
 	for i, conn := range slices.Backward(idle) {
-		if !slices.Contains(conn.carried, id) {
+		if conn.fits(reuse, now) && !slices.Contains(conn.carried, id) {
 			p.setIdle(address, slices.Delete(idle, i, i+1))
 			return conn
 		}
--- a/connpool/pool_test.go
+++ b/connpool/pool_test.go
@@ -12,11 +12,11 @@
 	"gypsumbank/connpool"
 )
 
-const (
-	longIdle = 10 * time.Second
-	// sweepTolerance is how long after its idle time a connection may still be open.
-	sweepTolerance = 1500 * time.Millisecond
-)
+// anyIdle lets a request be sent on any idle connection, without a validation.
+var anyIdle = connpool.Reuse{MaxIdle: 10 * time.Second, ValidateAfter: 10 * time.Second}
+
+// sweepTolerance is how long after its idle time a connection may still be open.
+const sweepTolerance = 1500 * time.Millisecond
 
 // openConns listens on a free port and returns its address and the number of connections to it that the other side has not closed.
 func openConns(t *testing.T) (string, *atomic.Int64) {
@@ -60,7 +60,7 @@
 	t.Helper()
 	conns := make([]*connpool.Conn, 0, count)
 	for range count {
-		conn, err := pool.Get(t.Context(), address, longIdle, "")
+		conn, err := pool.Get(t.Context(), address, anyIdle, "")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -101,7 +101,7 @@
 	pool := connpool.New(connpool.Unlimited)
 	pool.Put(getConns(t, pool, address, 1)[0], keepFor)
 	time.Sleep(keepFor - 300*time.Millisecond)
-	conn, err := pool.Get(context.Background(), address, longIdle, "")
+	conn, err := pool.Get(context.Background(), address, anyIdle, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -157,13 +157,13 @@
 	for i, want := range []int64{0, 0, 0, limit} {
 		waitForOpen(t, open[i], want, sweepTolerance)
 	}
-	if _, err := pool.Get(t.Context(), addresses[0], longIdle, ""); !errors.Is(err, connpool.ErrExhausted) {
+	if _, err := pool.Get(t.Context(), addresses[0], anyIdle, ""); !errors.Is(err, connpool.ErrExhausted) {
 		t.Errorf("error %v with all connections in use, want ErrExhausted", err)
 	}
 	_ = inUse[0].Close()
 	_ = inUse[0].Close() // a second close frees nothing more
 	getConns(t, pool, addresses[0], 1)
-	if _, err := pool.Get(t.Context(), addresses[0], longIdle, ""); !errors.Is(err, connpool.ErrExhausted) {
+	if _, err := pool.Get(t.Context(), addresses[0], anyIdle, ""); !errors.Is(err, connpool.ErrExhausted) {
 		t.Errorf("error %v with all connections in use again, want ErrExhausted", err)
 	}
 }
@@ -178,7 +178,7 @@
 	listener.Close()
 	pool := connpool.New(1)
 	for range 3 {
-		if _, err := pool.Get(t.Context(), listener.Addr().String(), longIdle, ""); err == nil || errors.Is(err, connpool.ErrExhausted) {
+		if _, err := pool.Get(t.Context(), listener.Addr().String(), anyIdle, ""); err == nil || errors.Is(err, connpool.ErrExhausted) {
 			t.Errorf("error %v, want that of the dial", err)
 		}
 	}
@@ -192,19 +192,46 @@
 	address, _ := openConns(t)
 	pool := connpool.New(connpool.Unlimited)
 	conns := getConns(t, pool, address, 2)
-	if pool.CanReuse(address, longIdle) {
+	if pool.CanReuse(address, anyIdle) {
 		t.Error("a connection in use is told as one to be reused")
 	}
 	pool.Put(conns[0], 200*time.Millisecond)
-	if !pool.CanReuse(address, longIdle) || pool.CanReuse("127.0.0.1:1", longIdle) {
+	if !pool.CanReuse(address, anyIdle) || pool.CanReuse("127.0.0.1:1", anyIdle) {
 		t.Error("want the idle connection, and none to another address")
 	}
 	time.Sleep(50 * time.Millisecond)
-	if pool.CanReuse(address, 10*time.Millisecond) {
+	if pool.CanReuse(address, connpool.Reuse{MaxIdle: 10 * time.Millisecond}) {
 		t.Error("a connection that was idle for too long for the request is told as one to be reused")
 	}
 	time.Sleep(200 * time.Millisecond)
-	if pool.CanReuse(address, longIdle) {
+	if pool.CanReuse(address, anyIdle) {
 		t.Error("a connection whose time is over is told as one to be reused")
 	}
 }
+
+// TestConnectionsBeyondTheShareEndSooner returns more connections to the pool than this process may keep for long, so that idle connections do
+// not take the places of a target from other gateways. Those that have been idle longest must end after the brief time, the others must be kept.
+func TestConnectionsBeyondTheShareEndSooner(t *testing.T) {
+	t.Parallel()
+	const keepFor = time.Minute
+	tests := map[string]struct{ share, conns, want int }{
+		"within the share": {share: 3, conns: 3, want: 3},
+		"beyond the share": {share: 2, conns: 5, want: 2},
+		"no share":         {share: 0, conns: 2, want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, open := openConns(t)
+			pool := connpool.New(connpool.Unlimited)
+			pool.SetLongIdle(func() int { return test.share })
+			for _, conn := range getConns(t, pool, address, test.conns) {
+				pool.Put(conn, keepFor)
+			}
+			time.Sleep(connpool.BriefIdle - 500*time.Millisecond)
+			waitForOpen(t, open, int64(test.conns), sweepTolerance)
+			time.Sleep(500*time.Millisecond + sweepTolerance)
+			waitForOpen(t, open, int64(test.want), sweepTolerance)
+		})
+	}
+}
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -29,7 +29,7 @@
 	Notice registry.Notice
 }
 
-// NotSent reports that no part of the request left this process.
+// NotSent reports that the request has not run: at most the first bytes of its head have left this process.
 type NotSent struct{ Err error }
 
 // NoUsableResponse reports that there is no usable response; the request may have run or may still run.
--- a/sender/body_copies_test.go
+++ b/sender/body_copies_test.go
@@ -25,7 +25,7 @@
 	}))
 	defer server.Close()
 	s := sender.New(connpool.New(connpool.Unlimited))
-	request := &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Header: http.Header{"X-Test": {"1"}}, Body: body, MaxConnIdle: time.Second}
+	request := &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Header: http.Header{"X-Test": {"1"}}, Body: body, Reuse: connpool.Reuse{MaxIdle: time.Second, ValidateAfter: time.Second}}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	for range attempts {
--- a/sender/endless_test.go
+++ b/sender/endless_test.go
@@ -69,7 +69,7 @@
 			defer cancel()
 			start := time.Now()
 			_, err := sender.New(connpool.New(connpool.Unlimited)).Send(ctx, address, &sender.Request{
-				Method: http.MethodGet, URI: "/x", Host: "target", IDHeader: "Id", ID: "mine", MaxConnIdle: time.Second,
+				Method: http.MethodGet, URI: "/x", Host: "target", IDHeader: "Id", ID: "mine", Reuse: connpool.Reuse{MaxIdle: time.Second, ValidateAfter: time.Second},
 			})
 			if !errors.Is(err, sender.ErrNoUsableResponse) {
 				t.Errorf("Send returned %v, want ErrNoUsableResponse", err)
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -17,15 +17,15 @@
 )
 
 var (
-	// ErrNotSent reports that no part of the request left this process.
+	// ErrNotSent reports that the request has not run: at most the first bytes of its head have left this process.
 	ErrNotSent = errors.New("request was not sent")
 	// ErrNoUsableResponse reports that the request was sent, at least in part, but no usable response was received.
 	ErrNoUsableResponse = errors.New("no usable response")
 )
 
 const (
-	// defaultKeepAlive is how long an idle connection is kept unless the target announces a shorter timeout.
-	defaultKeepAlive = 4 * time.Second
+	// maxKeepAlive bounds the timeout that a target announces, so that its idle connections do not take descriptors for hours.
+	maxKeepAlive = time.Minute
 	// keepAliveMargin is subtracted from the timeout that the target announces, so that this side closes first.
 	keepAliveMargin = time.Second
 	// maxResponsesRead bounds the responses that are read to find the one to a request.
@@ -39,15 +39,15 @@
 
 // Request is an HTTP request to a target.
 type Request struct {
-	Method      string
-	URI         string
-	Host        string
-	Header      http.Header
-	Body        []byte
-	IDHeader    string        // name of the header in which the target echoes ID
-	ID          string        // id of the request; not checked if empty
-	MaxConnIdle time.Duration // how long a reused connection may have been idle; 0 for a connection of its own
-	Reset       bool          // reset the connection if there is no usable response, so that the target learns of it at once
+	Method   string
+	URI      string
+	Host     string
+	Header   http.Header
+	Body     []byte
+	IDHeader string // name of the header in which the target echoes ID
+	ID       string // id of the request; not checked if empty
+	Reuse    connpool.Reuse
+	Reset    bool // reset the connection if there is no usable response, so that the target learns of it at once
 }
 
 // Response is the HTTP response of a target. Its body must be closed.
@@ -81,15 +81,16 @@
 // New returns a sender that gets its connections from pool.
 func New(pool *connpool.Pool) *Sender { return &Sender{pool: pool} }
 
-// CanReuse reports whether a request to address would be sent on a connection that has been idle for at most maxIdle.
-func (s *Sender) CanReuse(address string, maxIdle time.Duration) bool {
-	return s.pool.CanReuse(address, maxIdle)
+// CanReuse reports whether a request to address would be sent on an idle connection.
+func (s *Sender) CanReuse(address string, reuse connpool.Reuse) bool {
+	return s.pool.CanReuse(address, reuse)
 }
 
 // Send sends request once and returns the response after its header was read. If ctx ends before the body has been read to
 // the end, the connection is reset. The error wraps ErrNotSent or ErrNoUsableResponse.
 func (s *Sender) Send(ctx context.Context, address string, request *Request) (*Response, error) {
-	conn, err := s.pool.Get(ctx, address, request.MaxConnIdle, request.ID)
+	head := encodeHead(request)
+	conn, sent, err := s.connect(ctx, address, request, head)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -98,7 +99,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
 	stopAbort := context.AfterFunc(ctx, conn.Abort)
-	write := startWrite(conn.Conn, net.Buffers{encodeHead(request), request.Body})
+	write := startWrite(conn.Conn, net.Buffers{head[sent:], request.Body})
 	response, err := readResponse(conn, request) //nolint:bodyclose // closed by the body of the returned response
 	if err != nil {
 		stopAbort()
@@ -109,10 +110,26 @@
 		return nil, fmt.Errorf("%w: %w", ErrNoUsableResponse, err)
 	}
 	bodyFraming := framing.Of(response)
-	body := &responseBody{sender: s, conn: conn, response: response, framing: bodyFraming, write: write, stopAbort: stopAbort, keepConn: request.MaxConnIdle > 0}
+	body := &responseBody{sender: s, conn: conn, response: response, framing: bodyFraming, write: write, stopAbort: stopAbort, keepConn: request.Reuse.MaxIdle > 0}
 	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: bodyFraming, Body: body, write: write}, nil
 }
 
+// connect returns a connection and the number of bytes of the head that have been sent on it. On a connection that may be stale these are
+// the method, on which no target can act; if it is stale, the request is sent on a new connection.
+func (s *Sender) connect(ctx context.Context, address string, request *Request, head []byte) (*connpool.Conn, int, error) {
+	conn, err := s.pool.Get(ctx, address, request.Reuse, request.ID)
+	if err != nil || !conn.MayBeStale {
+		return conn, 0, err
+	}
+	first := len(request.Method)
+	err = conn.Validate(ctx, head[:first])
+	if errors.Is(err, connpool.ErrStale) {
+		conn, err = s.pool.Get(ctx, address, connpool.Reuse{}, request.ID)
+		return conn, 0, err
+	}
+	return conn, first, err
+}
+
 // encodeHead returns the bytes of a request before its body. The response does not depend on how they are split into packets.
 func encodeHead(request *Request) []byte {
 	var buffer bytes.Buffer
@@ -213,12 +230,13 @@
 func keepAliveTime(header http.Header) time.Duration {
 	_, after, found := strings.Cut(header.Get("Keep-Alive"), "timeout=")
 	if !found {
-		return defaultKeepAlive
+		return connpool.BriefIdle
 	}
 	digits, _, _ := strings.Cut(after, ",")
 	seconds, err := strconv.Atoi(strings.TrimSpace(digits))
 	if err != nil {
-		return defaultKeepAlive
+		return connpool.BriefIdle
 	}
-	return min(defaultKeepAlive, time.Duration(seconds)*time.Second-keepAliveMargin)
+	announced := time.Duration(min(seconds, int(maxKeepAlive/time.Second))) * time.Second
+	return announced - keepAliveMargin
 }
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	sendErr := make(chan error, 1)
 	go func() {
-		request := &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Body: []byte("prompt"), MaxConnIdle: time.Second}
+		request := &sender.Request{Method: http.MethodPost, URI: "/x", Host: "target", Body: []byte("prompt"), Reuse: connpool.Reuse{MaxIdle: time.Second, ValidateAfter: time.Second}}
 		_, err := sender.New(connpool.New(connpool.Unlimited)).Send(ctx, listener.Addr().String(), request)
 		sendErr <- err
 	}()
