Share the connections of targets among the gateways

Cause: idle connections that are kept for 9 s in place of 4 may take the places of a target from other gateways: 16 at each of 29 gateways are 464, and the plain targets of the first deployment accept 230. Change: a gateway keeps half of a target's connections, divided by the number of gateways, for the announced time (3 with 29 gateways, 11 with 8), by the service that accepts the fewest. The others end after 4 s as before; with more gateways than half the places all do.

Tests: go test -race ./fleet -run ConnectionShare, TestConnectionsBeyondTheShareEndSooner in ./connpool.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	replicaClient := platform.NewTargetClient(sender.New(pool))
 	f.Seed(xxhash.Sum64String(config.Node.Name) ^ uint64(time.Now().UnixNano()))
 	f.SetConnections(replicaClient.IsConnected)
+	pool.SetLongIdle(f.ConnectionShare)
 	metrics.GetOrCreateGauge("gypsumbank_gateway_engine_load_ratio", func() float64 { return f.LoadRatio(time.Now()) })
 	g := &Gateway{
 		config:     config,
