--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,7 +81,6 @@
 	pool           *connpool.Pool // connections to targets
 	fds            *descriptor.Budget
 	callers        atomic.Pointer[callerListener] // nil before Run
-	started        time.Time
 	routeTable     atomic.Pointer[route.Table]
 	routesReadAt   atomic.Pointer[time.Time] // when the last read began that found no newer routes than those in force; nil before
 	targetsKnown   atomic.Bool
@@ -135,7 +134,6 @@
 		fds:        fds,
 		memory:     newRequestMemory(config),
 		usage:      customer.NewUsage(),
-		started:    time.Now(),
 	}
 	g.registry = refresh.New(g.readTargets, refreshInterval)
 	g.versions = newStoredVersions(store, f, relay, log)
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -24,10 +24,10 @@
 	targetsPollInterval = 800 * time.Millisecond
 	// minStoreInterval is the least time between reads of the routes, and the first interval of the backoff.
 	minStoreInterval = 200 * time.Millisecond
-	// startupPollInterval is the interval between reads of the targets during the startupPhase after the start, until agents
-	// read the store for this gateway.
+	// startupPollInterval is the first interval between reads of the targets after the start, until agents read the store for this gateway. It
+	// grows with each read, as all gateways of a deployment may start at the same moment.
 	startupPollInterval = 250 * time.Millisecond
-	startupPhase        = 4 * time.Second
+	startupPollGrowth   = 1.5
 	// relayPollInterval is the interval at which the gateway checks whether agents still read the store for it.
 	relayPollInterval = 20 * time.Millisecond
 	// maxStoreBackoff bounds the interval, before jitter, between attempts to read a store that does not respond. Together
@@ -183,7 +183,7 @@
 // followTargets reads the registered targets from the store and puts them in force, until ctx ends. It does not read the
 // store while agents do so.
 func (g *Gateway) followTargets(ctx context.Context) error {
-	retry := newStoreBackoff()
+	retry, poll := newStoreBackoff(), startupPollInterval
 	for ctx.Err() == nil {
 		if g.targetsKnown.Load() && g.relay.isFresh(time.Now()) {
 			_ = pause.For(ctx, minStoreInterval)
@@ -202,15 +202,17 @@
 			continue
 		}
 		retry.Reset()
-		if time.Since(g.started) < startupPhase {
-			_ = pause.For(ctx, startupPollInterval)
-			continue
-		}
-		_ = pause.For(ctx, targetsPollInterval)
+		_ = pause.For(ctx, poll)
+		poll = nextPollInterval(poll)
 	}
 	return ctx.Err()
 }
 
+// nextPollInterval returns the interval that follows one between reads of the targets.
+func nextPollInterval(interval time.Duration) time.Duration {
+	return min(targetsPollInterval, time.Duration(float64(interval)*startupPollGrowth))
+}
+
 // readTargets reads the registered targets from the store and puts them in force, unless newer ones are. The error wraps errOldRead if it
 // is not known which are newer.
 func (g *Gateway) readTargets(ctx context.Context) error {
