Have the fleet tell how it comes to a choice

Cause: operators can't see why a request goes to a target. The costs that targets are compared by were summed up in one expression.

Options are filled in place.

Tested: go test -race ./fleet ./spread.

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -54,6 +54,22 @@
 	}
 }
 
+// BenchmarkChooseAmongManyHolders has a model with 26 holders, at few gateways and at as many as spread their choices.
+func BenchmarkChooseAmongManyHolders(b *testing.B) {
+	for name, gateways := range map[string]int{"4 gateways": 4, "30 gateways": 30} {
+		b.Run(name, func(b *testing.B) {
+			f, now := newBenchFleet(52, 6)
+			for _, s := range f.states {
+				s.watchers = gateways
+			}
+			query := Query{Service: "llm", Request: benchRequest(1)}
+			for b.Loop() {
+				f.Choose(query, now)
+			}
+		})
+	}
+}
+
 func BenchmarkPlan(b *testing.B) {
 	f, now := newBenchFleet(18, 34)
 	for b.Loop() {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -109,43 +109,66 @@
 func (f *Fleet) Choose(query Query, now time.Time) (choice Choice, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usable := f.withStoredVersion(f.usableTargets(query.Service, query.SoftwareVersion, now), query)
-	if len(usable) == 0 {
+	usable, known, ok := f.eligibleTargets(query, now, nil)
+	if !ok {
 		return Choice{}, false
 	}
-	engine := f.services[query.Service].Engine
-	isExcluded := func(s *targetState) bool { return query.Exclude[s.ID] }
+	if len(usable) == 0 {
+		return Choice{LacksModel: true, Candidates: known}, true
+	}
+	usable, missed := f.withTurns(usable, now)
+	for _, s := range missed {
+		f.notices.Miss(s.Target, now)
+	}
+	return f.applyTurn(f.pick(f.options(usable, query, now), query, now), now), true
+}
+
+// eligibleTargets returns the targets among which a choice is made, whether or not they may get a request now, and the number of targets
+// that were known to be usable. There are none if the model is held by none of them. It records in omitted which are left out, unless
+// that is nil.
+func (f *Fleet) eligibleTargets(query Query, now time.Time, omitted omissions) (usable []*targetState, known int, ok bool) {
+	usable = f.withStoredVersion(f.usableTargets(query.Service, query.SoftwareVersion, now, omitted), query, omitted)
+	if len(usable) == 0 {
+		return nil, 0, false
+	}
+	isExcluded := func(s *targetState) bool { return query.Exclude[s.ID] && omitted.add(s, OmittedExcluded) }
 	if query.LoadsModel && !slices.ContainsFunc(usable, func(s *targetState) bool { return !isExcluded(s) }) {
-		return Choice{}, false
+		return nil, 0, false
 	}
-	if engine != nil && query.Request.Model != "" {
-		usableCount := len(usable)
+	known = len(usable)
+	if f.services[query.Service].Engine != nil && query.Request.Model != "" {
 		usable = slices.DeleteFunc(usable, func(s *targetState) bool {
-			return !s.holds(query.Request.Model, "", now) || (query.LoadsModel && isExcluded(s))
+			return (!s.holds(query.Request.Model, "", now) && omitted.add(s, OmittedLacksModel)) || (query.LoadsModel && isExcluded(s))
 		})
 		if len(usable) == 0 {
-			return Choice{LacksModel: true, Candidates: usableCount}, true
+			return nil, known, true
 		}
 	}
 	usable = slices.DeleteFunc(usable, isExcluded)
-	if len(usable) == 0 {
-		return Choice{}, false
-	}
-	usable = f.withTurns(usable, now)
-	if engine == nil || query.Request.Model == "" {
-		return f.applyTurn(f.choosePlain(usable, query, now), now), true
+	return usable, known, len(usable) > 0
+}
+
+// options returns the targets that a choice is made among, with their costs.
+func (f *Fleet) options(usable []*targetState, query Query, now time.Time) []option {
+	if f.services[query.Service].Engine == nil || query.Request.Model == "" {
+		return f.plainOptions(usable, now)
 	}
-	return f.applyTurn(f.chooseHolder(usable, query, now), now), true
+	return f.holderOptions(usable, query, now)
 }
 
 // usableTargets returns the targets that accept requests, of one software version unless that is nil. Those in backoff are only
 // returned if there are no others.
-func (f *Fleet) usableTargets(service string, version *registry.SoftwareVersion, now time.Time) []*targetState {
+func (f *Fleet) usableTargets(service string, version *registry.SoftwareVersion, now time.Time, omitted omissions) []*targetState {
 	available := make([]*targetState, 0, len(f.byService[service]))
 	var backingOff []*targetState
 	for _, s := range f.byService[service] {
 		switch {
-		case f.mustNotUse(s), version != nil && s.SoftwareVersion != *version:
+		case s.replaced:
+			omitted.add(s, OmittedReplaced)
+		case f.mustNotUse(s):
+			omitted.add(s, OmittedLeaving)
+		case version != nil && s.SoftwareVersion != *version:
+			omitted.add(s, OmittedOtherVersion)
 		case now.Before(s.backoffUntil):
 			backingOff = append(backingOff, s)
 		default:
@@ -155,6 +178,9 @@
 	if len(available) == 0 {
 		return backingOff
 	}
+	for _, s := range backingOff {
+		omitted.add(s, OmittedBackingOff)
+	}
 	return available
 }
 
@@ -162,73 +188,99 @@
 type option struct {
 	target *targetState
 	choice Choice
-	costMs float64
+	costs  Costs
+	costMs float64 // sum of costs
+}
+
+// add adds to a part of the cost.
+func (o *option) add(part CostPart, ms float64) {
+	o.costs[part] += ms
+	o.costMs += ms
 }
 
-// choosePlain returns the target of a plain service with the lowest cost, or one with a low cost. The average latency of a target is
-// multiplied by a factor that grows from 1 if it is idle to 3 if this gateway's requests use all of its slots.
-func (f *Fleet) choosePlain(usable []*targetState, query Query, now time.Time) Choice {
-	options := make([]option, 0, len(usable))
-	for _, s := range usable {
+// plainOptions returns the targets of a plain service with their costs. The average latency of a target is multiplied by a factor that
+// grows from 1 if it is idle to 3 if this gateway's requests use all of its slots.
+func (f *Fleet) plainOptions(usable []*targetState, now time.Time) []option {
+	options := make([]option, len(usable))
+	for i, s := range usable {
 		latencyMs := max(1, s.latencyMs)
-		costMs := latencyMs*(1+plainLoadFactor*float64(s.inflight)/float64(max(1, s.Slots))) + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + s.performance.refusalRate(now)*refusalCostMs + s.unresponsiveCost(now)
+		costs := &options[i].costs
+		costs[LatencyCost] = latencyMs
+		costs[LoadCost] = latencyMs * plainLoadFactor * float64(s.inflight) / float64(max(1, s.Slots))
+		costs[ZoneCost] = f.zoneCost(s)
+		costs[FailuresCost] = s.performance.errorRate(now) * failedAnswerCostMs
+		costs[RefusalsCost] = s.performance.refusalRate(now) * refusalCostMs
+		costs[UnresponsiveCost] = s.unresponsiveCost(now)
 		if s.inflight >= s.Slots {
-			costMs += fullCostMs
+			costs[CapacityCost] = fullCostMs
 		}
 		if s.ColdRemaining > 0 {
-			costMs += latencyMs
+			costs[ColdStartCost] = latencyMs
 		}
-		options = append(options, option{target: s, costMs: costMs, choice: Choice{
+		options[i].target, options[i].costMs = s, costs.Total()
+		options[i].choice = Choice{
 			Target: s.Target, Expected: durationFromMs(max(1, s.fadedLatencyMs(now))), ReportAge: now.Sub(f.registryReadAt), Candidates: len(usable), HasRoom: true,
-		}})
+		}
 	}
-	return f.pick(options, query, now)
+	return options
 }
 
-// chooseHolder returns the target with the lowest cost of those that hold the model, or one with a low cost.
-func (f *Fleet) chooseHolder(holders []*targetState, query Query, now time.Time) Choice {
+// holderOptions returns the targets that hold the model with their costs.
+func (f *Fleet) holderOptions(holders []*targetState, query Query, now time.Time) []option {
 	req := query.Request
 	prefixHashes := req.PrefixHashes()
 	ranks := holderRanks(holders)
 	sources := newPrefixSources(holders, req, prefixHashes, now)
-	options := make([]option, 0, len(holders))
-	for _, s := range holders {
+	options := make([]option, len(holders))
+	for i, s := range holders {
 		prefillTokens := s.uncachedTokens(req, prefixHashes)
 		fetchFrom, fetchTokens := sources.choose(s, prefillTokens, f.prefillMsPerToken(req.Model))
 		prefillTokens -= fetchTokens
 		prefillMs := float64(prefillTokens) * f.prefillMsPerToken(req.Model)
-		fetchCostMs := 0.0
 		if fetchTokens > 0 {
 			prefillMs += fetchBaseMs + fetchMsPerToken*float64(fetchTokens)
-			fetchCostMs = fetchPenaltyMs
 		}
-		queueMs := f.queueMs(s, now)
-		slotWaitMs := s.slotWaitMs(now)
-		baselineMs := baseLatencyMs + queueMs + slotWaitMs + prefillMs + runningRequestMs*float64(max(s.inflight, s.report.Running))
-		expectedMs := baselineMs * s.performance.slowness(now)
+		costs := &options[i].costs
+		costs[BaseLatencyCost] = baseLatencyMs
+		costs[QueueCost] = f.queueMs(s, now)
+		costs[SlotWaitCost] = s.slotWaitMs(now)
+		costs[PrefillCost] = prefillMs
+		costs[RunningCost] = runningRequestMs * float64(max(s.inflight, s.report.Running))
+		baselineMs := costs.upTo(RunningCost)
+		costs[SlownessCost] = baselineMs * (s.performance.slowness(now) - 1)
 		lacksAdapter := req.Adapter != "" && !s.holds(req.Model, req.Adapter, now)
 		if lacksAdapter {
-			expectedMs += adapterLoadMs
+			costs[AdapterLoadCost] = adapterLoadMs
 		}
 		if lacksAdapter && (s.report.Busy || s.loading != "" || (s.availableAdapterSlots == 0 && !s.reportAt.IsZero())) {
-			expectedMs += adapterWaitMs
+			costs[AdapterWaitCost] = adapterWaitMs
+		}
+		expectedMs := costs.upTo(AdapterWaitCost)
+		costs[TurnQueueCost] = s.turnQueueMs(prefillMs, now)
+		costs[ZoneCost] = f.zoneCost(s)
+		costs[FailuresCost] = s.performance.errorRate(now) * failedAnswerCostMs
+		costs[CapacityCost] = f.capacityCost(s, req, now)
+		costs[OccupancyCost] = s.occupancyCost(now)
+		costs[AffinityCost] = affinityCost(prefixHashes, s.ID)
+		costs[MixingCost] = f.mixingCost(s.Service, req, ranks[s.ID])
+		costs[UnresponsiveCost] = s.unresponsiveCost(now)
+		if fetchTokens > 0 {
+			costs[FetchCost] = fetchPenaltyMs
 		}
-		turnQueueMs := s.turnQueueMs(prefillMs, now)
-		costMs := expectedMs + turnQueueMs + f.zoneCost(s) + s.performance.errorRate(now)*failedAnswerCostMs + f.capacityCost(s, req, now) + s.occupancyCost(now) + affinityCost(prefixHashes, s.ID) +
-			f.mixingCost(s.Service, req, ranks[s.ID]) + s.unresponsiveCost(now) + fetchCostMs
 		if s.ColdRemaining > 0 {
-			costMs += coldStartCostMs
+			costs[ColdStartCost] = coldStartCostMs
 		}
 		if !isLongPrompt(req) {
-			costMs += s.backlogCost(now) * f.promptMixes[s.Service].separation()
+			costs[BacklogCost] = s.backlogCost(now) * f.promptMixes[s.Service].separation()
 		}
-		options = append(options, option{target: s, costMs: costMs, choice: Choice{
+		options[i].target, options[i].costMs = s, costs.Total()
+		options[i].choice = Choice{
 			Target: s.Target, LacksAdapter: lacksAdapter, Expected: durationFromMs(expectedMs), PrefillTokens: prefillTokens, FetchFrom: fetchFrom, FetchTokens: fetchTokens, Candidates: len(holders),
 			ReportAge: s.reportAge(now), HasRoom: s.hasRoom(req, now), SlotInterval: durationFromMs(s.slotIntervalMs() / float64(len(holders))),
-			PrefillQueue: durationFromMs(turnQueueMs), prefillMs: prefillMs, queueMs: queueMs, baselineMs: baselineMs,
-		}})
+			PrefillQueue: durationFromMs(costs[TurnQueueCost]), prefillMs: prefillMs, queueMs: costs[QueueCost], baselineMs: baselineMs,
+		}
 	}
-	return f.pick(options, query, now)
+	return options
 }
 
 // holderRanks returns a rank between 0 and 1 for each holder of a model. The order is the same at each gateway and for
--- a/fleet/even_load.go
+++ b/fleet/even_load.go
@@ -52,44 +52,62 @@
 
 // pick returns the choice with the lowest cost or, among many gateways, one by the shares of spread.Shares; the caller holds the lock.
 func (f *Fleet) pick(options []option, query Query, now time.Time) Choice {
+	if !f.draws(options) {
+		return options[leastCost(options)].choice
+	}
+	options, candidates := f.drawnAmong(options, query, now)
+	chosen := f.chooseAmong(candidates, f.random.Float64())
+	choice := options[chosen].choice
+	choice.Connected = candidates[chosen].Connected
+	for i := range options {
+		if options[i].costMs < options[chosen].costMs {
+			choice.Rank++
+		}
+	}
+	return choice
+}
+
+// draws reports whether the choice among the options is drawn by their shares; the caller holds the lock.
+func (f *Fleet) draws(options []option) bool {
+	return len(options) > 1 && f.gatewayCountLocked() >= manyGateways
+}
+
+// leastCost returns the index of the option with the lowest cost.
+func leastCost(options []option) int {
 	least := 0
 	for i := range options {
 		if options[i].costMs < options[least].costMs {
 			least = i
 		}
 	}
-	if len(options) == 1 || f.gatewayCountLocked() < manyGateways {
-		return options[least].choice
-	}
+	return least
+}
+
+// drawnAmong returns the options that one is drawn among, and what their shares follow from. It adds the costs of unevenness to all
+// options. Those without room are left out if others have it.
+func (f *Fleet) drawnAmong(options []option, query Query, now time.Time) ([]option, []spread.Candidate) {
 	addUnevenCosts(options, now)
 	if open := withRoom(options); len(open) > 0 {
 		options = open
 	}
 	candidates := make([]spread.Candidate, 0, len(options))
-	for _, o := range options {
-		candidates = append(candidates, f.candidate(o, query, now))
-	}
-	chosen := f.chooseAmong(candidates, f.random.Float64())
-	choice := options[chosen].choice
-	choice.Connected = candidates[chosen].Connected
-	for _, o := range options {
-		if o.costMs < options[chosen].costMs {
-			choice.Rank++
-		}
+	for i := range options {
+		candidates = append(candidates, f.candidate(&options[i], query, now))
 	}
-	return choice
+	return options, candidates
 }
 
 // addUnevenCosts adds to the costs of engines what makes their load uneven: the number of requests there, averaged over two seconds and
 // counted as more at a slow one, compared with the mean of the candidates.
 func addUnevenCosts(options []option, now time.Time) {
 	mean := 0.0
-	for _, o := range options {
-		mean += o.target.occupancy.valueAt(now)
+	for i := range options {
+		mean += options[i].target.occupancy.valueAt(now)
 	}
 	mean = max(1, mean/float64(len(options)))
-	for i, o := range options {
-		options[i].costMs += unevenCostMs * (o.target.occupancy.valueAt(now)*o.target.performance.slowness(now)/mean - 1)
+	for i := range options {
+		o := &options[i]
+		o.add(UnevennessCost, unevenCostMs*(o.target.occupancy.valueAt(now)*o.target.performance.slowness(now)/mean-1))
 	}
 }
 
@@ -126,7 +144,7 @@
 
 // candidate returns an option with the requests of other gateways that it is expected to have got unseen, and what a further request would
 // cost it.
-func (f *Fleet) candidate(o option, query Query, now time.Time) spread.Candidate {
+func (f *Fleet) candidate(o *option, query Query, now time.Time) spread.Candidate {
 	s := o.target
 	c := spread.Candidate{CostMs: o.costMs, Connected: f.isConnected != nil && f.isConnected(s.Address, query.AtMostOnce)}
 	if !c.Connected {
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -28,13 +28,13 @@
 }
 
 // withTurns returns the targets that may get a request now, by what they have said of themselves, or, if there are none, the one that
-// may soonest.
-func (f *Fleet) withTurns(usable []*targetState, now time.Time) []*targetState {
+// may soonest. missed are those that may not.
+func (f *Fleet) withTurns(usable []*targetState, now time.Time) (open, missed []*targetState) {
 	if f.notices.Empty() {
-		return usable
+		return usable, nil
 	}
 	gateways := f.gatewayCountLocked()
-	open := make([]*targetState, 0, len(usable))
+	open = make([]*targetState, 0, len(usable))
 	soonest, shortest := usable[0], time.Duration(-1)
 	for _, s := range usable {
 		wait := f.notices.Wait(s.Target, gateways, now)
@@ -42,15 +42,15 @@
 			open = append(open, s)
 			continue
 		}
-		f.notices.Miss(s.Target, now)
+		missed = append(missed, s)
 		if shortest < 0 || wait < shortest {
 			soonest, shortest = s, wait
 		}
 	}
 	if len(open) == 0 {
-		return []*targetState{soonest}
+		return []*targetState{soonest}, missed
 	}
-	return open
+	return open, missed
 }
 
 // applyTurn adds the wait for a turn at the chosen target, if it accepts no request now, to the choice.
--- a/fleet/stored_versions.go
+++ b/fleet/stored_versions.go
@@ -70,12 +70,14 @@
 
 // withStoredVersion leaves out targets at which a stream must not begin that its caller may take up, as the row does not have
 // their version; the caller holds the lock.
-func (f *Fleet) withStoredVersion(usable []*targetState, query Query) []*targetState {
+func (f *Fleet) withStoredVersion(usable []*targetState, query Query, omitted omissions) []*targetState {
 	allows := f.storedVersions.allows
 	if allows == nil || !query.BeginsResumable || query.SoftwareVersion != nil {
 		return usable
 	}
-	return slices.DeleteFunc(usable, func(s *targetState) bool { return !allows(s.Service, s.SoftwareVersion) })
+	return slices.DeleteFunc(usable, func(s *targetState) bool {
+		return !allows(s.Service, s.SoftwareVersion) && omitted.add(s, OmittedVersionNotStored)
+	})
 }
 
 // Stored reports whether the view is Complete only by what the store keeps.
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -48,14 +48,7 @@
 // a share, those to which a connection is open are taken if there are any: the others get their requests from processes that are connected
 // to them, and when the load of these shows in the reports.
 func Choose(candidates []Candidate, draw float64) int {
-	shares := Shares(candidates)
-	if connected := onlyConnected(candidates, shares); connected != nil {
-		shares = connected
-	}
-	total := 0.0
-	for _, share := range shares {
-		total += share
-	}
+	shares, total := drawnShares(candidates)
 	left := draw * total
 	chosen := -1
 	for i, share := range shares {
@@ -70,6 +63,27 @@
 	return chosen
 }
 
+// Chances returns how likely Choose takes each candidate, between 0 and 1.
+func Chances(candidates []Candidate) []float64 {
+	shares, total := drawnShares(candidates)
+	for i := range shares {
+		shares[i] /= total
+	}
+	return shares
+}
+
+// drawnShares returns the shares by which Choose draws, and their sum.
+func drawnShares(candidates []Candidate) (shares []float64, total float64) {
+	shares = Shares(candidates)
+	if connected := onlyConnected(candidates, shares); connected != nil {
+		shares = connected
+	}
+	for _, share := range shares {
+		total += share
+	}
+	return shares, total
+}
+
 // onlyConnected returns the shares without those of candidates that a connection would have to be opened to; nil if no other has a share.
 func onlyConnected(candidates []Candidate, shares []float64) []float64 {
 	connected := make([]float64, len(shares))
