--- a/quota/account.go
+++ b/quota/account.go
@@ -319,7 +319,7 @@
 
 // pay charges a request if the balance covers it, from the grants that end first.
 func (a *Account) pay(r *Request, now time.Time) bool {
-	if a.Balance(now) < r.Cost*(1-roundingSlack) {
+	if !a.covers(r.Cost, now) {
 		return false
 	}
 	slices.SortFunc(a.grants, func(x, y grant) int { return x.ends.Compare(y.ends) })
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -10,7 +10,7 @@
 func (a *Account) askFor(r *Request, now time.Time) (Ask, bool) {
 	need := r.Cost - a.Balance(now)
 	timeout := min(keeperTimeout, AskTimeout-now.Sub(r.since))
-	if timeout <= 0 || r.Asked >= maxAttempts || (now.Before(a.refusedUntil) && r.Cost >= a.refusedCost && r.Asked == 0) {
+	if timeout <= 0 || r.Asked >= maxAttempts || (r.Asked == 0 && a.refusedLately(r.Cost, now)) {
 		return Ask{}, false
 	}
 	v, amount, minimum := a.choose(need, now)
