--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -221,7 +221,7 @@
 			return fleet.Choice{}, refused
 		}
 		now := d.now()
-		choice, ok := d.fleet.Choose(fleet.Query{Service: d.service, Request: d.request, AtMostOnce: !d.route.Repeatable(), Exclude: d.excluded, SoftwareVersion: d.streamVersion, LoadsModel: d.streamVersion != nil, BeginsResumable: d.beginsResumable()}, now)
+		choice, ok := d.fleet.Choose(d.query(), now)
 		remaining := d.firstByteDeadline().Sub(now)
 		if refused := d.refuseStopping(choice); refused != nil {
 			return choice, refused
@@ -264,6 +264,14 @@
 	}
 }
 
+// query returns what a target is chosen by.
+func (d *Dispatch) query() fleet.Query {
+	return fleet.Query{
+		Service: d.service, Request: d.request, AtMostOnce: !d.route.Repeatable(), Exclude: d.excluded, SoftwareVersion: d.streamVersion,
+		LoadsModel: d.streamVersion != nil, BeginsResumable: d.beginsResumable(),
+	}
+}
+
 // refuseQuarantined returns a refusal if targets have crashed under requests with the same contents.
 func (d *Dispatch) refuseQuarantined() *Refused {
 	left := d.quarantine.Blocked(d.contents)
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -50,8 +50,8 @@
 // waitForModel waits for one poll interval, or refuses the request if no target is expected to load its model within the
 // remaining time.
 func (d *Dispatch) waitForModel(remaining time.Duration) *Refused {
-	eta, known := d.fleet.LoadETA(d.service, d.request.Model, d.now())
-	if !known || eta+minResponseTime > remaining {
+	eta, known, inTime := d.modelETA(remaining)
+	if !inTime {
 		d.log.WithFields(logrus.Fields{
 			"model": d.request.Model, "listed": known, "expected-ms": eta.Milliseconds(), "left-ms": remaining.Milliseconds(),
 		}).Info("model will not be held in time")
@@ -64,6 +64,13 @@
 	return d.pauseWait(modelPollInterval)
 }
 
+// modelETA returns the expected time until a target has loaded the model of the request, and whether that is within the remaining time.
+// known is false if the service does not list the model.
+func (d *Dispatch) modelETA(remaining time.Duration) (eta time.Duration, known, inTime bool) {
+	eta, known = d.fleet.LoadETA(d.service, d.request.Model, d.now())
+	return eta, known, known && eta+minResponseTime <= remaining
+}
+
 // loadForStream has the model loaded on a target of the software version at which alone the stream goes on. Nobody else plans
 // that load, as targets of other versions hold the model.
 func (d *Dispatch) loadForStream() {
--- a/dispatch/turns.go
+++ b/dispatch/turns.go
@@ -75,7 +75,7 @@
 // agent lets few long prompts be prefilled at a time. A request that needs no turn, or whose agent does not answer, is sent by
 // the estimates of this gateway. mayBegin is false if the choice is to be made anew, or the context has ended.
 func (d *Dispatch) takePrefillTurn(choice fleet.Choice) (chosen fleet.Choice, mayBegin bool, refused *Refused) {
-	if d.request.Model == "" || !choice.NeedsTurn() || !d.fleet.UsesTurns() {
+	if !d.needsPrefillTurn(choice) {
 		return choice, true, nil
 	}
 	w := &turnWait{Dispatch: d, choice: choice, began: d.now(), refused: map[string]bool{}}
@@ -115,6 +115,11 @@
 	}
 }
 
+// needsPrefillTurn reports whether the request is to be sent to the chosen target in a turn.
+func (d *Dispatch) needsPrefillTurn(choice fleet.Choice) bool {
+	return d.request.Model != "" && choice.NeedsTurn() && d.fleet.UsesTurns()
+}
+
 // turnOutcome is how the wait at a holder has ended.
 type turnOutcome string
 
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -44,9 +44,7 @@
 	remaining := d.firstByteDeadline().Sub(now)
 	if joins {
 		d.beginWait("room", predicted, remaining)
-		if !d.returned || !d.fleet.UsesTurns() {
-			remaining = time.Duration(maxPredictedShare * float64(remaining))
-		}
+		remaining = d.admissionTime(remaining)
 	}
 	if predicted+minResponseTime > remaining {
 		d.log.WithFields(logrus.Fields{
@@ -62,6 +60,14 @@
 	return false, d.pauseWait(interval)
 }
 
+// admissionTime returns up to which predicted time a request may begin to wait that has some time left.
+func (d *Dispatch) admissionTime(remaining time.Duration) time.Duration {
+	if d.returned && d.fleet.UsesTurns() {
+		return remaining
+	}
+	return time.Duration(maxPredictedShare * float64(remaining))
+}
+
 // waitRank returns the rank of the request among those that wait for room. With many gateways it is that of requests that wait for
 // a prefill turn.
 func (d *Dispatch) waitRank(choice fleet.Choice) waitlist.Rank {
--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -92,6 +92,11 @@
 	return ahead
 }
 
+// AheadOf returns the number of waiting requests that would be served before one that came now with the given rank.
+func (l *List) AheadOf(key Key, rank Rank, now time.Time) int {
+	return (&Place{list: l, key: key, rank: rank}).Ahead(now)
+}
+
 // Leave removes the request from the list; further calls have no effect.
 func (p *Place) Leave() {
 	p.list.mu.Lock()
--- a/waitlist/list_test.go
+++ b/waitlist/list_test.go
@@ -30,9 +30,14 @@
 		t.Run(name, func(t *testing.T) {
 			list := New()
 			key := Key{Service: "llm", Model: "m"}
-			first, second := list.Join(key, c.first), list.Join(key, c.second)
-			list.Join(Key{Service: "llm", Model: "other"}, Rank{})
 			now := atMs(c.nowMs)
+			first := list.Join(key, c.first)
+			list.Join(Key{Service: "llm", Model: "other"}, Rank{})
+			foretold := list.AheadOf(key, c.second, now)
+			second := list.Join(key, c.second)
+			if foretold != second.Ahead(now) {
+				t.Errorf("%d requests were to be ahead of the second, %d are", foretold, second.Ahead(now))
+			}
 			if got := second.Ahead(now) == 0; got != c.secondLeads {
 				t.Errorf("second request is served first: %v, want %v", got, c.secondLeads)
 			}
