Add gypsumbank explain

Cause: an operator who asks why a request goes where it goes has logs of requests that were sent, and no way to ask about one.

Change: gateways answer POST /explain on their metrics port with the route, the customer, what is known of its quota, each candidate with its cost by parts and its share, the targets that are left out and why, and what the request would wait for; `gypsumbank explain` asks and prints that as text or JSON. One question at a time, up to 64 KiB, answered from what the gateway knows. How a key is looked up and refused are functions that requests and explanations share. probe.Server answers further paths.

Tested: go test -race ./explain ./probe; ./gateway -run 'Expla|InvalidQuestions|WithoutRoutes|Customer|Key'; . -run 'ExplainCommand|Manual|PlatformNames|SettingsReference' (a gateway process). Explanations are compared with what the gateway then does, and reach no target.

--- a/command.go
+++ b/command.go
@@ -40,6 +40,7 @@
 		cmdUsage,
 		cmdTimeline,
 		cmdTrace,
+		cmdExplain,
 		cmdDemo,
 		cmdLoad,
 		cmdStandin,
--- a/gateway/customers.go
+++ b/gateway/customers.go
@@ -24,8 +24,7 @@
 	if !table.HasCustomers() {
 		return r, true
 	}
-	view := customer.View{ExpectsNewer: g.relay.expectsRoutesAfter(table.Version(), req.Arrived), TooOld: g.keysTooOld(time.Now())}
-	holder, result := customer.Authenticate(table, matched, platform.Key(r), view)
+	holder, result := g.findHolder(table, matched, platform.Key(r), req.Arrived)
 	if result != customer.Accepted {
 		g.refuseKey(w, r, req.ID, result, table.Limits().BodyBytes)
 		return r, false
@@ -39,18 +38,29 @@
 	return r.WithContext(context.WithValue(r.Context(), customerContextKey{}, holder.Name)), true
 }
 
-// refuseKey refuses a request that is not served for want of a known key. Its body has not been read.
-func (g *Gateway) refuseKey(w http.ResponseWriter, r *http.Request, requestID string, result customer.Result, bodyLimit int64) {
-	reason, status, retryAfter := dispatch.UnknownKey, http.StatusUnauthorized, time.Duration(0)
+// findHolder returns the customer that holds the key of a request on a route, nil if there is none, and whether the request is served.
+func (g *Gateway) findHolder(table *route.Table, matched *route.Route, key string, arrived time.Time) (*route.Customer, customer.Result) {
+	view := customer.View{ExpectsNewer: g.relay.expectsRoutesAfter(table.Version(), arrived), TooOld: g.keysTooOld(time.Now())}
+	return customer.Authenticate(table, matched, key, view)
+}
+
+// keyRefusal returns how a request is refused that is not served for want of a known key.
+func keyRefusal(result customer.Result) (reason dispatch.Reason, status int, retryAfter time.Duration) {
 	switch result {
 	case customer.Missing:
-		reason = dispatch.NoKey
+		return dispatch.NoKey, http.StatusUnauthorized, 0
 	case customer.Uncertain:
-		reason, status, retryAfter = dispatch.NoRoutes, http.StatusServiceUnavailable, newRoutesRetryAfter
+		return dispatch.NoRoutes, http.StatusServiceUnavailable, newRoutesRetryAfter
 	case customer.Outdated:
-		reason, status, retryAfter = dispatch.OldRoutes, http.StatusServiceUnavailable, outdatedRoutesRetryAfter
+		return dispatch.OldRoutes, http.StatusServiceUnavailable, outdatedRoutesRetryAfter
 	default:
+		return dispatch.UnknownKey, http.StatusUnauthorized, 0
 	}
+}
+
+// refuseKey refuses a request that is not served for want of a known key. Its body has not been read.
+func (g *Gateway) refuseKey(w http.ResponseWriter, r *http.Request, requestID string, result customer.Result, bodyLimit int64) {
+	reason, status, retryAfter := keyRefusal(result)
 	if status == http.StatusUnauthorized {
 		platform.SetChallenge(w.Header())
 	}
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -28,6 +28,7 @@
 	engineTarget   *site.Target
 	gatewayAddress string
 	readyAddress   string
+	metricsAddress string
 
 	agentPort int
 	memoryMiB int // of the gateway; 0 for that of the machine
@@ -101,14 +102,14 @@
 
 // start runs a gateway on new ports and waits until it is ready.
 func (d *testDeployment) start() {
-	d.gatewayAddress, d.readyAddress = freeAddress(d.t), freeAddress(d.t)
+	d.gatewayAddress, d.readyAddress, d.metricsAddress = freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
 	if d.agentPort == 0 {
 		_, port, _ := net.SplitHostPort(freeAddress(d.t))
 		d.agentPort, _ = strconv.Atoi(port)
 	}
 	config := &settings.Config{
 		Node:    settings.Node{Name: "gateway-1", AvailabilityZone: "zone-a"},
-		Gateway: settings.Gateway{Listen: d.gatewayAddress, Ready: d.readyAddress, AgentPort: d.agentPort, Grace: 4 * time.Second},
+		Gateway: settings.Gateway{Listen: d.gatewayAddress, Ready: d.readyAddress, Metrics: d.metricsAddress, AgentPort: d.agentPort, Grace: 4 * time.Second},
 		Store:   settings.Store{Address: d.store.Address()},
 		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
 		Limits:  settings.Limits{MemoryMiB: d.memoryMiB},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,7 +32,6 @@
 	"gypsumbank/logs"
 	"gypsumbank/origin"
 	"gypsumbank/platform"
-	"gypsumbank/probe"
 	"gypsumbank/refresh"
 	"gypsumbank/retrybudget"
 	"gypsumbank/route"
@@ -204,7 +203,7 @@
 	group.Go(func() error { return g.blocked.run(serving) })
 	group.Go(func() error { return g.quotas.run(serving) })
 	group.Go(func() error { return g.dispatcher.WatchEngines(serving) })
-	group.Go(func() error { return probe.New(g.config.Gateway.Metrics, g.checkReady).Run(serving) })
+	group.Go(func() error { return g.serveMetrics(serving) })
 	group.Go(func() error { return g.conns.Run(serving) })
 	group.Go(func() error { return g.checkConns.Run(serving) })
 	select {
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -122,6 +122,18 @@
 	return &quotaCharge{quotas: q, account: account, request: request}, false
 }
 
+// outlook returns what is expected of a request of a customer with a cost, and the version of the routes that its limit is from; ok is
+// false if this gateway has had no request of the customer lately. It asks nobody and changes nothing.
+func (q *quotas) outlook(customerName string, cost float64, now time.Time) (outlook quota.Outlook, version int64, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	account := q.accounts[customerName]
+	if account == nil {
+		return quota.Outlook{}, 0, false
+	}
+	return account.Outlook(cost, now), account.Version(), true
+}
+
 // refund takes back the cost of a request that has not run.
 func (c *quotaCharge) refund() {
 	if c == nil {
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -45,6 +45,19 @@
 	return link.ask(request)
 }
 
+// grantsTurns reports whether the agent of a target can be asked for turns now.
+func (a *agentClients) grantsTurns(targetAddress string) bool {
+	a.mu.Lock()
+	link := a.turnLinks[a.address(targetAddress)]
+	a.mu.Unlock()
+	if link == nil {
+		return false
+	}
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	return link.grants && !link.closed
+}
+
 // setTurnLink records over which connection an agent is asked; nil for none.
 func (a *agentClients) setTurnLink(address string, link *turnLink) {
 	a.mu.Lock()
--- a/probe/server.go
+++ b/probe/server.go
@@ -26,16 +26,24 @@
 	maxBodyBytes   = 4 << 10
 )
 
-// Server answers /healthz, /readyz and /metrics.
+// Server answers /healthz, /readyz and /metrics, and the paths that are added.
 type Server struct {
-	address string
-	ready   func() error
+	address      string
+	ready        func() error
+	added        map[string]fasthttp.RequestHandler // by path
+	maxBodyBytes int
 }
 
 // New returns a server at address, or one that serves nothing if address is empty. ready returns nil if the process is ready,
 // and otherwise the reason why it is not.
 func New(address string, ready func() error) *Server {
-	return &Server{address: address, ready: ready}
+	return &Server{address: address, ready: ready, added: map[string]fasthttp.RequestHandler{}, maxBodyBytes: maxBodyBytes}
+}
+
+// Add has the server answer a further path, with bodies of requests of up to a number of bytes. It must be called before Run.
+func (s *Server) Add(path string, maxBodyBytes int, handler fasthttp.RequestHandler) {
+	s.added[path] = handler
+	s.maxBodyBytes = max(s.maxBodyBytes, maxBodyBytes)
 }
 
 // Run serves until ctx ends.
@@ -54,7 +62,7 @@
 		}
 	}
 	web := webserver.New(&fasthttp.Server{
-		Handler: handler, ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, Concurrency: 2 * maxConns,
+		Handler: handler, ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: s.maxBodyBytes, Concurrency: 2 * maxConns,
 		ReduceMemoryUsage: true,
 	})
 	web.SetLimits(keepalive.Limits{MaxOpen: maxConns, SilentWait: silentWait})
@@ -85,7 +93,11 @@
 		ctx.SetContentType("text/plain; version=0.0.4")
 		metrics.WritePrometheus(ctx, true)
 	default:
-		return false
+		handler, ok := s.added[string(ctx.Path())]
+		if ok {
+			handler(ctx)
+		}
+		return ok
 	}
 	return true
 }
