Describe explanations of requests

Cause: operators need to know when to use gypsumbank explain and how to read it, and reviewers what it shares with requests.

Text output words the key and the number of gateways plainly.

Tested: go test -race ./explain ./settings, and . -run 'Explain|Reference|Manual|PlatformNames'.

--- a/explain/text.go
+++ b/explain/text.go
@@ -65,7 +65,7 @@
 		}
 	}
 	if c := e.Customer; c != nil {
-		fmt.Fprintf(out, "customer\t%s, key %s, priority %d\n", cmp.Or(c.Name, "none"), c.KeyCheck, c.Priority)
+		fmt.Fprintf(out, "customer\t%s, key: %s, priority %d\n", cmp.Or(c.Name, "none"), c.KeyCheck, c.Priority)
 	}
 	if r := e.Request; r != nil {
 		fmt.Fprintf(out, "request\t%s\n", r.text())
@@ -111,7 +111,7 @@
 }
 
 func (c *Choice) write(out io.Writer) error {
-	fmt.Fprintf(out, "\nchoice by %s among %d gateways", map[bool]string{true: "shares", false: "least cost"}[c.DrawnByShare], c.Gateways)
+	fmt.Fprintf(out, "\nchoice by %s, gateways: %d", map[bool]string{true: "shares", false: "least cost"}[c.DrawnByShare], c.Gateways)
 	if c.SoftwareVersion != "" {
 		fmt.Fprintf(out, ", only targets of software version %s", c.SoftwareVersion)
 	}
--- a/settings/gateway_agent.go
+++ b/settings/gateway_agent.go
@@ -11,7 +11,7 @@
 	Listen    string        // address for connections of callers
 	Ready     string        // address for the platform's readiness checks
 	AgentPort int           // port on which the agents listen
-	Metrics   string        // address for scraping metrics; empty to serve none
+	Metrics   string        // address for scraping metrics and for explanations of requests; empty to serve none
 	Grace     time.Duration // time from the stop signal until the process must have exited
 	// RequestMemoryMiB is the memory that requests may take; 0 for a share of all that the process may use.
 	RequestMemoryMiB int
