--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -88,7 +88,7 @@
 		d.agents.PushUsage(assignment.Target())
 	}
 	d.recordNotice(assignment, result.Notice)
-	log = log.WithField("limit", result.Notice.Limit.String())
+	log = log.WithFields(logrus.Fields{"limit": result.Notice.Limit.String(), "connection": result.Response.Use.String()})
 	if result.Response.Status >= 500 && d.canRetry() {
 		assignment.End(fleet.Failed, d.now())
 		result.Response.Body.Close()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -57,6 +57,7 @@
 	Length  int64 // length of the body in bytes; -1 if unknown
 	Framing framing.Framing
 	Body    io.ReadCloser
+	Use     ConnectionUse // of the connection that the request was sent on
 
 	write *requestWrite
 }
@@ -107,11 +108,11 @@
 			conn.Abort()
 		}
 		_ = conn.Close()
-		return nil, fmt.Errorf("%w: %w", ErrNoUsableResponse, err)
+		return nil, fmt.Errorf("%w on a connection that was %s: %w", ErrNoUsableResponse, useOf(conn), err)
 	}
 	bodyFraming := framing.Of(response)
 	body := &responseBody{sender: s, conn: conn, response: response, framing: bodyFraming, write: write, stopAbort: stopAbort, keepConn: request.Reuse.MaxIdle > 0}
-	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: bodyFraming, Body: body, write: write}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: bodyFraming, Body: body, Use: useOf(conn), write: write}, nil
 }
 
 // connect returns a connection and the number of bytes of the head that have been sent on it. On a connection that may be stale these are
--- a/sender/stale_test.go
+++ b/sender/stale_test.go
@@ -139,7 +139,7 @@
 }
 
 // sendWhole sends a request and reads its answer.
-func sendWhole(t *testing.T, s *sender.Sender, address, id string) {
+func sendWhole(t *testing.T, s *sender.Sender, address, id string) sender.ConnectionUse {
 	t.Helper()
 	response, err := s.Send(t.Context(), address, newRequest(id))
 	if err != nil {
@@ -153,6 +153,7 @@
 	if state := response.WriteState(); state != sender.Written {
 		t.Errorf("request %s is %s, want it written", id, state)
 	}
+	return response.Use
 }
 
 // warm returns a sender with an idle connection to the target that a request may begin on. A dial that takes long beside other tests is
@@ -178,8 +179,9 @@
 	tests := map[string]struct {
 		onReuse  onReuse
 		newConns int
+		use      sender.ConnectionUse
 	}{
-		"sound":              {onReuse: serveReuse},
+		"sound":              {onReuse: serveReuse, use: sender.Validated},
 		"reset on a byte":    {onReuse: resetOnByte, newConns: 1},
 		"ended on a byte":    {onReuse: endOnByte, newConns: 1},
 		"answered on a byte": {onReuse: answerOnByte, newConns: 1},
@@ -190,7 +192,9 @@
 			target := startReuseTarget(t, test.onReuse)
 			s, before := warm(t, target)
 			_, warmed := target.counts()
-			sendWhole(t, s, target.address(), "2")
+			if use := sendWhole(t, s, target.address(), "2"); use != test.use {
+				t.Errorf("connection was %s, want %s", use, test.use)
+			}
 			conns, bodies := target.counts()
 			if conns-before != test.newConns {
 				t.Errorf("%d new connections, want %d", conns-before, test.newConns)
