Divide the holders of a model between long and short prompts among many gateways

Cause: with 7 gateways or more every holder got both classes of prompts, so that nearly every stream paused beside long prompts, for 300 to 360 ms beside one and for over 500 ms beside two.

Change: package promptclass divides the holders of a model by the hash of their ids, in quarters by the ratio of prompt tokens of short and long prompts that each gateway measures (time constant 1 min, hysteresis), identically at each gateway and without messages. Models with one or two holders are not divided. A request goes to the holders for its class unless the least cost there exceeds that at the others by 200 ms or none has room; unevenness is judged among the holders for one class. 'answer begins' has prompt-class.

Tested: go test -race ./fleet ./dispatch ./promptclass. The even load of undivided holders is tested as before; TestLoadIsEvenWithinClasses covers divided ones, at most 1.3 times the mean of their class.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -36,7 +36,7 @@
 	elapsed := d.now().Sub(now)
 	log := d.log.WithFields(logrus.Fields{
 		"target": choice.Target.ID, "waited-ms": now.Sub(d.request.Arrived).Milliseconds(), "expected-ms": choice.Expected.Milliseconds(), "took-ms": elapsed.Milliseconds(),
-		"unread": choice.PrefillTokens, "fetched": choice.FetchTokens, "report-age-ms": choice.ReportAge.Milliseconds(), "candidates": choice.Candidates, "rank": choice.Rank, "connected": choice.Connected, "send": d.sendCount + 1,
+		"unread": choice.PrefillTokens, "fetched": choice.FetchTokens, "report-age-ms": choice.ReportAge.Milliseconds(), "candidates": choice.Candidates, "rank": choice.Rank, "connected": choice.Connected, "prompt-class": choice.PromptClass, "send": d.sendCount + 1,
 	})
 	switch result := result.(type) {
 	case reply.Answered:
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -98,6 +98,7 @@
 	PrefillQueue  time.Duration // until a long prompt gets its turn to be prefilled, if those that wait for one go first; not part of Expected
 	Rank          int           // number of candidates with a lower cost
 	Connected     bool          // an idle connection to the target can be used
+	PromptClass   PromptClass   // whether the target is one of those for the request's class of prompts
 	prefillMs     float64       // expected time to prefill and fetch those tokens
 	queueMs       float64       // part of the expected time in which the prompts that wait at the target are prefilled
 	baselineMs    float64       // expected time to the first byte at a target of usual speed that need not load the adapter
@@ -225,7 +226,7 @@
 		options = append(options, option{target: s, costMs: costMs, choice: Choice{
 			Target: s.Target, LacksAdapter: lacksAdapter, Expected: durationFromMs(expectedMs), PrefillTokens: prefillTokens, FetchFrom: fetchFrom, FetchTokens: fetchTokens, Candidates: len(holders),
 			ReportAge: s.reportAge(now), HasRoom: s.hasRoom(req, now), SlotInterval: durationFromMs(s.slotIntervalMs() / float64(len(holders))),
-			PrefillQueue: durationFromMs(turnQueueMs), prefillMs: prefillMs, queueMs: queueMs, baselineMs: baselineMs,
+			PrefillQueue: durationFromMs(turnQueueMs), PromptClass: Undivided, prefillMs: prefillMs, queueMs: queueMs, baselineMs: baselineMs,
 		}})
 	}
 	return f.pick(options, query, now)
@@ -252,7 +253,7 @@
 // mixingCost returns a cost in ms that keeps long prompts and the streams of short ones on different targets: it
 // favours holders of high rank for long prompts and of low rank for others. An engine interleaves prefill with
 // decoding, so a long prompt causes gaps in the streams of other requests. Where there are few long prompts, the cost is
-// lower, as it would leave the holders of high rank idle. Among many gateways it is 0, as it makes the load uneven.
+// lower, as it would leave the holders of high rank idle. Among many gateways it is 0: divide keeps the classes apart.
 func (f *Fleet) mixingCost(service string, req *request.Request, rank float64) float64 {
 	if f.gatewayCountLocked() >= manyGateways {
 		return 0
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -49,7 +49,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.promptMixes[service] == nil {
-		f.promptMixes[service] = &promptMix{}
+		f.promptMixes[service] = newPromptMix()
 	}
 	f.promptMixes[service].add(req, now)
 	key := demandKey{service, req.Model}
--- a/fleet/even_load.go
+++ b/fleet/even_load.go
@@ -61,10 +61,10 @@
 	if len(options) == 1 || f.gatewayCountLocked() < manyGateways {
 		return options[least].choice
 	}
-	addUnevenCosts(options, now)
-	if open := withRoom(options); len(open) > 0 {
-		options = open
-	}
+	own, others := f.divide(options, query)
+	addUnevenCosts(own, now)
+	addUnevenCosts(others, now)
+	options = withinClass(own, others)
 	candidates := make([]spread.Candidate, 0, len(options))
 	for _, o := range options {
 		candidates = append(candidates, f.candidate(o, query, now))
--- a/fleet/even_load_test.go
+++ b/fleet/even_load_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"gypsumbank/promptclass"
 	"gypsumbank/registry"
 	"gypsumbank/request"
 	"gypsumbank/route"
@@ -41,6 +42,7 @@
 	gone     int     // each of this many engines accepts no connection from the middle on; 0 for none
 	seed     uint64
 	subsets  bool // each gateway takes the least cost of its own subset of the holders
+	divided  bool // the holders of a model are divided between long and short prompts
 	played   time.Duration
 }
 
@@ -80,6 +82,7 @@
 }
 
 type playedResult struct {
+	uneven    float64 // most by which the load of an engine exceeds that of an even division among the holders for each class, as a factor
 	busiest   float64 // time average of the requests at the busiest engine of a model over the mean of all
 	late      float64 // share of the requests whose first event, or an event, was late
 	refused   float64
@@ -89,7 +92,7 @@
 }
 
 func (r playedResult) String() string {
-	return fmt.Sprintf("busiest %.2f, late %.3f, refused %.4f, opened %.2f, long prompts %.0f ms and %.0f tokens", r.busiest, r.late, r.refused, r.opened, r.longMs, r.prefilled)
+	return fmt.Sprintf("busiest %.2f, uneven %.2f, late %.3f, refused %.4f, opened %.2f, long prompts %.0f ms and %.0f tokens", r.busiest, r.uneven, r.late, r.refused, r.opened, r.longMs, r.prefilled)
 }
 
 // run plays the load. choose is spread.Choose or what it is compared with; nil for the least cost.
@@ -128,6 +131,9 @@
 		f.Seed(uint64(g))
 		idle[g] = map[string][]time.Time{}
 		f.SetConnections(func(address string, atMostOnce bool) bool { return usableIdle(idle[g][address], atMostOnce, now) >= 0 })
+		if !p.divided {
+			f.promptMixes[service] = undividedMix()
+		}
 		switch {
 		case p.subsets:
 			f.chooseAmong = leastInSubset(g)
@@ -140,6 +146,7 @@
 	if choose == nil {
 		watchers = manyGateways - 1
 	}
+	work := map[string]float64{} // requests x seconds by model and class
 	requests, late, refused, opened := 0, 0, 0, 0
 	longs, longMs, prefilled := 0, 0.0, 0.0
 	address := func(e *playedEngine) string { return targets[e.id].Address }
@@ -243,6 +250,9 @@
 		for _, e := range engines {
 			e.advance(now, end)
 			e.loadTime += float64(len(e.queue)+len(e.running)) * playStep.Seconds()
+			for _, run := range append(slices.Clone(e.running), e.queue...) {
+				work[run.assignment.request.Model+classOf(run.assignment.request)] += playStep.Seconds()
+			}
 			if (n+e.id)%int(playedReports/playStep) == 0 && !e.gone {
 				e.reports = append(e.reports, e.report(now, targets[e.id], watchers))
 			}
@@ -280,9 +290,54 @@
 		sound++
 	}
 	result.busiest = most / (sum / sound)
+	ideal := idealLoads(targets, work)
+	for i, e := range engines {
+		result.uneven = max(result.uneven, e.loadTime/ideal[i])
+	}
 	return result
 }
 
+// classOf returns the class of a request's prompt.
+func classOf(req *request.Request) string {
+	if isLongPrompt(req) {
+		return "/long"
+	}
+	return "/short"
+}
+
+// undividedMix returns a mix of prompts with so few short ones that holders are not divided.
+func undividedMix() *promptMix {
+	mix := newPromptMix()
+	mix.work.Add(1e12, true, start)
+	return mix
+}
+
+// idealLoads returns the load of each engine if the work for each model and class were divided as evenly as the holders for it allow.
+func idealLoads(targets []registry.Target, work map[string]float64) []float64 {
+	ids := map[string][]string{} // of the holders, by model
+	for _, target := range targets {
+		for _, model := range target.Models {
+			ids[model.Name] = append(ids[model.Name], target.ID)
+		}
+	}
+	holders := map[string][]int{}
+	for model, all := range ids {
+		short := promptclass.Short(all, 1)
+		for i, target := range targets {
+			if !slices.Contains(all, target.ID) {
+				continue
+			}
+			if short[target.ID] || len(short) == 0 {
+				holders[model+"/short"] = append(holders[model+"/short"], i)
+			}
+			if !short[target.ID] {
+				holders[model+"/long"] = append(holders[model+"/long"], i)
+			}
+		}
+	}
+	return newBalance(make([]float64, len(targets)), holders, work).load
+}
+
 // presentOf returns the number of requests of a gateway that its last report counted.
 func (e *playedEngine) presentOf(f *Fleet, fleets []*Fleet) int {
 	return e.present[slices.Index(fleets, f)]
@@ -483,6 +538,32 @@
 	}
 }
 
+// TestLoadIsEvenWithinClasses guards against engines that are overrun among the holders for one class of prompts: busiest over mean load
+// within each class at most 1.3 where all engines hold the same models. Where models have few holders, the division must have no more
+// requests late or refused, and no more tokens prefilled for a long prompt.
+func TestLoadIsEvenWithinClasses(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"usual", "busy", "bursts"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play := evenLoadPlays(20 * time.Second)[name]
+			same := play
+			same.engines, same.holders, same.divided = 20, []int{20, 20, 20}, true
+			if result := same.run(spread.Choose); result.uneven > 1.3 || result.refused > 0 {
+				t.Errorf("same models: %s; want no engine with 1.3 times the load of the others of its class", result)
+			}
+			before := play.run(spread.Choose)
+			play.divided = true
+			after := play.run(spread.Choose)
+			t.Logf("undivided: %s", before)
+			t.Logf("divided:   %s", after)
+			if after.late > max(before.late, 0.005) || after.refused > 0 || after.prefilled > 1.02*before.prefilled {
+				t.Errorf("divided: %s; undivided: %s", after, before)
+			}
+		})
+	}
+}
+
 // TestFewGatewaysChooseTheLeastCost guards deployments with few gateways against a choice other than the one they had.
 func TestFewGatewaysChooseTheLeastCost(t *testing.T) {
 	t.Parallel()
--- a/fleet/prompt_mix.go
+++ b/fleet/prompt_mix.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"gypsumbank/promptclass"
 	"gypsumbank/request"
 )
 
@@ -21,8 +22,11 @@
 type promptMix struct {
 	long, all float64
 	decayedAt time.Time
+	work      *promptclass.Mix // divides the holders among many gateways
 }
 
+func newPromptMix() *promptMix { return &promptMix{work: promptclass.NewMix()} }
+
 // add counts a request.
 func (m *promptMix) add(req *request.Request, now time.Time) {
 	left := math.Exp(-float64(max(0, now.Sub(m.decayedAt))) / float64(promptMixTimeConstant))
@@ -30,6 +34,7 @@
 	if isLongPrompt(req) {
 		m.long++
 	}
+	m.work.Add(req.PromptTokens, isLongPrompt(req), now)
 }
 
 // separation returns how far long and short prompts are kept apart, from 0 if there are hardly any long ones to 1.
