Give short prompts a sixth of the holders, and document the division

Change: shares are 0, 1, 3 or 4 sixths of the holders.

Tests: the bound on late long prompts is 0.01 above the undivided play in place of 0.02, and short prompts may begin late no more often than undivided. TestBothClassesHaveHolders wanted one holder at most to change its class also when the third one joins, from which holders are divided; with four sixths two get a class then, so that it wants this from three holders on. go test -race ./promptclass ./dispatch, go test ./fleet.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/connpool"
@@ -38,6 +39,9 @@
 		"target": choice.Target.ID, "waited-ms": now.Sub(d.request.Arrived).Milliseconds(), "expected-ms": choice.Expected.Milliseconds(), "took-ms": elapsed.Milliseconds(),
 		"unread": choice.PrefillTokens, "fetched": choice.FetchTokens, "report-age-ms": choice.ReportAge.Milliseconds(), "candidates": choice.Candidates, "rank": choice.Rank, "connected": choice.Connected, "prompt-class": choice.PromptClass, "send": d.sendCount + 1,
 	})
+	if choice.PromptClass != "" {
+		metrics.GetOrCreateCounter(`gypsumbank_gateway_prompt_class_total{chosen="` + string(choice.PromptClass) + `"}`).Inc()
+	}
 	switch result := result.(type) {
 	case reply.Answered:
 		d.sendCount++
--- a/fleet/pauses_simulation_test.go
+++ b/fleet/pauses_simulation_test.go
@@ -18,6 +18,7 @@
 	pausesEvent     = 5   // tokens
 	pausesAllowed   = 500 * time.Millisecond
 	longObjective   = 800 * time.Millisecond
+	shortObjective  = 500 * time.Millisecond
 	longPatience    = 4 * time.Second
 	pausesMove      = 150 * time.Millisecond // after which a prompt that waits for a turn looks for another holder
 	pausesMoveGain  = 100 * time.Millisecond
@@ -338,11 +339,15 @@
 				s.transit(func() { e.queue.End(turns.Owner(run.gateway), run.id, s.now); e.next = s.now })
 			}
 		})
-		if took := s.now.Sub(run.arrived); isLong {
+		took := s.now.Sub(run.arrived)
+		switch {
+		case !isLong && took > shortObjective:
+			s.result.lateFirst++
+		case isLong && took > longObjective:
+			s.result.lateLongs++
+		}
+		if isLong {
 			s.result.longMs = append(s.result.longMs, float64(took.Milliseconds()))
-			if took > longObjective {
-				s.result.lateLongs++
-			}
 		}
 	default:
 		run.longest = max(run.longest, s.now.Sub(run.lastEvent))
--- a/fleet/pauses_test.go
+++ b/fleet/pauses_test.go
@@ -10,13 +10,14 @@
 // pausesResult tells what became of the streams of short prompts and of long prompts.
 type pausesResult struct {
 	longs, lateLongs int
+	lateFirst        int             // short prompts whose first event was late
 	pauses           []time.Duration // longest of each stream of a short prompt
 	longMs           []float64       // to the first event
 }
 
 // add adds the result of another play.
 func (r *pausesResult) add(other pausesResult) {
-	r.longs, r.lateLongs = r.longs+other.longs, r.lateLongs+other.lateLongs
+	r.longs, r.lateLongs, r.lateFirst = r.longs+other.longs, r.lateLongs+other.lateLongs, r.lateFirst+other.lateFirst
 	r.pauses, r.longMs = append(r.pauses, other.pauses...), append(r.longMs, other.longMs...)
 }
 
@@ -38,8 +39,8 @@
 	slices.Sort(r.longMs)
 	n := len(r.longMs)
 	return fmt.Sprintf(
-		"%d streams, %.3f over 500 ms, %.3f over 300, %.3f over 150; %d long prompts, %.3f late, %.0f ms in the middle, %.0f ms at 95 in 100",
-		len(r.pauses), r.over(pausesAllowed), r.over(300*time.Millisecond), r.over(150*time.Millisecond), r.longs, r.lateLongShare(), r.longMs[n/2], r.longMs[n*95/100])
+		"%d streams, %d begin late, %.3f over 500 ms, %.3f over 300, %.3f over 150; %d long prompts, %.3f late, %.0f ms in the middle, %.0f ms at 95 in 100",
+		len(r.pauses), r.lateFirst, r.over(pausesAllowed), r.over(300*time.Millisecond), r.over(150*time.Millisecond), r.longs, r.lateLongShare(), r.longMs[n/2], r.longMs[n*95/100])
 }
 
 // TestDividedHoldersKeepStreamsFromPausing plays loads with and without the division of holders. It guards against streams of short prompts
@@ -49,7 +50,7 @@
 	t.Parallel()
 	const (
 		maxLate       = 0.002 // share of the streams that may pause for over 500 ms; 0.003 to 0.02 with turns granted by the clock
-		maxLongerLate = 0.02  // by which the share of late long prompts may rise; single seeds differ by up to 0.025 in both directions
+		maxLongerLate = 0.01  // by which the share of late long prompts may rise; single seeds differ by up to 0.025 in both directions
 	)
 	usual := pausesPlay{holders: append([]int{9, 7, 5, 4}, slices.Repeat([]int{2, 2, 3}, 4)...), rate: 3.1}
 	burst, gone, one, two, nine := usual, usual, usual, usual, usual
@@ -83,6 +84,9 @@
 			if got, limit := after.over(300*time.Millisecond), c.maxPaused*before.over(300*time.Millisecond); got > limit {
 				t.Errorf("%.3f of the streams pause for over 300 ms, want at most %.3f", got, limit)
 			}
+			if after.lateFirst > before.lateFirst {
+				t.Errorf("%d short prompts begin late, %d without the division", after.lateFirst, before.lateFirst)
+			}
 			if got, limit := after.lateLongShare(), before.lateLongShare()+maxLongerLate; got > limit {
 				t.Errorf("%.3f of the long prompts are late, want at most %.3f", got, limit)
 			}
--- a/promptclass/division.go
+++ b/promptclass/division.go
@@ -17,7 +17,7 @@
 	if s == 0 || holders < minDividedHolders {
 		return 0
 	}
-	nearest := (holders*int(s) + quarters/2 - 1) / quarters
+	nearest := (holders*int(s) + sixths/2 - 1) / sixths
 	return max(1, min(holders-1, nearest))
 }
 
--- a/promptclass/mix.go
+++ b/promptclass/mix.go
@@ -15,29 +15,34 @@
 	shareHysteresis = 1.25
 )
 
-// Share is the number of quarters of the holders that short prompts get; 0 if the holders are not divided.
+// Share is the number of sixths of the holders that short prompts get; 0 if the holders are not divided.
 type Share int
 
-// quarters is the number of shares into which holders are divided.
-const quarters = 4
+// sixths is the number of shares into which holders are divided.
+const sixths = 6
 
-// initialShare is the share of short prompts before any was measured.
-const initialShare Share = 1
+// The ratio of the tokens of short prompts to those of long ones is in one of the intervals between ratioBounds. Each has its share. Beyond
+// the first and the last bound there are hardly any prompts of one class. One sixth reaches far down, as the streams of short prompts take
+// slots as well. With a quarter in its place, up to 1.8 times as many long prompts of models with nine holders were late in a
+// simulation, and hardly fewer streams paused.
+var (
+	ratioBounds    = []float64{1.0 / 200, 3.0 / 5, 5.0 / 3, 15}
+	intervalShares = []Share{0, 1, 3, 4, 0}
+)
 
-// ratioBounds are the ratios of tokens of short prompts to those of long ones between the shares 0, 1, 2, 3 and 0 again. Beyond the first and
-// the last there are hardly any prompts of one class. One quarter reaches far down, as the streams of short prompts take slots as well.
-var ratioBounds = []float64{1.0 / 200, 3.0 / 5, 5.0 / 3, 15}
+// initialInterval is the interval before any prompt was measured.
+const initialInterval = 1
 
 // Mix measures how much of the prompt tokens is that of short prompts. Use NewMix.
 type Mix struct {
 	long, short float64 // decaying numbers of prompt tokens
 	decayedAt   time.Time
-	interval    int // of ratioBounds in which the ratio is: the number of bounds below it
+	interval    int // in which the ratio is: the number of ratioBounds below it
 }
 
 // NewMix returns a mix without requests.
 func NewMix() *Mix {
-	return &Mix{long: initialLongTokens, short: initialShortTokens, interval: int(initialShare)}
+	return &Mix{long: initialLongTokens, short: initialShortTokens, interval: initialInterval}
 }
 
 // Add counts a prompt.
@@ -61,4 +66,4 @@
 }
 
 // Share returns the share of the holders that short prompts get.
-func (m *Mix) Share() Share { return Share(m.interval % quarters) }
+func (m *Mix) Share() Share { return intervalShares[m.interval] }
--- a/promptclass/promptclass_test.go
+++ b/promptclass/promptclass_test.go
@@ -22,8 +22,8 @@
 		want      promptclass.Share
 	}{
 		"half of the prompts are long":     {0.515, 1},
-		"one in ten":                       {0.1, 2},
-		"one in thirty":                    {0.03, 3},
+		"one in ten":                       {0.1, 3},
+		"one in thirty":                    {0.03, 4},
 		"hardly any long ones":             {0.001, 0},
 		"no long ones":                     {0, 0},
 		"hardly any short ones":            {0.9995, 0},
@@ -70,12 +70,13 @@
 }
 
 // TestBothClassesHaveHolders draws holders. Each class must have at least one where there are three, short prompts must have no more than
-// their share and one, the order in which holders are listed must not matter, and a further holder must change the class of one at most.
+// their share and one, the order in which holders are listed must not matter, and once holders are divided a further one must change the
+// class of one at most.
 func TestBothClassesHaveHolders(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 30).Draw(t, "holders")
-		share := promptclass.Share(rapid.IntRange(0, 3).Draw(t, "share"))
+		share := rapid.SampledFrom([]promptclass.Share{0, 1, 3, 4}).Draw(t, "share")
 		ids := make([]string, 0, n+1)
 		for i := range n {
 			ids = append(ids, fmt.Sprint("e", i, "-", rapid.IntRange(0, 1000).Draw(t, "id")))
@@ -84,7 +85,7 @@
 		switch {
 		case (n <= 2 || share == 0) && len(short) > 0:
 			t.Fatalf("%d holders are divided at a share of %d", n, share)
-		case n > 2 && share > 0 && (len(short) == 0 || len(short) == n || 4*len(short) > int(share)*n+4):
+		case n > 2 && share > 0 && (len(short) == 0 || len(short) == n || 6*len(short) > int(share)*n+6):
 			t.Fatalf("%d of %d holders for short prompts at a share of %d", len(short), n, share)
 		}
 		again := promptclass.Short(rapid.Permutation(ids).Draw(t, "order"), share)
@@ -98,7 +99,7 @@
 				moved++
 			}
 		}
-		if moved > 1 {
+		if n > 2 && moved > 1 {
 			t.Fatalf("a further holder changes the class of %d", moved)
 		}
 	})
