--- a/fleet/costs.go
+++ b/fleet/costs.go
@@ -29,6 +29,7 @@
 	LoadCost       // requests of this gateway at a plain target
 	RefusalsCost   // of a plain target
 	UnevennessCost // requests in comparison with the other candidates
+	ClassCost      // of a holder for the other class of prompts
 	ConnectionCost // to be opened
 	costPartCount
 )
@@ -39,7 +40,7 @@
 	SlownessCost: "slowness", AdapterLoadCost: "adapter-load", AdapterWaitCost: "adapter-wait", TurnQueueCost: "turn-queue", ZoneCost: "other-zone",
 	FailuresCost: "failures", CapacityCost: "full", OccupancyCost: "occupancy", AffinityCost: "affinity", MixingCost: "prompt-mixing",
 	UnresponsiveCost: "unresponsive", FetchCost: "fetch", ColdStartCost: "cold-start", BacklogCost: "prefill-backlog", LatencyCost: "average-latency",
-	LoadCost: "load", RefusalsCost: "refusals", UnevennessCost: "unevenness", ConnectionCost: "new-connection",
+	LoadCost: "load", RefusalsCost: "refusals", UnevennessCost: "unevenness", ClassCost: "prompt-class", ConnectionCost: "new-connection",
 }
 
 // String returns the name of the part.
--- a/fleet/even_load.go
+++ b/fleet/even_load.go
@@ -83,13 +83,13 @@
 	return least
 }
 
-// drawnAmong returns the options that one is drawn among, and what their shares follow from. It adds the costs of unevenness to all
-// options. Those without room are left out if others have it.
+// drawnAmong returns the options that one is drawn among, and what their shares follow from: those for the request's class of prompts, unless
+// these cost clearly more than others. It adds the costs of unevenness. Options without room are left out if others have it.
 func (f *Fleet) drawnAmong(options []option, query Query, now time.Time) ([]option, []spread.Candidate) {
-	addUnevenCosts(options, now)
-	if open := withRoom(options); len(open) > 0 {
-		options = open
-	}
+	own, others := f.divide(options, query)
+	addUnevenCosts(own, now)
+	addUnevenCosts(others, now)
+	options = withinClass(own, others)
 	candidates := make([]spread.Candidate, 0, len(options))
 	for i := range options {
 		candidates = append(candidates, f.candidate(&options[i], query, now))
--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -70,11 +70,15 @@
 		drawn, candidates := f.drawnAmong(options, query, now)
 		shares := spread.Chances(candidates)
 		for i := range options {
-			omitted.add(options[i].target, OmittedFull)
+			why := OmittedOtherClass
+			if !options[i].choice.HasRoom {
+				why = OmittedFull
+			}
+			omitted.add(options[i].target, why)
 		}
 		for i := range drawn {
 			c := Candidate{Choice: f.applyTurn(drawn[i].choice, now), Costs: drawn[i].costs, Share: shares[i], Unseen: candidates[i].Unseen}
-			c.Choice.Connected = f.hasConnection(options[i].target, query)
+			c.Choice.Connected = f.hasConnection(drawn[i].target, query)
 			c.Costs[ConnectionCost] = candidates[i].CostMs - drawn[i].costMs
 			e.Candidates = append(e.Candidates, c)
 		}
--- a/fleet/omissions.go
+++ b/fleet/omissions.go
@@ -11,10 +11,11 @@
 	OmittedVersionNotStored Omission = "software-version-not-stored" // the row of software versions does not have its version yet
 	OmittedBackingOff       Omission = "backing-off"                 // connections have failed, and others are available
 	OmittedLacksModel       Omission = "lacks-model"
-	OmittedExcluded         Omission = "excluded"        // by the query
-	OmittedNoTurn           Omission = "limit-or-rest"   // it takes no request of this gateway now, by what it has said of itself
-	OmittedFull             Omission = "full"            // it has no room, and others have
-	OmittedOther            Omission = "not-a-candidate" // for a reason that is not recorded
+	OmittedExcluded         Omission = "excluded"           // by the query
+	OmittedNoTurn           Omission = "limit-or-rest"      // it takes no request of this gateway now, by what it has said of itself
+	OmittedFull             Omission = "full"               // it has no room, and others have
+	OmittedOtherClass       Omission = "other-prompt-class" // it is for the other class of prompts, and those for the request's class do
+	OmittedOther            Omission = "not-a-candidate"    // for a reason that is not recorded
 )
 
 // omissions are the targets that are left out of a choice, by id. The nil map records nothing.
