Have a soak play customers with keys

Cause: the soak had no customers, so that keys were never replaced beside other faults.

Change: TestSoak/customers has routes with two customers; all its requests have keys, and each round revokes one key and adds another. Checked are: no 200 for a revoked key after 6 s (the bound of 3 s, the longest fault and a read), 401 for it and 200 for the current one after the faults, no 401 for a key that is in all routes, the customer's name alone at targets, and no key in a log. A seed given by hand plays this, too, as a second case: the requests of some series have no keys. The other cases are unchanged.

--- a/soak_series_test.go
+++ b/soak_series_test.go
@@ -149,6 +149,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
+	s.customers.authorize(request.Header)
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, completeness.Broken
--- a/soak_test.go
+++ b/soak_test.go
@@ -54,8 +54,9 @@
 // regression cases, each with its cause.
 func TestSoak(t *testing.T) {
 	cases := map[string]struct {
-		seed   uint64
-		series []func(*soakDeployment, context.Context) // of faults that overlap the others
+		seed      uint64
+		series    []func(*soakDeployment, context.Context) // of faults that overlap the others
+		customers bool                                     // the routes list customers, and requests have keys
 	}{
 		"first": {seed: 1}, "second": {seed: 2},
 		"hangup in a drain": {seed: 30007}, "hangup in a second drain": {seed: 30001}, // SIGHUP terminated a gateway while it drained
@@ -64,6 +65,7 @@
 		"answers":     {seed: 32001, series: answerSeries},
 		"cuts":        {seed: 35001, series: cutSeries},
 		"closes":      {seed: 41001, series: closeSeries},
+		"customers":   {seed: 45001, series: customerSeries, customers: true},
 		"begun anew":  {seed: 35143, series: everySeries()}, // a stream whose first target broke off in its first event was joined of two versions
 		// The caller's http.Transport sent a GET again when a kept connection broke before the answer: it had run at one gateway and was refused
 		// as not run by the next start of it.
@@ -74,11 +76,13 @@
 		given := cases["given"]
 		given.seed, given.series = envUint(t, soakSeedVariable, 1), everySeries()
 		cases["given"] = given
+		given.customers, given.series = true, customerSeries // the requests of other series have no keys
+		cases["given, customers"] = given
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newSoakDeployment(t, c.seed)
+			s := newSoakDeployment(t, c.seed, c.customers)
 			s.series = c.series
 			s.run(time.Duration(envUint(t, soakSecondsVariable, defaultSoakSeconds)) * time.Second)
 		})
@@ -105,6 +109,7 @@
 	faultLog      []string // injected faults, each with the time since startedAt
 	startedAt     time.Time
 	series        []func(*soakDeployment, context.Context)
+	customers     *soakCustomers // nil without
 	activeFaults  sync.WaitGroup // faults that have not ended and nodes that are stopping
 }
 
@@ -116,11 +121,14 @@
 	answers     soakAnswers
 }
 
-func newSoakDeployment(t *testing.T, seed uint64) *soakDeployment {
+func newSoakDeployment(t *testing.T, seed uint64, withCustomers bool) *soakDeployment {
 	size := int(envUint(t, soakSizeVariable, 1))
 	s := &soakDeployment{t: t, size: size, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), store: site.NewStore(), startedAt: time.Now()}
 	t.Logf("seed %d", seed)
 	s.idleTimeoutMs.Store(defaultIdleTimeoutMs)
+	if withCustomers {
+		s.customers = &soakCustomers{}
+	}
 	s.checker = soak.New(soak.Limits{LoadsPerSecond: 5, LoadWindow: 5 * time.Second, LoadBurstFactor: 1.1, RetryRatio: 0.2, RetryExtra: 54 * size * gatewaysPerSize})
 	t.Cleanup(s.store.Close)
 	s.storeLink = s.startLink("127.0.0.1:0", s.store.Address())
@@ -187,6 +195,7 @@
 // events if the request names a model.
 func (s *soakDeployment) respond(target *soakTarget, conn net.Conn, seen *site.ReceivedRequest) bool {
 	id := seen.Header.Get("X-Gypsumbank-Request-Id")
+	s.checkCustomer(seen)
 	if done, keepOpen := s.respondFaulty(target, conn, seen); done {
 		return keepOpen
 	}
@@ -235,7 +244,7 @@
 	for _, name := range []string{"m1", "m2", "m3"} {
 		models = append(models, map[string]any{"name": name, "weightsMb": 50.0, "adapters": 3, "adapterMb": 1.0, "loadS": 0.1})
 	}
-	s.store.Put("op", "config", map[string]any{
+	s.store.Put("op", "config", s.customers.addTo(map[string]any{
 		"version": version,
 		"routes": []any{
 			route("/safe/", "safe", "plain", 2), unsafe, route("/stream/", "streaming", "engine", 1),
@@ -248,7 +257,7 @@
 			}},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": s.idleTimeoutMs.Load()},
-	})
+	}))
 }
 
 // run injects faults for faultDuration while callers send requests, and waits for recovery before and after.
@@ -273,6 +282,7 @@
 	}
 	s.activeFaults.Wait()
 	s.waitRecovered("the faults")
+	s.checkKeys()
 	stop()
 	callers.Wait()
 	s.reportViolations()
@@ -363,6 +373,7 @@
 	}
 	request.Host = "callers.example"
 	request.Header.Set("X-Gypsumbank-Request-Id", id)
+	s.customers.authorize(request.Header)
 	if path == "/stream/" {
 		request.Header.Set("X-Gypsumbank-Model", []string{"m1", "m1", "m2", "m3/a1"}[int(s.lastRequestID.Load())%4])
 		result.WantBody = streamBody()
@@ -388,6 +399,9 @@
 	}
 	result.At = time.Now()
 	s.checker.CheckResponse(result)
+	if result.Status == http.StatusUnauthorized {
+		s.checker.RecordViolation("%s has refused the key of request %s, which is in all routes", gateway.name, id)
+	}
 	if version, ok := strings.CutPrefix(path, "/version-"); ok && result.Status == http.StatusOK {
 		if _, currentName := gateway.currentProcess(); currentName == processName {
 			routesVersion, _ := strconv.Atoi(strings.Trim(version, "/"))
