Tell connections of the explained target, not of another

Change: it is taken from the list that the choice is drawn among. The test that compares explanations with choices draws connected targets, too, and fails without the change.

Tested: go test -race ./fleet -run 'Expla|Omission|Shares'.

--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -74,7 +74,7 @@
 		}
 		for i := range drawn {
 			c := Candidate{Choice: f.applyTurn(drawn[i].choice, now), Costs: drawn[i].costs, Share: shares[i], Unseen: candidates[i].Unseen}
-			c.Choice.Connected = f.hasConnection(options[i].target, query)
+			c.Choice.Connected = f.hasConnection(drawn[i].target, query)
 			c.Costs[ConnectionCost] = candidates[i].CostMs - drawn[i].costMs
 			e.Candidates = append(e.Candidates, c)
 		}
--- a/fleet/explain_test.go
+++ b/fleet/explain_test.go
@@ -83,6 +83,7 @@
 	zone, version                     string
 	inflight, others, running, kvUsed int
 	draining, replaced, backingOff    bool
+	connected                         bool
 	holds, adapter, cold, full, rests bool
 	tookMs, pendingMs, turnMs         float64
 	failed                            int
@@ -97,7 +98,7 @@
 		return drawnTarget{
 			zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), version: rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"),
 			inflight: rapid.IntRange(0, 9).Draw(t, "inflight"), others: rapid.IntRange(0, 9).Draw(t, "others"), running: rapid.IntRange(0, 9).Draw(t, "running"), kvUsed: rapid.IntRange(0, 10000).Draw(t, "kv"),
-			draining: oneIn(8, "draining"), replaced: oneIn(8, "replaced"), backingOff: oneIn(5, "backing off"),
+			draining: oneIn(8, "draining"), replaced: oneIn(8, "replaced"), backingOff: oneIn(5, "backing off"), connected: oneIn(2, "connected"),
 			holds: !oneIn(4, "lacks"), adapter: !oneIn(4, "lacks adapter"), cold: oneIn(5, "cold"), full: oneIn(5, "full"), rests: oneIn(5, "rests"),
 			tookMs: rapid.Float64Range(0, 1000).Draw(t, "took"), pendingMs: rapid.Float64Range(0, 500).Draw(t, "pending"), turnMs: rapid.Float64Range(0, 500).Draw(t, "turn"),
 			failed: rapid.IntRange(0, 3).Draw(t, "failed"), reportAge: time.Duration(rapid.IntRange(0, 4000).Draw(t, "age")) * time.Millisecond, parts: rapid.IntRange(0, 2).Draw(t, "parts"),
@@ -121,6 +122,11 @@
 		}
 		targets = append(targets, target)
 	}
+	connected := map[string]bool{}
+	for i, d := range drawn {
+		connected[targets[i].Address] = d.connected
+	}
+	f.SetConnections(func(address string, _ bool) bool { return connected[address] })
 	f.UpdateTargets(targets, false, start)
 	hashes := query.Request.PrefixHashes()
 	for i, d := range drawn {
@@ -290,6 +296,7 @@
 			explained.Explain(query, start.Add(time.Duration(i)*time.Second))
 		}
 		explained.chooseAmong, untouched.chooseAmong = nil, nil // functions are never equal
+		explained.isConnected, untouched.isConnected = nil, nil
 		if !reflect.DeepEqual(explained, untouched) {
 			t.Fatalf("the view differs after an explanation: %+v, before %+v", explained, untouched)
 		}
