Count the gateways once for a choice

Cause: mixingCost counted the gateways for each holder, which goes through all targets: most of the time of a choice with many holders.

Change: holderOptions counts them once and leaves the part out among many gateways. No choice changes.

Tested: go test -race ./fleet.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -231,6 +231,7 @@
 	prefixHashes := req.PrefixHashes()
 	ranks := holderRanks(holders)
 	sources := newPrefixSources(holders, req, prefixHashes, now)
+	separates := f.gatewayCountLocked() < manyGateways // counted once: it goes through all targets
 	options := make([]option, len(holders))
 	for i, s := range holders {
 		prefillTokens := s.uncachedTokens(req, prefixHashes)
@@ -262,7 +263,9 @@
 		costs[CapacityCost] = f.capacityCost(s, req, now)
 		costs[OccupancyCost] = s.occupancyCost(now)
 		costs[AffinityCost] = affinityCost(prefixHashes, s.ID)
-		costs[MixingCost] = f.mixingCost(s.Service, req, ranks[s.ID])
+		if separates {
+			costs[MixingCost] = f.mixingCost(s.Service, req, ranks[s.ID])
+		}
 		costs[UnresponsiveCost] = s.unresponsiveCost(now)
 		if fetchTokens > 0 {
 			costs[FetchCost] = fetchPenaltyMs
@@ -304,11 +307,8 @@
 // mixingCost returns a cost in ms that keeps long prompts and the streams of short ones on different targets: it
 // favours holders of high rank for long prompts and of low rank for others. An engine interleaves prefill with
 // decoding, so a long prompt causes gaps in the streams of other requests. Where there are few long prompts, the cost is
-// lower, as it would leave the holders of high rank idle. Among many gateways it is 0, as it makes the load uneven.
+// lower, as it would leave the holders of high rank idle. Among many gateways it is not used, as it makes the load uneven.
 func (f *Fleet) mixingCost(service string, req *request.Request, rank float64) float64 {
-	if f.gatewayCountLocked() >= manyGateways {
-		return 0
-	}
 	maxCostMs := mixingCostTokens * f.prefillMsPerToken(req.Model) * f.promptMixes[service].separation()
 	if isLongPrompt(req) {
 		return maxCostMs * (1 - rank)
