Count the part of a request that was read with the one before

Cause: a server may read a part of a pipelined request into its buffer with the request before.

Change: net/http sets a read deadline before it waits for the first four bytes of a request and another one after them, and in between reads as much as its buffer has room for. So a second deadline, or a shorter read, shows that a part of the next request is there. It then counts as read: it may come in to the end, its time is bounded as that of any head, and it is refused in a drain. fasthttp sets one deadline at most while idle and reads into an empty buffer, so nothing changes there.

--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -44,6 +44,9 @@
 	waiting   bool          // a read waits for the first byte
 	readBytes int64         // since it became idle
 	lastRead  time.Time     // when bytes were last read
+	headBegun bool          // the server holds a part of the next request, which it may have read with the one before
+	deadlines int           // read deadlines that the server has set since it became idle
+	bufferLen int           // size of the server's buffer: the length of its first read
 	closing   string        // cause for which the read that waits is to close it; empty if none
 	deadline  time.Time     // of reads, as the server has set it
 	reset     bool          // its close is to reset it
@@ -68,6 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isIdle, c.isFirst, c.idleSince, c.readBytes = true, false, now, 0
+	c.headBegun, c.deadlines = false, 0
 	c.promised = max(c.promised, idleTimeout)
 }
 
@@ -82,7 +86,7 @@
 func (c *conn) closeIfIdle(cause string, mayClose func(since time.Time, promised time.Duration, first bool) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readBytes == 0 && mayClose(c.idleSince, c.promised, c.isFirst) {
+	if !c.hasPart() && mayClose(c.idleSince, c.promised, c.isFirst) {
 		c.endReadForClose(cause)
 	}
 }
@@ -137,7 +141,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
-		if !c.beginRead() {
+		if !c.beginRead(len(p)) {
 			return 0, io.EOF
 		}
 		n, err := c.tcpConn.Read(p)
@@ -151,14 +155,40 @@
 	}
 }
 
-// beginRead records that a read waits; it returns false if nothing more is to be read.
-func (c *conn) beginRead() bool {
+// beginRead records that a read of so many bytes waits; it returns false if nothing more is to be read.
+func (c *conn) beginRead(size int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = !c.refused
+	if c.bufferLen == 0 {
+		c.bufferLen = size
+	}
+	if c.waiting && c.awaitsHead() && size < c.bufferLen {
+		c.headBegun = true
+		c.limitHeadStart()
+	}
 	return c.waiting
 }
 
+// hasPart reports whether a part of the next request has been read; the caller holds the lock.
+func (c *conn) hasPart() bool { return c.readBytes > 0 || c.headBegun }
+
+// awaitsHead reports whether the server waits for the first four bytes of the next request: an http.Server sets a read deadline before that and
+// another one after it. While it waits, it reads as much as its buffer has room for, so a shorter read shows that bytes are there. The caller
+// holds the lock.
+func (c *conn) awaitsHead() bool {
+	return c.isIdle && !c.isFirst && c.deadlines == 1 && !c.conns.limits.NoHeads
+}
+
+// limitHeadStart bounds the read of the first bytes of a head unless the server has; the caller holds the lock.
+func (c *conn) limitHeadStart() {
+	if c.ended || !c.deadline.IsZero() {
+		return
+	}
+	c.deadline = time.Now().Add(c.conns.headerTimeout(headStartTime))
+	_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed already
+}
+
 // Write implements net.Conn. What the server writes about a head that has been refused is dropped, as that has its answer.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -194,7 +224,7 @@
 	if !quietconn.IsQuiet(c.tcpConn) {
 		return true, false
 	}
-	if c.readBytes > 0 {
+	if c.hasPart() {
 		c.refusePart(cause)
 		return false, true
 	}
@@ -209,15 +239,14 @@
 		return false
 	}
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) && c.readBytes > 0:
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.hasPart():
 		c.refusePart(causeSlowHead)
 		return true
 	case c.conns.isHeadTooLong(c.readBytes):
 		c.refusePart(causeLongHead)
 		return true
-	case n > 0 && !c.ended && c.deadline.IsZero():
-		c.deadline = time.Now().Add(c.conns.headerTimeout(headStartTime))
-		_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed already
+	case n > 0:
+		c.limitHeadStart()
 	}
 	return false
 }
@@ -241,6 +270,10 @@
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.awaitsHead() {
+		c.headBegun = true
+	}
+	c.deadlines++
 	if c.isIdle && !deadline.IsZero() {
 		deadline = c.capHeadDeadline(deadline)
 	}
--- a/keepalive/conn_test.go
+++ b/keepalive/conn_test.go
@@ -50,7 +50,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			server, client := acceptOne(t, New(func() time.Duration { return 0 }, quietLog()))
-			server.beginRead() // the reader is about to wait
+			server.beginRead(1) // the reader is about to wait
 			if _, err := io.WriteString(client, c.sent); err != nil {
 				t.Fatal(err)
 			}
--- a/keepalive/part_read_test.go
+++ b/keepalive/part_read_test.go
@@ -129,6 +129,47 @@
 	}
 }
 
+// TestPartOfAPipelinedRequestIsRefused guards against a head that is cut without an answer in a drain, or as its time is over, as a part of it was read
+// with the request before.
+func TestPartOfAPipelinedRequestIsRefused(t *testing.T) {
+	cases := map[string]struct {
+		part       string
+		drain      bool
+		wantStatus string
+	}{
+		"half of a head, drain":     {"GET /next HTTP/1.1\r\nHost: a\r\n", true, " 503 "},
+		"first byte, drain":         {"G", true, " 503 "},
+		"half of a head, slow head": {"GET /next HTTP/1.1\r\nHost: a\r\n", false, " 408 "},
+		"first byte, slow head":     {"G", false, " 408 "},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conns := New(func() time.Duration { return 100 * time.Millisecond }, quietLog())
+			headTime := 200 * time.Millisecond
+			if c.drain {
+				headTime = 10 * time.Second
+			}
+			conns.SetLimits(Limits{HeaderTimeout: func() time.Duration { return headTime }})
+			client := dialCaller(t, shortHeadServer(t, conns, 10*time.Second, func(http.ResponseWriter, *http.Request) {}))
+			go func() { _ = conns.Run(t.Context()) }()
+			_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"+c.part)
+			reader := bufio.NewReader(client)
+			if err := readAnswer(reader); err != nil {
+				t.Fatal(err)
+			}
+			if c.drain {
+				time.Sleep(50 * time.Millisecond)
+				go func() { _ = conns.Drain(t.Context(), time.Now()) }()
+			}
+			got, err := io.ReadAll(reader)
+			if err != nil || strings.Count(string(got), "HTTP/1.1 ") != 1 || !strings.Contains(string(got), c.wantStatus) {
+				t.Errorf("read %q, %v; want one refusal with%s", got, err, c.wantStatus)
+			}
+		})
+	}
+}
+
 // TestPartOfAHeadIsRefusedInAShortGrace guards against heads that are cut as the time between the last answers and the close is below the check interval.
 func TestPartOfAHeadIsRefusedInAShortGrace(t *testing.T) {
 	for name, phase := range map[string]time.Duration{"5 ms": 5, "15 ms": 15, "25 ms": 25, "35 ms": 35, "45 ms": 45} {
