Run tests that need no calm machine beside a long wait

Cause: TestFrozenGatewayDoesNotJoinSoftwareVersions waits for 66 s for a retention time at the end of the root package, with the cores idle.

Change: the tests of edits and of commands, which check results and bounds of seconds, and the search for names run beside it. What they check is unchanged; each has a deployment and ports of its own.

--- a/edits_test.go
+++ b/edits_test.go
@@ -78,6 +78,7 @@
 // TestConcurrentEditsAreLinearizable checks that no accepted edit is lost when operators edit one list concurrently and the
 // table loses answers: the history of reads and edits must be linearizable.
 func TestConcurrentEditsAreLinearizable(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, twoReplicaSize())
 	c.setFaults("table", fault.Faults{LoseAnswer: 0.2})
 	var mu sync.Mutex
@@ -145,6 +146,7 @@
 // TestAcceptedEditIsInForceDuringTableOutage silences the table after an edit was accepted and before every entry has applied
 // it. The frozen entry must apply it once it runs again, and an entry that starts during the outage must get it from a peer.
 func TestAcceptedEditIsInForceDuringTableOutage(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, twoReplicaSize())
 	c.entries[1].signal(syscall.SIGSTOP)
 	applyOutput := make(chan string, 1)
@@ -190,6 +192,7 @@
 // TestStaleTableReadsRevertNoEdit makes reads of the table return items from before an edit that is in force. No entry may
 // return to the older list.
 func TestStaleTableReadsRevertNoEdit(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, twoReplicaSize())
 	c.sendControl(http.MethodPost, "table", "/past", []byte(`{"freeze":true}`))
 	path := c.writeFile("edit.ini", c.allowancesForModel(1, "blend-01"))
--- a/end_to_end_test.go
+++ b/end_to_end_test.go
@@ -21,6 +21,7 @@
 // TestRequestsAndEditsAcrossProcesses sends a completion, an event and an edit of the allowances through a deployment in which
 // every role is a process of its own.
 func TestRequestsAndEditsAcrossProcesses(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, twoReplicaSize())
 
 	streamed := c.sendRequest(0, http.MethodPost, "/v1/chat/completions", `{"model":"counter-00","stream":true,"messages":[{"role":"user","content":"hello [[length=12]]"}]}`, "")
@@ -67,6 +68,7 @@
 // TestCommandsRejectInvalidInput checks that a command reports invalid arguments, settings or lists in one line that names the
 // file, section and key, as far as they apply.
 func TestCommandsRejectInvalidInput(t *testing.T) {
+	t.Parallel()
 	c := &cluster{t: t, dir: t.TempDir()}
 	validSettings := "[node]\nname = n\navailability-zone = z\nsecret = 0123456789abcdef\n[platform]\ntable = 127.0.0.1:1\nvm-list = 127.0.0.1:2\n"
 	tests := map[string]struct {
--- a/platform_names_test.go
+++ b/platform_names_test.go
@@ -14,6 +14,7 @@
 
 // TestPlatformNamesStayInTheirFolder checks that no other Go file outside of tests contains a wire name of the platform.
 func TestPlatformNamesStayInTheirFolder(t *testing.T) {
+	t.Parallel()
 	visited := map[string]bool{}
 	err := filepath.WalkDir(".", func(path string, entry os.DirEntry, err error) error {
 		if err != nil {
