Weigh the crashes of one message together

Cause: a process that has just started reads crashes from the store or an agent and weighed each one before it had added the next.

Change: the contents of all crashes of a message are weighed once all are added.

Tests: TestCrashesOfOneMessageAreWeighedTogether fails without the change.

--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -84,15 +84,15 @@
 			blocked = append(blocked, request.Content{Hash: received.GetContent()})
 		}
 	}
+	var added []request.Content // of all crashes, which are weighed together whatever their order
 	for _, received := range message.GetCrashes() {
 		contents := make([]request.Content, 0, len(received.GetContents()))
 		for _, content := range received.GetContents() {
 			contents = append(contents, request.Content{Hash: content.GetHash(), Rank: content.GetRank()})
 		}
-		added := t.addCrash(received.GetRun(), contents, now.Add(-milliseconds(received.GetAgeMs())))
-		blocked = append(blocked, t.blockCauses(added, now)...)
+		added = append(added, t.addCrash(received.GetRun(), contents, now.Add(-milliseconds(received.GetAgeMs())))...)
 	}
-	return blocked
+	return append(blocked, t.blockCauses(added, now)...)
 }
 
 // mergeEntry adds a received entry if it holds, and reports whether its content is blocked now and was not before; the caller
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -191,6 +191,26 @@
 	}
 }
 
+// TestCrashesOfOneMessageAreWeighedTogether guards against a process that has just started and blocks a sound request, as it weighs some of the
+// crashes that it is told of before it has added the others.
+func TestCrashesOfOneMessageAreWeighedTogether(t *testing.T) {
+	sound, cause := plainRequest("/sound"), plainRequest("/ends-targets")
+	both := append(plainRequest("/sound"), cause...)
+	clock := &fakeClock{at: time.Unix(1000, 0)}
+	table, started := quarantine.New(clock.now), quarantine.New(clock.now)
+	for i, contents := range [][]request.Content{cause, both, both, both} {
+		clock.advance(30 * time.Millisecond)
+		table.Blame(uint64(i), contents)
+	}
+	table.Blame(0, plainRequest("/reported-late")) // so that this crash comes last in the message
+	exchange(table, started)
+	for name, each := range map[string]*quarantine.Table{"first process": table, "started process": started} {
+		if each.Blocked(cause) == 0 || each.Blocked(sound) > 0 {
+			t.Errorf("%s: the cause is blocked for %s and the sound request for %s", name, each.Blocked(cause), each.Blocked(sound))
+		}
+	}
+}
+
 // TestSharedPartThatWasBlockedFirstDoesNotHideTheCause guards against a part that most requests share and that is reported first: the
 // rarer part that ends targets must be blocked too, and not the other way round.
 func TestSharedPartThatWasBlockedFirstDoesNotHideTheCause(t *testing.T) {
