Run four tests of gateway beside the others

Cause: the cases of these tests run side by side, but the tests themselves one after the other before those that may run at once: 32 s of the package, in which the cores wait.

Change: the four tests may run beside others. What they check is unchanged.

--- a/gateway/model_loading_test.go
+++ b/gateway/model_loading_test.go
@@ -91,6 +91,7 @@
 // TestRestartedTargetReloadsItsModels restarts an engine that holds two models, with or without its agent. Both models must
 // be loaded again from its disk without a request for them, and none from the weight store if the disk is new.
 func TestRestartedTargetReloadsItsModels(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct{ restartAgent, clearDisk bool }{
 		"engine alone":           {},
 		"engine and its agent":   {restartAgent: true},
--- a/gateway/odd_entries_test.go
+++ b/gateway/odd_entries_test.go
@@ -76,6 +76,7 @@
 // TestGatewayFollowsTheRegistryBesideOddEntries has another writer leave odd entries of all kinds among those of the targets. The
 // gateways must go on to use targets that register later and to leave out those that have left, and must not use the odd ones.
 func TestGatewayFollowsTheRegistryBesideOddEntries(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		agents    int
 		relayOnly bool // gateways have the list only from agents once they are ready
@@ -124,6 +125,7 @@
 
 // TestGatewayUsesAnEntryThatIsNoLongerOdd has the only entry of a service be odd, a good one under the same key, and odd again.
 func TestGatewayUsesAnEntryThatIsNoLongerOdd(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []string{"born is 2^63-1", "address is with port 0", "slots is negative", "row has a value that is no base64", "coldRemainingMs is 1e300", "value is a nested list"} {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
--- a/gateway/routes_agents_test.go
+++ b/gateway/routes_agents_test.go
@@ -54,6 +54,7 @@
 // TestRoutesAreTakenFromTheAgentThatHasThem guards against a gateway that stops at, or is set back by, an agent that does not answer, that
 // is of an earlier release, that hands out an older version or a document that can't be read, while another agent has newer routes.
 func TestRoutesAreTakenFromTheAgentThatHasThem(t *testing.T) {
+	t.Parallel()
 	const (
 		lastVersion = 12
 		inForceIn   = 3 * time.Second
