Keep quotas within stored levels, so that they hold and are served after a restart

Cause: a keeper that starts knows nothing of what was granted before and waits for 3 s and a debt; after a loss of power of all gateways and agents customers get 429 for some 6 s.

Change: a keeper's use of its part is bound by a level (0.55 to 1), with a token bucket and a window of that share. The level and the keeper's seat are stored before it grants beyond the next lower one. A keeper that restarts and finds its own seat, with no keeper that joined since, grants at once what its level leaves; otherwise the rule of before applies, within the lowest level until its row is stored. Gateways spread their calls over keepers by what these granted lately, so that levels stay low.

Tested: the model test covers restarts of all, a store that is away, slow, loses answers or comes back from a copy; a second one raises levels first and has several faults within a window.

--- a/quota/account.go
+++ b/quota/account.go
@@ -27,6 +27,8 @@
 	aheadInterval = 50 * time.Millisecond
 	// aheadPartShare bounds what is held ahead as a share of what all keepers hold.
 	aheadPartShare = 0.25
+	// plentyShare is the share of a keeper's capacity from which on it does not matter how much it has left.
+	plentyShare = 0.5
 	// returnDelay is how long what is to be returned waits for a call that takes it along.
 	returnDelay = 100 * time.Millisecond
 	// maxReturnAge is the age up to which something is returned: keepers know their levels for a window.
@@ -128,6 +130,8 @@
 	since       time.Time // from when on it is known as a keeper
 	answeredAt  time.Time // zero if it never has
 	left        float64   // then
+	granted     float64   // fading sum, as of grantedAt
+	grantedAt   time.Time
 	absentUntil time.Time
 	absence     time.Duration
 	// It has refused refusedMinimum, to last until refusedUntil.
@@ -211,6 +215,7 @@
 	if v := a.view(ask.Keeper); v != nil {
 		v.answeredAt, v.left, v.absentUntil, v.absence = now, reply.Left, time.Time{}, 0
 		v.refusedMinimum, v.refusedUntil = 0, time.Time{}
+		v.granted, v.grantedAt = v.grantedLately(a.bounds, now)+reply.Granted, now
 		if reply.Granted <= 0 {
 			v.refusedMinimum, v.refusedUntil = ask.Reservation.Minimum, now.Add(reply.Wait)
 		}
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -63,20 +63,37 @@
 	return nil, 0, 0
 }
 
-// fullest returns the keeper with most left among those that have not lately refused as little as minimum; nil if all have.
+// fullest returns the keeper with most left among those that have not lately refused as little as minimum; nil if all have. Among keepers with
+// plenty left it is the one that has lately granted least: each has its own stored level, which is low if they are used alike.
 func (a *Account) fullest(keepers []*keeperView, minimum float64, now time.Time) *keeperView {
+	plenty := max(minimum, plentyShare*a.part.capacity)
 	var most *keeperView
 	for _, v := range keepers {
 		if now.Before(v.refusedUntil) && minimum >= v.refusedMinimum {
 			continue
 		}
-		if most == nil || v.expected(a.part, now) > most.expected(a.part, now) {
+		if most == nil {
+			most = v
+			continue
+		}
+		left, highest := v.expected(a.part, now), most.expected(a.part, now)
+		switch {
+		case min(left, highest) >= plenty:
+			if v.grantedLately(a.bounds, now) < most.grantedLately(a.bounds, now) {
+				most = v
+			}
+		case left > highest:
 			most = v
 		}
 	}
 	return most
 }
 
+// grantedLately returns what a keeper has granted, fading over a window.
+func (v *keeperView) grantedLately(bounds Bounds, now time.Time) float64 {
+	return v.granted * math.Exp(-now.Sub(v.grantedAt).Seconds()/bounds.Window.Seconds())
+}
+
 // askAhead returns a call that no request waits for, if what is held is less than half of what the demand calls for.
 func (a *Account) askAhead(now time.Time) (Ask, bool) {
 	target, balance := a.aheadTarget(now), a.Balance(now)
--- a/quota/hard_rule_test.go
+++ b/quota/hard_rule_test.go
@@ -48,8 +48,33 @@
 				s.agents[agentName(t)].frozenUntil = s.now.Add(span(t, 12*time.Second))
 			},
 			"restart an agent": func(t *rapid.T) {
-				s.agents[agentName(t)] = &simAgent{keeper: NewKeeper(bounds, s.now)}
+				s.restartAgent(agentName(t))
 			},
+			"restart all agents and gateways": func(t *rapid.T) {
+				for _, name := range sortedKeys(s.agents) {
+					if !s.agents[name].isDown {
+						s.restartAgent(name)
+					}
+				}
+				for _, g := range s.gateways {
+					s.startGateway(g)
+				}
+			},
+			"restart all gateways": func(*rapid.T) {
+				for _, g := range s.gateways {
+					s.startGateway(g)
+				}
+			},
+			"lose the store": func(t *rapid.T) { s.store.downUntil = s.now.Add(span(t, 20*time.Second)) },
+			"slow the store down": func(t *rapid.T) {
+				s.store.longestDelay = rapid.SampledFrom([]time.Duration{10 * time.Millisecond, time.Second, 6 * time.Second}).Draw(t, "longest delay")
+			},
+			"lose answers of the store": func(t *rapid.T) {
+				s.store.lossRate = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "loss rate of the store")
+			},
+			"copy the store":    func(*rapid.T) { s.store.copied = s.store.row },
+			"restore the store": func(*rapid.T) { s.store.restore() },
+			"settle":            func(*rapid.T) { s.run(20 * time.Second) },
 			"lose an agent": func(t *rapid.T) {
 				name := agentName(t)
 				if !canList() || len(s.listed) < 2 {
@@ -65,7 +90,7 @@
 					t.Skip("the registry does not change now")
 				}
 				if s.agents[name].isDown {
-					s.agents[name] = &simAgent{keeper: NewKeeper(bounds, s.now)}
+					s.restartAgent(name)
 				}
 				s.list(append(slices.Clone(s.listed), name))
 				listChangedAt = s.now
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -41,6 +41,7 @@
 // over what was granted, less what gateways have returned of that, which keeps the bounds.
 type Keeper struct {
 	bounds    Bounds
+	stores    bool // levels of use
 	started   time.Time
 	tickedAt  time.Time
 	thawedAt  time.Time
@@ -57,6 +58,7 @@
 	history        history
 	lastReserved   time.Time
 	continuousTill time.Time // last time at which this agent is known to have been a keeper for all gateways; zero if never
+	levels         *levels   // nil if the keeper stores none
 }
 
 // NewKeeper returns a keeper without customers, which started at the given time.
@@ -64,6 +66,13 @@
 	return &Keeper{bounds: bounds, started: started, tickedAt: started, customers: map[string]*bucket{}}
 }
 
+// NewStoringKeeper returns a keeper that keeps each customer's use within a stored level. Its owner stores what Changes returns.
+func NewStoringKeeper(bounds Bounds, started time.Time) *Keeper {
+	k := NewKeeper(bounds, started)
+	k.stores = true
+	return k
+}
+
 // Tick tells the keeper that its process runs. It must be called several times in each maxTickGap.
 func (k *Keeper) Tick(now time.Time) {
 	if now.Sub(k.tickedAt) > maxTickGap {
@@ -83,38 +92,133 @@
 	b.setLimit(in.Limit, k.bounds, now)
 	b.credit(in.Returned, in.ReturnedAge)
 	b.lastReserved = now
-	level, continuous := b.level, !now.Add(-in.KeeperFor).After(b.continuousTill)
-	if continuous {
-		b.continuousTill = now
-	} else {
-		// Another keeper may have been used in place of this one until viewLag after the gateway has seen this one.
-		level = min(level, b.part.rate*(in.KeeperFor-viewLag).Seconds()-b.part.debt)
-	}
-	granted := max(0, b.grantable(in, level))
-	reply := Reply{Granted: granted, Lifetime: grantLifetime, Left: min(level, b.part.usable-b.history.granted()) - granted}
+	ways, continuous := b.ways(in, now)
+	way, granted := b.choose(in, ways)
+	reply := Reply{Granted: granted, Lifetime: grantLifetime, Left: way.left - granted}
 	if granted > 0 {
-		b.level, b.continuousTill = level-granted, now
 		b.history.addGranted(granted)
 	} else if in.Amount > 0 {
-		reply.Wait = b.wait(in.Minimum, level)
+		reply.Wait = b.wait(in.Minimum, ways)
+	}
+	b.spend(granted, way, continuous, now)
+	if b.levels != nil && in.Amount > 0 {
+		b.observeUse(in, &reply, now)
 	}
 	return reply
 }
 
-// grantable returns what a bucket at a level grants. A minimum above what a bucket can hold is granted in debt from a full one.
-func (b *bucket) grantable(in Reservation, level float64) float64 {
-	room, full := b.part.usable-b.history.granted(), fullShare*b.part.capacity
+// way is a rule by which a keeper may grant.
+type way struct {
+	bucket float64 // level of the token bucket of the whole part
+	level  float64 // what may be granted of that
+	rate   float64 // by which level rises
+	room   float64 // in the window
+	// left is what gateways are told. It leaves out the level: a keeper of a higher level would be asked more often, and so need a still higher one.
+	left   float64
+	shares bool // by what the level stored for the keeper before leaves
+}
+
+// ways returns the rules that apply, of which the one that grants most counts, and whether this agent is known to have been a keeper for all
+// gateways without a break.
+func (b *bucket) ways(in Reservation, now time.Time) (ways []way, continuous bool) {
+	since := now.Add(-in.KeeperFor)
+	continuous = !since.After(b.continuousTill)
+	l := b.levels
+	if !continuous && l != nil && !l.takesOver(since) {
+		l.take(b.part, b.history.index, in.KeeperFor, now)
+	}
+	if !continuous && l.settled(since, now) {
+		continuous = true
+		b.level = max(b.level, b.part.capacity-b.history.granted())
+	}
+	whole := way{bucket: b.level, rate: b.part.rate, room: b.part.usable - b.history.granted()}
+	if !continuous {
+		// Another keeper may have been used in place of this one until viewLag after the gateway has seen this one.
+		whole.bucket = min(b.level, l.takeoverRate(b.part)*(in.KeeperFor-viewLag).Seconds()-b.part.debt-l.spentByShare())
+	}
+	whole.level, whole.left = whole.bucket, min(whole.bucket, whole.room)
+	if l == nil {
+		return []way{whole}, continuous
+	}
+	share := l.inForce.Share()
+	whole.level, whole.rate, whole.room = min(whole.level, l.fills[l.inForce]), share*whole.rate, whole.room-(1-share)*b.part.usable
+	ways = []way{whole}
+	if now.Before(l.sharesTill) && l.takesOver(since) {
+		granted := b.history.grantedSince(l.takenSlot)
+		rest := way{bucket: b.level, level: min(l.shareFill, l.fills[l.inForce]), rate: (1 - l.shareLevel.Share()) * b.part.rate, shares: true}
+		rest.room = min(b.part.total-l.grantedBefore(b.part, now)-granted, whole.room)
+		rest.left = min(rest.level, rest.room)
+		ways = append(ways, rest)
+	}
+	return ways, continuous
+}
+
+// choose returns the way that grants most, or has most left if none grants anything.
+func (b *bucket) choose(in Reservation, ways []way) (best way, granted float64) {
+	for i, w := range ways {
+		amount := max(0, b.grantable(in, w))
+		if i == 0 || amount > granted || (amount == granted && w.left > best.left) {
+			best, granted = w, amount
+		}
+	}
+	return best, granted
+}
+
+// grantable returns what a bucket grants. A minimum above what a bucket can hold is granted in debt from a full one.
+func (b *bucket) grantable(in Reservation, w way) float64 {
+	full := fullShare * b.part.capacity
 	switch {
-	case in.Minimum > room:
+	case in.Minimum > w.room:
 		return 0
-	case level >= in.Minimum:
-		return min(in.Amount, level, room)
-	case level >= full && in.Minimum > full:
+	case w.level >= in.Minimum:
+		return min(in.Amount, w.level, w.room)
+	case w.level >= full && in.Minimum > full:
 		return in.Minimum
 	}
 	return 0
 }
 
+// spend takes a grant from the buckets.
+func (b *bucket) spend(granted float64, w way, continuous bool, now time.Time) {
+	switch {
+	case granted > 0 && w.shares && !continuous:
+		b.level -= granted
+		b.levels.shareSpent += granted
+	case granted > 0:
+		b.level, b.continuousTill = w.bucket-granted, now
+	case continuous:
+		b.continuousTill = now
+	}
+	if b.levels != nil {
+		b.levels.spend(granted)
+	}
+}
+
+// observeUse records which level the use calls for, and shortens the wait that a reply names if the store is likely to give room.
+func (b *bucket) observeUse(in Reservation, reply *Reply, now time.Time) {
+	l := b.levels
+	l.usedAt = now
+	if l.stored {
+		l.need(b.part, b.history.granted(), b.missing(in, reply))
+	}
+	if reply.Granted == 0 && l.awaitsStore(now) {
+		reply.Wait = min(reply.Wait, storeWait)
+		reply.Left = max(reply.Left, (1-l.inForce.Share())*b.part.capacity) // or gateways would not ask again
+	}
+}
+
+// missing returns what the level kept from being granted.
+func (b *bucket) missing(in Reservation, reply *Reply) float64 {
+	left := min(b.level, b.part.usable-b.history.granted())
+	if left < in.Minimum-reply.Granted {
+		return 0
+	}
+	if in.Minimum > 0 {
+		return max(0, in.Minimum-reply.Granted)
+	}
+	return max(0, min(in.Amount-reply.Granted, left))
+}
+
 // bucket returns the bucket of the customer of a reservation. A new one is filled as if the keeper had been empty at its start: what it
 // granted before a restart is not known.
 func (k *Keeper) bucket(in Reservation, now time.Time) *bucket {
@@ -125,6 +229,9 @@
 		b.level = min(b.part.capacity, b.part.rate*now.Sub(k.started).Seconds()-b.part.debt)
 		b.history = newHistory(k.bounds.Window + grantLifetime)
 		b.history.advance(now.Sub(k.started), b.level)
+		if k.stores {
+			b.levels = newLevels(b.part, now.Sub(k.started), now)
+		}
 		k.customers[in.Customer] = b
 	}
 	return b
@@ -149,6 +256,9 @@
 	if elapsed := now.Sub(b.at); elapsed > 0 {
 		b.level = min(max(b.level, b.part.capacity), b.level+b.part.rate*elapsed.Seconds())
 		b.at = now
+		if b.levels != nil {
+			b.levels.advance(b.part, elapsed, now)
+		}
 	}
 	b.history.advance(now.Sub(started), b.level)
 }
@@ -170,10 +280,10 @@
 	if next == b.limit {
 		return
 	}
-	old := b.part
+	old, ratio := b.part, 1.0
 	b.limit, b.part = next, bounds.part(next)
 	if old.rate > 0 && b.part.rate != old.rate {
-		ratio := b.part.rate / old.rate
+		ratio = b.part.rate / old.rate
 		// What was granted counts as the same share of the part. It is scaled back where a limit is raised again, or grants would be forgotten.
 		b.history.scale(ratio)
 		if b.level < 0 && ratio < 1 {
@@ -181,6 +291,9 @@
 		}
 	}
 	b.level = min(b.level, b.part.capacity)
+	if b.levels != nil {
+		b.levels.setPart(b.part, ratio)
+	}
 }
 
 // credit adds what a gateway returns of grants that it asked for within the given age. The level is then as if that had not been granted:
@@ -197,17 +310,25 @@
 		b.level += gained
 		b.history.raise(age, gained)
 	}
+	if b.levels != nil {
+		first, _ := b.history.firstSlot(age)
+		b.levels.credit(b.part, returned, b.history.grantedSince(first))
+	}
 	b.history.takeBack(age, returned)
 }
 
-// wait returns the time until a minimum can be granted at a level.
-func (b *bucket) wait(minimum, level float64) time.Duration {
-	if b.part.rate <= 0 {
-		return time.Minute
+// wait returns the time until a minimum can be granted.
+func (b *bucket) wait(minimum float64, ways []way) time.Duration {
+	shortest := time.Minute
+	for _, w := range ways {
+		if w.rate <= 0 {
+			continue
+		}
+		seconds := (min(minimum, fullShare*b.part.capacity) - w.level) / w.rate
+		window := b.history.waitFor(minimum - w.room)
+		shortest = min(shortest, max(minWait, window, time.Duration(min(seconds, 60)*float64(time.Second))))
 	}
-	seconds := (min(minimum, fullShare*b.part.capacity) - level) / b.part.rate
-	window := b.history.waitFor(b.history.granted() + minimum - b.part.usable)
-	return max(minWait, window, time.Duration(min(seconds, 60)*float64(time.Second)))
+	return shortest
 }
 
 // historySlots is the number of slots of a history.
@@ -252,6 +373,15 @@
 	return total
 }
 
+// grantedSince returns what was granted from a slot on, in the span.
+func (h *history) grantedSince(first int64) float64 {
+	total := 0.0
+	for i := max(first, h.index-historySlots+1, 0); i <= h.index; i++ {
+		total += h.grants[i%historySlots]
+	}
+	return total
+}
+
 // takeBack subtracts an amount from what was granted at an age or earlier. It may have been granted later: the sums of spans that end from now
 // on are then too high, never too low.
 func (h *history) takeBack(age time.Duration, amount float64) {
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -56,6 +56,9 @@
 	// debt is the level at which a keeper begins that does not know what was granted before: with it, the grants of before, at most capacity
 	// and the refill, and its own are together within the bound.
 	debt float64
+	// total is the bound on what this keeper and the one before it grant together in a window and the lifetime of a grant.
+	total float64
+	span  time.Duration // a window and the lifetime of a grant
 }
 
 // part returns what each keeper owns of a limit. What begins to run in a window was granted in that window or in the lifetime of a grant
@@ -74,6 +77,8 @@
 		capacity: (l.Burst + burstShare*excess + burstWindows*b.Window.Seconds()*l.PerSecond) / n,
 		usable:   usable / n,
 	}
-	p.debt = max(0, p.capacity+p.rate*span-(quota+takeoverShare*excess)/n)
+	p.span = b.Window + grantLifetime
+	p.total = (quota + takeoverShare*excess) / n
+	p.debt = max(0, p.capacity+p.rate*span-p.total)
 	return p
 }
--- /dev/null
+++ b/quota/restart_rule_test.go
@@ -0,0 +1,78 @@
+package quota
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestWindowsHoldAfterRestarts guards against more than the bound in any window after a customer far above its limit has had its levels raised
+// and stored, and then agents and gateways restart, several times within a window and while keepers change, rows are lost with a restore of the
+// store, and the store is unavailable or slow.
+func TestWindowsHoldAfterRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := rapid.SampledFrom([]customerLoad{smallCustomer, largeCustomer}).Draw(t, "customer")
+		c.costs = []float64{c.quota.Burst / 40, c.quota.Burst / 15}
+		bounds := rapid.SampledFrom([]Bounds{{Window: 8 * time.Second}, firstDeployment}).Draw(t, "bounds")
+		gateways, agents := rapid.IntRange(1, 3).Draw(t, "gateways"), rapid.IntRange(1, 5).Draw(t, "agents")
+		s := newSimulation(bounds, c.quota, gateways, agents, rapid.Uint64().Draw(t, "seed"))
+		span := func(name string, longest time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(longest)).Draw(t, name))
+		}
+		load := func(d time.Duration) {
+			c.offer(s, s.gateways, rapid.SampledFrom([]float64{10, 3, 0.5}).Draw(t, "load"), 1, d)
+		}
+		listChangedAt := s.now
+		relist := func(change func()) {
+			if s.now.Sub(listChangedAt) > viewLag { // views differ for 3 s at most
+				change()
+				listChangedAt = s.now
+			}
+		}
+		keeper := func() string {
+			keepers := s.gateways[0].keepers
+			return keepers[rapid.IntRange(0, len(keepers)-1).Draw(t, "keeper")].Address
+		}
+		faults := map[string]func(){
+			"restart all": s.restartAll,
+			"restart all agents": func() {
+				for _, name := range sortedKeys(s.agents) {
+					s.restartAgent(name)
+				}
+			},
+			"restart all gateways": func() {
+				for _, g := range s.gateways {
+					s.startGateway(g)
+				}
+			},
+			"restart a keeper": func() { s.restartAgent(keeper()) },
+			"replace a keeper": func() {
+				if len(s.listed) > 1 {
+					relist(func() { s.unlist(keeper()) })
+				}
+			},
+			"list all agents":     func() { relist(func() { s.list(sortedKeys(s.agents)) }) },
+			"copy the store":      func() { s.store.copied = s.store.row },
+			"restore the store":   s.store.restore,
+			"lose the store":      func() { s.store.downUntil = s.now.Add(span("store down", 12*time.Second)) },
+			"slow the store down": func() { s.store.longestDelay = span("longest delay", 4*time.Second) },
+		}
+		for range rapid.IntRange(1, 3).Draw(t, "rounds") {
+			load(span("before", 40*time.Second))
+			for range rapid.IntRange(1, 5).Draw(t, "faults") {
+				faults[rapid.SampledFrom(sortedKeys(faults)).Draw(t, "fault")]()
+				load(span("after", 5*time.Second))
+			}
+			s.store.longestDelay, s.store.downUntil = 10*time.Millisecond, time.Time{}
+			if !slices.Equal(s.listed, sortedKeys(s.agents)) {
+				relist(func() { s.list(sortedKeys(s.agents)) })
+			}
+			load(12 * time.Second)
+		}
+		if _, err := s.checkWindows(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -24,6 +24,7 @@
 	quota    route.Quota
 	version  int64
 	lossRate float64 // of messages
+	store    simStore
 
 	limits  []simLimit
 	begun   []simSpend // requests that began to run
@@ -47,6 +48,7 @@
 
 type simAgent struct {
 	keeper      *Keeper
+	name        string
 	isDown      bool
 	frozenUntil time.Time
 	queued      []func() // calls that came while it was frozen
@@ -97,7 +99,7 @@
 func newSimulation(bounds Bounds, quota route.Quota, gateways, agents int, seed uint64) *simulation {
 	s := &simulation{
 		bounds: bounds, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), agents: map[string]*simAgent{},
-		quota: quota, version: 1,
+		quota: quota, version: 1, store: simStore{epoch: 1, longestDelay: 10 * time.Millisecond},
 	}
 	s.limits = []simLimit{{quota: quota, from: s.now}}
 	for i := range agents {
@@ -140,6 +142,7 @@
 				call()
 			}
 			a.keeper.Tick(s.now)
+			s.storeChanges(a)
 		}
 	}
 	for _, g := range s.gateways {
@@ -168,12 +171,17 @@
 }
 
 func (s *simulation) startAgent(name string) {
-	s.agents[name] = &simAgent{keeper: NewKeeper(s.bounds, s.now)}
+	s.restartAgent(name)
 	if !slices.Contains(s.listed, name) {
 		s.list(append(slices.Clone(s.listed), name))
 	}
 }
 
+// restartAgent starts an agent with an empty memory.
+func (s *simulation) restartAgent(name string) {
+	s.agents[name] = &simAgent{name: name, keeper: NewStoringKeeper(s.bounds, s.now)}
+}
+
 // list changes the registry. Each gateway sees it within 3 s, unless it is frozen.
 func (s *simulation) list(agents []string) {
 	slices.Sort(agents)
@@ -293,6 +301,7 @@
 		}
 		handle := func() {
 			reply := a.keeper.Reserve(ask.Reservation, s.now)
+			s.storeChanges(a)
 			if !s.isLost(g) {
 				s.after(s.delay(), func() { finish(reply, nil) })
 			}
--- /dev/null
+++ b/quotalevels/record.go
@@ -0,0 +1,151 @@
+package quotalevels
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"time"
+
+	"gypsumbank/epoch"
+)
+
+const (
+	// format is that of the row. A release that changes the meaning of a field must use another table.
+	format = 1
+	// viewLag is the time for which gateways may differ about the keepers, 3 s, and a margin for calls in progress.
+	viewLag = 4 * time.Second
+	// maxSeatAge is the time after which the seat of a keeper that has not confirmed it is removed. It is many times the interval at which
+	// keepers confirm theirs.
+	maxSeatAge = time.Hour
+)
+
+// ErrInvalid is returned for a row that proves nothing and is to be replaced.
+var ErrInvalid = errors.New("row of quota levels is not valid")
+
+// Record is the content of a customer's row. It is not changed once it is in use.
+type Record struct {
+	Format int             `json:"format"`
+	Epoch  epoch.Epoch     `json:"epoch"` // of the store that it was written in
+	Seats  map[string]Seat `json:"seats"` // by the keeper's address
+}
+
+// Seat is a keeper's claim to one part of the quota. Times are on the store's clock.
+type Seat struct {
+	Percent int `json:"level"` // bound of the keeper's use, in percent of its part
+	Parts   int `json:"parts"` // into which the quota was divided
+	// JoinedMs is when the keeper took the place of another one.
+	JoinedMs int64 `json:"joined-ms"`
+	// StartedMs is when it last took the part over, also from its own process before a restart, and SharedMs when it last did so at once,
+	// with what the level left.
+	StartedMs int64 `json:"started-ms"`
+	SharedMs  int64 `json:"shared-ms,omitempty"`
+	// ConfirmedMs is when a gateway was last known to use the keeper; 0 if not in this epoch.
+	ConfirmedMs int64 `json:"confirmed-ms"`
+}
+
+// New returns a record without seats.
+func New(readIn epoch.Epoch) Record {
+	return Record{Format: format, Epoch: readIn, Seats: map[string]Seat{}}
+}
+
+// Decode returns the record in a row that was read in an epoch at a time of the store's clock. What a record of an earlier epoch says of keepers
+// is not confirmed, as later writes are lost. The error wraps ErrInvalid.
+func Decode(value []byte, readIn epoch.Epoch, nowMs int64) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return New(readIn), fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	if r.Format != format {
+		return New(readIn), fmt.Errorf("%w: format %d", ErrInvalid, r.Format)
+	}
+	if r.Seats == nil {
+		r.Seats = map[string]Seat{}
+	}
+	for address, s := range r.Seats {
+		if r.Epoch != readIn {
+			s.JoinedMs, s.StartedMs, s.SharedMs, s.ConfirmedMs = nowMs, nowMs, nowMs, 0
+			r.Seats[address] = s
+		}
+		if max(s.JoinedMs, s.StartedMs, s.SharedMs, s.ConfirmedMs) > nowMs || s.Percent <= 0 {
+			return New(readIn), fmt.Errorf("%w: seat of %s at %d: %+v", ErrInvalid, address, nowMs, s)
+		}
+	}
+	r.Epoch = readIn
+	return r, nil
+}
+
+// Encode returns the value of the row.
+func (r Record) Encode() ([]byte, error) { return json.Marshal(r) }
+
+// Update is what a keeper wants to store.
+type Update struct {
+	Address string
+	Start   bool  // it takes its part over
+	Level   Level // that it wants in force; a keeper that starts keeps the stored one
+	Parts   int
+	UsedAgo time.Duration // since a gateway last asked it for a part
+	Settle  time.Duration // after a start, until nothing that was granted before counts any more
+}
+
+// Outcome is what holds once a record has been written.
+type Outcome struct {
+	Level Level // in force
+	// Shares tells that all that was granted of the part before was granted by this keeper, or within the lowest level, and at most Level.
+	Shares bool
+}
+
+// ErrUnsettled is returned for a keeper that joins while another one has just started with what its level left: the joining keeper may hold the
+// part between the two, and stays at the rule for keepers without a row.
+var ErrUnsettled = errors.New("another keeper has just started")
+
+// Apply returns the record with an update at a time of the store's clock. The error wraps ErrUnsettled.
+func (r Record) Apply(in Update, nowMs int64) (Record, Outcome, error) {
+	next := Record{Format: format, Epoch: r.Epoch, Seats: maps.Clone(r.Seats)}
+	seat, known := r.Seats[in.Address]
+	holds := known && r.holds(in.Address)
+	out := Outcome{Level: in.Level}
+	if in.Start {
+		out.Level = levelOf(seat.Percent)
+		out.Shares = holds && seat.Parts == in.Parts && nowMs-seat.StartedMs >= in.Settle.Milliseconds()
+		if !holds && r.sharedSince(in.Address, nowMs-in.Settle.Milliseconds()) {
+			return r, Outcome{}, ErrUnsettled
+		}
+		seat.StartedMs = nowMs
+		if out.Shares {
+			seat.SharedMs = nowMs
+		}
+	}
+	if !known || (in.Start && !holds) {
+		seat.JoinedMs, seat.StartedMs = nowMs, nowMs
+	}
+	seat.Percent, seat.Parts = shares[out.Level], in.Parts
+	seat.ConfirmedMs = max(seat.ConfirmedMs, nowMs-in.UsedAgo.Milliseconds(), 1)
+	next.Seats[in.Address] = seat
+	maps.DeleteFunc(next.Seats, func(_ string, s Seat) bool {
+		return nowMs-max(s.ConfirmedMs, s.JoinedMs) > maxSeatAge.Milliseconds()
+	})
+	return next, out, nil
+}
+
+// holds reports whether no keeper can have taken the place of this one since it was last used, other than keepers that have not stored a seat
+// and so use the lowest level.
+func (r Record) holds(address string) bool {
+	seat := r.Seats[address]
+	for other, s := range r.Seats {
+		if other != address && seat.ConfirmedMs <= s.JoinedMs+viewLag.Milliseconds() {
+			return false
+		}
+	}
+	return seat.ConfirmedMs > 0
+}
+
+// sharedSince reports whether another keeper has started with what its level left since a time.
+func (r Record) sharedSince(address string, sinceMs int64) bool {
+	for other, s := range r.Seats {
+		if other != address && s.SharedMs > 0 && s.SharedMs > sinceMs {
+			return true
+		}
+	}
+	return false
+}
