Store quota levels from agents

Cause: the keeper of quotas decides what is to be stored, and nothing stored it.

Change: each agent has a loop that reads the row of a customer in the table quota-levels once one of its parts is asked for, and writes it under the condition that nobody else has. Raises, starts and the regular confirmations go through it; requests do not wait for it. Agents that are no keepers make no call.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -165,6 +165,7 @@
 	group.Go(func() error { return a.keepBlocklist(ctx) })
 	group.Go(func() error { return a.controlLoop(ctx) })
 	group.Go(func() error { return a.quotas.run(ctx) })
+	group.Go(func() error { return a.quotaRows().run(ctx) })
 	group.Go(func() error { return probe.New(a.config.Agent.Metrics, func() error { return nil }).Run(ctx) })
 	err = group.Wait()
 	a.log.WithError(err).Info("agent stops")
@@ -174,6 +175,11 @@
 	return err
 }
 
+// quotaRows returns the rows of this agent's parts of quotas.
+func (a *Agent) quotaRows() *quotaRows {
+	return &quotaRows{keeper: a.quotas, store: a.store, epochs: a.epochs, address: a.config.Agent.Target, log: a.log}
+}
+
 // holdOrders acquires the fencing token for this start of the agent, passes it to controlLoop and records it again each time that
 // the store has come back from an older copy. If a later start has taken over, this process sends no more orders.
 func (a *Agent) holdOrders(ctx context.Context) error {
--- a/agent/quota.go
+++ b/agent/quota.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumbank/quota"
+	"gypsumbank/quotalevels"
 	"gypsumbank/settings"
 	"gypsumbank/wire"
 )
@@ -15,15 +16,18 @@
 
 // quotaKeeper grants gateways parts of customers' quotas. Its methods are safe for concurrent use.
 type quotaKeeper struct {
+	changesDue chan struct{} // holds a value once rows may have to be stored
+
 	mu     sync.Mutex
 	keeper *quota.Keeper
 }
 
 func newQuotaKeeper(bounds settings.Bounds) *quotaKeeper {
-	return &quotaKeeper{keeper: quota.NewKeeper(quota.Bounds{Window: bounds.QuotaWindow, Overage: bounds.QuotaOverage, Slack: bounds.QuotaSlack}, time.Now())}
+	limits := quota.Bounds{Window: bounds.QuotaWindow, Overage: bounds.QuotaOverage, Slack: bounds.QuotaSlack}
+	return &quotaKeeper{changesDue: make(chan struct{}, 1), keeper: quota.NewStoringKeeper(limits, time.Now())}
 }
 
-// run tells the keeper that the process runs, until ctx ends.
+// run tells the keeper that the process runs, and has its rows stored when they are due, until ctx ends.
 func (q *quotaKeeper) run(ctx context.Context) error {
 	ticker := time.NewTicker(quotaTickInterval)
 	defer ticker.Stop()
@@ -36,14 +40,61 @@
 		q.mu.Lock()
 		q.keeper.Tick(time.Now())
 		q.mu.Unlock()
+		q.notify()
+	}
+}
+
+// notify has the rows stored that are due.
+func (q *quotaKeeper) notify() {
+	select {
+	case q.changesDue <- struct{}{}:
+	default:
 	}
 }
 
+// changes returns what is to be stored now. Either stored or failed must be called for each change.
+func (q *quotaKeeper) changes() []quota.Change {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.keeper.Changes(time.Now())
+}
+
+// lower takes a lower level into force before it is stored.
+func (q *quotaKeeper) lower(change quota.Change) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.keeper.Lower(change)
+}
+
+func (q *quotaKeeper) stored(change quota.Change, outcome quotalevels.Outcome, begun time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.keeper.Stored(change, outcome, begun, time.Now())
+}
+
+func (q *quotaKeeper) failed(change quota.Change, retry time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.keeper.Failed(change, retry, time.Now())
+}
+
+// reconfirm has all rows written again within a time.
+func (q *quotaKeeper) reconfirm(within time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.keeper.Reconfirm(within, time.Now())
+}
+
 // reserve grants a part of a customer's quota.
 func (q *quotaKeeper) reserve(in quota.Reservation) quota.Reply {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.keeper.Reserve(in, time.Now())
+	now := time.Now()
+	reply := q.keeper.Reserve(in, now)
+	if q.keeper.IsDue(in.Customer, now) {
+		q.notify()
+	}
+	return reply
 }
 
 // Reserve grants a gateway a part of a customer's quota.
--- /dev/null
+++ b/agent/quota_levels.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"gypsumbank/epoch"
+	"gypsumbank/platform"
+	"gypsumbank/quota"
+	"gypsumbank/quotalevels"
+)
+
+const (
+	// quotaLevelsTable is the table of the store with a row for each customer with a quota.
+	quotaLevelsTable = "quota-levels"
+	// quotaLevelsRetry is the time until a row is tried again after a failed call, and minQuotaLevelsConflictDelay the least time after a conflict:
+	// a customer's three keepers start at the same time.
+	quotaLevelsRetry            = time.Second
+	minQuotaLevelsConflictDelay = 5 * time.Millisecond
+	quotaLevelsConflictSpread   = 30 * time.Millisecond
+	// maxQuotaLevelWrites bounds the rows that are stored at the same time.
+	maxQuotaLevelWrites = 16
+)
+
+// quotaRows stores the rows that the keeper of quotas wants to be stored.
+type quotaRows struct {
+	keeper  *quotaKeeper
+	store   *platform.Store
+	epochs  *epoch.Tracker
+	address string // by which this agent's seats are found again after a restart
+	log     *logrus.Entry
+}
+
+// run stores rows until ctx ends. Requests do not wait for it.
+func (r *quotaRows) run(ctx context.Context) error {
+	var writes errgroup.Group
+	writes.SetLimit(maxQuotaLevelWrites)
+	_, restored := r.epochs.Current()
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), writes.Wait())
+		case <-r.keeper.changesDue:
+			for _, change := range r.keeper.changes() {
+				writes.Go(func() error {
+					r.apply(ctx, change)
+					return nil
+				})
+			}
+		case <-restored:
+			_, restored = r.epochs.Current()
+			r.keeper.reconfirm(maxRewriteDelay)
+		}
+	}
+}
+
+// apply stores one change and reports the outcome to the keeper.
+func (r *quotaRows) apply(ctx context.Context, change quota.Change) {
+	begun := time.Now()
+	log := r.log.WithFields(logrus.Fields{"customer": change.Customer, "starts": change.Start})
+	outcome, err := r.write(ctx, change)
+	metrics.GetOrCreateCounter(`gypsumbank_agent_quota_level_writes_total{result="` + writeResult(err) + `"}`).Inc()
+	switch {
+	case err == nil:
+		r.keeper.stored(change, outcome, begun)
+		if change.Start || change.Moves() {
+			log.WithFields(logrus.Fields{
+				"share": outcome.Level.Share(), "at-once": outcome.Shares, "took-ms": time.Since(begun).Milliseconds(),
+			}).Info("quota level stored")
+		}
+	case errors.Is(err, platform.ErrConflict):
+		r.keeper.failed(change, minQuotaLevelsConflictDelay+rand.N(quotaLevelsConflictSpread))
+	case errors.Is(err, quotalevels.ErrUnsettled):
+		log.WithError(err).Info("quota level stays at the lowest for now")
+		r.keeper.failed(change, change.Settle)
+	default:
+		log.WithError(err).Info("quota level not stored, will retry")
+		r.keeper.failed(change, quotaLevelsRetry)
+	}
+}
+
+// writeResult returns the name by which metrics have the outcome of a write.
+func writeResult(err error) string {
+	switch {
+	case err == nil:
+		return "stored"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	case errors.Is(err, quotalevels.ErrUnsettled):
+		return "unsettled"
+	}
+	return "failed"
+}
+
+// write reads a customer's row and writes it with a change, if nobody else has written it meanwhile.
+func (r *quotaRows) write(ctx context.Context, change quota.Change) (quotalevels.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	row, nowMs, err := r.store.Row(ctx, quotaLevelsTable, "", change.Customer)
+	record := quotalevels.New(row.Epoch)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		row = platform.Row{Table: quotaLevelsTable, Key: change.Customer, Epoch: row.Epoch}
+	case err != nil:
+		return quotalevels.Outcome{}, fmt.Errorf("read quota levels: %w", err)
+	default:
+		if record, err = quotalevels.Decode(row.Value, row.Epoch, nowMs); err != nil {
+			r.log.WithError(err).WithField("customer", change.Customer).Warn("stored quota levels are replaced")
+		}
+	}
+	next, outcome, err := record.Apply(change.Update(r.address, time.Now()), nowMs)
+	if err != nil {
+		return quotalevels.Outcome{}, fmt.Errorf("take over part of a quota: %w", err)
+	}
+	if row.Value, err = next.Encode(); err != nil {
+		return quotalevels.Outcome{}, fmt.Errorf("encode quota levels: %w", err)
+	}
+	r.keeper.lower(change)
+	if _, err := r.store.CompareAndSwap(ctx, row); err != nil {
+		return quotalevels.Outcome{}, fmt.Errorf("write quota levels: %w", err)
+	}
+	return outcome, nil
+}
--- a/quota/levels.go
+++ b/quota/levels.go
@@ -31,8 +31,12 @@
 	Settle   time.Duration
 
 	takeover int
+	moves    bool
 }
 
+// Moves reports whether the change moves the level.
+func (c Change) Moves() bool { return c.moves }
+
 // Update returns what is to be applied to the row of a keeper with an address.
 func (c Change) Update(address string, now time.Time) quotalevels.Update {
 	return quotalevels.Update{Address: address, Start: c.Start, Level: c.Level, Parts: c.Parts, UsedAgo: now.Sub(c.UsedAt), Settle: c.Settle}
@@ -206,7 +210,7 @@
 		if start, level, due := b.levels.change(now); due {
 			changes = append(changes, Change{
 				Customer: name, Start: start, Level: level, Parts: b.limit.Keepers, UsedAt: b.levels.usedAt,
-				Settle: k.bounds.Window + grantLifetime + viewLag + time.Second, takeover: b.levels.takeover,
+				Settle: k.bounds.Window + grantLifetime + viewLag + time.Second, takeover: b.levels.takeover, moves: level != b.levels.inForce,
 			})
 			b.levels.changing = true
 		}
@@ -214,6 +218,16 @@
 	return changes
 }
 
+// IsDue reports whether Changes has one for a customer.
+func (k *Keeper) IsDue(customer string, now time.Time) bool {
+	b := k.customers[customer]
+	if b == nil || b.levels == nil {
+		return false
+	}
+	_, _, due := b.levels.change(now)
+	return due
+}
+
 // Lower takes a level that is about to be stored into force, if it is below the one in force.
 func (k *Keeper) Lower(c Change) {
 	if b := k.customers[c.Customer]; b != nil && b.levels.takeover == c.takeover && !c.Start {
