--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -41,6 +41,7 @@
 // over what was granted, less what gateways have returned of that, which keeps the bounds.
 type Keeper struct {
 	bounds    Bounds
+	stores    bool // levels of use
 	started   time.Time
 	tickedAt  time.Time
 	thawedAt  time.Time
@@ -57,6 +58,7 @@
 	history        history
 	lastReserved   time.Time
 	continuousTill time.Time // last time at which this agent is known to have been a keeper for all gateways; zero if never
+	levels         *levels   // nil if the keeper stores none
 }
 
 // NewKeeper returns a keeper without customers, which started at the given time.
@@ -64,6 +66,13 @@
 	return &Keeper{bounds: bounds, started: started, tickedAt: started, customers: map[string]*bucket{}}
 }
 
+// NewStoringKeeper returns a keeper that keeps each customer's use within a stored level. Its owner stores what Changes returns.
+func NewStoringKeeper(bounds Bounds, started time.Time) *Keeper {
+	k := NewKeeper(bounds, started)
+	k.stores = true
+	return k
+}
+
 // Tick tells the keeper that its process runs. It must be called several times in each maxTickGap.
 func (k *Keeper) Tick(now time.Time) {
 	if now.Sub(k.tickedAt) > maxTickGap {
@@ -83,36 +92,19 @@
 	b.setLimit(in.Limit, k.bounds, now)
 	b.credit(in.Returned, in.ReturnedAge)
 	b.lastReserved = now
-	level, continuous := b.level, !now.Add(-in.KeeperFor).After(b.continuousTill)
-	if continuous {
-		b.continuousTill = now
-	} else {
-		// Another keeper may have been used in place of this one until viewLag after the gateway has seen this one.
-		level = min(level, b.part.rate*(in.KeeperFor-viewLag).Seconds()-b.part.debt)
-	}
-	granted := max(0, b.grantable(in, level))
-	reply := Reply{Granted: granted, Lifetime: grantLifetime, Left: min(level, b.part.usable-b.history.granted()) - granted}
+	ways, continuous := b.ways(in, now)
+	way, granted := b.choose(in, ways)
+	reply := Reply{Granted: granted, Lifetime: grantLifetime, Left: way.left - granted}
 	if granted > 0 {
-		b.level, b.continuousTill = level-granted, now
 		b.history.addGranted(granted)
 	} else if in.Amount > 0 {
-		reply.Wait = b.wait(in.Minimum, level)
+		reply.Wait = b.wait(in.Minimum, ways)
 	}
-	return reply
-}
-
-// grantable returns what a bucket at a level grants. A minimum above what a bucket can hold is granted in debt from a full one.
-func (b *bucket) grantable(in Reservation, level float64) float64 {
-	room, full := b.part.usable-b.history.granted(), fullShare*b.part.capacity
-	switch {
-	case in.Minimum > room:
-		return 0
-	case level >= in.Minimum:
-		return min(in.Amount, level, room)
-	case level >= full && in.Minimum > full:
-		return in.Minimum
+	b.spend(granted, way, continuous, now)
+	if b.levels != nil && in.Amount > 0 {
+		b.observeUse(in, &reply, now)
 	}
-	return 0
+	return reply
 }
 
 // bucket returns the bucket of the customer of a reservation. A new one is filled as if the keeper had been empty at its start: what it
@@ -125,6 +117,9 @@
 		b.level = min(b.part.capacity, b.part.rate*now.Sub(k.started).Seconds()-b.part.debt)
 		b.history = newHistory(k.bounds.Window + grantLifetime)
 		b.history.advance(now.Sub(k.started), b.level)
+		if k.stores {
+			b.levels = newLevels(b.part, now.Sub(k.started), now)
+		}
 		k.customers[in.Customer] = b
 	}
 	return b
@@ -149,6 +144,9 @@
 	if elapsed := now.Sub(b.at); elapsed > 0 {
 		b.level = min(max(b.level, b.part.capacity), b.level+b.part.rate*elapsed.Seconds())
 		b.at = now
+		if b.levels != nil {
+			b.levels.advance(b.part, elapsed, now)
+		}
 	}
 	b.history.advance(now.Sub(started), b.level)
 }
@@ -170,10 +168,10 @@
 	if next == b.limit {
 		return
 	}
-	old := b.part
+	old, ratio := b.part, 1.0
 	b.limit, b.part = next, bounds.part(next)
 	if old.rate > 0 && b.part.rate != old.rate {
-		ratio := b.part.rate / old.rate
+		ratio = b.part.rate / old.rate
 		// What was granted counts as the same share of the part. It is scaled back where a limit is raised again, or grants would be forgotten.
 		b.history.scale(ratio)
 		if b.level < 0 && ratio < 1 {
@@ -181,6 +179,9 @@
 		}
 	}
 	b.level = min(b.level, b.part.capacity)
+	if b.levels != nil {
+		b.levels.setPart(b.part, ratio)
+	}
 }
 
 // credit adds what a gateway returns of grants that it asked for within the given age. The level is then as if that had not been granted:
@@ -197,17 +198,11 @@
 		b.level += gained
 		b.history.raise(age, gained)
 	}
-	b.history.takeBack(age, returned)
-}
-
-// wait returns the time until a minimum can be granted at a level.
-func (b *bucket) wait(minimum, level float64) time.Duration {
-	if b.part.rate <= 0 {
-		return time.Minute
+	if b.levels != nil {
+		first, _ := b.history.firstSlot(age)
+		b.levels.credit(b.part, returned, b.history.grantedSince(first))
 	}
-	seconds := (min(minimum, fullShare*b.part.capacity) - level) / b.part.rate
-	window := b.history.waitFor(b.history.granted() + minimum - b.part.usable)
-	return max(minWait, window, time.Duration(min(seconds, 60)*float64(time.Second)))
+	b.history.takeBack(age, returned)
 }
 
 // historySlots is the number of slots of a history.
@@ -252,6 +247,15 @@
 	return total
 }
 
+// grantedSince returns what was granted from a slot on, in the span.
+func (h *history) grantedSince(first int64) float64 {
+	total := 0.0
+	for i := max(first, h.index-historySlots+1, 0); i <= h.index; i++ {
+		total += h.grants[i%historySlots]
+	}
+	return total
+}
+
 // takeBack subtracts an amount from what was granted at an age or earlier. It may have been granted later: the sums of spans that end from now
 // on are then too high, never too low.
 func (h *history) takeBack(age time.Duration, amount float64) {
