Lower the levels of quotas after some windows, and confirm seats with a read

Change: a level is lowered once the lower one was enough for two to three intervals of 10 s; a seat is confirmed each 30 to 40 s, by a read alone unless a keeper has joined.

--- a/agent/quota_levels.go
+++ b/agent/quota_levels.go
@@ -115,7 +115,11 @@
 			r.log.WithError(err).WithField("customer", change.Customer).Warn("stored quota levels are replaced")
 		}
 	}
-	next, outcome, err := record.Apply(change.Update(r.address, time.Now()), nowMs)
+	update := change.Update(r.address, time.Now())
+	if record.Confirms(update, nowMs) {
+		return quotalevels.Outcome{Level: update.Level}, nil
+	}
+	next, outcome, err := record.Apply(update, nowMs)
 	if err != nil {
 		return quotalevels.Outcome{}, fmt.Errorf("take over part of a quota: %w", err)
 	}
--- a/quota/levels.go
+++ b/quota/levels.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// confirmInterval and a random part of confirmSpread is the interval at which a keeper in use writes its seat again. A level is lowered once the
-	// lower one was enough for one to two of them.
-	confirmInterval = 4 * time.Minute
-	confirmSpread   = 2 * time.Minute
+	// confirmInterval and a random part of confirmSpread is the interval at which a keeper in use confirms its seat. Until then a keeper that has
+	// joined meanwhile keeps it from granting at once after a restart.
+	confirmInterval = 30 * time.Second
+	confirmSpread   = 10 * time.Second
+	// levelInterval is longer than a window. A level is lowered once the lower one was enough for two to three of them.
+	levelInterval = 10 * time.Second
 	// firstConfirmDelay is the time after the first start of a keeper until it confirms its seat: it must have been used viewLag after the others
 	// have joined.
 	firstConfirmDelay = 15 * time.Second
@@ -49,8 +51,8 @@
 	// then uses of the rest is together what a single keeper could.
 	fills     [quotalevels.Count]float64
 	inForce   quotalevels.Level
-	needed    quotalevels.Level // highest since the last confirmation
-	neededOld quotalevels.Level // in the interval before
+	needed    quotalevels.Level    // highest in the current interval
+	neededOld [2]quotalevels.Level // in the two intervals before
 	usedAt    time.Time
 
 	stored     bool      // the row has this keeper since it has last taken the part over
@@ -60,7 +62,7 @@
 	changing   bool      // a change is being stored
 	retryAt    time.Time
 	confirmAt  time.Time // when the seat is to be confirmed
-	rotateAt   time.Time // when the interval of needed ends, at a confirmation
+	rotateAt   time.Time // when the interval of needed ends
 	sharesTill time.Time // until when shareFill and shareRoom hold beside the rule for keepers without a row
 	shareLevel quotalevels.Level
 	shareFill  float64
@@ -195,12 +197,30 @@
 		return true, l.inForce, now.Sub(l.usedAt) < unusedTime
 	case l.needed > l.inForce:
 		return false, l.needed, true
-	case !now.Before(l.confirmAt) && now.Sub(l.usedAt) < unusedTime:
-		return false, max(l.needed, l.neededOld), true
+	case now.Sub(l.usedAt) >= unusedTime:
+		return false, 0, false
+	case l.enough() < l.inForce:
+		return false, l.enough(), true
+	case !now.Before(l.confirmAt):
+		return false, l.inForce, true
 	}
 	return false, 0, false
 }
 
+// enough returns the level that has been enough for the use of the last two to three intervals.
+func (l *levels) enough() quotalevels.Level { return max(l.needed, l.neededOld[0], l.neededOld[1]) }
+
+// rotate begins a new interval of the needed levels once the current one is over.
+func (l *levels) rotate(now time.Time) {
+	if now.Before(l.rotateAt) {
+		return
+	}
+	for range min(1+int(now.Sub(l.rotateAt)/levelInterval), 1+len(l.neededOld)) {
+		l.needed, l.neededOld = 0, [2]quotalevels.Level{l.needed, l.neededOld[0]}
+	}
+	l.rotateAt = now.Add(levelInterval)
+}
+
 // Changes returns what is to be stored now. Stored or Failed must be called for each.
 func (k *Keeper) Changes(now time.Time) []Change {
 	var changes []Change
@@ -245,17 +265,11 @@
 	l := b.levels
 	l.changing, l.inForce = false, out.Level
 	if !c.Start {
-		next := now.Add(confirmInterval + rand.N(confirmSpread))
-		if !now.Before(l.confirmAt) {
-			l.confirmAt = next
-		}
-		if !now.Before(l.rotateAt) {
-			l.needed, l.neededOld, l.rotateAt = 0, l.needed, next
-		}
+		l.confirmAt = now.Add(confirmInterval + rand.N(confirmSpread))
 		return
 	}
-	l.stored, l.neededOld = true, out.Level
-	l.confirmAt, l.rotateAt = now.Add(firstConfirmDelay), now.Add(confirmInterval)
+	l.stored, l.needed, l.neededOld = true, 0, [2]quotalevels.Level{out.Level, out.Level}
+	l.confirmAt, l.rotateAt = now.Add(firstConfirmDelay), now.Add(levelInterval)
 	granted := b.history.grantedSince(l.takenSlot)
 	for i := range l.fills {
 		l.fills[i] = quotalevels.Level(i).Share()*b.part.capacity - granted
--- a/quota/sim_store_test.go
+++ b/quota/sim_store_test.go
@@ -57,7 +57,12 @@
 			if read.version > 0 {
 				record, _ = quotalevels.Decode(read.value, readIn, nowMs)
 			}
-			next, outcome, err := record.Apply(c.Update(a.name, s.now), nowMs)
+			update := c.Update(a.name, s.now)
+			if record.Confirms(update, nowMs) {
+				a.keeper.Stored(c, quotalevels.Outcome{Level: update.Level}, begun, s.now)
+				return
+			}
+			next, outcome, err := record.Apply(update, nowMs)
 			if err != nil {
 				a.keeper.Failed(c, c.Settle, s.now)
 				return
--- a/quotalevels/record.go
+++ b/quotalevels/record.go
@@ -128,6 +128,13 @@
 	return next, out, nil
 }
 
+// Confirms reports whether the record has all that an update of a keeper that goes on would store: no keeper has joined since the seat was last
+// confirmed, its level is the same, and it is far from being removed.
+func (r Record) Confirms(in Update, nowMs int64) bool {
+	seat := r.Seats[in.Address]
+	return !in.Start && r.holds(in.Address) && seat.Percent == shares[in.Level] && seat.Parts == in.Parts && nowMs-seat.ConfirmedMs < (maxSeatAge/2).Milliseconds()
+}
+
 // holds reports whether no keeper can have taken the place of this one since it was last used, other than keepers that have not stored a seat
 // and so use the lowest level.
 func (r Record) holds(address string) bool {
