Let keepers of quotas start from rows of an earlier epoch of the store

Cause: a keeper that joins counts all seats of a row of an earlier epoch as just started, and did not write the row; so it found the same after each wait and stayed at the lowest level.

Change: the row is then written with the seats as counted.

Tested: TestRowOfAnEarlierEpochSettles, TestStart, TestConfirm, TestOddRowsProveNothing (with -race), the tests of quota that restart, and TestCustomerIsServedAfterARestartOfEverything in agent.

--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -8,7 +8,7 @@
 const (
 	// fullShare is the level, as a share of the capacity, from which a request larger than the capacity is granted in debt.
 	fullShare = 0.9
-	// maxCustomers bounds the memory of a keeper: some 1.2 KB for each customer.
+	// maxCustomers bounds the memory of a keeper: some 1.4 KB for each customer.
 	maxCustomers = 16384
 	// A process that was not scheduled for maxTickGap was frozen. It then grants nothing for flushTime, which is longer than gateways wait:
 	// calls that it finds were made long ago, by gateways that may have other keepers now.
--- a/quotalevels/record.go
+++ b/quotalevels/record.go
@@ -28,6 +28,8 @@
 	Format int             `json:"format"`
 	Epoch  epoch.Epoch     `json:"epoch"` // of the store that it was written in
 	Seats  map[string]Seat `json:"seats"` // by the keeper's address
+
+	earlier bool // it was read from a row of an earlier epoch
 }
 
 // Seat is a keeper's claim to one part of the quota. Times are on the store's clock.
@@ -71,6 +73,7 @@
 			return New(readIn), fmt.Errorf("%w: seat of %s at %d: %+v", ErrInvalid, address, nowMs, s)
 		}
 	}
+	r.earlier = r.Epoch != readIn
 	r.Epoch = readIn
 	return r, nil
 }
@@ -99,7 +102,11 @@
 // part between the two, and stays at the rule for keepers without a row.
 var ErrUnsettled = errors.New("another keeper has just started")
 
-// Apply returns the record with an update at a time of the store's clock. The error wraps ErrUnsettled.
+// FromEarlierEpoch reports whether the record was read from a row of an earlier epoch. It is then to be written also if it can't be updated, or the
+// time from which it is settled would move on with each read.
+func (r Record) FromEarlierEpoch() bool { return r.earlier }
+
+// Apply returns the record with an update at a time of the store's clock. The error wraps ErrUnsettled; the record is then as it was.
 func (r Record) Apply(in Update, nowMs int64) (Record, Outcome, error) {
 	next := Record{Format: format, Epoch: r.Epoch, Seats: maps.Clone(r.Seats)}
 	seat, known := r.Seats[in.Address]
