--- a/quota/sim_store_test.go
+++ b/quota/sim_store_test.go
@@ -63,14 +63,15 @@
 				return
 			}
 			next, outcome, err := record.Apply(update, nowMs)
-			if err != nil {
-				a.keeper.Failed(c, c.Settle, s.now)
+			unsettled := func() { a.keeper.Failed(c, c.Settle, s.now) }
+			if err != nil && !record.FromEarlierEpoch() {
+				unsettled()
 				return
 			}
 			a.keeper.Lower(c)
-			value, err := next.Encode()
-			if err != nil {
-				panic(err)
+			value, encodeErr := next.Encode()
+			if encodeErr != nil {
+				panic(encodeErr)
 			}
 			s.after(s.storeDelay(), func() {
 				switch {
@@ -85,6 +86,10 @@
 						answer(failed)
 						return
 					}
+					if err != nil {
+						answer(unsettled)
+						return
+					}
 					answer(func() { a.keeper.Stored(c, outcome, begun, s.now) })
 				}
 			})
