Store that a keeper's part grows before it does

Cause: with two agents of which one was taken from the registry and listed again, the one that stayed had taken over the whole quota without a trace in the row, and the other one granted at once what its own seat left: 262,450 tokens began to run in 8 s, 261,000 allowed (model test, in 79 and 714 draws).

Change: a keeper whose part is to grow, as gateways name fewer keepers, stores first that it has joined. One that starts with a larger part than its seat has counts as joined, too.

Tested: TestWindowsHoldAfterRestarts with 1600 draws, all tests of quota and quotalevels with -race; TestStart has the case.

--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -162,7 +162,8 @@
 	switch {
 	case l.Keepers >= b.limit.Keepers:
 		next.Keepers, b.manyKeepersAt = l.Keepers, now
-	case now.Sub(b.manyKeepersAt) > viewLag:
+		b.levels.keepParts(l.Keepers)
+	case now.Sub(b.manyKeepersAt) > viewLag && b.levels.allowsParts(l.Keepers):
 		next.Keepers = l.Keepers
 	}
 	if next == b.limit {
--- a/quota/levels.go
+++ b/quota/levels.go
@@ -26,6 +26,7 @@
 type Change struct {
 	Customer string
 	Start    bool // the keeper takes its part over
+	Joins    bool // the keeper takes over some of the part of another one
 	Level    quotalevels.Level
 	Parts    int
 	UsedAt   time.Time // when a gateway last asked for a part
@@ -40,7 +41,7 @@
 
 // Update returns what is to be applied to the row of a keeper with an address.
 func (c Change) Update(address string, now time.Time) quotalevels.Update {
-	return quotalevels.Update{Address: address, Start: c.Start, Level: c.Level, Parts: c.Parts, UsedAgo: now.Sub(c.UsedAt), Settle: c.Settle}
+	return quotalevels.Update{Address: address, Start: c.Start, Joins: c.Joins, Level: c.Level, Parts: c.Parts, UsedAgo: now.Sub(c.UsedAt), Settle: c.Settle}
 }
 
 // levels is what a keeper that stores levels knows of its use of one customer's part.
@@ -53,6 +54,9 @@
 	neededOld quotalevels.Level // in the interval before
 	usedAt    time.Time
 
+	parts       int // of which the keeper has stored that it holds one; 0 if unknown
+	wantedParts int // fewer and larger ones, of which it is to hold one; 0 if none are wanted
+
 	stored     bool      // the row has this keeper since it has last taken the part over
 	takeover   int       // number of times that it has
 	takenAt    time.Time // when it last has
@@ -166,6 +170,27 @@
 	return l.shareSpent
 }
 
+// keepParts records that a gateway has named as many keepers as the quota is divided among, or more.
+func (l *levels) keepParts(named int) {
+	if l == nil {
+		return
+	}
+	l.wantedParts = 0
+	if named > l.parts {
+		l.parts = 0
+	}
+}
+
+// allowsParts reports whether the keeper may hold one of fewer and larger parts. As with one that takes the place of another, the row must show it
+// first: a keeper that is gone has held a share of that part and may come back.
+func (l *levels) allowsParts(named int) bool {
+	if l == nil || l.parts == named {
+		return true
+	}
+	l.wantedParts = named
+	return false
+}
+
 // need records the level that a grant calls for, or a request that the level in force has kept from being granted. Gateways then ask another
 // keeper, and the store answers within some 10 ms: to raise earlier would mostly raise for moments that pass, and leave less after a restart.
 func (l *levels) need(p part, granted, missing float64) {
@@ -195,6 +220,8 @@
 		return true, l.inForce, now.Sub(l.usedAt) < unusedTime
 	case l.needed > l.inForce:
 		return false, l.needed, true
+	case l.wantedParts > 0:
+		return false, l.inForce, true
 	case !now.Before(l.confirmAt) && now.Sub(l.usedAt) < unusedTime:
 		return false, max(l.needed, l.neededOld), true
 	}
@@ -209,8 +236,13 @@
 			continue
 		}
 		if start, level, due := b.levels.change(now); due {
+			joins := !start && b.levels.wantedParts > 0
+			parts := b.limit.Keepers
+			if joins {
+				parts = b.levels.wantedParts
+			}
 			changes = append(changes, Change{
-				Customer: name, Start: start, Level: level, Parts: b.limit.Keepers, UsedAt: b.levels.usedAt,
+				Customer: name, Start: start, Joins: joins, Level: level, Parts: parts, UsedAt: b.levels.usedAt,
 				Settle: k.bounds.Window + grantLifetime + viewLag + time.Second, takeover: b.levels.takeover, moves: level != b.levels.inForce,
 			})
 			b.levels.changing = true
@@ -244,6 +276,9 @@
 	}
 	l := b.levels
 	l.changing, l.inForce = false, out.Level
+	if c.Joins && c.Parts == l.wantedParts {
+		l.parts, l.wantedParts = c.Parts, 0
+	}
 	if !c.Start {
 		next := now.Add(confirmInterval + rand.N(confirmSpread))
 		if !now.Before(l.confirmAt) {
--- a/quotalevels/record.go
+++ b/quotalevels/record.go
@@ -85,6 +85,7 @@
 type Update struct {
 	Address string
 	Start   bool  // it takes its part over
+	Joins   bool  // it takes over some of the part of another keeper
 	Level   Level // that it wants in force; a keeper that starts keeps the stored one
 	Parts   int
 	UsedAgo time.Duration // since a gateway last asked it for a part
@@ -112,18 +113,19 @@
 	seat, known := r.Seats[in.Address]
 	holds := known && r.holds(in.Address)
 	out := Outcome{Level: in.Level}
+	joins := in.Joins || (in.Start && !holds) || (known && in.Parts < seat.Parts)
+	if joins && r.sharedSince(in.Address, nowMs-in.Settle.Milliseconds()) {
+		return r, Outcome{}, ErrUnsettled
+	}
 	if in.Start {
 		out.Level = levelOf(seat.Percent)
 		out.Shares = holds && seat.Parts == in.Parts && nowMs-seat.StartedMs >= in.Settle.Milliseconds()
-		if !holds && r.sharedSince(in.Address, nowMs-in.Settle.Milliseconds()) {
-			return r, Outcome{}, ErrUnsettled
-		}
 		seat.StartedMs = nowMs
 		if out.Shares {
 			seat.SharedMs = nowMs
 		}
 	}
-	if !known || (in.Start && !holds) {
+	if !known || joins {
 		seat.JoinedMs, seat.StartedMs = nowMs, nowMs
 	}
 	seat.Percent, seat.Parts = shares[out.Level], in.Parts
--- a/quotalevels/record_test.go
+++ b/quotalevels/record_test.go
@@ -62,9 +62,12 @@
 		"own start within the last window": {
 			seats: map[string]quotalevels.Seat{self: seat(func(s *quotalevels.Seat) { s.StartedMs = testTime - 8_000 })}, share: 0.7,
 		},
-		"the quota was divided into other parts": {
+		"the quota was divided into fewer parts": {
 			seats: map[string]quotalevels.Seat{self: seat(func(s *quotalevels.Seat) { s.Parts = 2 })}, share: 0.7,
 		},
+		"the quota was divided into more parts": { // some of another keeper's is taken over
+			seats: map[string]quotalevels.Seat{self: seat(func(s *quotalevels.Seat) { s.Parts = 4 })}, joins: true, share: 0.7,
+		},
 		"written before the store came back from a copy": {
 			seats: map[string]quotalevels.Seat{self: seat(unchanged)}, written: 1, joins: true, share: 0.7,
 		},
