Keep the load of simulated quotas apart from the calls to the store

Cause: the simulated store drew its delays from the same numbers as the load, so that each change of the number of calls played another load; and a level that was raised while a change was stored was forgotten. Tests: go test ./quota ./quotalevels.

--- a/quota/levels.go
+++ b/quota/levels.go
@@ -55,7 +55,7 @@
 	// then uses of the rest is together what a single keeper could.
 	fills   [quotalevels.Count]float64
 	inForce quotalevels.Level
-	needed  quotalevels.Level    // since the level in force was stored
+	needed  quotalevels.Level    // highest since the level was last lowered
 	enough  [3]quotalevels.Level // for the use with a margin, in the current interval and the two before
 	usedAt  time.Time
 
@@ -270,6 +270,9 @@
 				Settle: k.bounds.Window + grantLifetime + viewLag + time.Second, takeover: b.levels.takeover, moves: level != b.levels.inForce,
 			})
 			b.levels.changing = true
+			if !start && level < b.levels.inForce {
+				b.levels.needed = level
+			}
 		}
 	}
 	return changes
@@ -299,7 +302,7 @@
 		return
 	}
 	l := b.levels
-	l.changing, l.inForce, l.needed = false, out.Level, out.Level
+	l.changing, l.inForce = false, out.Level
 	if c.Joins && c.Parts == l.wantedParts {
 		l.parts, l.wantedParts = c.Parts, 0
 	}
--- a/quota/sim_store_test.go
+++ b/quota/sim_store_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"gypsumbank/epoch"
@@ -9,6 +10,7 @@
 
 // simStore is a store with the customer's row.
 type simStore struct {
+	random       *rand.Rand // its own, so that the load does not depend on the calls
 	row          simRow
 	copied       simRow // what the store may come back from
 	epoch        epoch.Epoch
@@ -81,8 +83,8 @@
 					answer(func() { a.keeper.Failed(c, 20*time.Millisecond, s.now) })
 				default:
 					s.store.writes++
-					s.store.row = simRow{read.version + 1 + int(s.random.Int64N(5)), value}
-					if s.random.Float64() < s.store.lossRate {
+					s.store.row = simRow{read.version + 1 + int(s.store.random.Int64N(5)), value}
+					if s.store.random.Float64() < s.store.lossRate {
 						answer(failed)
 						return
 					}
@@ -109,5 +111,5 @@
 }
 
 func (s *simulation) storeDelay() time.Duration {
-	return time.Millisecond + time.Duration(s.random.Int64N(int64(s.store.longestDelay)))
+	return time.Millisecond + time.Duration(s.store.random.Int64N(int64(s.store.longestDelay)))
 }
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -99,7 +99,7 @@
 func newSimulation(bounds Bounds, quota route.Quota, gateways, agents int, seed uint64) *simulation {
 	s := &simulation{
 		bounds: bounds, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), agents: map[string]*simAgent{},
-		quota: quota, version: 1, store: simStore{epoch: 1, longestDelay: 10 * time.Millisecond},
+		quota: quota, version: 1, store: simStore{random: rand.New(rand.NewPCG(seed, 2)), epoch: 1, longestDelay: 10 * time.Millisecond},
 	}
 	s.limits = []simLimit{{quota: quota, from: s.now}}
 	for i := range agents {
