Confirm seats of quotas sooner, and lower levels within 20 s of their use

Change: seats are confirmed each 10 to 15 s, by a read alone unless a keeper has joined; a level is lowered once the lower one is enough for 1.7 times the use of 10 to 20 s.

--- a/quota/levels.go
+++ b/quota/levels.go
@@ -9,17 +9,17 @@
 )
 
 const (
-	// confirmInterval and a random part of confirmSpread is the interval at which a keeper in use confirms its seat. Until then a keeper that has
-	// joined meanwhile keeps it from granting at once after a restart.
-	confirmInterval = 45 * time.Second
-	confirmSpread   = 15 * time.Second
-	// levelInterval is longer than a window. A level is lowered once the lower one was enough for lowerMargin times the use of two to three of
+	// confirmInterval and a part of confirmSpread is the interval at which a keeper in use confirms its seat. Until then a keeper that has joined
+	// meanwhile keeps it from granting at once after a restart. It is a read alone if none has.
+	confirmInterval = 10 * time.Second
+	confirmSpread   = 5 * time.Second
+	// levelInterval is longer than a window. A level is lowered once the lower one was enough for lowerMargin times the use of one to two of
 	// them: use that varies about the bound of a level must not move it each time.
 	levelInterval = 10 * time.Second
-	lowerMargin   = 1.4
+	lowerMargin   = 1.7
 	// firstConfirmDelay is the time after the first start of a keeper until it confirms its seat: it must have been used viewLag after the others
 	// have joined.
-	firstConfirmDelay = 15 * time.Second
+	firstConfirmDelay = 6 * time.Second
 	// unusedTime is the time after which an unused keeper no longer confirms.
 	unusedTime = time.Minute
 	// storeWait is the wait that a keeper names while it waits for the store, for at most maxStoreWait. Then the store counts as unavailable.
@@ -56,7 +56,7 @@
 	fills   [quotalevels.Count]float64
 	inForce quotalevels.Level
 	needed  quotalevels.Level    // highest since the level was last lowered
-	enough  [3]quotalevels.Level // for the use with a margin, in the current interval and the two before
+	enough  [2]quotalevels.Level // for the use with a margin, in the current interval and the one before
 	usedAt  time.Time
 
 	parts       int // of which the keeper has stored that it holds one; 0 if unknown
@@ -247,7 +247,7 @@
 		return
 	}
 	for range min(1+int(now.Sub(l.rotateAt)/levelInterval), len(l.enough)) {
-		l.enough = [...]quotalevels.Level{0, l.enough[0], l.enough[1]}
+		l.enough = [...]quotalevels.Level{0, l.enough[0]}
 	}
 	l.rotateAt = now.Add(levelInterval)
 }
@@ -310,7 +310,7 @@
 		l.confirmAt = now.Add(confirmInterval + time.Duration(now.UnixNano())%confirmSpread)
 		return
 	}
-	l.stored, l.enough = true, [...]quotalevels.Level{out.Level, out.Level, out.Level}
+	l.stored, l.enough = true, [...]quotalevels.Level{out.Level, out.Level}
 	l.confirmAt, l.rotateAt = now.Add(firstConfirmDelay), now.Add(levelInterval)
 	granted := b.history.grantedSince(l.takenSlot)
 	for i := range l.fills {
