Count confirmations of quota seats apart from writes, and test when a read is enough

Cause: a seat that was confirmed by a read alone counted as stored, by which docs/metrics.md has operators judge how often levels move; no test failed with the rule for it removed. Change: result confirmed, TestReadConfirms, and two comments. Tests: go test ./quotalevels; go vet of agent, quota, quotalevels.

--- a/agent/quota_levels.go
+++ b/agent/quota_levels.go
@@ -65,8 +65,8 @@
 func (r *quotaRows) apply(ctx context.Context, change quota.Change) {
 	begun := time.Now()
 	log := r.log.WithFields(logrus.Fields{"customer": change.Customer, "starts": change.Start})
-	outcome, err := r.write(ctx, change)
-	metrics.GetOrCreateCounter(`gypsumbank_agent_quota_level_writes_total{result="` + writeResult(err) + `"}`).Inc()
+	outcome, written, err := r.write(ctx, change)
+	metrics.GetOrCreateCounter(`gypsumbank_agent_quota_level_writes_total{result="` + writeResult(written, err) + `"}`).Inc()
 	switch {
 	case err == nil:
 		r.keeper.stored(change, outcome, begun)
@@ -87,8 +87,10 @@
 }
 
 // writeResult returns the name by which metrics have the outcome of a write.
-func writeResult(err error) string {
+func writeResult(written bool, err error) string {
 	switch {
+	case err == nil && !written:
+		return "confirmed"
 	case err == nil:
 		return "stored"
 	case errors.Is(err, platform.ErrConflict):
@@ -99,8 +101,9 @@
 	return "failed"
 }
 
-// write reads a customer's row and writes it with a change, if nobody else has written it meanwhile.
-func (r *quotaRows) write(ctx context.Context, change quota.Change) (quotalevels.Outcome, error) {
+// write reads a customer's row and writes it with a change, if nobody else has written it meanwhile. It is not written if it has all of the
+// change already.
+func (r *quotaRows) write(ctx context.Context, change quota.Change) (outcome quotalevels.Outcome, written bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	row, nowMs, err := r.store.Row(ctx, quotaLevelsTable, "", change.Customer)
@@ -109,7 +112,7 @@
 	case errors.Is(err, platform.ErrNotFound):
 		row = platform.Row{Table: quotaLevelsTable, Key: change.Customer, Epoch: row.Epoch}
 	case err != nil:
-		return quotalevels.Outcome{}, fmt.Errorf("read quota levels: %w", err)
+		return quotalevels.Outcome{}, false, fmt.Errorf("read quota levels: %w", err)
 	default:
 		if record, err = quotalevels.Decode(row.Value, row.Epoch, nowMs); err != nil {
 			r.log.WithError(err).WithField("customer", change.Customer).Warn("stored quota levels are replaced")
@@ -117,19 +120,19 @@
 	}
 	update := change.Update(r.address, time.Now())
 	if record.Confirms(update, nowMs) {
-		return quotalevels.Outcome{Level: update.Level}, nil
+		return quotalevels.Outcome{Level: update.Level}, false, nil
 	}
 	next, outcome, err := record.Apply(update, nowMs)
 	if err != nil && !record.FromEarlierEpoch() {
-		return quotalevels.Outcome{}, fmt.Errorf("take over part of a quota: %w", err)
+		return quotalevels.Outcome{}, false, fmt.Errorf("take over part of a quota: %w", err)
 	}
 	var encodeErr error
 	if row.Value, encodeErr = next.Encode(); encodeErr != nil {
-		return quotalevels.Outcome{}, fmt.Errorf("encode quota levels: %w", encodeErr)
+		return quotalevels.Outcome{}, false, fmt.Errorf("encode quota levels: %w", encodeErr)
 	}
 	r.keeper.lower(change)
 	if _, err := r.store.CompareAndSwap(ctx, row); err != nil {
-		return quotalevels.Outcome{}, fmt.Errorf("write quota levels: %w", err)
+		return quotalevels.Outcome{}, false, fmt.Errorf("write quota levels: %w", err)
 	}
-	return outcome, err
+	return outcome, true, err
 }
--- a/quota/levels.go
+++ b/quota/levels.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// confirmInterval and a part of confirmSpread is the interval at which a keeper in use confirms its seat. Until then a keeper that has joined
+	// A keeper in use confirms its seat after confirmInterval and a part of confirmSpread. Until then a keeper that has joined
 	// meanwhile keeps it from granting at once after a restart. It is a read alone if none has.
 	confirmInterval = 10 * time.Second
 	confirmSpread   = 5 * time.Second
@@ -70,7 +70,7 @@
 	retryAt    time.Time
 	confirmAt  time.Time // when the seat is to be confirmed
 	rotateAt   time.Time // when the current interval of enough ends
-	sharesTill time.Time // until when shareFill and shareRoom hold beside the rule for keepers without a row
+	sharesTill time.Time // until when shareFill holds beside the rule for keepers without a row
 	shareLevel quotalevels.Level
 	shareFill  float64
 	shareSpent float64 // granted by them
--- a/quotalevels/record_test.go
+++ b/quotalevels/record_test.go
@@ -155,6 +155,37 @@
 	}
 }
 
+// TestReadConfirms guards against a seat that is not written again although a keeper has joined, its level has moved or it is about to be
+// removed, and against writes that change nothing.
+func TestReadConfirms(t *testing.T) {
+	update := quotalevels.Update{Address: self, Level: 2, Parts: 3, Settle: settle} // of 0.7 of the part
+	for name, c := range map[string]struct {
+		change func(*quotalevels.Update)
+		seats  map[string]quotalevels.Seat
+		want   bool
+	}{
+		"nothing new":           {seats: map[string]quotalevels.Seat{self: seat(unchanged), other: seat(unchanged)}, want: true},
+		"no seat":               {seats: map[string]quotalevels.Seat{other: seat(unchanged)}},
+		"another has joined":    {seats: map[string]quotalevels.Seat{self: seat(unchanged), other: seat(func(s *quotalevels.Seat) { s.JoinedMs = testTime - 20_000 })}},
+		"confirmed long ago":    {seats: map[string]quotalevels.Seat{self: seat(func(s *quotalevels.Seat) { s.ConfirmedMs, s.JoinedMs = testTime-2_000_000, 1 })}},
+		"level moves":           {change: func(u *quotalevels.Update) { u.Level = 1 }, seats: map[string]quotalevels.Seat{self: seat(unchanged)}},
+		"starts":                {change: func(u *quotalevels.Update) { u.Start = true }, seats: map[string]quotalevels.Seat{self: seat(unchanged)}},
+		"takes over a part":     {change: func(u *quotalevels.Update) { u.Joins = true }, seats: map[string]quotalevels.Seat{self: seat(unchanged)}},
+		"other number of parts": {change: func(u *quotalevels.Update) { u.Parts = 2 }, seats: map[string]quotalevels.Seat{self: seat(unchanged)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			record, in := quotalevels.New(1), update
+			record.Seats = c.seats
+			if c.change != nil {
+				c.change(&in)
+			}
+			if got := record.Confirms(in, testTime); got != c.want {
+				t.Errorf("a read is enough: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
 // TestOddRowsProveNothing guards against rows that another writer has left and that end an agent, or let a keeper grant at once.
 func TestOddRowsProveNothing(t *testing.T) {
 	for name, value := range map[string]string{
