--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"gypsumbank/quotalevels"
 )
 
 // hardLoadCosts are what requests of the first deployment of docs/hard-load.md cost.
@@ -90,3 +92,24 @@
 		}
 	}
 }
+
+// TestLevelsFollowTheUseDown guards against a burst whose level binds what keepers grant after a restart long after it has ended.
+func TestLevelsFollowTheUseDown(t *testing.T) {
+	t.Parallel()
+	s := newFirstDeployment(largeCustomer, 6)
+	inForce := func() quotalevels.Level {
+		highest := quotalevels.Level(0)
+		for _, k := range s.gateways[0].keepers {
+			highest = max(highest, s.agents[k.Address].keeper.customers[simCustomer].levels.inForce)
+		}
+		return highest
+	}
+	largeCustomer.offer(s, s.gateways[:5], 3, 1, 20*time.Second)
+	if got := inForce(); got != quotalevels.Highest {
+		t.Errorf("level %.2f at three times the limit, want the highest", got.Share())
+	}
+	largeCustomer.offer(s, s.gateways[:5], 0.3, 1, time.Minute)
+	if got := inForce(); got != 0 {
+		t.Errorf("level %.2f a minute after the burst, at 0.3 of the limit, want the lowest", got.Share())
+	}
+}
