Call what keepers of quotas hold in a row a claim

Cause: seat is a word of this code alone. Tests: go test ./quotalevels ./quota, and ./agent -run 'Quota|Customer'.

--- a/agent/quota_levels.go
+++ b/agent/quota_levels.go
@@ -34,7 +34,7 @@
 	keeper  *quotaKeeper
 	store   *platform.Store
 	epochs  *epoch.Tracker
-	address string // by which this agent's seats are found again after a restart
+	address string // by which this agent's claims are found again after a restart
 	log     *logrus.Entry
 }
 
--- a/quota/levels.go
+++ b/quota/levels.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// A keeper in use confirms its seat after confirmInterval and a part of confirmSpread. Until then a keeper that has joined
+	// A keeper in use confirms its claim after confirmInterval and a part of confirmSpread. Until then a keeper that has joined
 	// meanwhile keeps it from granting at once after a restart. It is a read alone if none has.
 	confirmInterval = 10 * time.Second
 	confirmSpread   = 5 * time.Second
@@ -17,7 +17,7 @@
 	// them: use that varies about the bound of a level must not move it each time.
 	levelInterval = 10 * time.Second
 	lowerMargin   = 1.7
-	// firstConfirmDelay is the time after the first start of a keeper until it confirms its seat: it must have been used viewLag after the others
+	// firstConfirmDelay is the time after the first start of a keeper until it confirms its claim: it must have been used viewLag after the others
 	// have joined.
 	firstConfirmDelay = 6 * time.Second
 	// unusedTime is the time after which an unused keeper no longer confirms.
@@ -68,7 +68,7 @@
 	takenSlot  int64     // of the history
 	changing   bool      // a change is being stored
 	retryAt    time.Time
-	confirmAt  time.Time // when the seat is to be confirmed
+	confirmAt  time.Time // when the claim is to be confirmed
 	rotateAt   time.Time // when the current interval of enough ends
 	sharesTill time.Time // until when shareFill holds beside the rule for keepers without a row
 	shareLevel quotalevels.Level
@@ -329,7 +329,7 @@
 	}
 }
 
-// Reconfirm has all seats written again within a time, as the store has come back from an older copy.
+// Reconfirm has all claims written again within a time, as the store has come back from an older copy.
 func (k *Keeper) Reconfirm(within time.Duration, now time.Time) {
 	for _, b := range k.customers {
 		if b.levels != nil {
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -62,7 +62,7 @@
 }
 
 // TestLevelWritesAtUsualLoad guards against more writes to the store than some tens a minute for the 16 customers of the first deployment, at
-// 0.45 to 0.6 of their limits, and against more reads than one in ten seconds for each of their 48 keepers' seats: calls are priced.
+// 0.45 to 0.6 of their limits, and against more reads than one in ten seconds for each of their 48 keepers' claims: calls are priced.
 func TestLevelWritesAtUsualLoad(t *testing.T) {
 	t.Parallel()
 	const (
--- a/quotalevels/record.go
+++ b/quotalevels/record.go
@@ -15,7 +15,7 @@
 	format = 1
 	// viewLag is the time for which gateways may differ about the keepers, 3 s, and a margin for calls in progress.
 	viewLag = 4 * time.Second
-	// maxSeatAge is the time after which the seat of a keeper that has not confirmed it is removed. It is many times the interval at which
+	// maxSeatAge is the time after which the claim of a keeper that has not confirmed it is removed. It is many times the interval at which
 	// keepers confirm theirs.
 	maxSeatAge = time.Hour
 )
@@ -25,15 +25,15 @@
 
 // Record is the content of a customer's row. It is not changed once it is in use.
 type Record struct {
-	Format int             `json:"format"`
-	Epoch  epoch.Epoch     `json:"epoch"` // of the store that it was written in
-	Seats  map[string]Seat `json:"seats"` // by the keeper's address
+	Format int              `json:"format"`
+	Epoch  epoch.Epoch      `json:"epoch"`  // of the store that it was written in
+	Claims map[string]Claim `json:"claims"` // by the keeper's address
 
 	earlier bool // it was read from a row of an earlier epoch
 }
 
-// Seat is a keeper's claim to one part of the quota. Times are on the store's clock.
-type Seat struct {
+// Claim is that of a keeper to one part of the quota. Times are on the store's clock.
+type Claim struct {
 	Percent int `json:"level"` // bound of the keeper's use, in percent of its part
 	Parts   int `json:"parts"` // into which the quota was divided
 	// JoinedMs is when the keeper took the place of another one.
@@ -46,9 +46,9 @@
 	ConfirmedMs int64 `json:"confirmed-ms"`
 }
 
-// New returns a record without seats.
+// New returns a record without claims.
 func New(readIn epoch.Epoch) Record {
-	return Record{Format: format, Epoch: readIn, Seats: map[string]Seat{}}
+	return Record{Format: format, Epoch: readIn, Claims: map[string]Claim{}}
 }
 
 // Decode returns the record in a row that was read in an epoch at a time of the store's clock. What a record of an earlier epoch says of keepers
@@ -61,16 +61,16 @@
 	if r.Format != format {
 		return New(readIn), fmt.Errorf("%w: format %d", ErrInvalid, r.Format)
 	}
-	if r.Seats == nil {
-		r.Seats = map[string]Seat{}
+	if r.Claims == nil {
+		r.Claims = map[string]Claim{}
 	}
-	for address, s := range r.Seats {
+	for address, s := range r.Claims {
 		if r.Epoch != readIn {
 			s.JoinedMs, s.StartedMs, s.SharedMs, s.ConfirmedMs = nowMs, nowMs, nowMs, 0
-			r.Seats[address] = s
+			r.Claims[address] = s
 		}
 		if max(s.JoinedMs, s.StartedMs, s.SharedMs, s.ConfirmedMs) > nowMs || s.Percent <= 0 {
-			return New(readIn), fmt.Errorf("%w: seat of %s at %d: %+v", ErrInvalid, address, nowMs, s)
+			return New(readIn), fmt.Errorf("%w: claim of %s at %d: %+v", ErrInvalid, address, nowMs, s)
 		}
 	}
 	r.earlier = r.Epoch != readIn
@@ -109,56 +109,56 @@
 
 // Apply returns the record with an update at a time of the store's clock. The error wraps ErrUnsettled; the record is then as it was.
 func (r Record) Apply(in Update, nowMs int64) (Record, Outcome, error) {
-	next := Record{Format: format, Epoch: r.Epoch, Seats: maps.Clone(r.Seats)}
-	seat, known := r.Seats[in.Address]
+	next := Record{Format: format, Epoch: r.Epoch, Claims: maps.Clone(r.Claims)}
+	claim, known := r.Claims[in.Address]
 	holds := known && r.holds(in.Address)
 	out := Outcome{Level: in.Level}
-	joins := in.Joins || (in.Start && !holds) || (known && in.Parts < seat.Parts)
+	joins := in.Joins || (in.Start && !holds) || (known && in.Parts < claim.Parts)
 	if joins && r.sharedSince(in.Address, nowMs-in.Settle.Milliseconds()) {
 		return r, Outcome{}, ErrUnsettled
 	}
 	if in.Start {
-		out.Level = levelOf(seat.Percent)
-		out.Shares = holds && seat.Parts == in.Parts && nowMs-seat.StartedMs >= in.Settle.Milliseconds()
-		seat.StartedMs = nowMs
+		out.Level = levelOf(claim.Percent)
+		out.Shares = holds && claim.Parts == in.Parts && nowMs-claim.StartedMs >= in.Settle.Milliseconds()
+		claim.StartedMs = nowMs
 		if out.Shares {
-			seat.SharedMs = nowMs
+			claim.SharedMs = nowMs
 		}
 	}
 	if !known || joins {
-		seat.JoinedMs, seat.StartedMs = nowMs, nowMs
+		claim.JoinedMs, claim.StartedMs = nowMs, nowMs
 	}
-	seat.Percent, seat.Parts = shares[out.Level], in.Parts
-	seat.ConfirmedMs = max(seat.ConfirmedMs, nowMs-in.UsedAgo.Milliseconds(), 1)
-	next.Seats[in.Address] = seat
-	maps.DeleteFunc(next.Seats, func(_ string, s Seat) bool {
+	claim.Percent, claim.Parts = shares[out.Level], in.Parts
+	claim.ConfirmedMs = max(claim.ConfirmedMs, nowMs-in.UsedAgo.Milliseconds(), 1)
+	next.Claims[in.Address] = claim
+	maps.DeleteFunc(next.Claims, func(_ string, s Claim) bool {
 		return nowMs-max(s.ConfirmedMs, s.JoinedMs) > maxSeatAge.Milliseconds()
 	})
 	return next, out, nil
 }
 
-// Confirms reports whether the record has all that an update of a keeper that goes on would store: no keeper has joined since the seat was last
+// Confirms reports whether the record has all that an update of a keeper that goes on would store: no keeper has joined since the claim was last
 // confirmed, its level is the same, and it is far from being removed.
 func (r Record) Confirms(in Update, nowMs int64) bool {
-	seat := r.Seats[in.Address]
-	return !in.Start && !in.Joins && r.holds(in.Address) && seat.Percent == shares[in.Level] && seat.Parts == in.Parts && nowMs-seat.ConfirmedMs < (maxSeatAge/2).Milliseconds()
+	claim := r.Claims[in.Address]
+	return !in.Start && !in.Joins && r.holds(in.Address) && claim.Percent == shares[in.Level] && claim.Parts == in.Parts && nowMs-claim.ConfirmedMs < (maxSeatAge/2).Milliseconds()
 }
 
-// holds reports whether no keeper can have taken the place of this one since it was last used, other than keepers that have not stored a seat
+// holds reports whether no keeper can have taken the place of this one since it was last used, other than keepers that have not stored a claim
 // and so use the lowest level.
 func (r Record) holds(address string) bool {
-	seat := r.Seats[address]
-	for other, s := range r.Seats {
-		if other != address && seat.ConfirmedMs <= s.JoinedMs+viewLag.Milliseconds() {
+	claim := r.Claims[address]
+	for other, s := range r.Claims {
+		if other != address && claim.ConfirmedMs <= s.JoinedMs+viewLag.Milliseconds() {
 			return false
 		}
 	}
-	return seat.ConfirmedMs > 0
+	return claim.ConfirmedMs > 0
 }
 
 // sharedSince reports whether another keeper has started with what its level left since a time.
 func (r Record) sharedSince(address string, sinceMs int64) bool {
-	for other, s := range r.Seats {
+	for other, s := range r.Claims {
 		if other != address && s.SharedMs > 0 && s.SharedMs > sinceMs {
 			return true
 		}
