--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -32,8 +31,6 @@
 	maxAffinityCostMs = 20
 	// longPromptTokens is the prompt length from which the prefill takes several steps of the engine's batch.
 	longPromptTokens = 3000
-	// mixingCostTokens is the maximum of mixingCost, as a number of tokens to prefill.
-	mixingCostTokens = 4000
 	// runningRequestMs is the delay of a first byte by each running request in the target's batch.
 	runningRequestMs = 0.6
 	// plainLoadFactor is by how many times its latency the cost of a plain target rises until its slots are taken.
@@ -290,36 +287,6 @@
 	return options
 }
 
-// holderRanks returns a rank between 0 and 1 for each holder of a model. The order is the same at each gateway and for
-// each model, so that a target which prefills the long prompts of one model does so for its other models, too.
-func holderRanks(holders []*targetState) map[string]float64 {
-	ranks := make(map[string]float64, len(holders))
-	if len(holders) < 2 {
-		return ranks
-	}
-	ids := make([]string, 0, len(holders))
-	for _, s := range holders {
-		ids = append(ids, s.ID)
-	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	for i, id := range ids {
-		ranks[id] = float64(i) / float64(len(ids)-1)
-	}
-	return ranks
-}
-
-// mixingCost returns a cost in ms that keeps long prompts and the streams of short ones on different targets: it
-// favours holders of high rank for long prompts and of low rank for others. An engine interleaves prefill with
-// decoding, so a long prompt causes gaps in the streams of other requests. Where there are few long prompts, the cost is
-// lower, as it would leave the holders of high rank idle. Among many gateways it is not used: divide keeps the classes apart.
-func (f *Fleet) mixingCost(service string, req *request.Request, rank float64) float64 {
-	maxCostMs := mixingCostTokens * f.prefillMsPerToken(req.Model) * f.promptMixes[service].separation()
-	if isLongPrompt(req) {
-		return maxCostMs * (1 - rank)
-	}
-	return maxCostMs * rank
-}
-
 // unresponsiveCost returns the cost in ms of a target that may be frozen or unreachable: its agent, on the same VM, has
 // missed a heartbeat, or a request has stalled there, or both. A report older than reportLifetime is not
 // taken into account.
--- a/fleet/prompt_mix.go
+++ b/fleet/prompt_mix.go
@@ -1,9 +1,13 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gypsumbank/promptclass"
 	"gypsumbank/request"
 )
@@ -47,3 +51,36 @@
 
 // isLongPrompt reports whether the prefill of a request takes several steps of the engine's batch.
 func isLongPrompt(req *request.Request) bool { return req.PromptTokens > longPromptTokens }
+
+// mixingCostTokens is the maximum of mixingCost, as a number of tokens to prefill.
+const mixingCostTokens = 4000
+
+// holderRanks returns a rank between 0 and 1 for each holder of a model. The order is the same at each gateway and for
+// each model, so that a target which prefills the long prompts of one model does so for its other models, too.
+func holderRanks(holders []*targetState) map[string]float64 {
+	ranks := make(map[string]float64, len(holders))
+	if len(holders) < 2 {
+		return ranks
+	}
+	ids := make([]string, 0, len(holders))
+	for _, s := range holders {
+		ids = append(ids, s.ID)
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	for i, id := range ids {
+		ranks[id] = float64(i) / float64(len(ids)-1)
+	}
+	return ranks
+}
+
+// mixingCost returns a cost in ms that keeps long prompts and the streams of short ones on different targets: it
+// favours holders of high rank for long prompts and of low rank for others. An engine interleaves prefill with
+// decoding, so a long prompt causes gaps in the streams of other requests. Where there are few long prompts, the cost is
+// lower, as it would leave the holders of high rank idle. Among many gateways it is not used: divide keeps the classes apart.
+func (f *Fleet) mixingCost(service string, req *request.Request, rank float64) float64 {
+	maxCostMs := mixingCostTokens * f.prefillMsPerToken(req.Model) * f.promptMixes[service].separation()
+	if isLongPrompt(req) {
+		return maxCostMs * (1 - rank)
+	}
+	return maxCostMs * rank
+}
