Hold events of streams and write them together

What is held lies in the buffers of net/http, unflushed, so it is part of the memory of the caller's connection. A timer flushes it under a mutex that the handler takes for each write; closing waits for that and is deferred before the handler can end, also by http.ErrAbortHandler. If the timer's write fails, the context of the exchange is cancelled, which ends the read of the target, and the stream ends as one whose write failed in the handler. copyBody writes what is held when the body ends or breaks, before anything else is decided; so a stream that goes on at its copy, or is resumed, begins with nothing held.

--- a/gateway/caller_answer.go
+++ b/gateway/caller_answer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"gypsumbank/framing"
 	"gypsumbank/platform"
@@ -46,12 +47,27 @@
 	guard     resetguard.Guard // of an answer that ends with its connection
 	held      *sender.Response // whose status and header are held back; nil if none are
 	heldBody  []byte
+
+	holdTime time.Duration // longest time for which events of a stream are held; 0 to write them as they arrive
+	leave    func()        // ends the exchange; called if held events can't be written
+	events   *eventWriter  // of a stream whose events may be held; nil of other answers
 }
 
 func newCallerAnswer(w http.ResponseWriter, r *http.Request, announce func(net.Conn, http.Header)) *callerAnswer {
 	return &callerAnswer{writer: w, announce: announce, conn: connFromContext(r.Context()), hasChunks: r.ProtoAtLeast(1, 1)}
 }
 
+// holdEvents has events of a stream held for the hold time at most. If they can't be written then, leave is called. It is called before begin; close must
+// be called before the handler ends.
+func (a *callerAnswer) holdEvents(holdTime time.Duration, leave func()) { a.holdTime, a.leave = holdTime, leave }
+
+// close ends the writes of held events.
+func (a *callerAnswer) close() {
+	if a.events != nil {
+		a.events.close()
+	}
+}
+
 // begin writes the status and header of a target's answer. Those of an answer with a length that is no stream are held back at first.
 func (a *callerAnswer) begin(response *sender.Response, isStream bool) {
 	a.mediaType, a.framing = mediaType(response.Header), framing.Chunks
@@ -66,6 +82,10 @@
 		return
 	}
 	a.writeHead(response)
+	isSuccess := response.Status < http.StatusMultipleChoices
+	if a.holdTime > 0 && isStream && isSuccess && a.framing != framing.Length && a.mediaType == eventStreamType {
+		a.events = newEventWriter(a.writer, a.holdTime, a.leave)
+	}
 }
 
 // writeHead writes the status and header of an answer.
@@ -104,11 +124,14 @@
 	return nil
 }
 
-// write writes a part of the body, at once unless the answer has a length.
+// write writes a part of the body, at once unless the answer has a length or events that may be held.
 func (a *callerAnswer) write(chunk []byte) error {
 	if len(chunk) == 0 {
 		return nil
 	}
+	if a.events != nil {
+		return a.events.write(chunk)
+	}
 	if a.held != nil && len(a.heldBody)+len(chunk) <= maxHeldBytes {
 		a.heldBody = append(a.heldBody, chunk...)
 		return nil
@@ -125,7 +148,23 @@
 	return a.flush()
 }
 
-// finish has the answer end in order.
+// writeHeldEvents writes the events that are held, and returns the error of an earlier write of these.
+func (a *callerAnswer) writeHeldEvents() error {
+	if a.events == nil {
+		return nil
+	}
+	return a.events.flush()
+}
+
+// eventWrites returns in how many writes a stream whose events may be held has been passed on; 0 of other answers.
+func (a *callerAnswer) eventWrites() int {
+	if a.events == nil {
+		return 0
+	}
+	return a.events.countWrites()
+}
+
+// finish has the answer end in order. No events are held any more.
 func (a *callerAnswer) finish() error {
 	if err := a.writeHeld(); err != nil || a.framing != framing.Connection {
 		return err
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -110,7 +110,7 @@
 func (e *exchange) logEnd(answered dispatch.Answered, known completeness.Completeness, events *eventBuffer) {
 	e.log().WithFields(logrus.Fields{
 		"target": answered.Assignment.Target().ID, "status": answered.Response.Status, "priority": e.request.Priority,
-		"longest-gap-ms": e.longestGap.Milliseconds(), "body-bytes": e.bodyBytes, "within-event": events.hasIncomplete(),
+		"longest-gap-ms": e.longestGap.Milliseconds(), "body-bytes": e.bodyBytes, "within-event": events.hasIncomplete(), "event-writes": e.answer.eventWrites(),
 		"whole": known == completeness.Whole, "completeness": known.String(),
 		"framing": answered.Response.Framing.String(), "to-caller": e.answer.framing.String(), "request-written": answered.Response.WriteState().String(),
 	}).Info("answer ends")
@@ -180,9 +180,19 @@
 	e.answer.begin(answered.Response, e.route.Kind == route.Streaming)
 }
 
-// copyBody copies the body to the caller as it arrives. Of a resumable stream it copies complete events only, since another
-// target resumes after the last one. It returns nil once the body has ended.
+// copyBody copies the body to the caller up to its end or a break, and has written all of it then, also events that were held. It returns nil
+// once the body has ended.
 func (e *exchange) copyBody(answered dispatch.Answered, events *eventBuffer, isStream bool) error {
+	err := e.copyParts(answered, events, isStream)
+	if writeErr := e.answer.writeHeldEvents(); writeErr != nil {
+		return writeErr
+	}
+	return err
+}
+
+// copyParts copies the body to the caller as it arrives. Of a resumable stream it copies complete events only, since another
+// target resumes after the last one. It returns nil once the body has ended.
+func (e *exchange) copyParts(answered dispatch.Answered, events *eventBuffer, isStream bool) error {
 	buffer := make([]byte, copyBufferBytes)
 	if e.lastChunkAt.IsZero() {
 		e.lastChunkAt = time.Now()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/bytebudget"
+	"gypsumbank/delivery"
 	"gypsumbank/dispatch"
 	"gypsumbank/platform"
 	"gypsumbank/request"
@@ -61,9 +62,14 @@
 		return
 	}
 	service := matchedRoute.PickService(xxhash.Sum64String(req.ID))
-	d := g.dispatcher.Begin(r.Context(), req, matchedRoute, service)
+	callerCtx, leave := context.WithCancel(r.Context())
+	defer leave()
+	d := g.dispatcher.Begin(callerCtx, req, matchedRoute, service)
 	defer d.Close()
-	ex := &exchange{gateway: g, answer: newCallerAnswer(w, r, g.conns.Announce), request: req, route: matchedRoute, dispatch: d, callerCtx: r.Context(), hold: hold, charge: charge}
+	answer := newCallerAnswer(w, r, g.conns.Announce)
+	answer.holdEvents(delivery.HoldTime(g.config.Bounds.EventDelivery), leave)
+	defer answer.close()
+	ex := &exchange{gateway: g, answer: answer, request: req, route: matchedRoute, dispatch: d, callerCtx: callerCtx, hold: hold, charge: charge}
 	ex.run()
 }
 
@@ -96,7 +102,7 @@
 	request   *request.Request
 	route     *route.Route
 	dispatch  *dispatch.Dispatch
-	callerCtx context.Context  // ends when the caller disconnects
+	callerCtx context.Context  // ends when the caller disconnects, or held events can't be written to it
 	hold      *bytebudget.Hold // memory that the request takes
 	charge    *quotaCharge     // to the quota of its customer
 
--- a/settings/gateway_agent.go
+++ b/settings/gateway_agent.go
@@ -44,6 +44,8 @@
 	KeyMaxAge    time.Duration // age of the last read of the routes up to which KeysFailClosed allows keys
 	// KeysFailClosed has keys refused while the routes can't be read, as they may have been taken away.
 	KeysFailClosed bool
+	// EventDelivery is the time within which an event of a stream must reach its caller after the target produced it; 0 to pass each on as it arrives.
+	EventDelivery time.Duration
 }
 
 // Limits holds the resources that the process may use, and those that its callers may take.
@@ -81,6 +83,8 @@
 		QuotaSlack:     file.Float("bounds", "quota-slack", 0, 0, 1e12),
 		KeyMaxAge:      file.Duration("bounds", "key-max-age", 5*time.Second, time.Second, time.Hour),
 		KeysFailClosed: file.Choice("bounds", "keys-fail-closed", "no", "yes", "no") == "yes",
+
+		EventDelivery: file.Duration("bounds", "event-delivery", 0, 0, time.Hour),
 	}
 	c.Limits = readLimits(file)
 	if file.HasSection("gateway") {
