--- a/gateway/caller_answer.go
+++ b/gateway/caller_answer.go
@@ -59,7 +59,9 @@
 
 // holdEvents has events of a stream held for the hold time at most. If they can't be written then, leave is called. It is called before begin; close must
 // be called before the handler ends.
-func (a *callerAnswer) holdEvents(holdTime time.Duration, leave func()) { a.holdTime, a.leave = holdTime, leave }
+func (a *callerAnswer) holdEvents(holdTime time.Duration, leave func()) {
+	a.holdTime, a.leave = holdTime, leave
+}
 
 // close ends the writes of held events.
 func (a *callerAnswer) close() {
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -30,11 +30,12 @@
 	readyAddress   string
 	metricsAddress string
 
-	agentPort int
-	memoryMiB int // of the gateway; 0 for that of the machine
-	stop      context.CancelFunc
-	runErr    chan error
-	logHook   *logtest.Hook // records what the gateway logs
+	agentPort     int
+	memoryMiB     int           // of the gateway; 0 for that of the machine
+	eventDelivery time.Duration // bound of the gateway; 0 for none
+	stop          context.CancelFunc
+	runErr        chan error
+	logHook       *logtest.Hook // records what the gateway logs
 }
 
 const callerHost = "callers.example"
@@ -81,9 +82,15 @@
 
 // newDeployment starts stand-ins and a gateway, and waits until it is ready. The registry has one entry that is invalid.
 func newDeployment(t *testing.T) *testDeployment {
+	t.Helper()
+	return newStreamDeployment(t, 0)
+}
+
+// newStreamDeployment is newDeployment with a bound for the delivery of events; 0 for none.
+func newStreamDeployment(t *testing.T, eventDelivery time.Duration) *testDeployment {
 	t.Helper()
 	t.Parallel()
-	d := &testDeployment{t: t, store: site.NewStore(), plainTarget: site.NewTarget("p1", site.TextResponse(200, "ok")), engineTarget: site.NewTarget("e1", site.EventStream(3, 0, 0))}
+	d := &testDeployment{t: t, eventDelivery: eventDelivery, store: site.NewStore(), plainTarget: site.NewTarget("p1", site.TextResponse(200, "ok")), engineTarget: site.NewTarget("e1", site.EventStream(3, 0, 0))}
 	d.engineTarget.Load("m1")
 	d.store.Put("op", "config", routesDocument(1, 2000))
 	d.store.Put("servers", "p1", d.plainTarget.RegistryEntry("plain", "ready"))
@@ -111,7 +118,7 @@
 		Node:    settings.Node{Name: "gateway-1", AvailabilityZone: "zone-a"},
 		Gateway: settings.Gateway{Listen: d.gatewayAddress, Ready: d.readyAddress, Metrics: d.metricsAddress, AgentPort: d.agentPort, Grace: 4 * time.Second},
 		Store:   settings.Store{Address: d.store.Address()},
-		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
+		Bounds:  settings.Bounds{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, EventDelivery: d.eventDelivery},
 		Limits:  settings.Limits{MemoryMiB: d.memoryMiB},
 	}
 	log, hook := logtest.NewNullLogger()
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -14,6 +14,7 @@
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"gypsumbank/settings"
 	"gypsumbank/standin/site"
 )
 
@@ -36,8 +37,15 @@
 // newCopyGroup starts a gateway before two engines at 127.0.0.host and the address after it, which pass requests to the handler, and waits until the
 // gateway knows them. The change, unless nil, is made to the entries of the engines.
 func newCopyGroup(t *testing.T, host int, handler site.Handler, change func(i int, entry map[string]any)) *copyGroup {
+	t.Helper()
+	return newCopyGroupWith(t, host, handler, change, nil)
+}
+
+// newCopyGroupWith is newCopyGroup with a change of the settings of the gateway, unless it is nil.
+func newCopyGroupWith(t *testing.T, host int, handler site.Handler, change func(i int, entry map[string]any), configure func(*settings.Config)) *copyGroup {
 	t.Helper()
 	g := &copyGroup{gatewayGroup: newGatewayGroup(t), copies: site.NewCopies()}
+	g.configure = configure
 	log, hook := logtest.NewNullLogger()
 	g.log, g.hook = log.WithField("test", t.Name()), hook
 	g.store.Put("op", "config", copyRoutes())
