Have events held in the tests of streams that end

Cause: with the write of held events at the end of the body taken out, TestHeldEventsPrecedeTheEnd still passed: the gateway read all events of the stand-in at once, and what arrives with the first event is not held. Change: the stand-in writes the first event alone.

--- a/gateway/event_delivery_test.go
+++ b/gateway/event_delivery_test.go
@@ -148,6 +148,15 @@
 	}
 }
 
+// writeFirstAlone writes an answer up to the end of its first event, and the rest a little later, so that the gateway does not read both at once: what
+// arrives with the first event is not held.
+func writeFirstAlone(conn net.Conn, answer string) {
+	end := strings.Index(answer, events(1, 1)) + len(events(1, 1))
+	_, _ = io.WriteString(conn, answer[:end])
+	time.Sleep(30 * time.Millisecond)
+	_, _ = io.WriteString(conn, answer[end:])
+}
+
 // TestHeldEventsPrecedeTheEnd has a target end its stream in different ways while events are held. It guards against held events that are lost, and
 // against streams that look whole though they are not. The hold time is longer than the test, or 0: the caller gets the same with both.
 func TestHeldEventsPrecedeTheEnd(t *testing.T) {
@@ -177,7 +186,7 @@
 				t.Run(fmt.Sprint(name, ", ", protocol, ", ", bound), func(t *testing.T) {
 					d := newStreamDeployment(t, bound)
 					d.engineTarget.SetHandler(site.RawResponse(false, func(conn net.Conn, identity string) {
-						_, _ = io.WriteString(conn, strings.ReplaceAll(c.answer, "{id}", identity))
+						writeFirstAlone(conn, strings.ReplaceAll(c.answer, "{id}", identity))
 						if c.silent {
 							_ = conn.SetReadDeadline(time.Now().Add(6 * time.Second))
 							_, _ = conn.Read(make([]byte, 1))
@@ -237,7 +246,10 @@
 			host += 2
 			t.Run(fmt.Sprint(bound, " ", name), func(t *testing.T) {
 				t.Parallel()
-				g := newCopyGroupWith(t, at, firstThen(raw(streamHead+whole[:bytes]), site.EventStream(count, 5*time.Millisecond, 0)), nil, func(config *settings.Config) {
+				first := site.RawResponse(false, func(conn net.Conn, identity string) {
+					writeFirstAlone(conn, strings.ReplaceAll(streamHead, "{id}", identity)+whole[:bytes])
+				})
+				g := newCopyGroupWith(t, at, firstThen(first, site.EventStream(count, 5*time.Millisecond, 0)), nil, func(config *settings.Config) {
 					config.Bounds.EventDelivery = bound
 				})
 				got, id := g.callCopied("r")
