--- a/settings/gateway_agent_test.go
+++ b/settings/gateway_agent_test.go
@@ -103,7 +103,7 @@
 		want     time.Duration
 	}{
 		"no optional bound":           {},
-		"the first deployment":        {optional: map[string]string{"bounds.passMs": "120"}, want: 120 * time.Millisecond},
+		"an earlier deployment":       {optional: map[string]string{"bounds.passMs": "120"}, want: 120 * time.Millisecond},
 		"all optional bounds":         {optional: map[string]string{"bounds.passMs": "200", "bounds.quotaWindowS": "8", "bounds.quotaOverage": "0.1", "bounds.quotaSlack": "110000", "bounds.revokeMs": "3000", "bounds.revokeFailClosed": "1"}, want: 200 * time.Millisecond},
 		"fractions of a millisecond":  {optional: map[string]string{"bounds.passMs": "200.5"}, want: 200500 * time.Microsecond},
 		"other optional bounds alone": {optional: map[string]string{"bounds.revokeMs": "3000"}},
