Order prefill turns by the recent service of customers

Change: of equally urgent requests that can meet their objective, those of the customer with less granted prefill time come first. Requests of a customer that has received more than 1.5 times the mean, and more than 0.5 s, do not count as urgent once their slack is used up and come after others of equal urgency; while such requests wait, the slack of others counts as used up two prompts earlier. A turn that ends unused is not charged. Requests of one customer, or of none, keep their order.

--- a/turns/queue.go
+++ b/turns/queue.go
@@ -1,8 +1,11 @@
 package turns
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"gypsumbank/fairshare"
 )
 
 const (
@@ -76,6 +79,10 @@
 	Priority int
 	Wait     time.Duration // for Granted: that has passed
 	Ahead    int           // requests that were ahead of a refused one
+	// Position is that of the customer before the decision; set for requests that are granted or get no turn in time.
+	Position fairshare.Position
+	// ByShare tells that a granted request comes before others only as its customer has received less service.
+	ByShare bool
 }
 
 type key struct {
@@ -113,13 +120,14 @@
 	pace    float64 // moving average of measured to expected times of turns
 	// meanError is the moving average of the difference of measured and expected times of turns, at the pace measured before.
 	meanError time.Duration
+	service   *fairshare.Record // expected prefill time of the turns granted to customers
 	arrivals  uint64
 	rejected  []Decision // requests beyond maxWaiting
 }
 
 // New returns an empty queue that lets limit long prompts be prefilled at a time.
 func New(limit int) *Queue {
-	return &Queue{limit: limit, returns: NewReturns(), pace: 1, meanError: initialError}
+	return &Queue{limit: limit, returns: NewReturns(), pace: 1, meanError: initialError, service: fairshare.New()}
 }
 
 // Ask adds a request; Advance decides on it. A request that is known already is ignored.
@@ -148,6 +156,7 @@
 	q.endTurns(func(t *turn) bool {
 		if t.key == k {
 			q.measure(t, now)
+			q.returnUnused(t, now)
 		}
 		return t.key == k
 	}, now)
@@ -156,7 +165,19 @@
 // Remove ends all turns of an owner and withdraws its requests.
 func (q *Queue) Remove(owner Owner, now time.Time) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *waiting) bool { return w.owner == owner })
-	q.endTurns(func(t *turn) bool { return t.owner == owner }, now)
+	q.endTurns(func(t *turn) bool {
+		if t.owner == owner {
+			q.returnUnused(t, now)
+		}
+		return t.owner == owner
+	}, now)
+}
+
+// returnUnused takes the service of a turn back from its customer if it has ended too early to have been used.
+func (q *Queue) returnUnused(t *turn, now time.Time) {
+	if took := now.Sub(t.grantedAt) - 2*transit; float64(took) < minPaceShare*float64(t.prefill) {
+		q.service.Return(t.Rank.Customer, t.Rank.Prefill, t.grantedAt, now)
+	}
 }
 
 // endTurns removes turns. What was granted before their end is prefilled alone from now on.
@@ -213,22 +234,47 @@
 		}
 		return expired
 	}, now)
-	slices.SortFunc(q.waiting, func(a, b *waiting) int {
-		if order := a.Rank.Compare(b.Rank, now); order != 0 {
-			return order
-		}
-		return int(a.arrival) - int(b.arrival)
-	})
+	q.sort(now)
+	average := q.service.Average(now)
 	for len(q.waiting) > 0 && q.mayGrant(q.waiting[0], now) {
 		first := q.waiting[0]
+		decisions = append(decisions, Decision{
+			Kind: Granted, Owner: first.owner, ID: first.id, Priority: first.Rank.Priority, Wait: now.Sub(first.askedAt),
+			Position: average.Position(q.service.Service(first.Rank.Customer, now)), ByShare: q.isFirstByShare(now),
+		})
 		q.waiting = q.waiting[1:]
 		q.grant(first, now)
-		decisions = append(decisions, Decision{Kind: Granted, Owner: first.owner, ID: first.id, Priority: first.Rank.Priority, Wait: now.Sub(first.askedAt)})
 	}
-	decisions = append(decisions, q.predict(now)...)
+	decisions = append(decisions, q.predict(now, average)...)
 	return decisions, q.nextAdvance(now)
 }
 
+// sort puts the waiting requests in the order of their turns.
+func (q *Queue) sort(now time.Time) {
+	byRank := func(a, b *waiting) int {
+		return cmp.Or(a.Rank.Compare(b.Rank, now), cmp.Compare(a.arrival, b.arrival))
+	}
+	ranks := make([]*Rank, len(q.waiting))
+	for _, w := range q.waiting {
+		w.Rank = w.Rank.WithoutShare()
+	}
+	slices.SortFunc(q.waiting, byRank)
+	for i, w := range q.waiting {
+		ranks[i] = &w.Rank
+	}
+	if Share(ranks, q.service, now) {
+		slices.SortFunc(q.waiting, byRank)
+	}
+}
+
+// isFirstByShare reports whether another of the waiting requests would be the first without the service of customers.
+func (q *Queue) isFirstByShare(now time.Time) bool {
+	first := q.waiting[0]
+	return slices.ContainsFunc(q.waiting[1:], func(w *waiting) bool {
+		return cmp.Or(w.Rank.WithoutShare().Compare(first.Rank.WithoutShare(), now), cmp.Compare(w.arrival, first.arrival)) < 0
+	})
+}
+
 // mayGrant reports whether a request may be sent now: fewer than limit turns have neither ended nor become overdue and at most
 // one more has not ended, or the request and all turns together are short.
 func (q *Queue) mayGrant(w *waiting, now time.Time) bool {
@@ -263,17 +309,18 @@
 	t := &turn{key: w.key, Request: w.Request, prefill: w.prefill, grantedAt: now, hasFollowed: len(q.turns) > 0}
 	q.schedule(t, begin)
 	q.turns = append(q.turns, t)
+	q.service.Add(t.Rank.Customer, t.Rank.Prefill, now)
 }
 
 // predict refuses the requests that get no turn in time, and returns what others are to be told of their wait. The order of
 // q.waiting is that of the turns.
-func (q *Queue) predict(now time.Time) []Decision {
+func (q *Queue) predict(now time.Time, average fairshare.Average) []Decision {
 	var decisions []Decision
 	free := q.freeAt(now)
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		if !free.Before(w.GiveUp) {
-			decisions = append(decisions, Decision{Kind: Refused, Owner: w.owner, ID: w.id, Priority: w.Rank.Priority, Wait: max(time.Millisecond, free.Sub(now)), Ahead: len(kept)})
+			decisions = append(decisions, Decision{Kind: Refused, Owner: w.owner, ID: w.id, Priority: w.Rank.Priority, Wait: max(time.Millisecond, free.Sub(now)), Ahead: len(kept), Position: average.Position(q.service.Service(w.Rank.Customer, now))})
 			if w.Content != 0 {
 				q.returns.Add(w.Content, now)
 			}
--- a/turns/simulation_test.go
+++ b/turns/simulation_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"gypsumbank/fairshare"
 )
 
 // Prompts of 9,190 tokens at 38.7 tokens per ms.
@@ -19,7 +21,8 @@
 	patience  time.Duration // how long callers wait for the first token
 	prefill   time.Duration // longPrefill unless set
 	evicted   time.Duration // the time that each fifth prompt takes longer than expected, as its parts are not cached any more
-	retries   bool          // refused callers come back once, after the time that they were told, up to a third of what they have left
+	customer  fairshare.Customer
+	retries   bool // refused callers come back once, after the time that they were told, up to a third of what they have left
 }
 
 var (
@@ -67,6 +70,7 @@
 	crowded   time.Duration // of that, with more prompts at a time than Limit
 	most      int           // prompts at a time
 	plain     bool          // requests are sent at once, without a turn
+	unshared  bool          // agents do not learn the customers of requests
 	slow      float64       // factor on the times of the engine, unknown to the gateways
 	lost      func(*job) bool
 	lastEnd   time.Duration
@@ -148,9 +152,13 @@
 		j.id = uint64(j.index) + 1 + uint64(len(j.refusedAt))<<32
 		started := origin.Add(j.arrived)
 		giveUp := started.Add(j.load.patience - j.load.prefill)
+		customer := j.load.customer
+		if s.unshared {
+			customer = 0
+		}
 		s.queue.Ask(j.owner, Request{
 			ID: j.id, Content: uint64(j.index) + 1, GiveUp: giveUp,
-			Rank: Rank{Priority: j.load.priority, Objective: started.Add(j.load.objective), Prefill: j.load.prefill},
+			Rank: Rank{Priority: j.load.priority, Objective: started.Add(j.load.objective), Prefill: j.load.prefill, Customer: customer},
 		}, s.time())
 		s.advance()
 	})
@@ -229,11 +237,18 @@
 
 func (c class) share() float64 { return float64(c.onTime) / float64(max(1, c.sent)) }
 
+func (c class) servedShare() float64 { return float64(c.served) / float64(max(1, c.sent)) }
+
 // results returns what became of the requests of a priority.
 func (s *simulation) results(priority int) class {
+	return s.resultsOf(func(j *job) bool { return j.load.priority == priority })
+}
+
+// resultsOf returns what became of some of the requests.
+func (s *simulation) resultsOf(counts func(*job) bool) class {
 	var c class
 	for _, j := range s.jobs {
-		if j.load.priority != priority {
+		if !counts(j) {
 			continue
 		}
 		c.sent++
--- a/turns/state_machine_test.go
+++ b/turns/state_machine_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"gypsumbank/fairshare"
 )
 
 // queueMachine has gateways ask for turns, end them, disconnect, and freeze, which reports no ends.
@@ -91,7 +93,7 @@
 				prefill := time.Duration(rapid.IntRange(90, 1000).Draw(t, "prefill")) * time.Millisecond
 				m.queue.Ask(owner, Request{
 					ID: m.nextID, Content: uint64(rapid.IntRange(0, 5).Draw(t, "content")), GiveUp: m.now.Add(wait),
-					Rank: Rank{Priority: rapid.IntRange(0, 9).Draw(t, "priority"), Objective: m.now.Add(objective), Prefill: prefill},
+					Rank: Rank{Priority: rapid.IntRange(0, 9).Draw(t, "priority"), Objective: m.now.Add(objective), Prefill: prefill, Customer: fairshare.Customer(rapid.IntRange(0, 3).Draw(t, "customer"))},
 				}, m.now)
 				m.open[key{owner, m.nextID}] = m.now.Add(wait)
 				m.apply(t)
