Keep the urgency of requests without a customer

Cause: agents see the requests of older gateways without a customer. Taken as one customer beyond its share, they lose their urgency while gateways are replaced one by one.

Change: requests without a customer still have the service of one customer, but never count as beyond its share.

--- a/turns/share.go
+++ b/turns/share.go
@@ -14,13 +14,14 @@
 // share is what the recent service of customers changes about the rank of a request.
 type share struct {
 	service  time.Duration // of the customer, with that of its requests before this one
-	exceeded bool          // the customer has received more than its share
+	exceeded bool          // the customer has received more than its share; never set without a customer
 	lead     time.Duration // by which its slack counts as used up earlier
 }
 
 // Share sets what the recent service of customers changes about the ranks of requests that wait for the same engine. They are in the
 // order that they have without it. The service of each includes that of its customer's requests before it, so that customers
-// alternate, and that a grant does not change the order of the others. It returns whether there are several customers.
+// alternate, and that a grant does not change the order of the others. Requests without a customer, also those of older gateways, have
+// the service of one customer but keep their urgency: they may be of many. It returns whether there are several customers.
 func Share(inOrder []*Rank, record *fairshare.Record, now time.Time) bool {
 	if !slices.ContainsFunc(inOrder, func(r *Rank) bool { return r.Customer != inOrder[0].Customer }) {
 		return false
@@ -33,7 +34,7 @@
 			recorded[r.Customer] = record.Service(r.Customer, now)
 			service[r.Customer] = recorded[r.Customer]
 		}
-		r.share = share{service: service[r.Customer], exceeded: recorded[r.Customer] > limit}
+		r.share = share{service: service[r.Customer], exceeded: r.Customer != 0 && recorded[r.Customer] > limit}
 		service[r.Customer] += r.Prefill
 		if r.share.exceeded {
 			longest = max(longest, r.Prefill)
--- a/turns/share_test.go
+++ b/turns/share_test.go
@@ -111,6 +111,21 @@
 	}
 }
 
+// TestRequestsWithoutACustomerKeepTheirUrgency guards against requests of older gateways that, taken as one customer beyond its share,
+// miss their objectives while gateways are replaced by newer ones.
+func TestRequestsWithoutACustomerKeepTheirUrgency(t *testing.T) {
+	q := New(Limit)
+	q.service.Add(0, 4*s, shareStart)
+	q.service.Add(2, 100*time.Millisecond, shareStart)
+	askFor(q, 1, 2, 1, 3*s)                  // customer with less service
+	askFor(q, 2, 0, 1, 2*s)                  // time to spare
+	askFor(q, 3, 0, 1, 300*time.Millisecond) // slack used up
+	askFor(q, 4, 2, 1, 2900*time.Millisecond)
+	if got, want := order(q, shareStart), []uint64{3, 4, 1, 2}; !slices.Equal(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
+
 // TestUnusedTurnsAreNotCharged guards against customers that lose their share by turns which were withdrawn, refused or given back.
 func TestUnusedTurnsAreNotCharged(t *testing.T) {
 	granted := func() *Queue {
