Tell agents the customers of long prompts, and charge what is sent

Cause: agents grant turns without knowing customers, and gateways do not record what customers have been granted.

Change: PrefillRequest.customer (8) is a hash of the customer's name. A gateway charges a request when it is sent to a target with room, and takes that back unless a target may have run it: no turn in time, refused, caller gone.

--- a/agent/turns.go
+++ b/agent/turns.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/fairshare"
 	"gypsumbank/turns"
 	"gypsumbank/wire"
 )
@@ -81,6 +82,7 @@
 			Rank: turns.Rank{
 				Priority: int(r.GetPriority()), Objective: now.Add(time.Duration(r.GetObjectiveMs()) * time.Millisecond),
 				Prefill: time.Duration(float64(r.GetPrefillMs()) * float64(time.Millisecond)), Returned: r.GetReturned(),
+				Customer: fairshare.Customer(r.GetCustomer()),
 			},
 		}, now)
 	}
@@ -125,6 +127,12 @@
 	case turns.Granted:
 		outcome = "granted"
 		metrics.GetOrCreateHistogram(`gypsumbank_agent_turn_wait_seconds{priority="` + strconv.Itoa(d.Priority) + `"}`).Update(d.Wait.Seconds())
+		if d.Position != fairshare.NoPosition {
+			metrics.GetOrCreateHistogram(`gypsumbank_agent_turn_share_wait_seconds{service="` + string(d.Position) + `"}`).Update(d.Wait.Seconds())
+		}
+		if d.ByShare {
+			metrics.GetOrCreateCounter(`gypsumbank_agent_turns_by_share_total`).Inc()
+		}
 	case turns.Refused:
 		outcome = "refused"
 	case turns.Expired:
@@ -135,9 +143,13 @@
 		return
 	}
 	waits, granted := p.queue.Len()
-	p.log.WithFields(logrus.Fields{
+	log := p.log.WithFields(logrus.Fields{
 		"outcome": outcome, "gateway": owner.node, "turn": d.ID, "priority": d.Priority, "wait-ms": d.Wait.Milliseconds(), "ahead": d.Ahead, "waiting": waits, "granted": granted,
-	}).Info("prefill turn ends")
+	})
+	if d.Position != fairshare.NoPosition {
+		log = log.WithField("customer-service", d.Position)
+	}
+	log.Info("prefill turn ends")
 }
 
 // queueDecision adds a decision to those to be sent.
--- a/agent/turns_test.go
+++ b/agent/turns_test.go
@@ -87,3 +87,36 @@
 		t.Errorf("%v ms unread, of these %v wait for a turn; want 200, as the gateway has told of its prompt, and 0", state.GetUnreadMs(), state.GetWaitingMs())
 	}
 }
+
+// TestCustomersShareTurns has a gateway ask for many turns for one customer and a second one for two of others, equally urgent, one of them
+// without a name as from an older gateway. It guards against customers whose prompts wait for all of the first one's.
+func TestCustomersShareTurns(t *testing.T) {
+	_, p, clock := newTestTurns()
+	first, second := p.add(), p.add()
+	request := func(id, customer uint64) *wire.PrefillRequest {
+		return &wire.PrefillRequest{Id: id, PrefillMs: 200, Priority: 1, ObjectiveMs: 5000, WaitMs: 9000, Customer: customer}
+	}
+	busy := &wire.WatcherUpdate{TurnsOnly: true}
+	for id := range uint64(6) {
+		busy.PrefillRequests = append(busy.PrefillRequests, request(id+1, 77))
+	}
+	p.handle(first, busy)
+	decided(p, first)
+	p.handle(second, &wire.WatcherUpdate{TurnsOnly: true, PrefillRequests: []*wire.PrefillRequest{request(1, 78), request(2, 0)}})
+	decided(p, second)
+	clock.advance(200 * time.Millisecond)
+	p.handle(first, &wire.WatcherUpdate{TurnsOnly: true, EndedPrefills: []uint64{1}})
+	if got := decided(p, second); len(got.GetGrantedPrefills()) != 1 {
+		t.Errorf("after the first turn the second gateway got %v, want a grant", got)
+	}
+	clock.advance(200 * time.Millisecond)
+	p.handle(second, &wire.WatcherUpdate{TurnsOnly: true, EndedPrefills: []uint64{1}})
+	if got := decided(p, second); len(got.GetGrantedPrefills()) != 1 {
+		t.Errorf("after the second turn the second gateway got %v, want a grant to the request without a customer", got)
+	}
+	clock.advance(200 * time.Millisecond)
+	p.handle(second, &wire.WatcherUpdate{TurnsOnly: true, EndedPrefills: []uint64{2}})
+	if got := decided(p, first); len(got.GetGrantedPrefills()) != 1 {
+		t.Errorf("after the third turn the first gateway got %v, want a grant", got)
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -102,6 +102,7 @@
 	wentOn        bool            // the attempt in progress goes on from a copy
 	engineAttempt *engineAttempt  // in progress; nil for a plain service
 	place         *waitlist.Place // while the request waits for room
+	granted       grantedService  // for the attempt in progress
 	wait          wait            // in progress; zero if there is none
 	turn          *Turn           // to have the prompt prefilled; nil if the request has none
 	returned      bool            // the caller has come back after a refusal for lack of room
@@ -173,11 +174,13 @@
 // Run sends the request to one target after another until its outcome is known.
 func (d *Dispatch) Run() Outcome {
 	defer d.leaveWaitlist()
+	defer d.settleService()
 	if refused := d.findOrigin(); refused != nil {
 		return d.finalOutcome(*refused)
 	}
 	connectFailures := 0
 	for {
+		d.settleService()
 		choice, refused := d.chooseTarget()
 		if d.ctx.Err() != nil {
 			return d.contextOutcome()
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"gypsumbank/fairshare"
 	"gypsumbank/fleet"
 	"gypsumbank/turns"
 	"gypsumbank/waitlist"
@@ -29,6 +30,7 @@
 func (d *Dispatch) waitForTurn(choice fleet.Choice, now time.Time) (mayBegin bool, refused *Refused) {
 	key := waitlist.Key{Service: d.service, Model: d.request.Model}
 	if d.place == nil && choice.HasRoom && d.waits.Len(key) == 0 {
+		d.grantService(choice, now)
 		return true, nil
 	}
 	joins := d.place == nil
@@ -37,7 +39,11 @@
 	}
 	ahead := d.place.Ahead(now)
 	if choice.HasRoom && ahead == 0 {
+		if d.place.IsFirstByShare(now) {
+			metrics.GetOrCreateCounter(`gypsumbank_gateway_room_by_share_total`).Inc()
+		}
 		d.leaveWaitlist()
+		d.grantService(choice, now)
 		return true, nil
 	}
 	predicted := choice.Expected + time.Duration(ahead)*choice.SlotInterval
@@ -73,7 +79,7 @@
 func (d *Dispatch) waitRank(choice fleet.Choice) waitlist.Rank {
 	rank := waitlist.Rank{Begun: d.request.LastEventID != "", Priority: d.request.Priority, RoutePriority: d.route.Priority, Objective: d.request.Arrived.Add(d.route.LatencyObjective)}
 	if d.fleet.UsesTurns() {
-		rank.Cost = &turns.Rank{Priority: rank.Priority, Objective: rank.Objective, Prefill: choice.PrefillTime(), Returned: d.returned}
+		rank.Cost = &turns.Rank{Priority: rank.Priority, Objective: rank.Objective, Prefill: choice.PrefillTime(), Returned: d.returned, Customer: customerOf(d.request)}
 	}
 	return rank
 }
@@ -83,17 +89,25 @@
 	cause     string // room or model
 	began     time.Time
 	predicted time.Duration
+	position  fairshare.Position // of the customer when a wait for room began, where customers have shares
 }
 
 // beginWait logs and counts that the request begins to wait, and for how long it is expected to and its caller allows it.
 func (d *Dispatch) beginWait(cause string, predicted, remaining time.Duration) {
 	d.endWait()
 	d.wait = wait{cause: cause, began: d.now(), predicted: predicted}
+	if cause == "room" && d.fleet.UsesTurns() {
+		d.wait.position = d.waits.Position(customerOf(d.request), d.wait.began)
+	}
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_waits_total{cause="` + cause + `"}`).Inc()
-	d.log.WithFields(logrus.Fields{
+	log := d.log.WithFields(logrus.Fields{
 		"model": d.request.Model, "expected-ms": predicted.Milliseconds(), "left-ms": remaining.Milliseconds(),
 		"waiting": d.waits.Len(waitlist.Key{Service: d.service, Model: d.request.Model}),
-	}).Info("waits for " + cause)
+	})
+	if d.wait.position != fairshare.NoPosition {
+		log = log.WithField("customer-service", d.wait.position)
+	}
+	log.Info("waits for " + cause)
 }
 
 // endWait records how far the prediction of a wait that has ended was off, if there was one.
@@ -103,6 +117,9 @@
 	}
 	off := d.now().Sub(d.wait.began) - d.wait.predicted
 	metrics.GetOrCreateHistogram(`gypsumbank_gateway_wait_error_seconds{cause="` + d.wait.cause + `"}`).Update(off.Abs().Seconds())
+	if d.wait.position != fairshare.NoPosition {
+		metrics.GetOrCreateHistogram(`gypsumbank_gateway_room_wait_seconds{service="` + string(d.wait.position) + `"}`).Update(d.now().Sub(d.wait.began).Seconds())
+	}
 	d.wait = wait{}
 }
 
