Let customers' shares in the order of waits follow their quotas

With equal shares the largest of 16 customers, which has a quarter of the usual load, is beyond 1.5 times the mean at all times, and its requests would come last whenever others wait. The service that counts is divided by the customer's quota over the mean quota, at least 1. The weight goes with a request for a turn.

--- a/agent/turns.go
+++ b/agent/turns.go
@@ -82,7 +82,7 @@
 			Rank: turns.Rank{
 				Priority: int(r.GetPriority()), Objective: now.Add(time.Duration(r.GetObjectiveMs()) * time.Millisecond),
 				Prefill: time.Duration(float64(r.GetPrefillMs()) * float64(time.Millisecond)), Returned: r.GetReturned(),
-				Customer: fairshare.Customer(r.GetCustomer()),
+				Customer: fairshare.Customer(r.GetCustomer()), Weight: float64(r.GetCustomerWeight()),
 			},
 		}, now)
 	}
--- a/dispatch/turns.go
+++ b/dispatch/turns.go
@@ -138,7 +138,7 @@
 	prefill := w.choice.PrefillTime()
 	w.giveUp = w.firstByteDeadline().Add(-prefill - minResponseTime)
 	request := TurnRequest{
-		Rank:    turns.Rank{Priority: w.request.Priority, Objective: w.request.Arrived.Add(w.route.LatencyObjective), Prefill: prefill, Returned: w.returned, Customer: customerOf(w.request)},
+		Rank:    turns.Rank{Priority: w.request.Priority, Objective: w.request.Arrived.Add(w.route.LatencyObjective), Prefill: prefill, Returned: w.returned, Customer: customerOf(w.request), Weight: w.request.CustomerWeight},
 		Content: w.contents[len(w.contents)-1].Hash, GiveUp: w.giveUp,
 	}
 	if w.request.LastEventID != "" {
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -79,7 +79,7 @@
 func (d *Dispatch) waitRank(choice fleet.Choice) waitlist.Rank {
 	rank := waitlist.Rank{Begun: d.request.LastEventID != "", Priority: d.request.Priority, RoutePriority: d.route.Priority, Objective: d.request.Arrived.Add(d.route.LatencyObjective)}
 	if d.fleet.UsesTurns() {
-		rank.Cost = &turns.Rank{Priority: rank.Priority, Objective: rank.Objective, Prefill: choice.PrefillTime(), Returned: d.returned, Customer: customerOf(d.request)}
+		rank.Cost = &turns.Rank{Priority: rank.Priority, Objective: rank.Objective, Prefill: choice.PrefillTime(), Returned: d.returned, Customer: customerOf(d.request), Weight: d.request.CustomerWeight}
 	}
 	return rank
 }
--- a/fairshare/record.go
+++ b/fairshare/record.go
@@ -13,8 +13,8 @@
 const DecayTime = 5 * time.Second
 
 const (
-	// excess is the factor on the mean service from which a customer has received more than its share. At 1.25 fewer urgent
-	// requests are on time in an even overload by five customers (.501, .512 at 1.5): they exceed it by turns.
+	// excess is the factor on the mean service from which a customer has received more than its share. In an even overload
+	// customers exceed a lower one by turns.
 	excess = 1.5
 	// minExcess is the least service that is more than a share, some two long prompts: with many customers each prompt exceeds the
 	// mean by far.
@@ -33,7 +33,7 @@
 	at      time.Time
 }
 
-// Record holds the decaying service of customers, all of which have equal shares. It is not safe for use by several goroutines.
+// Record holds the decaying service of customers, each for an equal share. It is not safe for use by several goroutines.
 type Record struct{ customers map[Customer]entry }
 
 // New returns an empty record.
--- a/gateway/customers.go
+++ b/gateway/customers.go
@@ -35,6 +35,7 @@
 		return r, true
 	}
 	platform.SetCustomer(req, holder.Name)
+	req.CustomerWeight = table.Weight(holder)
 	return r.WithContext(context.WithValue(r.Context(), customerContextKey{}, holder.Name)), true
 }
 
--- a/gateway/turn_link_test.go
+++ b/gateway/turn_link_test.go
@@ -13,7 +13,7 @@
 // back, waits that outlast their connection, and requests to agents that do not answer them.
 func TestTurnLink(t *testing.T) {
 	now := time.Unix(1000, 0)
-	request := dispatch.TurnRequest{Rank: turns.Rank{Priority: 1, Objective: now.Add(800 * time.Millisecond), Prefill: 200 * time.Millisecond, Customer: 77}, GiveUp: now.Add(4 * time.Second)}
+	request := dispatch.TurnRequest{Rank: turns.Rank{Priority: 1, Objective: now.Add(800 * time.Millisecond), Prefill: 200 * time.Millisecond, Customer: 77, Weight: 2.5}, GiveUp: now.Add(4 * time.Second)}
 	link := newTurnLink()
 	if _, ok := link.ask(request); ok {
 		t.Error("an agent was asked that has not said that it grants turns")
@@ -38,6 +38,9 @@
 	if customer := update.GetPrefillRequests()[0].GetCustomer(); customer != 77 {
 		t.Errorf("sent customer %d, want 77", customer)
 	}
+	if weight := update.GetPrefillRequests()[0].GetCustomerWeight(); weight != 2.5 {
+		t.Errorf("sent weight %g of the customer, want 2.5", weight)
+	}
 	ids := []uint64{update.GetPrefillRequests()[0].GetId(), update.GetPrefillRequests()[1].GetId()}
 	second.End()
 	link.apply(&wire.TargetState{GrantsOnly: true, GrantsTurns: true, WaitingPrefills: []*wire.PrefillWait{{Id: ids[0], WaitMs: 300}}})
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -122,7 +122,7 @@
 		update.PrefillRequests = append(update.PrefillRequests, &wire.PrefillRequest{
 			Id: r.id, PrefillMs: float32(r.Rank.Prefill.Seconds() * 1000), Priority: uint32(max(0, r.Rank.Priority)), ObjectiveMs: int32(r.Rank.Objective.Sub(now).Milliseconds()),
 			WaitMs: uint32(max(0, r.GiveUp.Sub(now).Milliseconds())), Returned: r.Rank.Returned, Content: r.Content,
-			Customer: uint64(r.Rank.Customer),
+			Customer: uint64(r.Rank.Customer), CustomerWeight: float32(r.Rank.Weight),
 		})
 	}
 	l.requests, l.ended = nil, nil
--- a/request/request.go
+++ b/request/request.go
@@ -26,7 +26,8 @@
 	Header http.Header // end-to-end headers to forward
 	Body   []byte
 
-	Customer        string // name of the customer that holds the request's key; empty if it has none
+	Customer        string  // name of the customer that holds the request's key; empty if it has none
+	CustomerWeight  float64 // of the customer's share where requests wait, over an equal one; 0 without a customer
 	Model           string
 	Adapter         string
 	PromptTokens    int
--- a/route/customer.go
+++ b/route/customer.go
@@ -60,10 +60,32 @@
 			out.customersByKey[sha256.Sum256([]byte(key))] = c
 		}
 	}
+	out.meanQuota = meanQuota(out.customers)
 	out.priorities = out.allPriorities()
 	return &out
 }
 
+// Weight returns the weight of a customer's share where requests wait for the same targets: its quota over the mean of all quotas, at least 1, so
+// that a customer with a small quota or none has an equal share.
+func (t *Table) Weight(c *Customer) float64 {
+	if t.meanQuota == 0 {
+		return 1
+	}
+	return max(1, c.Quota.PerSecond/t.meanQuota)
+}
+
+// meanQuota returns the mean rate of the customers' quotas; 0 if there are none.
+func meanQuota(customers map[string]*Customer) float64 {
+	sum, limited := 0.0, 0
+	for _, c := range customers {
+		if c.Quota.IsLimited() {
+			sum += c.Quota.PerSecond
+			limited++
+		}
+	}
+	return sum / float64(max(1, limited))
+}
+
 // HasCustomers reports whether requests need a key on routes that are not public.
 func (t *Table) HasCustomers() bool { return t.customers != nil }
 
--- a/route/customer_test.go
+++ b/route/customer_test.go
@@ -50,3 +50,31 @@
 		t.Errorf("the last customer has priority %d, want %d", last, PriorityLevels-1)
 	}
 }
+
+// TestWeight guards against a customer with a large quota that has no more than an equal share where requests wait, and against one with a small
+// quota that has less.
+func TestWeight(t *testing.T) {
+	cases := map[string]struct {
+		quotas []float64 // a second, 0 for none
+		want   []float64
+	}{
+		"no quotas":           {quotas: []float64{0, 0}, want: []float64{1, 1}},
+		"equal quotas":        {quotas: []float64{50, 50, 50}, want: []float64{1, 1, 1}},
+		"one large quota":     {quotas: []float64{700, 100, 100}, want: []float64{700.0 / 300, 1, 1}},
+		"one without a quota": {quotas: []float64{300, 100, 0}, want: []float64{1.5, 1, 1}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			customers := make([]Customer, len(c.quotas))
+			for i, perSecond := range c.quotas {
+				customers[i] = Customer{Name: string(rune('a' + i)), Quota: Quota{PerSecond: perSecond}}
+			}
+			table := (&Table{}).WithCustomers(customers)
+			for i := range customers {
+				if got := table.Weight(&customers[i]); got != c.want[i] {
+					t.Errorf("weight of customer %d is %g, want %g", i, got, c.want[i])
+				}
+			}
+		})
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -130,6 +130,7 @@
 
 	customers      map[string]*Customer // by name; nil if requests need no key
 	customersByKey map[keyHash]*Customer
+	meanQuota      float64        // rate of the customers' quotas; 0 if there are none
 	priorities     []priorityPair // that requests of customers may have, in order
 }
 
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -176,7 +176,7 @@
 // returnUnused takes the service of a turn back from its customer if it has ended too early to have been used.
 func (q *Queue) returnUnused(t *turn, now time.Time) {
 	if took := now.Sub(t.grantedAt) - 2*transit; float64(took) < minPaceShare*float64(t.prefill) {
-		q.service.Return(t.Rank.Customer, t.Rank.Prefill, t.grantedAt, now)
+		q.service.Return(t.Rank.Customer, t.Rank.Service(), t.grantedAt, now)
 	}
 }
 
@@ -309,7 +309,7 @@
 	t := &turn{key: w.key, Request: w.Request, prefill: w.prefill, grantedAt: now, hasFollowed: len(q.turns) > 0}
 	q.schedule(t, begin)
 	q.turns = append(q.turns, t)
-	q.service.Add(t.Rank.Customer, t.Rank.Prefill, now)
+	q.service.Add(t.Rank.Customer, t.Rank.Service(), now)
 }
 
 // predict refuses the requests that get no turn in time, and returns what others are to be told of their wait. The order of
--- a/turns/rank.go
+++ b/turns/rank.go
@@ -18,6 +18,7 @@
 	Prefill   time.Duration // expected time from the send to the first token
 	Returned  bool          // the caller has come back after a refusal
 	Customer  fairshare.Customer
+	Weight    float64 // of the customer's share over an equal one; less than 1 counts as 1
 
 	share share // set by Share; zero if all requests that wait are of one customer
 }
@@ -25,6 +26,9 @@
 // slack returns for how long the request may still wait without missing its objective; negative if it misses it already.
 func (r Rank) slack(now time.Time) time.Duration { return r.Objective.Sub(now) - r.Prefill }
 
+// Service returns the service that the customer receives with the request, for an equal share: its prefill time over the weight.
+func (r Rank) Service() time.Duration { return time.Duration(float64(r.Prefill) / max(1, r.Weight)) }
+
 // class returns the priority that the request counts with now: patient requests count like the most urgent ones once their slack
 // is used up, unless their customer has received more than its share.
 func (r Rank) class(now time.Time) int {
--- a/turns/share.go
+++ b/turns/share.go
@@ -35,7 +35,7 @@
 			service[r.Customer] = recorded[r.Customer]
 		}
 		r.share = share{service: service[r.Customer], exceeded: r.Customer != 0 && recorded[r.Customer] > limit}
-		service[r.Customer] += r.Prefill
+		service[r.Customer] += r.Service()
 		if r.share.exceeded {
 			longest = max(longest, r.Prefill)
 		}
--- a/turns/share_test.go
+++ b/turns/share_test.go
@@ -177,3 +177,38 @@
 		})
 	}
 }
+
+// TestServiceIsDividedByTheWeight guards against a customer with a large share that comes after others which have received less service, but
+// more of their share.
+func TestServiceIsDividedByTheWeight(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const large, small fairshare.Customer = 1, 2
+	rank := func(c fairshare.Customer, weight float64) *Rank {
+		return &Rank{Customer: c, Weight: weight, Objective: now.Add(time.Second), Prefill: 200 * time.Millisecond}
+	}
+	cases := map[string]struct {
+		weight     float64
+		largeFirst bool
+	}{
+		"equal shares":           {weight: 1},
+		"no weight":              {weight: 0},
+		"weight below one":       {weight: 0.2},
+		"less than the service":  {weight: 1.5},
+		"as the service":         {weight: 4, largeFirst: true},
+		"of the only large ones": {weight: 12, largeFirst: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			record := fairshare.New()
+			first, second := rank(large, c.weight), rank(small, 1)
+			for range 3 {
+				record.Add(large, first.Service(), now)
+			}
+			record.Add(small, second.Service(), now)
+			Share([]*Rank{first, second}, record, now)
+			if got := first.Compare(*second, now) < 0; got != c.largeFirst {
+				t.Errorf("large customer first: %v, want %v", got, c.largeFirst)
+			}
+		})
+	}
+}
--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -224,8 +224,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.service.Add(rank.Cost.Customer, rank.Cost.Prefill, now)
-	return &Grant{list: l, customer: rank.Cost.Customer, service: rank.Cost.Prefill, at: now}
+	service := rank.Cost.Service()
+	l.service.Add(rank.Cost.Customer, service, now)
+	return &Grant{list: l, customer: rank.Cost.Customer, service: service, at: now}
 }
 
 // Return takes the service back from the customer, as the request has not run after all. A nil grant has none.
