--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -225,7 +225,7 @@
 		}
 		now := d.now()
 		choice, ok := d.fleet.Choose(d.query(), now)
-		remaining := d.firstByteDeadline().Sub(now)
+		remaining := d.beginDeadline(choice).Sub(now)
 		if refused := d.refuseStopping(choice); refused != nil {
 			return choice, refused
 		}
@@ -293,6 +293,20 @@
 // MarkBroken records that a target's answer broke off before it had begun, or soon after.
 func (d *Dispatch) MarkBroken(target registry.Target) { d.quarantine.Suspect(target, d.contents) }
 
+// beginDeadline returns until when the answer of a target has to begin: the caller waits for its first byte no longer, and it ends in time only if
+// its expected tokens can be generated after that.
+func (d *Dispatch) beginDeadline(choice fleet.Choice) time.Time {
+	by := d.firstByteDeadline()
+	if !d.fleet.UsesTurns() || d.request.LastEventID != "" {
+		return by
+	}
+	generation := d.fleet.GenerationTime(choice.Target.ID, d.request, d.request.ExpectedOutputTokens(), d.now())
+	if ends := d.deadline.Add(-generation); ends.Before(by) {
+		return ends
+	}
+	return by
+}
+
 // firstByteDeadline returns until when the caller waits for the answer to begin.
 func (d *Dispatch) firstByteDeadline() time.Time {
 	patience := d.route.StreamPatience()
--- a/dispatch/turns.go
+++ b/dispatch/turns.go
@@ -136,7 +136,7 @@
 func (w *turnWait) waitAtHolder() (outcome turnOutcome, ok bool) {
 	now := w.now()
 	prefill := w.choice.PrefillTime()
-	w.giveUp = w.firstByteDeadline().Add(-prefill - minResponseTime)
+	w.giveUp = w.beginDeadline(w.choice).Add(-prefill - minResponseTime)
 	request := TurnRequest{
 		Rank:    turns.Rank{Priority: w.request.Priority, Objective: w.request.Arrived.Add(w.route.LatencyObjective), Prefill: prefill, Returned: w.returned, Customer: customerOf(w.request), Weight: w.request.CustomerWeight},
 		Content: w.contents[len(w.contents)-1].Hash, GiveUp: w.giveUp,
@@ -218,7 +218,7 @@
 	maps.Copy(exclude, w.refused)
 	exclude[w.choice.Target.ID] = true
 	next, ok := w.fleet.Choose(fleet.Query{Service: w.service, Request: w.request, Exclude: exclude, SoftwareVersion: w.streamVersion}, now)
-	if !ok || next.LacksModel || next.LacksAdapter || !next.HasRoom || next.TurnWait > 0 || next.Expected+minResponseTime > w.firstByteDeadline().Sub(now) {
+	if !ok || next.LacksModel || next.LacksAdapter || !next.HasRoom || next.TurnWait > 0 || next.Expected+minResponseTime > w.beginDeadline(next).Sub(now) {
 		return next, false
 	}
 	return next, true
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -47,7 +47,7 @@
 		return true, nil
 	}
 	predicted := choice.Expected + time.Duration(ahead)*choice.SlotInterval
-	remaining := d.firstByteDeadline().Sub(now)
+	remaining := d.beginDeadline(choice).Sub(now)
 	if joins {
 		d.beginWait("room", predicted, remaining)
 		remaining = d.admissionTime(remaining)
