--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -240,7 +240,7 @@
 		case choice.Expected+minResponseTime > remaining:
 			d.log.WithFields(logrus.Fields{
 				"target": choice.Target.ID, "expected-ms": choice.Expected.Milliseconds(), "left-ms": remaining.Milliseconds(),
-				"candidates": choice.Candidates, "report-age-ms": choice.ReportAge.Milliseconds(),
+				"candidates": choice.Candidates, "report-age-ms": choice.ReportAge.Milliseconds(), "output-tokens": d.request.ExpectedOutputTokens(),
 			}).Info("no target answers in time")
 			return choice, &Refused{Reason: Overload, RetryAfter: max(choice.Expected/2, choice.TurnWait)}
 		}
@@ -292,29 +292,3 @@
 
 // MarkBroken records that a target's answer broke off before it had begun, or soon after.
 func (d *Dispatch) MarkBroken(target registry.Target) { d.quarantine.Suspect(target, d.contents) }
-
-// beginDeadline returns until when the answer of a target has to begin: the caller waits for its first byte no longer, and it ends in time only if
-// its expected tokens can be generated after that.
-func (d *Dispatch) beginDeadline(choice fleet.Choice) time.Time {
-	by := d.firstByteDeadline()
-	if !d.fleet.UsesTurns() || d.request.LastEventID != "" {
-		return by
-	}
-	generation := d.fleet.GenerationTime(choice.Target.ID, d.request, d.request.ExpectedOutputTokens(), d.now())
-	if ends := d.deadline.Add(-generation); ends.Before(by) {
-		return ends
-	}
-	return by
-}
-
-// firstByteDeadline returns until when the caller waits for the answer to begin.
-func (d *Dispatch) firstByteDeadline() time.Time {
-	patience := d.route.StreamPatience()
-	if patience == 0 || d.request.LastEventID != "" {
-		return d.deadline
-	}
-	if by := d.request.Arrived.Add(patience); by.Before(d.deadline) {
-		return by
-	}
-	return d.deadline
-}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -85,14 +85,15 @@
 		return
 	}
 	choice := p.Fleet.Candidates[0].Choice
-	if choice.Expected+minResponseTime > p.FirstByteLeft {
+	left := d.beginDeadline(choice).Sub(now)
+	if choice.Expected+minResponseTime > left {
 		p.Refused = &Refused{Reason: Overload, RetryAfter: max(choice.Expected/2, choice.TurnWait)}
 		return
 	}
 	key := waitlist.Key{Service: d.service, Model: d.request.Model}
 	if ahead := d.waits.AheadOf(key, d.waitRank(choice), now); ahead > 0 || !choice.HasRoom {
 		p.Room = &RoomWait{Ahead: ahead, Expected: choice.Expected + time.Duration(ahead)*choice.SlotInterval}
-		if p.Room.Expected+minResponseTime > d.admissionTime(p.FirstByteLeft) {
+		if p.Room.Expected+minResponseTime > d.admissionTime(left) {
 			p.Refused = &Refused{Reason: Overload, RetryAfter: p.Room.Expected}
 			return
 		}
