--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -21,6 +21,7 @@
 	agents   map[string]*simAgent
 	gateways []*simGateway
 	listed   []string // agents in the registry
+	lists    int      // changes of listed
 	quota    route.Quota
 	version  int64
 	lossRate float64 // of messages
@@ -67,6 +68,7 @@
 	generation  int       // rises with each restart
 	requests    map[*Request]time.Time
 	listedNow   []string // agents that it knows
+	list        int      // change of the registry that they are from
 }
 
 type event struct {
@@ -186,20 +188,22 @@
 func (s *simulation) list(agents []string) {
 	slices.Sort(agents)
 	s.listed = agents
+	s.lists++
 	for _, g := range s.gateways {
-		s.seeList(g, agents, time.Duration(s.random.Int64N(int64(viewLag-50*time.Millisecond))))
+		s.seeList(g, agents, s.lists, time.Duration(s.random.Int64N(int64(viewLag-50*time.Millisecond))))
 	}
 }
 
-func (s *simulation) seeList(g *simGateway, agents []string, delay time.Duration) {
+// seeList has a gateway see a list after a delay, unless it has seen a later one by then.
+func (s *simulation) seeList(g *simGateway, agents []string, list int, delay time.Duration) {
 	generation := g.generation
 	s.after(delay, func() {
 		switch {
-		case g.generation != generation || !slices.Equal(agents, s.listed):
+		case g.generation != generation || list < g.list:
 		case s.now.Before(g.frozenUntil):
-			s.seeList(g, agents, g.frozenUntil.Sub(s.now)+50*time.Millisecond)
+			s.seeList(g, agents, list, g.frozenUntil.Sub(s.now)+50*time.Millisecond)
 		default:
-			g.listedNow = agents
+			g.listedNow, g.list = agents, list
 		}
 	})
 }
@@ -208,7 +212,7 @@
 func (s *simulation) startGateway(g *simGateway) {
 	*g = simGateway{
 		account: NewAccount(simCustomer, s.bounds), limit: s.quota, version: s.version, tickedAt: s.now, generation: g.generation + 1,
-		requests: map[*Request]time.Time{}, listedNow: s.listed,
+		requests: map[*Request]time.Time{}, listedNow: s.listed, list: s.lists,
 	}
 	s.tickGateway(g)
 }
