Count a keeper's claim only once it was used after it joined

Cause: a keeper that stores its claim after it has lost its place again counted as one that had kept it since its last use. When it was a keeper once more, it granted at once what its own level left, although another one had held the part in between.

Change: a claim counts once a gateway used the keeper more than 4 s after its join was stored. So that this is known early, it is confirmed 4.5 s after the start instead of 6 s.

--- a/quota/levels.go
+++ b/quota/levels.go
@@ -17,9 +17,9 @@
 	// them: use that varies about the bound of a level must not move it each time.
 	levelInterval = 10 * time.Second
 	lowerMargin   = 1.7
-	// firstConfirmDelay is the time after the first start of a keeper until it confirms its claim: it must have been used viewLag after the others
+	// firstConfirmDelay is the time after the first start of a keeper until it confirms its claim: it must have been used 4 s after it and the others
 	// have joined.
-	firstConfirmDelay = 6 * time.Second
+	firstConfirmDelay = 4500 * time.Millisecond
 	// unusedTime is the time after which an unused keeper no longer confirms.
 	unusedTime = time.Minute
 	// storeWait is the wait that a keeper names while it waits for the store, for at most maxStoreWait. Then the store counts as unavailable.
--- a/quota/restart_rule_test.go
+++ b/quota/restart_rule_test.go
@@ -54,6 +54,35 @@
 					relist(func() { s.unlist(keeper()) })
 				}
 			},
+			"replace a keeper before a restart": func() {
+				if len(s.listed) > 1 {
+					relist(func() { s.unlist(keeper()) })
+					load(span("replaced for", 14*time.Second), 10, 3, 0.5)
+				}
+				s.restartAll()
+			},
+			"replace two keepers before a restart": func() {
+				for range 2 {
+					if len(s.listed) > 1 {
+						relist(func() { s.unlist(keeper()) })
+						load(viewLag+span("replaced for", 8*time.Second), 10, 3, 0.5)
+					}
+				}
+				s.restartAll()
+			},
+			"a keeper joins and leaves again": func() {
+				if len(s.listed) < 2 {
+					return
+				}
+				listed, left := slices.Clone(s.listed), keeper()
+				relist(func() { s.unlist(left) })
+				load(viewLag+span("away for", 8*time.Second), 10, 3, 0.5)
+				if rapid.Bool().Draw(t, "restarts meanwhile") {
+					s.restartAgent(left)
+				}
+				relist(func() { s.list(listed) })
+				load(span("back for", 8*time.Second), 10, 3, 0.5)
+			},
 			"list all agents":     func() { relist(func() { s.list(sortedKeys(s.agents)) }) },
 			"copy the store":      func() { s.store.copied = s.store.row },
 			"restore the store":   s.store.restore,
--- a/quotalevels/record.go
+++ b/quotalevels/record.go
@@ -145,7 +145,8 @@
 }
 
 // holds reports whether no keeper can have taken the place of this one since it was last used, other than keepers that have not stored a claim
-// and so use the lowest level.
+// and so use the lowest level. A keeper may have lost its place again before its own claim was stored: it counts once the keeper was used after all
+// gateways have seen changes of before.
 func (r Record) holds(address string) bool {
 	claim := r.Claims[address]
 	for other, s := range r.Claims {
@@ -153,7 +154,7 @@
 			return false
 		}
 	}
-	return claim.ConfirmedMs > 0
+	return claim.ConfirmedMs > claim.JoinedMs+viewLag.Milliseconds()
 }
 
 // sharedSince reports whether another keeper has started with what its level left since a time.
--- a/quotalevels/record_test.go
+++ b/quotalevels/record_test.go
@@ -212,3 +212,23 @@
 		}
 	})
 }
+
+// TestClaimCountsOnceUsedAfterItsJoin guards against the claim of a keeper that was stored after it had lost its place again.
+func TestClaimCountsOnceUsedAfterItsJoin(t *testing.T) {
+	record := quotalevels.New(1)
+	record.Claims[other] = claim(func(s *quotalevels.Claim) { s.ConfirmedMs = testTime - 10_000 })
+	record.Claims[self] = claim(func(s *quotalevels.Claim) {
+		s.JoinedMs, s.StartedMs, s.ConfirmedMs = testTime, testTime, testTime-9_000
+	})
+	start := quotalevels.Update{Address: self, Start: true, Parts: 3, Settle: settle}
+	if _, out, err := record.Apply(start, testTime+20_000); err != nil || out.Shares {
+		t.Errorf("outcome %+v, error %v of a keeper that was not used since it joined", out, err)
+	}
+	confirm := quotalevels.Update{Address: self, Parts: 3, Settle: settle}
+	for _, after := range []int64{3_000, 4_500} {
+		next, _, err := record.Apply(confirm, testTime+after)
+		if counts := after > 4_000; err != nil || next.Confirms(confirm, testTime+after) != counts {
+			t.Errorf("error %v as it is used %d ms after it joined, want that it counts: %t", err, after, counts)
+		}
+	}
+}
