Name the other keepers of a customer when a gateway asks one of them

Cause: a keeper that takes a place does not know whose place it takes, so that its join invalidates the claims of all others.

--- a/agent/quota.go
+++ b/agent/quota.go
@@ -107,7 +107,7 @@
 		},
 		Amount: in.GetAmount(), Minimum: in.GetMinimum(),
 		Returned: in.GetReturned(), ReturnedAge: time.Duration(in.GetReturnedAgeMs()) * time.Millisecond,
-		KeeperFor: time.Duration(in.GetKeeperForMs()) * time.Millisecond,
+		KeeperFor: time.Duration(in.GetKeeperForMs()) * time.Millisecond, Beside: in.GetOtherKeepers(),
 	})
 	return &wire.ReserveReply{
 		Granted: reply.Granted, LifetimeMs: uint32(reply.Lifetime.Milliseconds()), WaitMs: uint32(reply.Wait.Milliseconds()), Left: reply.Left,
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -250,7 +250,7 @@
 	reply, err := wire.NewDRPCAgentClient(conn).Reserve(ctx, &wire.ReserveRequest{
 		Node: q.node, Customer: in.Customer, RoutesVersion: in.Limit.Version, PerSecond: in.Limit.PerSecond, Burst: in.Limit.Burst,
 		Keepers: uint32(in.Limit.Keepers), CountsTokens: in.Limit.CountsTokens, Amount: in.Amount, Minimum: in.Minimum,
-		Returned: in.Returned, ReturnedAgeMs: uint32(in.ReturnedAge.Milliseconds()) + 1, KeeperForMs: uint64(in.KeeperFor.Milliseconds()),
+		Returned: in.Returned, ReturnedAgeMs: uint32(in.ReturnedAge.Milliseconds()) + 1, KeeperForMs: uint64(in.KeeperFor.Milliseconds()), OtherKeepers: in.Beside,
 	})
 	metrics.GetOrCreateCounter(`gypsumbank_gateway_quota_calls_total`).Inc()
 	if err != nil {
--- a/quota/account.go
+++ b/quota/account.go
@@ -128,6 +128,7 @@
 type keeperView struct {
 	address     string
 	since       time.Time // from when on it is known as a keeper
+	beside      []string  // the other keepers
 	answeredAt  time.Time // zero if it never has
 	left        float64   // then
 	granted     float64   // fading sum, as of grantedAt
@@ -167,6 +168,14 @@
 		}
 		views = append(views, &keeperView{address: k.Address, since: k.Since})
 	}
+	for _, v := range views {
+		v.beside = nil
+		for _, other := range views {
+			if other != v {
+				v.beside = append(v.beside, other.address)
+			}
+		}
+	}
 	a.keepers = views
 	if limit.Version != old.Version {
 		a.refusedUntil = time.Time{}
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -133,7 +133,7 @@
 
 // ask returns a call to a keeper that takes along what is to be returned there.
 func (a *Account) ask(v *keeperView, amount, minimum float64, now time.Time) Ask {
-	in := Reservation{Customer: a.customer, Limit: a.limit, Amount: amount, Minimum: minimum, KeeperFor: now.Sub(v.since)}
+	in := Reservation{Customer: a.customer, Limit: a.limit, Amount: amount, Minimum: minimum, KeeperFor: now.Sub(v.since), Beside: v.beside}
 	a.returns = slices.DeleteFunc(a.returns, func(p refund) bool {
 		if p.keeper != v.address {
 			return false
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -27,6 +27,7 @@
 	Returned    float64       // what is given back of earlier grants of this keeper
 	ReturnedAge time.Duration // since the oldest of these was asked for
 	KeeperFor   time.Duration // how long the gateway has seen this keeper as one of the customer's
+	Beside      []string      // the customer's other keepers, as the gateway sees them now
 }
 
 // Reply is a keeper's answer.
