Keep claims of quotas while other keepers are replaced, and start a replacing keeper at once

Cause: each keeper that joins invalidated the claims of the other two for 4 s and then until their next confirmation. A trial printed the rule of each keeper after the restart: with one keeper replaced less than 10 s before, often none of the three started at once. Where all did, their levels were 0.7 to 0.85 in place of 0.62, as they had served the customer alone for the 5.6 s in which the new keeper waited, and what these leave is used up after 1 to 4 s.

Change: a keeper that joins stores which keepers gateways have beside it. Claims of these, if they count then, go on to count. If all beside it count, the one whose place it takes is known, and it grants at once what the level of that one leaves; that one can't raise its level meanwhile. A keeper whose claim counts but that started within the last window begins its debt without the 3 s for other keepers. Claims that do not count yet are confirmed after 4.5 s. Rows and gateways of older releases prove less.

Tests: TestConfirm expects the new field yields. Faults of the property test: gateways of an older release.

--- a/agent/quota_levels.go
+++ b/agent/quota_levels.go
@@ -15,6 +15,7 @@
 	"gypsumbank/platform"
 	"gypsumbank/quota"
 	"gypsumbank/quotalevels"
+	"gypsumbank/registry"
 )
 
 const (
@@ -119,8 +120,9 @@
 		}
 	}
 	update := change.Update(r.address, time.Now())
+	update.Beside = claimsOf(record, change.Beside)
 	if record.Confirms(update, nowMs) {
-		return quotalevels.Outcome{Level: update.Level}, false, nil
+		return quotalevels.Outcome{Level: update.Level, Counts: true}, false, nil
 	}
 	next, outcome, err := record.Apply(update, nowMs)
 	if err != nil && !record.FromEarlierEpoch() {
@@ -136,3 +138,20 @@
 	}
 	return outcome, true, err
 }
+
+// claimsOf returns the addresses that the claims of agents have, which are those of their targets: gateways name agents by their own addresses, on
+// the same hosts. A host with several claims has none of them, as it is not known which one is meant.
+func claimsOf(record quotalevels.Record, agents []string) []string {
+	byHost := map[string][]string{}
+	for address := range record.Claims {
+		host := registry.Host(address)
+		byHost[host] = append(byHost[host], address)
+	}
+	var claims []string
+	for _, agent := range agents {
+		if found := byHost[registry.Host(agent)]; len(found) == 1 && registry.Host(agent) != "" {
+			claims = append(claims, found[0])
+		}
+	}
+	return claims
+}
--- a/agent/quota_levels_test.go
+++ b/agent/quota_levels_test.go
@@ -82,7 +82,7 @@
 	reply, err := (&agentServer{agent: k.agents[ask.Keeper]}).Reserve(context.Background(), &wire.ReserveRequest{
 		Customer: in.Customer, RoutesVersion: in.Limit.Version, PerSecond: in.Limit.PerSecond, Burst: in.Limit.Burst, CountsTokens: true,
 		Keepers: uint32(in.Limit.Keepers), Amount: in.Amount, Minimum: in.Minimum, Returned: in.Returned,
-		ReturnedAgeMs: uint32(in.ReturnedAge.Milliseconds()) + 1, KeeperForMs: uint64(in.KeeperFor.Milliseconds()),
+		ReturnedAgeMs: uint32(in.ReturnedAge.Milliseconds()) + 1, KeeperForMs: uint64(in.KeeperFor.Milliseconds()), OtherKeepers: in.Beside,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/agent/quota_test.go
+++ b/agent/quota_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"gypsumbank/quota"
+	"gypsumbank/quotalevels"
 	"gypsumbank/settings"
 	"gypsumbank/wire"
 )
@@ -47,3 +49,28 @@
 		t.Errorf("granted %.0f, want from 29000 to %.0f", granted, most)
 	}
 }
+
+// TestOtherKeepersAreKnownByTheirClaims guards against other keepers of a gateway that do not reach the row, as their agents have other addresses than
+// their targets, by which claims are stored, and against claims of hosts that have several.
+func TestOtherKeepersAreKnownByTheirClaims(t *testing.T) {
+	quotas := newQuotaKeeper(settings.Bounds{QuotaWindow: 8 * time.Second})
+	server := &agentServer{agent: &Agent{quotas: quotas}}
+	request := &wire.ReserveRequest{
+		Customer: "acme", RoutesVersion: 1, PerSecond: 29_000, Burst: 29_000, Keepers: 3, Amount: 1000, Minimum: 1000,
+		OtherKeepers: []string{"10.0.0.2:7000", "10.0.0.3:7000", "10.0.0.4:7000"},
+	}
+	if _, err := server.Reserve(context.Background(), request); err != nil {
+		t.Fatal(err)
+	}
+	changes := quotas.changes()
+	if len(changes) != 1 {
+		t.Fatalf("%d changes to be stored, want 1", len(changes))
+	}
+	record := quotalevels.New(1)
+	for _, address := range []string{"10.0.0.1:8000", "10.0.0.2:8000", "10.0.0.3:8000", "10.0.0.3:8001"} {
+		record.Claims[address] = quotalevels.Claim{}
+	}
+	if got := claimsOf(record, changes[0].Beside); !slices.Equal(got, []string{"10.0.0.2:8000"}) {
+		t.Errorf("claims %v of the other keepers, want that of the host which has one", got)
+	}
+}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -94,6 +94,7 @@
 	b.credit(in.Returned, in.ReturnedAge)
 	b.lastReserved = now
 	ways, continuous := b.ways(in, now)
+	b.levels.observeBeside(in.Beside)
 	way, granted := b.choose(in, ways)
 	reply := Reply{Granted: granted, Lifetime: grantLifetime, Left: way.left - granted}
 	if granted > 0 {
--- a/quota/levels.go
+++ b/quota/levels.go
@@ -17,9 +17,9 @@
 	// them: use that varies about the bound of a level must not move it each time.
 	levelInterval = 10 * time.Second
 	lowerMargin   = 1.7
-	// firstConfirmDelay is the time after the first start of a keeper until it confirms its claim: it must have been used 4 s after it and the others
-	// have joined.
-	firstConfirmDelay = 4500 * time.Millisecond
+	// earlyConfirmDelay is the time until a keeper confirms a claim that does not count yet: it must be used more than 4 s after it has joined itself and
+	// after another one has, of which it may learn by this write alone.
+	earlyConfirmDelay = 4500 * time.Millisecond
 	// unusedTime is the time after which an unused keeper no longer confirms.
 	unusedTime = time.Minute
 	// storeWait is the wait that a keeper names while it waits for the store, for at most maxStoreWait. Then the store counts as unavailable.
@@ -36,6 +36,7 @@
 	Parts    int
 	UsedAt   time.Time // when a gateway last asked for a part
 	Settle   time.Duration
+	Beside   []string // the other keepers of all gateways that have asked since the keeper has taken its part over
 
 	takeover int
 	moves    bool
@@ -46,7 +47,7 @@
 
 // Update returns what is to be applied to the row of a keeper with an address.
 func (c Change) Update(address string, now time.Time) quotalevels.Update {
-	return quotalevels.Update{Address: address, Start: c.Start, Joins: c.Joins, Level: c.Level, Parts: c.Parts, UsedAgo: now.Sub(c.UsedAt), Settle: c.Settle}
+	return quotalevels.Update{Address: address, Start: c.Start, Joins: c.Joins, Level: c.Level, Parts: c.Parts, UsedAgo: now.Sub(c.UsedAt), Settle: c.Settle, Beside: c.Beside}
 }
 
 // levels is what a keeper that stores levels knows of its use of one customer's part.
@@ -59,9 +60,13 @@
 	enough  [2]quotalevels.Level // for the use with a margin, in the current interval and the one before
 	usedAt  time.Time
 
+	asked  bool     // by a gateway since it has last taken the part over
+	beside []string // the other keepers of all gateways that have asked since then
+
 	parts       int // of which the keeper has stored that it holds one; 0 if unknown
 	wantedParts int // fewer and larger ones, of which it is to hold one; 0 if none are wanted
 
+	alone      bool      // no other keeper holds the part
 	stored     bool      // the row has this keeper since it has last taken the part over
 	takeover   int       // number of times that it has
 	takenAt    time.Time // when it last has
@@ -148,7 +153,19 @@
 	l.fills[0] = min(l.fills[0], share*p.rate*(seen-viewLag).Seconds()-p.debt)
 	l.takeover++
 	l.takenAt, l.takenSlot, l.sharesTill, l.shareSpent = now, slot, time.Time{}, 0
-	l.inForce, l.stored, l.changing, l.retryAt = 0, false, false, time.Time{}
+	l.inForce, l.stored, l.alone, l.changing, l.retryAt = 0, false, false, false, time.Time{}
+	l.asked, l.beside = false, nil
+}
+
+// observeBeside records which keepers a gateway has beside this one.
+func (l *levels) observeBeside(others []string) {
+	switch {
+	case l == nil:
+	case !l.asked:
+		l.asked, l.beside = true, slices.Clone(others)
+	default:
+		l.beside = slices.DeleteFunc(l.beside, func(other string) bool { return !slices.Contains(others, other) })
+	}
 }
 
 // takesOver reports whether a gateway that has seen this keeper since a time is one of those from which it has last taken the part over.
@@ -168,6 +185,14 @@
 	return quotalevels.Level(0).Share() * p.rate
 }
 
+// takeoverLag returns the time for which another keeper may still be used by some gateway, after one has taken up this one.
+func (l *levels) takeoverLag() time.Duration {
+	if l != nil && l.alone {
+		return 0
+	}
+	return viewLag
+}
+
 func (l *levels) spentByShare() float64 {
 	if l == nil {
 		return 0
@@ -267,7 +292,8 @@
 			}
 			changes = append(changes, Change{
 				Customer: name, Start: start, Joins: joins, Level: level, Parts: parts, UsedAt: b.levels.usedAt,
-				Settle: k.bounds.Window + grantLifetime + viewLag + time.Second, takeover: b.levels.takeover, moves: level != b.levels.inForce,
+				Settle: k.bounds.Window + grantLifetime + viewLag + time.Second, Beside: slices.Clone(b.levels.beside),
+				takeover: b.levels.takeover, moves: level != b.levels.inForce,
 			})
 			b.levels.changing = true
 			if !start && level < b.levels.inForce {
@@ -308,10 +334,13 @@
 	}
 	if !c.Start {
 		l.confirmAt = now.Add(confirmInterval + time.Duration(now.UnixNano())%confirmSpread)
+		if !out.Counts && now.Sub(l.usedAt) < earlyConfirmDelay {
+			l.confirmAt = now.Add(earlyConfirmDelay)
+		}
 		return
 	}
-	l.stored, l.enough = true, [...]quotalevels.Level{out.Level, out.Level}
-	l.confirmAt, l.rotateAt = now.Add(firstConfirmDelay), now.Add(levelInterval)
+	l.stored, l.alone, l.enough = true, out.Alone, [...]quotalevels.Level{out.Level, out.Level}
+	l.confirmAt, l.rotateAt = now.Add(earlyConfirmDelay), now.Add(levelInterval)
 	granted := b.history.grantedSince(l.takenSlot)
 	for i := range l.fills {
 		l.fills[i] = quotalevels.Level(i).Share()*b.part.capacity - granted
--- a/quota/restart_rule_test.go
+++ b/quota/restart_rule_test.go
@@ -19,6 +19,7 @@
 		bounds := rapid.SampledFrom([]Bounds{{Window: 8 * time.Second}, firstDeployment}).Draw(t, "bounds")
 		gateways, agents := rapid.IntRange(1, 3).Draw(t, "gateways"), rapid.IntRange(1, 5).Draw(t, "agents")
 		s := newSimulation(bounds, c.quota, gateways, agents, rapid.Uint64().Draw(t, "seed"))
+		s.gateways[0].isOlder = rapid.IntRange(0, 4).Draw(t, "older gateway") == 4
 		span := func(name string, longest time.Duration) time.Duration {
 			return time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(longest)).Draw(t, name))
 		}
--- a/quota/sim_store_test.go
+++ b/quota/sim_store_test.go
@@ -61,7 +61,7 @@
 			}
 			update := c.Update(a.name, s.now)
 			if record.Confirms(update, nowMs) {
-				a.keeper.Stored(c, quotalevels.Outcome{Level: update.Level}, begun, s.now)
+				a.keeper.Stored(c, quotalevels.Outcome{Level: update.Level, Counts: true}, begun, s.now)
 				return
 			}
 			next, outcome, err := record.Apply(update, nowMs)
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -69,6 +69,7 @@
 	requests    map[*Request]time.Time
 	listedNow   []string // agents that it knows
 	list        int      // change of the registry that they are from
+	isOlder     bool     // of a release that does not tell keepers of the others
 }
 
 type event struct {
@@ -212,7 +213,7 @@
 func (s *simulation) startGateway(g *simGateway) {
 	*g = simGateway{
 		account: NewAccount(simCustomer, s.bounds), limit: s.quota, version: s.version, tickedAt: s.now, generation: g.generation + 1,
-		requests: map[*Request]time.Time{}, listedNow: s.listed, list: s.lists,
+		requests: map[*Request]time.Time{}, listedNow: s.listed, list: s.lists, isOlder: g.isOlder,
 	}
 	s.tickGateway(g)
 }
@@ -281,6 +282,9 @@
 // call carries a call to its agent and the answer back; done is not called if the gateway has been replaced.
 func (s *simulation) call(g *simGateway, ask Ask, done func(Reply, error)) {
 	s.calls++
+	if g.isOlder {
+		ask.Reservation.Beside = nil
+	}
 	generation, ended := g.generation, false
 	var finish func(Reply, error)
 	finish = func(reply Reply, err error) {
--- a/quota/ways.go
+++ b/quota/ways.go
@@ -28,8 +28,8 @@
 	}
 	whole := way{bucket: b.level, rate: b.part.rate, room: b.part.usable - b.history.granted()}
 	if !continuous {
-		// Another keeper may have been used in place of this one until viewLag after the gateway has seen this one.
-		whole.bucket = min(b.level, l.takeoverRate(b.part)*(in.KeeperFor-viewLag).Seconds()-b.part.debt-l.spentByShare())
+		// Another keeper may have been used in place of this one until a lag after the gateway has seen this one.
+		whole.bucket = min(b.level, l.takeoverRate(b.part)*(in.KeeperFor-l.takeoverLag()).Seconds()-b.part.debt-l.spentByShare())
 	}
 	whole.level, whole.left = whole.bucket, min(whole.bucket, whole.room)
 	if l == nil {
--- a/quotalevels/record.go
+++ b/quotalevels/record.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"gypsumbank/epoch"
@@ -44,6 +45,10 @@
 	SharedMs  int64 `json:"shared-ms,omitempty"`
 	// ConfirmedMs is when a gateway was last known to use the keeper; 0 if not in this epoch.
 	ConfirmedMs int64 `json:"confirmed-ms"`
+	// Beside has the keepers whose place it has not taken as it joined: gateways had them beside this one, and their claims counted then.
+	Beside []string `json:"beside,omitempty"`
+	// Yields tells that the keeper's release raises no level while a keeper that has taken its place grants what the level left.
+	Yields bool `json:"yields,omitempty"`
 }
 
 // New returns a record without claims.
@@ -66,7 +71,7 @@
 	}
 	for address, s := range r.Claims {
 		if r.Epoch != readIn {
-			s.JoinedMs, s.StartedMs, s.SharedMs, s.ConfirmedMs = nowMs, nowMs, nowMs, 0
+			s.JoinedMs, s.StartedMs, s.SharedMs, s.ConfirmedMs, s.Beside = nowMs, nowMs, nowMs, 0, nil
 			r.Claims[address] = s
 		}
 		if max(s.JoinedMs, s.StartedMs, s.SharedMs, s.ConfirmedMs) > nowMs || s.Percent <= 0 {
@@ -90,17 +95,22 @@
 	Parts   int
 	UsedAgo time.Duration // since a gateway last asked it for a part
 	Settle  time.Duration // after a start, until nothing that was granted before counts any more
+	Beside  []string      // the other keepers of all gateways that have asked it since it started; empty if they do not tell
 }
 
 // Outcome is what holds once a record has been written.
 type Outcome struct {
 	Level Level // in force
-	// Shares tells that all that was granted of the part before was granted by this keeper, or within the lowest level, and at most Level.
+	// Shares tells that all that is granted of the part by others, among them the process before this one, is within Level.
 	Shares bool
+	// Alone tells that no other keeper holds the part, also not for gateways that have yet to see a change, or only within the lowest level.
+	Alone bool
+	// Counts tells that the claim now proves that no other keeper has taken the place of this one.
+	Counts bool
 }
 
-// ErrUnsettled is returned for a keeper that joins while another one has just started with what its level left: the joining keeper may hold the
-// part between the two, and stays at the rule for keepers without a row.
+// ErrUnsettled is returned for a keeper that joins while another one has just started with what its level left, as it may hold the part between the
+// two and stays at the rule for keepers without a row; and for one that raises its level while another one has just started with what that leaves.
 var ErrUnsettled = errors.New("another keeper has just started")
 
 // FromEarlierEpoch reports whether the record was read from a row of an earlier epoch. It is then to be written also if it can't be updated, or the
@@ -111,32 +121,59 @@
 func (r Record) Apply(in Update, nowMs int64) (Record, Outcome, error) {
 	next := Record{Format: format, Epoch: r.Epoch, Claims: maps.Clone(r.Claims)}
 	claim, known := r.Claims[in.Address]
-	holds := known && r.holds(in.Address)
-	out := Outcome{Level: in.Level}
-	joins := in.Joins || (in.Start && !holds) || (known && in.Parts < claim.Parts)
-	if joins && r.sharedSince(in.Address, nowMs-in.Settle.Milliseconds()) {
+	settledMs := nowMs - in.Settle.Milliseconds()
+	joins := r.joins(in)
+	var beside []string
+	if in.Start && joins {
+		beside = slices.DeleteFunc(slices.Clone(in.Beside), func(other string) bool { return !r.holds(other) })
+	}
+	raises := !in.Start && shares[in.Level] > claim.Percent
+	if (joins && r.sharedSince(in.Address, beside, settledMs)) || (raises && r.replacedSince(in.Address, settledMs)) {
 		return r, Outcome{}, ErrUnsettled
 	}
+	out := Outcome{Level: in.Level}
 	if in.Start {
-		out.Level = levelOf(claim.Percent)
-		out.Shares = holds && claim.Parts == in.Parts && nowMs-claim.StartedMs >= in.Settle.Milliseconds()
+		out = r.start(in, joins, beside, settledMs)
 		claim.StartedMs = nowMs
-		if out.Shares {
-			claim.SharedMs = nowMs
-		}
+	}
+	if out.Shares {
+		claim.SharedMs = nowMs
 	}
 	if !known || joins {
-		claim.JoinedMs, claim.StartedMs = nowMs, nowMs
+		claim.JoinedMs, claim.StartedMs, claim.Beside = nowMs, nowMs, beside
 	}
-	claim.Percent, claim.Parts = shares[out.Level], in.Parts
+	claim.Percent, claim.Parts, claim.Yields = shares[out.Level], in.Parts, true
 	claim.ConfirmedMs = max(claim.ConfirmedMs, nowMs-in.UsedAgo.Milliseconds(), 1)
 	next.Claims[in.Address] = claim
+	out.Counts = next.holds(in.Address)
 	maps.DeleteFunc(next.Claims, func(_ string, s Claim) bool {
 		return nowMs-max(s.ConfirmedMs, s.JoinedMs) > maxSeatAge.Milliseconds()
 	})
 	return next, out, nil
 }
 
+// joins reports whether a keeper takes the place of another one, or may do so.
+func (r Record) joins(in Update) bool {
+	claim, known := r.Claims[in.Address]
+	return in.Joins || (in.Start && !r.holds(in.Address)) || (known && in.Parts < claim.Parts)
+}
+
+// start returns the outcome for a keeper that starts, beside others if it joins.
+func (r Record) start(in Update, joins bool, beside []string, settledMs int64) Outcome {
+	claim := r.Claims[in.Address]
+	out := Outcome{Level: levelOf(claim.Percent)}
+	switch {
+	case !joins:
+		out.Alone = claim.Parts == in.Parts
+		out.Shares = out.Alone && claim.StartedMs <= settledMs
+	case len(beside) == in.Parts-1:
+		if level, known := r.before(beside, in.Parts, settledMs); known {
+			out.Level, out.Shares = level, true
+		}
+	}
+	return out
+}
+
 // Confirms reports whether the record has all that an update of a keeper that goes on would store: no keeper has joined since the claim was last
 // confirmed, its level is the same, and it is far from being removed.
 func (r Record) Confirms(in Update, nowMs int64) bool {
@@ -146,21 +183,47 @@
 
 // holds reports whether no keeper can have taken the place of this one since it was last used, other than keepers that have not stored a claim
 // and so use the lowest level. A keeper may have lost its place again before its own claim was stored: it counts once the keeper was used after all
-// gateways have seen changes of before.
+// gateways have seen changes of before. A keeper that joins takes the place of one alone, which is none of those beside it.
 func (r Record) holds(address string) bool {
 	claim := r.Claims[address]
 	for other, s := range r.Claims {
-		if other != address && claim.ConfirmedMs <= s.JoinedMs+viewLag.Milliseconds() {
+		if other != address && claim.ConfirmedMs <= s.JoinedMs+viewLag.Milliseconds() && !slices.Contains(s.Beside, address) {
 			return false
 		}
 	}
 	return claim.ConfirmedMs > claim.JoinedMs+viewLag.Milliseconds()
 }
 
-// sharedSince reports whether another keeper has started with what its level left since a time.
-func (r Record) sharedSince(address string, sinceMs int64) bool {
+// before returns the level within which the part of a keeper that joins is used by the one whose place it takes, until all gateways use the new one.
+// It is known if that one has a claim that counts, has not started since the given time and yields to the new one.
+func (r Record) before(beside []string, parts int, settledMs int64) (level Level, known bool) {
+	for other, s := range r.Claims {
+		if slices.Contains(beside, other) || !r.holds(other) {
+			continue
+		}
+		if s.Parts != parts || !s.Yields || max(s.JoinedMs, s.StartedMs, s.SharedMs) > settledMs {
+			return 0, false
+		}
+		level, known = max(level, levelOf(s.Percent)), true
+	}
+	return level, known
+}
+
+// sharedSince reports whether another keeper, other than those beside, has started with what its level left since a time.
+func (r Record) sharedSince(address string, beside []string, sinceMs int64) bool {
+	for other, s := range r.Claims {
+		if other != address && !slices.Contains(beside, other) && s.SharedMs > 0 && s.SharedMs > sinceMs {
+			return true
+		}
+	}
+	return false
+}
+
+// replacedSince reports whether another keeper has taken the place of this one since a time, with what its level left.
+func (r Record) replacedSince(address string, sinceMs int64) bool {
+	claim := r.Claims[address]
 	for other, s := range r.Claims {
-		if other != address && s.SharedMs > 0 && s.SharedMs > sinceMs {
+		if other != address && s.SharedMs > sinceMs && s.SharedMs == s.JoinedMs && s.JoinedMs >= claim.JoinedMs && !slices.Contains(s.Beside, address) {
 			return true
 		}
 	}
--- a/quotalevels/record_test.go
+++ b/quotalevels/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"testing"
 	"time"
 
@@ -143,8 +144,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := claim(func(s *quotalevels.Claim) { s.Percent, s.ConfirmedMs = 100, testTime-30_000 })
-	if next.Claims[self] != want || out.Level != quotalevels.Highest || out.Shares {
+	want := claim(func(s *quotalevels.Claim) { s.Percent, s.ConfirmedMs, s.Yields = 100, testTime-30_000, true })
+	if !reflect.DeepEqual(next.Claims[self], want) || out.Level != quotalevels.Highest || out.Shares {
 		t.Errorf("claim %+v, outcome %+v, want %+v and the highest level", next.Claims[self], out, want)
 	}
 	if _, ok := next.Claims[other]; !ok || len(next.Claims) != 2 {
@@ -213,6 +214,77 @@
 	})
 }
 
+const (
+	third  = "10.0.0.3:9000"
+	joined = "10.0.0.4:9000"
+)
+
+// TestKeeperThatJoins guards against claims of keepers that stop counting although another keeper has joined beside them, and against claims that count
+// although the keeper that joined may have taken their place.
+func TestKeeperThatJoins(t *testing.T) {
+	recently := func(s *quotalevels.Claim) { s.JoinedMs, s.StartedMs = testTime-5_000, testTime-5_000 }
+	for name, c := range map[string]struct {
+		join   func(*quotalevels.Claim) // the claim of the keeper that joined
+		shares bool
+	}{
+		"beside this one": {join: func(s *quotalevels.Claim) { recently(s); s.Beside = []string{self, other} }, shares: true},
+		"beside others":   {join: func(s *quotalevels.Claim) { recently(s); s.Beside = []string{other, third} }},
+		"not known":       {join: recently}, // as a row of an older release has it
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := quotalevels.New(1)
+			record.Claims[self], record.Claims[other], record.Claims[third], record.Claims[joined] = claim(unchanged), claim(unchanged), claim(unchanged), claim(c.join)
+			_, out, err := record.Apply(quotalevels.Update{Address: self, Start: true, Parts: 3, Settle: settle}, testTime)
+			if err != nil || out.Shares != c.shares || out.Alone != c.shares {
+				t.Errorf("outcome %+v, error %v, want at once %t", out, err, c.shares)
+			}
+		})
+	}
+}
+
+// TestKeeperThatTakesAPlace guards against a keeper that joins and grants what the level of another one leaves although that one is not known, has just
+// started or may raise its level, and against one that waits although none of this is so.
+func TestKeeperThatTakesAPlace(t *testing.T) {
+	yields := func(s *quotalevels.Claim) { s.Yields = true }
+	for name, c := range map[string]struct {
+		before func(*quotalevels.Claim) // the claim of the keeper whose place is taken; nil for none
+		beside []string
+		shares bool
+		share  float64
+	}{
+		"one that yields":       {before: yields, beside: []string{self, other}, shares: true, share: 0.7},
+		"of an older release":   {before: unchanged, beside: []string{self, other}, share: 0.55},
+		"has just started":      {before: func(s *quotalevels.Claim) { s.Yields, s.StartedMs = true, testTime-8_000 }, beside: []string{self, other}, share: 0.55},
+		"of a larger part":      {before: func(s *quotalevels.Claim) { s.Yields, s.Parts = true, 2 }, beside: []string{self, other}, share: 0.55},
+		"not known":             {beside: []string{self, other}, share: 0.55},
+		"gateways tell of none": {before: yields, share: 0.55},
+		"gateways tell of one":  {before: yields, beside: []string{self}, share: 0.55},
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := quotalevels.New(1)
+			record.Claims[self], record.Claims[other] = claim(yields), claim(yields)
+			if c.before != nil {
+				record.Claims[third] = claim(c.before)
+			}
+			next, out, err := record.Apply(quotalevels.Update{Address: joined, Start: true, Parts: 3, Settle: settle, Beside: c.beside}, testTime)
+			if err != nil || out.Shares != c.shares || out.Level.Share() != c.share {
+				t.Fatalf("outcome %+v, error %v, want at once %t and a share of %.2f", out, err, c.shares, c.share)
+			}
+			if !c.shares {
+				return
+			}
+			raise := quotalevels.Update{Address: third, Level: quotalevels.Highest, Parts: 3, Settle: settle}
+			if _, _, err := next.Apply(raise, testTime+1000); !errors.Is(err, quotalevels.ErrUnsettled) {
+				t.Errorf("error %v as the keeper before raises its level, want %v", err, quotalevels.ErrUnsettled)
+			}
+			raise.Address = self
+			if _, _, err := next.Apply(raise, testTime+1000); err != nil {
+				t.Errorf("error %v as a keeper beside raises its level", err)
+			}
+		})
+	}
+}
+
 // TestClaimCountsOnceUsedAfterItsJoin guards against the claim of a keeper that was stored after it had lost its place again.
 func TestClaimCountsOnceUsedAfterItsJoin(t *testing.T) {
 	record := quotalevels.New(1)
@@ -221,14 +293,14 @@
 		s.JoinedMs, s.StartedMs, s.ConfirmedMs = testTime, testTime, testTime-9_000
 	})
 	start := quotalevels.Update{Address: self, Start: true, Parts: 3, Settle: settle}
-	if _, out, err := record.Apply(start, testTime+20_000); err != nil || out.Shares {
+	if _, out, err := record.Apply(start, testTime+20_000); err != nil || out.Shares || out.Alone {
 		t.Errorf("outcome %+v, error %v of a keeper that was not used since it joined", out, err)
 	}
 	confirm := quotalevels.Update{Address: self, Parts: 3, Settle: settle}
 	for _, after := range []int64{3_000, 4_500} {
-		next, _, err := record.Apply(confirm, testTime+after)
-		if counts := after > 4_000; err != nil || next.Confirms(confirm, testTime+after) != counts {
-			t.Errorf("error %v as it is used %d ms after it joined, want that it counts: %t", err, after, counts)
+		next, out, err := record.Apply(confirm, testTime+after)
+		if counts := after > 4_000; err != nil || out.Counts != counts || next.Confirms(confirm, testTime+after) != counts {
+			t.Errorf("outcome %+v, error %v as it is used %d ms after it joined, want that it counts: %t", out, err, after, counts)
 		}
 	}
 }
