--- a/quota/restart_rule_test.go
+++ b/quota/restart_rule_test.go
@@ -19,6 +19,7 @@
 		bounds := rapid.SampledFrom([]Bounds{{Window: 8 * time.Second}, firstDeployment}).Draw(t, "bounds")
 		gateways, agents := rapid.IntRange(1, 3).Draw(t, "gateways"), rapid.IntRange(1, 5).Draw(t, "agents")
 		s := newSimulation(bounds, c.quota, gateways, agents, rapid.Uint64().Draw(t, "seed"))
+		s.gateways[0].isOlder = rapid.IntRange(0, 4).Draw(t, "older gateway") == 4
 		span := func(name string, longest time.Duration) time.Duration {
 			return time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(longest)).Draw(t, name))
 		}
@@ -54,6 +55,35 @@
 					relist(func() { s.unlist(keeper()) })
 				}
 			},
+			"replace a keeper before a restart": func() {
+				if len(s.listed) > 1 {
+					relist(func() { s.unlist(keeper()) })
+					load(span("replaced for", 14*time.Second), 10, 3, 0.5)
+				}
+				s.restartAll()
+			},
+			"replace two keepers before a restart": func() {
+				for range 2 {
+					if len(s.listed) > 1 {
+						relist(func() { s.unlist(keeper()) })
+						load(viewLag+span("replaced for", 8*time.Second), 10, 3, 0.5)
+					}
+				}
+				s.restartAll()
+			},
+			"a keeper joins and leaves again": func() {
+				if len(s.listed) < 2 {
+					return
+				}
+				listed, left := slices.Clone(s.listed), keeper()
+				relist(func() { s.unlist(left) })
+				load(viewLag+span("away for", 8*time.Second), 10, 3, 0.5)
+				if rapid.Bool().Draw(t, "restarts meanwhile") {
+					s.restartAgent(left)
+				}
+				relist(func() { s.list(listed) })
+				load(span("back for", 8*time.Second), 10, 3, 0.5)
+			},
 			"list all agents":     func() { relist(func() { s.list(sortedKeys(s.agents)) }) },
 			"copy the store":      func() { s.store.copied = s.store.row },
 			"restore the store":   s.store.restore,
