Send prompt parts to many gateways in a packed form

A prompt part that an agent passes on took some 14 B for each gateway: a 64-bit hash and a number of tokens in a message of its own. From 9 gateways on, gateways tell that they read packed parts, and agents send such gateways the low 32 bits of the hashes and the tokens as packed fields: some 6 B. The cache of parts that a gateway keeps for each target finds parts by these 32 bits. Parts are still sent with the states alone; a test now says so.

A collision: an engine's cache has some 200 parts, so that one of 20 million searches finds another part. That request expects tokens to be cached that are not, and costs an engine one prefill more than foreseen.

--- a/agent/sent_bytes_test.go
+++ b/agent/sent_bytes_test.go
@@ -86,7 +86,11 @@
 	return gateway
 }
 
-func thisRelease() *wire.WatcherUpdate { return presentRelease() }
+func thisRelease() *wire.WatcherUpdate {
+	gateway := presentRelease()
+	gateway.ReadsPackedParts = true
+	return gateway
+}
 
 func newRelayUnderLoad(gateways int, load engineLoad, gateway *wire.WatcherUpdate) *relayUnderLoad {
 	w, clock := newTestWatchers()
@@ -150,7 +154,7 @@
 			if state := received(r.w, g.watcher); state != nil {
 				r.messages++
 				r.bytes += proto.Size(state)
-				r.parts += len(state.GetParts())
+				r.parts += len(state.GetParts()) + len(state.GetPartHashes())
 			}
 		}
 	}
@@ -247,11 +251,14 @@
 			t.Parallel()
 			least, _, _ := sent(10, load, thisRelease())
 			for _, gateways := range []int{10, 30, 100} {
-				whole, _, _ := sent(gateways, load, wholeLists())
-				present, presentMessages, presentParts := sent(gateways, load, presentRelease())
+				before, messagesBefore, partsBefore := sent(gateways, load, presentRelease())
 				bytes, messages, parts := sent(gateways, load, thisRelease())
-				t.Logf("%d gateways: %.0f B/s with whole lists of targets; %.0f B/s, %.0f messages/s and %.1f parts/s to each in the present release; %.0f B/s, %.0f messages/s and %.1f parts/s now",
-					gateways, whole, present, presentMessages, presentParts/float64(gateways), bytes, messages, parts/float64(gateways))
+				t.Logf("%d gateways: %.0f B/s, %.0f messages/s and %.1f parts/s to each in the present release; %.0f B/s, %.0f messages/s and %.1f parts/s now",
+					gateways, before, messagesBefore, partsBefore/float64(gateways), bytes, messages, parts/float64(gateways))
+				if load == meanLoad {
+					whole, _, _ := sent(gateways, load, wholeLists())
+					t.Logf("%d gateways: %.0f B/s with whole lists of targets", gateways, whole)
+				}
 				if bound := least * float64(gateways) / 10; bytes > bound {
 					t.Errorf("%.0f B/s at %d gateways, want at most %.0f: %.0f at 10 gateways, by the number of gateways", bytes, gateways, bound, least)
 				}
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -92,6 +92,7 @@
 	quarantineSent    uint64             // revision of the quarantine up to which it has been told
 	keepsHoldings     bool               // it accepts states without unchanged holdings
 	keepsTargets      bool               // it accepts changes to the targets
+	readsPackedParts  bool               // it accepts prompt parts in the packed form
 	updates           chan update
 }
 
@@ -133,7 +134,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	from.node, from.lastHeartbeatAt, from.requests, from.pendingPrefillMs = heartbeat.GetNode(), w.now(), heartbeat.GetUses(), heartbeat.GetUnreadMs()
-	from.keepsHoldings, from.keepsTargets = heartbeat.GetKeepsHoldings(), heartbeat.GetKeepsTargets()
+	from.keepsHoldings, from.keepsTargets, from.readsPackedParts = heartbeat.GetKeepsHoldings(), heartbeat.GetKeepsTargets(), heartbeat.GetReadsPackedParts()
 	parts := w.partsToPassOn(heartbeat.GetParts())
 	for each := range w.members {
 		if each != from {
@@ -369,6 +370,17 @@
 	return next
 }
 
+// packParts returns the low 32 bits of the hashes of prompt parts, and their tokens. A gateway looks for a hash among the some 200 parts that
+// fit into the KV cache of an engine: it finds another part's in one of 20 million searches, and then expects that part to be cached for one
+// request.
+func packParts(parts []*wire.PromptPart) (hashes, tokens []uint32) {
+	hashes, tokens = make([]uint32, 0, len(parts)), make([]uint32, 0, len(parts))
+	for _, part := range parts {
+		hashes, tokens = append(hashes, uint32(part.GetHash())), append(tokens, part.GetTokens())
+	}
+	return hashes, tokens
+}
+
 // queuePromptParts queues prompt parts for a gateway and drops the oldest above maxQueuedPromptParts.
 func (w *watcher) queuePromptParts(parts []*wire.PromptPart) {
 	w.queuedPromptParts = append(w.queuedPromptParts, parts...)
@@ -396,7 +408,12 @@
 		return state
 	}
 	message := proto.Clone(state).(*wire.TargetState)
-	message.Parts, recipient.queuedPromptParts = recipient.queuedPromptParts, nil
+	if recipient.readsPackedParts && len(w.members) > maxFewWatchers {
+		message.PartHashes, message.PartTokens = packParts(recipient.queuedPromptParts)
+	} else {
+		message.Parts = recipient.queuedPromptParts
+	}
+	recipient.queuedPromptParts = nil
 	message.StoreReads, message.Quarantine = reads, entries
 	return message
 }
--- a/agent/watchers_test.go
+++ b/agent/watchers_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -206,3 +207,37 @@
 		})
 	}
 }
+
+// TestPromptPartsArePackedForManyGateways guards against packed parts that a gateway does not understand, or that reach one of few, and
+// against parts that cause states of their own.
+func TestPromptPartsArePackedForManyGateways(t *testing.T) {
+	const hash = 0x9e3779b97f4a7c15
+	for _, gateways := range []int{maxFewWatchers, maxFewWatchers + 1} {
+		w, clock := newTestWatchers()
+		w.publish(&wire.TargetState{TargetId: "t"})
+		members := make([]*watcher, 0, gateways)
+		for range gateways {
+			members = append(members, w.add())
+		}
+		for i, member := range members {
+			w.handleHeartbeat(member, &wire.WatcherUpdate{Node: fmt.Sprint("g", i), ReadsPackedParts: i != 1})
+			received(w, member)
+		}
+		w.handleHeartbeat(members[0], &wire.WatcherUpdate{Node: "g0", ReadsPackedParts: true, Parts: []*wire.PromptPart{{Hash: hash, Tokens: 500}, {Hash: 7}}})
+		for i, member := range members {
+			if state := received(w, member); state != nil {
+				t.Errorf("%d gateways: gateway %d gets a state for prompt parts alone: %v", gateways, i, state)
+			}
+		}
+		clock.advance(heartbeatInterval)
+		w.publish(&wire.TargetState{TargetId: "t"})
+		for i, member := range members[1:] {
+			state := received(w, member)
+			isPacked := slices.Equal(state.GetPartHashes(), []uint32{hash & 0xffffffff, 7}) && slices.Equal(state.GetPartTokens(), []uint32{500, 0}) && state.GetParts() == nil
+			isWhole := len(state.GetParts()) == 2 && state.GetParts()[0].GetHash() == hash && state.GetPartHashes() == nil && state.GetPartTokens() == nil
+			if wantPacked := gateways > maxFewWatchers && i > 0; isPacked != wantPacked || isWhole == wantPacked {
+				t.Errorf("%d gateways: gateway %d gets %v, packed parts wanted: %v", gateways, i+1, state, wantPacked)
+			}
+		}
+	}
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -89,20 +90,22 @@
 }
 
 // TestPromptCachedThroughAnotherGateway chooses a target for a session whose first prompt was sent by another gateway;
-// the prompt parts that the agent reports must count as cached.
+// the prompt parts that the agent reports must count as cached, also if it tells the low 32 bits of their hashes alone.
 func TestPromptCachedThroughAnotherGateway(t *testing.T) {
-	f := newTestFleet([]string{"hot"}, []string{"hot"}, []string{"hot"})
-	req := longRequest("hot", "s1")
-	var parts []PromptPart
-	for i, hash := range req.PrefixHashes()[:2] {
-		parts = append(parts, PromptPart{Hash: hash, Tokens: req.Parts[i].Tokens})
-	}
-	observation := newObservation(registry.Report{Born: 1, Models: []registry.Model{{Name: "hot"}}})
-	observation.Parts = parts
-	f.Observe("e2", observation, start)
-	choice := mustChoose(t, f, req)
-	if choice.PrefillTokens != 3000 || (choice.Target.ID != "e2" && choice.FetchFrom != "10.0.0.3:80") {
-		t.Errorf("chose %s with %d tokens to prefill, fetching from %q; want e2 or a fetch from it, and 3000 tokens", choice.Target.ID, choice.PrefillTokens, choice.FetchFrom)
+	for name, known := range map[string]uint64{"whole hashes": math.MaxUint64, "low 32 bits": math.MaxUint32} {
+		f := newTestFleet([]string{"hot"}, []string{"hot"}, []string{"hot"})
+		req := longRequest("hot", "s1")
+		var parts []PromptPart
+		for i, hash := range req.PrefixHashes()[:2] {
+			parts = append(parts, PromptPart{Hash: hash & known, Tokens: req.Parts[i].Tokens})
+		}
+		observation := newObservation(registry.Report{Born: 1, Models: []registry.Model{{Name: "hot"}}})
+		observation.Parts = parts
+		f.Observe("e2", observation, start)
+		choice := mustChoose(t, f, req)
+		if choice.PrefillTokens != 3000 || (choice.Target.ID != "e2" && choice.FetchFrom != "10.0.0.3:80") {
+			t.Errorf("%s: chose %s with %d tokens to prefill, fetching from %q; want e2 or a fetch from it, and 3000 tokens", name, choice.Target.ID, choice.PrefillTokens, choice.FetchFrom)
+		}
 	}
 }
 
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -196,6 +196,14 @@
 	return a.relayAgents[address], a.pushDemand
 }
 
+// newHeartbeat returns a heartbeat that tells who this gateway is and which forms of states it understands. Those that only agents of many
+// gateways use are not told by few, whose messages stay as they were.
+func (a *agentClients) newHeartbeat() *wire.WatcherUpdate {
+	storeEpoch, _ := a.epochs.Current()
+	many := a.fleet.GatewayCount() > maxGatewaysForFastHeartbeat
+	return &wire.WatcherUpdate{Node: a.name, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch), ReadsPackedParts: many}
+}
+
 // sendHeartbeats sends heartbeats with the usage, and to relay agents with the demand, until ctx ends or the stream breaks.
 func (a *agentClients) sendHeartbeats(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
 	pushUsage := a.usageChannel(address)
@@ -203,8 +211,8 @@
 	a.queueKeptOrigins(address)
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
-		storeEpoch, _ := a.epochs.Current()
-		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch)}
+		update := a.newHeartbeat()
+		update.HasDemand = isRelay
 		if isRelay {
 			for _, d := range a.fleet.Demand(time.Now()) {
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
@@ -372,11 +380,18 @@
 	a.fleet.SetTotalDemand(demand, int(state.GetWatchers()), time.Now())
 }
 
+// decodeParts returns the prompt parts of a state in either form. Only the low 32 bits of the hashes of packed ones are known.
 func decodeParts(state *wire.TargetState) []fleet.PromptPart {
-	parts := make([]fleet.PromptPart, 0, len(state.GetParts()))
+	tokens := state.GetPartTokens()
+	parts := make([]fleet.PromptPart, 0, len(state.GetParts())+len(tokens))
 	for _, p := range state.GetParts() {
 		parts = append(parts, fleet.PromptPart{Hash: p.GetHash(), Tokens: int(p.GetTokens())})
 	}
+	for i, hash := range state.GetPartHashes() {
+		if i < len(tokens) {
+			parts = append(parts, fleet.PromptPart{Hash: uint64(hash), Tokens: int(tokens[i])})
+		}
+	}
 	return parts
 }
 
