Send lists whose report goes out with a change of the load

Among more than 8 gateways, a report that is not due replaces the last state when a change of the load, of the targets or of the routes is sent. Its lists then counted as those of the report before: gateways were told same_holdings, and an adapter or a copy of weights that came or went in that report was unknown to them until the next change. Found by TestGatewaysHaveWhatTheEngineHolds, which draws changes, replaced states, skipped states and connections made again; TestAdapterInAReplacedStateIsSent has the case.

The revisions of the lists are now made wherever the last state is replaced, by package holdings, which also has the gateway's side.

go test -race ./agent -run 'HaveWhat|AdapterIn|Holdings|Down' -rapid.checks=1000 passes.

--- a/agent/watched_state.go
+++ b/agent/watched_state.go
@@ -1,12 +1,6 @@
 package agent
 
-import (
-	"slices"
-
-	"google.golang.org/protobuf/proto"
-
-	"gypsumbank/wire"
-)
+import "gypsumbank/wire"
 
 // planner returns the gateway whose name sorts first, so that all agents with the same gateways choose the same one.
 func planner(live []*watcher) *watcher {
@@ -44,14 +38,6 @@
 		a.GetPlanner() == b.GetPlanner()
 }
 
-// sameHeldModels reports whether two states are of the same run of the target and agree on all that may be left out as
-// unchanged: the models and adapters it holds and the weights in host memory and on disk.
-func sameHeldModels(a, b *wire.TargetState) bool {
-	sameModel := func(a, b *wire.HeldModel) bool { return proto.Equal(a, b) }
-	return a.GetTargetId() == b.GetTargetId() && a.GetBorn() == b.GetBorn() && slices.EqualFunc(a.GetModels(), b.GetModels(), sameModel) &&
-		slices.Equal(a.GetInMemory(), b.GetInMemory()) && slices.Equal(a.GetOnDisk(), b.GetOnDisk())
-}
-
 // sameLoad reports whether two states agree, up to the size of the buckets, in the load that gateways choose targets by.
 func sameLoad(a, b *wire.TargetState) bool {
 	return a.GetSequence() == b.GetSequence() && int(a.GetUnreadMs()/pendingPrefillBucketMs) == int(b.GetUnreadMs()/pendingPrefillBucketMs) && a.GetWaiting() == b.GetWaiting() &&
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"gypsumbank/holdings"
 	"gypsumbank/origin"
 	"gypsumbank/quarantine"
 	"gypsumbank/registry"
@@ -59,22 +60,22 @@
 type watchers struct {
 	now func() time.Time
 
-	mu               sync.Mutex
-	members          map[*watcher]struct{}
-	lastState        *wire.TargetState
-	unsentState      *wire.TargetState // published after lastState and not sent by itself; nil if there is none
-	down             *wire.TargetState // sent instead of lastState while the engine does not answer; nil if it does
-	holdingsRevision uint64            // number of changes of the models and weights that the target holds
-	lastSentAt       time.Time
-	loadSentAt       time.Time // of the last message between states, see broadcastLoadChange
-	demandSentAt     time.Time
-	storeReads       storeReads
-	partsPassedOn    map[uint64]time.Time // by hash of a prompt part: when it was last passed on to the gateways
-	quarantine       *quarantine.Table
-	origins          *origin.Table // of the streams of all gateways
-	blocklistDue     chan struct{} // holds a value after a content was blocked or unblocked, and when gateways begin to rely on this agent
-	prefillTurns     *prefillTurns // nil if there are none
-	relayRequested   chan struct{} // receives a value when a gateway needs reads of the store and none did before
+	mu             sync.Mutex
+	members        map[*watcher]struct{}
+	lastState      *wire.TargetState
+	unsentState    *wire.TargetState  // published after lastState and not sent by itself; nil if there is none
+	down           *wire.TargetState  // sent instead of lastState while the engine does not answer; nil if it does
+	holdings       holdings.Revisions // of the lists of lastState
+	lastSentAt     time.Time
+	loadSentAt     time.Time // of the last message between states, see broadcastLoadChange
+	demandSentAt   time.Time
+	storeReads     storeReads
+	partsPassedOn  map[uint64]time.Time // by hash of a prompt part: when it was last passed on to the gateways
+	quarantine     *quarantine.Table
+	origins        *origin.Table // of the streams of all gateways
+	blocklistDue   chan struct{} // holds a value after a content was blocked or unblocked, and when gateways begin to rely on this agent
+	prefillTurns   *prefillTurns // nil if there are none
+	relayRequested chan struct{} // receives a value when a gateway needs reads of the store and none did before
 }
 
 // watcher is a gateway that watches the target, with its last heartbeat.
@@ -88,7 +89,7 @@
 	targetsRevision   uint64             // of the targets last sent to it
 	routesSent        int64              // version of the routes last sent to it
 	readsSentAt       time.Time          // when the store was last read of what was last sent to it
-	holdingsRevision  uint64             // of the state last sent to it
+	holdings          holdings.Revisions // of the lists last sent to it
 	quarantineSent    uint64             // revision of the quarantine up to which it has been told
 	keepsHoldings     bool               // it accepts states without unchanged holdings
 	keepsTargets      bool               // it accepts changes to the targets
@@ -98,9 +99,9 @@
 
 // update is a state to be sent to a gateway, in full and without the lists of what the target holds.
 type update struct {
-	full             *wire.TargetState
-	withoutHoldings  *wire.TargetState
-	holdingsRevision uint64
+	full            *wire.TargetState
+	withoutHoldings *wire.TargetState
+	holdings        holdings.Revisions
 }
 
 func newWatchers(now func() time.Time) *watchers {
@@ -171,14 +172,18 @@
 			return
 		}
 	}
-	if !sameHeldModels(w.lastState, state) {
-		w.holdingsRevision++
-	}
-	w.lastState, w.unsentState, w.lastSentAt, w.down = state, nil, w.now(), nil
+	w.setLastState(state)
+	w.lastSentAt, w.down = w.now(), nil
 	w.broadcastLast()
 	w.sendDemandToPlanner()
 }
 
+// setLastState has a state take the place of the last one; the caller holds the lock.
+func (w *watchers) setLastState(state *wire.TargetState) {
+	w.holdings = w.holdings.Next(w.lastState, state)
+	w.lastState, w.unsentState = state, nil
+}
+
 // scaledByGateways returns an interval that grows with the square root of the number of gateways above scaledFrom.
 func scaledByGateways(interval time.Duration, gateways int) time.Duration {
 	return time.Duration(float64(interval) * growth(gateways))
@@ -195,7 +200,7 @@
 	}
 	w.lastSentAt = w.now()
 	if w.unsentState != nil {
-		w.lastState, w.unsentState = w.unsentState, nil
+		w.setLastState(w.unsentState)
 	}
 }
 
@@ -280,9 +285,7 @@
 
 // newUpdate returns a state in both forms in which it may be sent; the caller holds the lock.
 func (w *watchers) newUpdate(state *wire.TargetState) update {
-	withoutHoldings := proto.Clone(state).(*wire.TargetState)
-	withoutHoldings.SameHoldings, withoutHoldings.Models, withoutHoldings.InMemory, withoutHoldings.OnDisk = true, nil, nil, nil
-	return update{full: state, withoutHoldings: withoutHoldings, holdingsRevision: w.holdingsRevision}
+	return update{full: state, withoutHoldings: holdings.Without(state), holdings: w.holdings}
 }
 
 // sumPendingPrefillMs returns the expected prefill time, in ms, of the prompts that the gateways have waiting at the target.
@@ -396,11 +399,11 @@
 	defer w.mu.Unlock()
 	reads := w.storeReadsFor(recipient)
 	state := next.full
-	if recipient.keepsHoldings && recipient.holdingsRevision == next.holdingsRevision {
+	if recipient.keepsHoldings && recipient.holdings == next.holdings {
 		state = next.withoutHoldings
 	}
 	if !state.GetEngineDown() {
-		recipient.holdingsRevision = next.holdingsRevision
+		recipient.holdings = next.holdings
 	}
 	entries, revision := w.quarantine.Changes(recipient.quarantineSent, false)
 	recipient.quarantineSent = revision
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -18,6 +18,7 @@
 	"gypsumbank/dispatch"
 	"gypsumbank/epoch"
 	"gypsumbank/fleet"
+	"gypsumbank/holdings"
 	"gypsumbank/origin"
 	"gypsumbank/pause"
 	"gypsumbank/registry"
@@ -304,7 +305,7 @@
 	}()
 	a.setConnected(address, true)
 	a.setTurnLink(address, link)
-	var lastHoldings *wire.TargetState // the last state with the lists of what the target holds
+	var lists holdings.Lists
 	for {
 		state, err := stream.Recv()
 		if err != nil {
@@ -328,11 +329,7 @@
 			a.applyDown(address, state)
 			continue
 		}
-		if state.GetSameHoldings() {
-			state.Models, state.InMemory, state.OnDisk = lastHoldings.GetModels(), lastHoldings.GetInMemory(), lastHoldings.GetOnDisk()
-		} else {
-			lastHoldings = state
-		}
+		lists.Complete(state)
 		a.applyState(address, state)
 	}
 }
