Send changes of what an engine holds as changes

A change of one adapter sent models with their adapters, weights in memory and weights on disk again to each gateway: a third of what the busiest agent sends. Each list now has its own revision, and from 9 gateways on agents send those that keep lists only the lists that differ from what was last sent to them, and adapters of unchanged models as additions and removals. A gateway that connects again gets all lists, as do gateways of an earlier release; a model that comes or goes still sends the list of models.

go test -race ./agent -run 'HaveWhat|OnlyWhat' -rapid.checks=1000 and go test -race ./holdings pass.

--- a/agent/holdings_test.go
+++ b/agent/holdings_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"gypsumbank/holdings"
@@ -106,6 +107,9 @@
 	if state == nil || state.GetEngineDown() {
 		return
 	}
+	if !e.tells.GetKeepsLists() || len(e.w.members) <= maxFewWatchers {
+		e.checkEarlierForm(t, state)
+	}
 	e.lists.Complete(state)
 	e.received = listsOf(state).String()
 	if want := e.published[state.GetRunning()]; e.received != want {
@@ -113,6 +117,16 @@
 	}
 }
 
+// checkEarlierForm checks that a gateway of an earlier release, or one of few, understands a state.
+func (e *heldEngine) checkEarlierForm(t *rapid.T, state *wire.TargetState) {
+	if state.GetHasModels() || state.GetHasInMemory() || state.GetHasOnDisk() || state.GetAdapterChanges() != nil {
+		t.Fatalf("%d gateways, which keep lists: %v; changes are sent: %v", len(e.w.members), e.tells.GetKeepsLists(), state)
+	}
+	if state.GetSameHoldings() && !e.tells.GetKeepsHoldings() {
+		t.Fatalf("lists are left out for a gateway that does not keep them: %v", state)
+	}
+}
+
 func toggled(list []string, name string) []string {
 	if i := slices.Index(list, name); i >= 0 {
 		return slices.Delete(slices.Clone(list), i, i+1)
@@ -126,6 +140,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		tells := &wire.WatcherUpdate{KeepsHoldings: rapid.SampledFrom([]bool{true, true, true, false}).Draw(t, "keeps holdings")}
+		tells.KeepsLists = tells.GetKeepsHoldings() && rapid.Bool().Draw(t, "keeps lists")
 		numbers := []int{1, maxFewWatchers, maxFewWatchers + 1, 40}
 		e := newHeldEngine(rapid.SampledFrom(numbers).Draw(t, "gateways"), tells)
 		name := func(t *rapid.T, kind string) string {
@@ -209,3 +224,41 @@
 		t.Errorf("the gateway has %s, want %s", got, want)
 	}
 }
+
+// TestOnlyWhatHasChangedIsSent guards against lists that are sent again with each adapter that comes or goes.
+func TestOnlyWhatHasChangedIsSent(t *testing.T) {
+	t.Parallel()
+	e := newHeldEngine(maxFewWatchers+1, &wire.WatcherUpdate{KeepsHoldings: true, KeepsLists: true})
+	e.engine.inMemory, e.engine.onDisk = []string{"m"}, []string{"d"}
+	next := func(change func()) *wire.TargetState {
+		change()
+		e.clock.advance(heartbeatInterval)
+		e.heartbeats()
+		e.publish()
+		state := received(e.w, e.gateway)
+		return &wire.TargetState{
+			SameHoldings: state.GetSameHoldings(), HasModels: state.GetHasModels(), HasInMemory: state.GetHasInMemory(), HasOnDisk: state.GetHasOnDisk(),
+			Models: state.GetModels(), InMemory: state.GetInMemory(), OnDisk: state.GetOnDisk(), AdapterChanges: state.GetAdapterChanges(),
+		}
+	}
+	adapters := func(adapters ...string) func() { return func() { e.engine.models["model0"] = adapters } }
+	next(func() {})
+	tests := []struct {
+		change func()
+		want   *wire.TargetState
+	}{
+		{func() {}, &wire.TargetState{SameHoldings: true}},
+		{adapters("adapter0", "adapter1"), &wire.TargetState{SameHoldings: true, AdapterChanges: []*wire.AdapterChange{{Model: "model0", Added: []string{"adapter1"}}}}},
+		{adapters("adapter2", "adapter1"), &wire.TargetState{SameHoldings: true, AdapterChanges: []*wire.AdapterChange{{Model: "model0", Added: []string{"adapter2"}, Removed: []string{"adapter0"}}}}},
+		{adapters("adapter1", "adapter2"), &wire.TargetState{SameHoldings: true}},
+		{func() { e.engine.inMemory = nil }, &wire.TargetState{SameHoldings: true, HasInMemory: true}},
+		{func() { e.engine.onDisk = []string{"d", "e"} }, &wire.TargetState{SameHoldings: true, HasOnDisk: true, OnDisk: []string{"d", "e"}}},
+		{func() { delete(e.engine.models, "model0") }, &wire.TargetState{SameHoldings: true, HasModels: true, Models: []*wire.HeldModel{{Name: "model1"}}}},
+		{func() { e.connect() }, &wire.TargetState{Models: []*wire.HeldModel{{Name: "model1"}}, OnDisk: []string{"d", "e"}}},
+	}
+	for i, test := range tests {
+		if got := next(test.change); !proto.Equal(got, test.want) {
+			t.Errorf("change %d: %v, want %v", i, got, test.want)
+		}
+	}
+}
--- a/agent/sent_bytes_test.go
+++ b/agent/sent_bytes_test.go
@@ -88,7 +88,7 @@
 
 func thisRelease() *wire.WatcherUpdate {
 	gateway := presentRelease()
-	gateway.ReadsPackedParts = true
+	gateway.ReadsPackedParts, gateway.KeepsLists = true, true
 	return gateway
 }
 
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -89,11 +89,12 @@
 	targetsRevision   uint64             // of the targets last sent to it
 	routesSent        int64              // version of the routes last sent to it
 	readsSentAt       time.Time          // when the store was last read of what was last sent to it
-	holdings          holdings.Revisions // of the lists last sent to it
+	holdings          holdings.Sent      // lists last sent to it
 	quarantineSent    uint64             // revision of the quarantine up to which it has been told
 	keepsHoldings     bool               // it accepts states without unchanged holdings
 	keepsTargets      bool               // it accepts changes to the targets
 	readsPackedParts  bool               // it accepts prompt parts in the packed form
+	keepsLists        bool               // it accepts changes to the holdings
 	updates           chan update
 }
 
@@ -135,7 +136,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	from.node, from.lastHeartbeatAt, from.requests, from.pendingPrefillMs = heartbeat.GetNode(), w.now(), heartbeat.GetUses(), heartbeat.GetUnreadMs()
-	from.keepsHoldings, from.keepsTargets, from.readsPackedParts = heartbeat.GetKeepsHoldings(), heartbeat.GetKeepsTargets(), heartbeat.GetReadsPackedParts()
+	from.keepsHoldings, from.keepsTargets = heartbeat.GetKeepsHoldings(), heartbeat.GetKeepsTargets()
+	from.readsPackedParts, from.keepsLists = heartbeat.GetReadsPackedParts(), heartbeat.GetKeepsLists()
 	parts := w.partsToPassOn(heartbeat.GetParts())
 	for each := range w.members {
 		if each != from {
@@ -393,17 +395,22 @@
 }
 
 // stateFor returns the message for one gateway: the state with the prompt parts queued for it and the reads of the store, and
-// without the lists of what the target holds if the gateway has them already.
+// without the lists of what the target holds if the gateway has them already. Messages on a stream arrive in order or not at all, so that
+// the gateway has the lists that were last sent to it.
 func (w *watchers) stateFor(next update, recipient *watcher) *wire.TargetState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	reads := w.storeReadsFor(recipient)
 	state := next.full
-	if recipient.keepsHoldings && recipient.holdings == next.holdings {
+	switch {
+	case state.GetEngineDown():
+	case recipient.keepsLists && len(w.members) > maxFewWatchers && recipient.holdings.Any():
+		state = recipient.holdings.Changes(next.full, next.withoutHoldings, next.holdings)
+	case recipient.keepsHoldings && recipient.holdings.Has(next.holdings):
 		state = next.withoutHoldings
 	}
 	if !state.GetEngineDown() {
-		recipient.holdings = next.holdings
+		recipient.holdings.Record(next.full, next.holdings)
 	}
 	entries, revision := w.quarantine.Changes(recipient.quarantineSent, false)
 	recipient.quarantineSent = revision
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -202,7 +202,7 @@
 func (a *agentClients) newHeartbeat() *wire.WatcherUpdate {
 	storeEpoch, _ := a.epochs.Current()
 	many := a.fleet.GatewayCount() > maxGatewaysForFastHeartbeat
-	return &wire.WatcherUpdate{Node: a.name, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch), ReadsPackedParts: many}
+	return &wire.WatcherUpdate{Node: a.name, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch), ReadsPackedParts: many, KeepsLists: many}
 }
 
 // sendHeartbeats sends heartbeats with the usage, and to relay agents with the demand, until ctx ends or the stream breaks.
