Send the demand of many gateways at intervals that grow with their number

From 9 gateways on, each heartbeat to an agent that reads the store had the whole demand of its gateway, and each request at that agent's engine causes up to three heartbeats. The demand now goes with a heartbeat only if it is urgent or the last is 1 s times the square root of the gateways over 10 old, at most 2.5 s: an agent reads the store for 3 s after a heartbeat with demand. Heartbeats still come each second. Demand is not left out as unchanged: averages fade all the time, by half within 2 s.

--- a/agent/watchers_test.go
+++ b/agent/watchers_test.go
@@ -241,3 +241,27 @@
 		}
 	}
 }
+
+// TestDemandIsKeptBetweenTheHeartbeatsThatHaveIt covers gateways that send their demand with some heartbeats only: until the next it must count, and
+// the store must be read.
+func TestDemandIsKeptBetweenTheHeartbeatsThatHaveIt(t *testing.T) {
+	const demandInterval = 2500 * time.Millisecond // the longest of gateways
+	w, clock := newTestWatchers()
+	gateway := w.add()
+	w.publish(&wire.TargetState{TargetId: "t"})
+	for n := range 40 {
+		beat := &wire.WatcherUpdate{Node: "g"}
+		if n%int(demandInterval/(500*time.Millisecond)) == 0 {
+			beat.HasDemand, beat.Demand = true, demand("m", 42)
+		}
+		w.handleHeartbeat(gateway, beat)
+		clock.advance(500 * time.Millisecond)
+		w.publish(&wire.TargetState{TargetId: "t", Sequence: int64(n)})
+		if state := received(w, gateway); len(state.GetDemand()) != 1 || state.GetDemand()[0].GetWork() != 42 {
+			t.Errorf("heartbeat %d: the planner received demand %v, want one model with work 42", n, state.GetDemand())
+		}
+		if !w.isRelay() {
+			t.Errorf("heartbeat %d: the store is not read", n)
+		}
+	}
+}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -209,15 +209,20 @@
 func (a *agentClients) sendHeartbeats(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
 	pushUsage := a.usageChannel(address)
 	var quarantineRevision uint64 // up to which the agent has been told
+	var schedule demandSchedule
+	isDemandPushed := false
 	a.queueKeptOrigins(address)
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
+		gateways := a.fleet.GatewayCount()
 		update := a.newHeartbeat()
-		update.HasDemand = isRelay
-		if isRelay {
+		update.HasDemand = isRelay && schedule.take(gateways, isDemandPushed, time.Now())
+		if update.GetHasDemand() {
 			for _, d := range a.fleet.Demand(time.Now()) {
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
 			}
+		}
+		if isRelay {
 			update.Quarantine, quarantineRevision = a.crashes.table.Changes(quarantineRevision, true)
 		}
 		update.Origins = a.takeOrigins(address)
@@ -233,16 +238,17 @@
 			return
 		}
 		interval := heartbeatInterval
-		switch {
-		case !isRelay:
+		if isRelay {
+			interval = schedule.wait(gateways, time.Now())
+		} else {
 			pushDemand = nil
-		case a.fleet.GatewayCount() <= maxGatewaysForFastHeartbeat:
-			interval = relayHeartbeatInterval
 		}
+		isDemandPushed = false
 		select {
 		case <-ctx.Done():
 			return
 		case <-pushDemand:
+			isDemandPushed = true
 			_ = pause.For(ctx, demandBatchDelay)
 		case <-pushUsage:
 			_ = pause.For(ctx, usageBatchDelay)
