State the bytes of agents before and after compact states

The busiest agent of the trial with 104 gateways did not read the store, so that the load of the test has it as a case of its own, with its target as the bound: from 30 to 100 gateways, and from 10, no faster than the square root.

--- a/agent/sent_bytes_test.go
+++ b/agent/sent_bytes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -33,16 +34,18 @@
 type engineLoad struct {
 	requestsPerS       float64
 	adapterChangesPerS float64 // adapters that the engine loads or drops
+	readsStore         bool    // the agent reads the store for the gateways
 }
 
 var (
-	meanLoad = engineLoad{requestsPerS: 3.1}
+	meanLoad = engineLoad{requestsPerS: 3.1, readsStore: true}
 	// busyLoad has 31 prompt parts a second to be passed on and an adapter that comes or goes each second, as the busiest agent of a trial
-	// with 104 gateways had.
-	busyLoad = engineLoad{requestsPerS: 19, adapterChangesPerS: 1}
+	// with 104 gateways had, which did not read the store.
+	busyLoad      = engineLoad{requestsPerS: 19, adapterChangesPerS: 1}
+	busyRelayLoad = engineLoad{requestsPerS: 19, adapterChangesPerS: 1, readsStore: true}
 )
 
-// relayUnderLoad is an agent that reads the store for gateways, and the gateways that it sends states to, on a fake clock.
+// relayUnderLoad is an agent that may read the store for gateways, and the gateways that it sends states to, on a fake clock.
 type relayUnderLoad struct {
 	load     engineLoad
 	gateway  *wire.WatcherUpdate // what each gateway tells of itself
@@ -77,7 +80,7 @@
 // wholeLists, presentRelease and thisRelease are what gateways tell of themselves: before changes of targets, before compact states,
 // and now.
 func wholeLists() *wire.WatcherUpdate {
-	return &wire.WatcherUpdate{HasDemand: true, KeepsHoldings: true}
+	return &wire.WatcherUpdate{KeepsHoldings: true}
 }
 
 func presentRelease() *wire.WatcherUpdate {
@@ -116,6 +119,7 @@
 
 func (r *relayUnderLoad) heartbeat(g *loadedGateway, i int) {
 	update := proto.Clone(r.gateway).(*wire.WatcherUpdate)
+	update.HasDemand = r.load.readsStore
 	update.Node, update.Parts, update.UnreadMs = fmt.Sprintf("frontend-%03d", i), g.parts, g.pending
 	update.Uses = []*wire.ModelUse{{Model: "m", Requests: uint32(g.requests)}}
 	r.w.handleHeartbeat(g.watcher, update)
@@ -246,14 +250,14 @@
 // intervals that don't depend on the number of gateways in proportion to it.
 func TestSentBytesByGateways(t *testing.T) {
 	t.Parallel()
-	for name, load := range map[string]engineLoad{"mean load": meanLoad, "busy engine": busyLoad} {
+	for name, load := range map[string]engineLoad{"mean load": meanLoad, "busy engine": busyLoad, "busy engine, reads of the store": busyRelayLoad} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			least, _, _ := sent(10, load, thisRelease())
 			for _, gateways := range []int{10, 30, 100} {
 				before, messagesBefore, partsBefore := sent(gateways, load, presentRelease())
 				bytes, messages, parts := sent(gateways, load, thisRelease())
-				t.Logf("%d gateways: %.0f B/s, %.0f messages/s and %.1f parts/s to each in the present release; %.0f B/s, %.0f messages/s and %.1f parts/s now",
+				t.Logf(name+", %d gateways: %.0f B/s, %.0f messages/s and %.1f parts/s to each in the present release; %.0f B/s, %.0f messages/s and %.1f parts/s now",
 					gateways, before, messagesBefore, partsBefore/float64(gateways), bytes, messages, parts/float64(gateways))
 				if load == meanLoad {
 					whole, _, _ := sent(gateways, load, wholeLists())
@@ -267,6 +271,21 @@
 	}
 }
 
+// TestBusiestAgentGrowsBySquareRoot counts what the agent beside a busy engine sends, which is the busiest. The target for its growth, with 30 to 300
+// VMs, is the square root. Prompt parts and lists of what the engine holds, which each gateway needs, would grow with the number of gateways.
+func TestBusiestAgentGrowsBySquareRoot(t *testing.T) {
+	t.Parallel()
+	most, _, _ := sent(100, busyLoad, thisRelease())
+	for _, gateways := range []float64{10, 30} {
+		bytes, _, _ := sent(int(gateways), busyLoad, thisRelease())
+		growth, bound := most/bytes, math.Sqrt(100/gateways)
+		t.Logf("from %.0f to 100 gateways: growth %.2f, the square root is %.2f", gateways, growth, bound)
+		if growth > bound {
+			t.Errorf("%.0f B/s at %.0f gateways and %.0f at 100: growth %.2f, want at most %.2f", bytes, gateways, most, growth, bound)
+		}
+	}
+}
+
 // TestChangesOfTargetsAddUp draws changes of the registry, gateways that miss messages and such that connect again. What a gateway has
 // from whole lists and changes must be what the agent has read, and a change must not be sent as a whole list.
 func TestChangesOfTargetsAddUp(t *testing.T) {
