--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -18,6 +18,7 @@
 	"gypsumbank/dispatch"
 	"gypsumbank/epoch"
 	"gypsumbank/fleet"
+	"gypsumbank/holdings"
 	"gypsumbank/origin"
 	"gypsumbank/pause"
 	"gypsumbank/registry"
@@ -196,19 +197,32 @@
 	return a.relayAgents[address], a.pushDemand
 }
 
+// newHeartbeat returns a heartbeat that tells who this gateway is and which forms of states it understands. Those that only agents of many
+// gateways use are not told by few, whose messages stay as they were.
+func (a *agentClients) newHeartbeat() *wire.WatcherUpdate {
+	storeEpoch, _ := a.epochs.Current()
+	many := a.fleet.GatewayCount() > maxGatewaysForFastHeartbeat
+	return &wire.WatcherUpdate{Node: a.name, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch), ReadsPackedParts: many, KeepsLists: many}
+}
+
 // sendHeartbeats sends heartbeats with the usage, and to relay agents with the demand, until ctx ends or the stream breaks.
 func (a *agentClients) sendHeartbeats(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
 	pushUsage := a.usageChannel(address)
 	var quarantineRevision uint64 // up to which the agent has been told
+	var schedule demandSchedule
+	isDemandPushed := false
 	a.queueKeptOrigins(address)
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
-		storeEpoch, _ := a.epochs.Current()
-		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch)}
-		if isRelay {
+		gateways := a.fleet.GatewayCount()
+		update := a.newHeartbeat()
+		update.HasDemand = isRelay && schedule.take(gateways, isDemandPushed, time.Now())
+		if update.GetHasDemand() {
 			for _, d := range a.fleet.Demand(time.Now()) {
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
 			}
+		}
+		if isRelay {
 			update.Quarantine, quarantineRevision = a.crashes.table.Changes(quarantineRevision, true)
 		}
 		update.Origins = a.takeOrigins(address)
@@ -224,16 +238,17 @@
 			return
 		}
 		interval := heartbeatInterval
-		switch {
-		case !isRelay:
+		if isRelay {
+			interval = schedule.wait(gateways, time.Now())
+		} else {
 			pushDemand = nil
-		case a.fleet.GatewayCount() <= maxGatewaysForFastHeartbeat:
-			interval = relayHeartbeatInterval
 		}
+		isDemandPushed = false
 		select {
 		case <-ctx.Done():
 			return
 		case <-pushDemand:
+			isDemandPushed = true
 			_ = pause.For(ctx, demandBatchDelay)
 		case <-pushUsage:
 			_ = pause.For(ctx, usageBatchDelay)
@@ -296,7 +311,7 @@
 	}()
 	a.setConnected(address, true)
 	a.setTurnLink(address, link)
-	var lastHoldings *wire.TargetState // the last state with the lists of what the target holds
+	var lists holdings.Lists
 	for {
 		state, err := stream.Recv()
 		if err != nil {
@@ -320,11 +335,7 @@
 			a.applyDown(address, state)
 			continue
 		}
-		if state.GetSameHoldings() {
-			state.Models, state.InMemory, state.OnDisk = lastHoldings.GetModels(), lastHoldings.GetInMemory(), lastHoldings.GetOnDisk()
-		} else {
-			lastHoldings = state
-		}
+		lists.Complete(state)
 		a.applyState(address, state)
 	}
 }
@@ -372,11 +383,18 @@
 	a.fleet.SetTotalDemand(demand, int(state.GetWatchers()), time.Now())
 }
 
+// decodeParts returns the prompt parts of a state in either form. Only the low 32 bits of the hashes of packed ones are known.
 func decodeParts(state *wire.TargetState) []fleet.PromptPart {
-	parts := make([]fleet.PromptPart, 0, len(state.GetParts()))
+	tokens := state.GetPartTokens()
+	parts := make([]fleet.PromptPart, 0, len(state.GetParts())+len(tokens))
 	for _, p := range state.GetParts() {
 		parts = append(parts, fleet.PromptPart{Hash: p.GetHash(), Tokens: int(p.GetTokens())})
 	}
+	for i, hash := range state.GetPartHashes() {
+		if i < len(tokens) {
+			parts = append(parts, fleet.PromptPart{Hash: uint64(hash), Tokens: int(tokens[i])})
+		}
+	}
 	return parts
 }
 
