Lower the highest level of a quota soon after a burst

Cause: a level is lowered once a lower one was enough for 1.7 times the use. A customer that uses more than half of its limit never came down from the highest level after a burst, and the highest level leaves nothing to grant after a restart.

Change: the highest level is lowered once one two steps below was enough for 1.15 times the use of the last 5 to 10 s.

--- a/quota/levels.go
+++ b/quota/levels.go
@@ -17,6 +17,11 @@
 	// them: use that varies about the bound of a level must not move it each time.
 	levelInterval = 10 * time.Second
 	lowerMargin   = 1.7
+	// The highest level leaves nothing after a restart, and by that margin a burst would keep a customer there for good which uses more than half of
+	// its limit. It is lowered once one at least peakSteps below was enough for peakMargin times the use of one to two peakIntervals.
+	peakInterval = 5 * time.Second
+	peakMargin   = 1.15
+	peakSteps    = 2
 	// earlyConfirmDelay is the time until a keeper confirms a claim that does not count yet: it must be used more than 4 s after it has joined itself and
 	// after another one has, of which it may learn by this write alone.
 	earlyConfirmDelay = 4500 * time.Millisecond
@@ -56,8 +61,9 @@
 	// then uses of the rest is together what a single keeper could.
 	fills   [quotalevels.Count]float64
 	inForce quotalevels.Level
-	needed  quotalevels.Level    // highest since the level was last lowered
-	enough  [2]quotalevels.Level // for the use with a margin, in the current interval and the one before
+	needed  quotalevels.Level // highest since the level was last lowered
+	enough  recentLevel       // for the use with lowerMargin
+	peak    recentLevel       // for the use with peakMargin
 	usedAt  time.Time
 
 	asked  bool     // by a gateway since it has last taken the part over
@@ -74,7 +80,6 @@
 	changing   bool      // a change is being stored
 	retryAt    time.Time
 	confirmAt  time.Time // when the claim is to be confirmed
-	rotateAt   time.Time // when the current interval of enough ends
 	sharesTill time.Time // until when shareFill holds beside the rule for keepers without a row
 	shareLevel quotalevels.Level
 	shareFill  float64
@@ -84,7 +89,7 @@
 // newLevels returns the levels of a keeper which started the given time ago and knows nothing of what was granted before. Until its row is stored,
 // it is within the lowest level also together with the keeper before it, in debt as at the start of any keeper.
 func newLevels(p part, ago time.Duration, now time.Time) *levels {
-	l := &levels{takenAt: now, takeover: 1, usedAt: now}
+	l := &levels{takenAt: now, takeover: 1, usedAt: now, enough: recentLevel{length: levelInterval}, peak: recentLevel{length: peakInterval}}
 	for i := range l.fills {
 		share := quotalevels.Level(i).Share()
 		l.fills[i] = min(share*p.capacity, share*p.rate*ago.Seconds()-p.debt)
@@ -227,9 +232,25 @@
 	for l.needed < quotalevels.Highest && !l.allows(l.needed, p, granted, missing) {
 		l.needed++
 	}
-	for l.enough[0] < quotalevels.Highest && !l.allows(l.enough[0], p, lowerMargin*granted, missing) {
-		l.enough[0]++
+	l.enough.current = l.lowest(l.enough.current, p, lowerMargin*granted, missing)
+	l.peak.current = l.lowest(l.peak.current, p, peakMargin*granted, missing)
+}
+
+// lowest returns the lowest level that allows what was granted and a further grant, at least a given one.
+func (l *levels) lowest(least quotalevels.Level, p part, granted, missing float64) quotalevels.Level {
+	for least < quotalevels.Highest && !l.allows(least, p, granted, missing) {
+		least++
+	}
+	return least
+}
+
+// lowered returns the level that was enough lately, and whether it is so far below the one in force that it is to be stored.
+func (l *levels) lowered() (quotalevels.Level, bool) {
+	if peak := l.peak.highest(); l.inForce == quotalevels.Highest && peak <= l.inForce-peakSteps {
+		return peak, true
 	}
+	enough := l.enough.highest()
+	return enough, enough < l.inForce
 }
 
 // allows reports whether a level allows what was granted and a further grant.
@@ -247,6 +268,7 @@
 
 // change returns what is to be stored now, if anything is.
 func (l *levels) change(now time.Time) (start bool, level quotalevels.Level, due bool) {
+	lowered, isLower := l.lowered()
 	switch {
 	case l.changing || now.Before(l.retryAt):
 		return false, 0, false
@@ -258,25 +280,14 @@
 		return false, l.inForce, true
 	case now.Sub(l.usedAt) >= unusedTime:
 		return false, 0, false
-	case slices.Max(l.enough[:]) < l.inForce:
-		return false, slices.Max(l.enough[:]), true
+	case isLower:
+		return false, lowered, true
 	case !now.Before(l.confirmAt):
 		return false, l.inForce, true
 	}
 	return false, 0, false
 }
 
-// rotate begins a new interval once the current one is over.
-func (l *levels) rotate(now time.Time) {
-	if now.Before(l.rotateAt) {
-		return
-	}
-	for range min(1+int(now.Sub(l.rotateAt)/levelInterval), len(l.enough)) {
-		l.enough = [...]quotalevels.Level{0, l.enough[0]}
-	}
-	l.rotateAt = now.Add(levelInterval)
-}
-
 // Changes returns what is to be stored now. Stored or Failed must be called for each.
 func (k *Keeper) Changes(now time.Time) []Change {
 	var changes []Change
@@ -339,8 +350,10 @@
 		}
 		return
 	}
-	l.stored, l.alone, l.enough = true, out.Alone, [...]quotalevels.Level{out.Level, out.Level}
-	l.confirmAt, l.rotateAt = now.Add(earlyConfirmDelay), now.Add(levelInterval)
+	l.stored, l.alone = true, out.Alone
+	l.enough.begin(out.Level, now)
+	l.peak.begin(out.Level, now)
+	l.confirmAt = now.Add(earlyConfirmDelay)
 	granted := b.history.grantedSince(l.takenSlot)
 	for i := range l.fills {
 		l.fills[i] = quotalevels.Level(i).Share()*b.part.capacity - granted
--- a/quota/ways.go
+++ b/quota/ways.go
@@ -93,7 +93,8 @@
 func (b *bucket) observeUse(in Reservation, reply *Reply, now time.Time) {
 	l := b.levels
 	l.usedAt = now
-	l.rotate(now)
+	l.enough.rotate(now)
+	l.peak.rotate(now)
 	if l.stored {
 		l.need(b.part, b.history.granted(), b.missing(in, reply))
 	}
