Count server errors of engines as failures among many gateways

Cause: a server error that is passed on, as its request must not be sent again, counted as a complete answer. With fewer gateways, and for plain targets, nothing changes.

--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"time"
 
 	"gypsumbank/registry"
@@ -19,6 +20,7 @@
 	Misdirected               // the target did not run the request, as it does not hold the model or is another one
 	Unreached                 // no connection to the target
 	Abandoned                 // ended by the caller or by a timeout
+	ServerError               // the answer of an engine is complete, and a server error; among few gateways that is Served
 )
 
 const (
@@ -113,6 +115,17 @@
 	}
 }
 
+// EndComplete records that a complete answer with an HTTP status has arrived. Among many gateways a server error of an engine counts as a
+// failure: most requests must not be sent again, so that an engine which fails them would never be avoided, and gets more of them as it has
+// little load.
+func (a *Assignment) EndComplete(status int, now time.Time) {
+	result := Served
+	if status >= http.StatusInternalServerError && a.request.Model != "" && a.fleet.GatewayCount() >= manyGateways {
+		result = ServerError
+	}
+	a.End(result, now)
+}
+
 // finish does the work of End under the lock and reports whether this was the first call.
 func (a *Assignment) finish(result Result, now time.Time) bool {
 	a.fleet.mu.Lock()
@@ -205,7 +218,7 @@
 	s := a.state
 	s.performance.addResult(result, now)
 	switch result {
-	case Served:
+	case Served, ServerError:
 		s.connectFailures = 0
 	case Failed:
 	case Unreached:
--- a/fleet/backup.go
+++ b/fleet/backup.go
@@ -126,7 +126,7 @@
 // caller holds the lock.
 func (b *Backup) end(result Result, now time.Time) {
 	switch result {
-	case Served, Refused, Misdirected, Unreached:
+	case Served, ServerError, Refused, Misdirected, Unreached:
 		b.fleet.removeBackup(b)
 	case Failed, Abandoned:
 		b.expires = now.Add(b.lifetime)
--- a/fleet/performance.go
+++ b/fleet/performance.go
@@ -72,7 +72,7 @@
 	case Served:
 		p.served++
 		p.accepted++
-	case Failed:
+	case Failed, ServerError:
 		p.failed++
 		p.accepted++
 	case Refused:
--- a/fleet/performance_test.go
+++ b/fleet/performance_test.go
@@ -80,3 +80,31 @@
 		})
 	}
 }
+
+// TestServerErrorsOfEnginesCountAmongManyGateways guards against an engine that answers with errors and is never avoided, as its requests must
+// not be sent again, and against deployments with few gateways that choose otherwise than before.
+func TestServerErrorsOfEnginesCountAmongManyGateways(t *testing.T) {
+	tests := map[string]struct {
+		gateways, status int
+		wantFailed       bool
+	}{
+		"many gateways, error":       {manyGateways, 500, true},
+		"many gateways, unavailable": {manyGateways, 503, true},
+		"many gateways, bad request": {manyGateways, 400, false},
+		"few gateways, error":        {manyGateways - 1, 500, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet([]string{"hot"})
+			observation := newObservation(f.states["e0"].report)
+			observation.Watchers = test.gateways
+			f.Observe("e0", observation, start)
+			a := f.Assign(mustChoose(t, f, shortRequest("hot")), shortRequest("hot"), start)
+			a.Start(start)
+			a.EndComplete(test.status, start)
+			if rate := f.states["e0"].performance.errorRate(start); (rate > 0) != test.wantFailed {
+				t.Errorf("error rate %.2f", rate)
+			}
+		})
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -49,7 +49,7 @@
 	e.logEnd(answered, known, events)
 	switch {
 	case err == nil:
-		answered.Assignment.End(fleet.Served, time.Now())
+		answered.Assignment.EndComplete(answered.Response.Status, time.Now())
 		e.judgeContents(answered, known)
 		e.countOutcome(servedOutcome(known))
 		return nil, false
