Tell each gateway what the others have seen of an engine's answers

A gateway goes by its own averages or those of the others, whichever are larger. tally.All gives what all gateways see, for the rise and the log lines. A test of tally covers it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -108,6 +108,7 @@
 	averageUse      map[string]float64 // moving average of concurrent requests, by model
 	useAveragedAt   time.Time          // time of the last update of averageUse
 	budgetRetryAt   time.Time          // earliest time of the next attempt to take from loadBudget
+	answersFail     bool               // it was logged that gateways report failures of the engine
 }
 
 // New returns an agent for the engine that config names as its target.
--- a/agent/control.go
+++ b/agent/control.go
@@ -106,6 +106,7 @@
 	a.recordModels()
 	if a.targetID != "" {
 		a.watchers.publish(a.targetState())
+		a.logErrorRate()
 	}
 }
 
--- a/agent/sent_bytes_test.go
+++ b/agent/sent_bytes_test.go
@@ -40,12 +40,15 @@
 	running  []runningRequest
 	bytes    int
 	messages int
+
+	answerRandom *rand.Rand // of the answers that gateways report; nil if they report none
 }
 
 type loadedGateway struct {
 	watcher  *watcher
 	requests int
 	parts    []*wire.PromptPart
+	answers  *wire.Answers
 	pending  float32
 	sentAt   time.Time
 	changed  bool
@@ -80,8 +83,9 @@
 func (r *relayUnderLoad) heartbeat(g *loadedGateway, i int, keepsTargets bool) {
 	r.w.handleHeartbeat(g.watcher, &wire.WatcherUpdate{
 		Node: fmt.Sprintf("frontend-%03d", i), HasDemand: true, KeepsHoldings: true, KeepsTargets: keepsTargets,
-		Uses: []*wire.ModelUse{{Model: "m", Requests: uint32(g.requests)}}, UnreadMs: g.pending, Parts: g.parts,
+		Uses: []*wire.ModelUse{{Model: "m", Requests: uint32(g.requests)}}, UnreadMs: g.pending, Parts: g.parts, Answers: g.answers,
 	})
+	g.answers = nil
 	g.parts, g.changed, g.sentAt = nil, false, r.clock.at
 }
 
@@ -162,6 +166,7 @@
 func (r *relayUnderLoad) end(each runningRequest) bool {
 	each.gateway.requests--
 	each.gateway.changed = true
+	r.addAnswer(each)
 	return true
 }
 
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -11,6 +11,7 @@
 	"gypsumbank/origin"
 	"gypsumbank/quarantine"
 	"gypsumbank/registry"
+	"gypsumbank/tally"
 	"gypsumbank/wire"
 )
 
@@ -74,12 +75,15 @@
 	origins          *origin.Table // of the streams of all gateways
 	blocklistDue     chan struct{} // holds a value after a content was blocked or unblocked, and when gateways begin to rely on this agent
 	prefillTurns     *prefillTurns // nil if there are none
+	answers          *tally.Tally  // of the target, as gateways report them
+	errorRateSent    float64       // by answers, when the last state was sent
 	relayRequested   chan struct{} // receives a value when a gateway needs reads of the store and none did before
 }
 
 // watcher is a gateway that watches the target, with its last heartbeat.
 type watcher struct {
 	node              string
+	zone              string // availability zone
 	lastHeartbeatAt   time.Time
 	demand            []*wire.ModelDemand
 	requests          []*wire.ModelUse
@@ -105,7 +109,7 @@
 func newWatchers(now func() time.Time) *watchers {
 	return &watchers{
 		now: now, members: map[*watcher]struct{}{}, relayRequested: make(chan struct{}, 1),
-		quarantine: quarantine.New(now), origins: origin.New(now), blocklistDue: make(chan struct{}, 1),
+		quarantine: quarantine.New(now), origins: origin.New(now), blocklistDue: make(chan struct{}, 1), answers: tally.New(),
 	}
 }
 
@@ -142,6 +146,7 @@
 	}
 	w.mergeQuarantine(heartbeat.GetQuarantine())
 	w.origins.Merge(heartbeat.GetOrigins())
+	w.recordAnswers(from, heartbeat)
 	w.broadcastLoadChange()
 	if heartbeat.GetHasDemand() {
 		w.requestRelay()
@@ -155,6 +160,7 @@
 func (w *watchers) publish(state *wire.TargetState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.answers.Begin(tally.Run{TargetID: state.GetTargetId(), Born: state.GetBorn()})
 	live := w.live()
 	state.Watchers = uint32(len(live))
 	state.UnreadMs, state.WaitingMs = w.unreadMs(live)
@@ -224,7 +230,8 @@
 }
 
 // broadcastLoadChange sends the last state again if, since it was sent, the pending prefill time at the target has risen by
-// pendingPrefillRiseMs or the number of requests there has changed by minRequestsChange; the caller holds the lock.
+// pendingPrefillRiseMs, the number of requests there has changed by minRequestsChange or the error rate has risen by errorRateRise; the
+// caller holds the lock.
 func (w *watchers) broadcastLoadChange() {
 	if w.lastState == nil || w.down != nil {
 		return
@@ -233,7 +240,7 @@
 	pending, waiting := w.unreadMs(live)
 	requests := sumRequests(live)
 	prefillRose := pending >= w.lastState.GetUnreadMs()+pendingPrefillRiseMs && (len(live) <= immediateRiseWatchers || w.loadChangeDue(len(live)))
-	if !prefillRose && !w.requestsChangeDue(requests, len(live)) {
+	if !prefillRose && !w.requestsChangeDue(requests, len(live)) && !w.errorRateRiseDue(len(live)) {
 		return
 	}
 	w.useNewestState(len(live))
@@ -263,6 +270,7 @@
 
 // broadcastLast sends the last state, or that the engine does not answer, to all gateways; the caller holds the lock.
 func (w *watchers) broadcastLast() {
+	w.errorRateSent = w.errorRate()
 	next := w.newestUpdate()
 	for each := range w.members {
 		each.send(next)
@@ -377,7 +385,8 @@
 	}
 }
 
-// stateFor returns the message for one gateway: the state with the prompt parts queued for it and the reads of the store, and
+// stateFor returns the message for one gateway: the state with the prompt parts queued for it, the reads of the store and what the other
+// gateways have seen of the target's answers, and
 // without the lists of what the target holds if the gateway has them already.
 func (w *watchers) stateFor(next update, recipient *watcher) *wire.TargetState {
 	w.mu.Lock()
@@ -393,9 +402,9 @@
 	entries, revision := w.quarantine.Changes(recipient.quarantineSent, false)
 	recipient.quarantineSent = revision
 	if len(recipient.queuedPromptParts) == 0 && reads == nil && entries == nil {
-		return state
+		return w.addOthers(state, recipient)
 	}
-	message := proto.Clone(state).(*wire.TargetState)
+	message := proto.Clone(w.addOthers(state, recipient)).(*wire.TargetState)
 	message.Parts, recipient.queuedPromptParts = recipient.queuedPromptParts, nil
 	message.StoreReads, message.Quarantine = reads, entries
 	return message
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"gypsumbank/registry"
 	"gypsumbank/route"
 	"gypsumbank/spread"
+	"gypsumbank/tally"
 )
 
 const (
@@ -128,6 +129,9 @@
 	}
 }
 
+// AvailabilityZone returns the zone of the gateway.
+func (f *Fleet) AvailabilityZone() string { return f.zone }
+
 // Seed sets where the sequence of numbers begins that choices among many gateways are drawn by. It must differ between gateways.
 func (f *Fleet) Seed(seed uint64) {
 	f.mu.Lock()
@@ -263,6 +267,8 @@
 	Requests int
 	// Parts holds prompt parts that other gateways have sent there since the last message.
 	Parts []PromptPart
+	// Others is what the answers to the other gateways tell of the target.
+	Others tally.Estimate
 }
 
 // Observe updates the state of a target from its agent's message. A message about an earlier run of the target, or from before
@@ -296,6 +302,7 @@
 	s.backlog.set(s.pendingPrefillMs+s.othersPrefillMs, now)
 	s.occupancy.set(float64(s.inflight+s.othersInflight), now)
 	s.performance.rare = observation.Watchers >= manyGateways
+	s.performance.setOthers(observation, now)
 	if report.KVTotal > 0 {
 		s.promptCache.limitTokens = int(promptCacheShare * float64(report.KVTotal))
 	}
@@ -332,10 +339,12 @@
 	Uses             []ModelUse
 	PendingPrefillMs float64      // expected prefill time of the requests without a first byte
 	Parts            []PromptPart // prompt parts sent since the last report
+	Run              tally.Run    // the run of the target that Answers are of
+	Answers          tally.Report // since the last report; empty among few gateways
 }
 
-// TakeLoadReport returns this gateway's load on the one target that matches, and removes the reported prompt parts from
-// its queue.
+// TakeLoadReport returns this gateway's load on the one target that matches, and removes the reported prompt parts and answers from
+// what is to be reported.
 func (f *Fleet) TakeLoadReport(matches func(registry.Target) bool) LoadReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -346,6 +355,9 @@
 		report := LoadReport{PendingPrefillMs: s.pendingPrefillMs, Parts: s.unsentParts}
 		s.unsentParts = nil
 		s.reportedInflight = s.inflight
+		if answers := s.performance.takeUnreported(); s.watchers >= tally.MinGateways {
+			report.Run, report.Answers = tally.Run{TargetID: s.ID, Born: s.Born}, answers
+		}
 		for a, n := range s.requestsByAdapter {
 			report.Uses = append(report.Uses, ModelUse{Adapter: a, Requests: n})
 		}
--- a/fleet/performance.go
+++ b/fleet/performance.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"gypsumbank/tally"
 )
 
 const (
@@ -33,7 +35,33 @@
 	served, failed     float64 // decaying numbers of answers
 	accepted, refused  float64 // decaying numbers of requests that the target has run and refused
 	decayedAt          time.Time
-	rare               bool // this gateway sees few of the target's answers
+	rare               bool           // this gateway sees few of the target's answers
+	unreported         tally.Report   // answers that the target's agent has not been told of
+	others             tally.Estimate // what the other gateways' answers tell, as of othersAt
+	othersAt           time.Time
+}
+
+// setOthers records what a state of the target's agent tells of the other gateways' answers; nothing with few gateways.
+func (p *performance) setOthers(observation Observation, now time.Time) {
+	p.others, p.othersAt = tally.Estimate{}, now
+	if observation.Watchers >= tally.MinGateways {
+		p.others = observation.Others
+	}
+}
+
+// othersAsOf returns what the other gateways' answers tell. Without a state for reportLifetime this gateway's own answers count alone.
+func (p *performance) othersAsOf(now time.Time) tally.Estimate {
+	if now.Sub(p.othersAt) >= reportLifetime {
+		return tally.Estimate{}
+	}
+	return p.others
+}
+
+// takeUnreported returns the answers since the last call.
+func (p *performance) takeUnreported() tally.Report {
+	report := p.unreported
+	p.unreported = tally.Report{}
+	return report
 }
 
 // slownessTimeConstant returns the time constant with which measured slowness decays.
@@ -60,8 +88,11 @@
 // speed: an expectation that includes the measured slowness of this target would hide part of it.
 func (p *performance) addFirstByte(tookMs, baselineMs float64, now time.Time) {
 	p.decay(now)
-	p.tookMs += min(tookMs, maxSlowness*baselineMs)
+	tookMs = min(tookMs, maxSlowness*baselineMs)
+	p.tookMs += tookMs
 	p.baselineMs += baselineMs
+	p.unreported.TookMs += tookMs
+	p.unreported.ExpectedMs += baselineMs
 }
 
 // addResult adds the result of a request. Complete and failed answers count for the error rate, and those and refusals for
@@ -72,26 +103,29 @@
 	case Served:
 		p.served++
 		p.accepted++
+		p.unreported.Served++
 	case Failed, ServerError:
 		p.failed++
 		p.accepted++
+		p.unreported.Failed++
 	case Refused:
 		p.refused++
 	case Misdirected, Unreached, Abandoned:
 	}
 }
 
-// slowness returns the factor, at least 1, by which first bytes take longer than expected of a target of usual speed.
-// It works on a copy, like errorRate, so that a query changes nothing.
+// slowness returns the factor, at least 1, by which first bytes take longer than expected of a target of usual speed: that of
+// this gateway's answers or that of the others', whichever is larger. It works on a copy, like errorRate, so that a query changes nothing.
 func (p performance) slowness(now time.Time) float64 {
 	p.decay(now)
-	return max(1, (p.tookMs+priorFirstByteMs)/(p.baselineMs+priorFirstByteMs))
+	return max(1, (p.tookMs+priorFirstByteMs)/(p.baselineMs+priorFirstByteMs), p.othersAsOf(now).Slowness)
 }
 
-// errorRate returns the expected share of answers that fail, between 0 and 1.
+// errorRate returns the expected share of answers that fail, between 0 and 1: that of this gateway's answers or that of the others',
+// whichever is larger, so that complete answers to others don't hide a fault between this gateway and the target.
 func (p performance) errorRate(now time.Time) float64 {
 	p.decay(now)
-	return p.failed / (p.failed + p.served + priorServed)
+	return max(p.failed/(p.failed+p.served+priorServed), p.othersAsOf(now).ErrorRate)
 }
 
 // refusalRate returns the share of requests that the target has lately refused, between 0 and 1.
--- a/fleet/performance_test.go
+++ b/fleet/performance_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"gypsumbank/registry"
+	"gypsumbank/tally"
 )
 
 // serveLongRequest empties the prompt cache of the engine with the given id, sends a long request to this engine by
@@ -81,6 +84,38 @@
 	}
 }
 
+// observeOthers has the agent of e0 tell what the other gateways' answers show.
+func observeOthers(f *Fleet, gateways int, now time.Time) {
+	observation := newObservation(f.states["e0"].report)
+	observation.Watchers, observation.Others = gateways, tally.Estimate{ErrorRate: 0.4, Slowness: 3}
+	f.Observe("e0", observation, now)
+}
+
+// TestAnswersToOthersCountAmongManyGateways guards against an engine that each gateway has to try by itself, against one that is left for what
+// its agent has not confirmed for reportLifetime, and against deployments with few gateways that choose otherwise than before.
+func TestAnswersToOthersCountAmongManyGateways(t *testing.T) {
+	tests := map[string]struct {
+		gateways      int
+		age           time.Duration
+		wantErrorRate float64
+		wantSlowness  float64
+	}{
+		"many gateways":               {manyGateways, 0, 0.4, 3},
+		"few gateways":                {manyGateways - 1, 0, 0, 1},
+		"many gateways, agent silent": {manyGateways, reportLifetime, 0, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet([]string{"hot"}, []string{"hot"})
+			observeOthers(f, test.gateways, start)
+			p := f.states["e0"].performance
+			if rate, slowness := p.errorRate(start.Add(test.age)), p.slowness(start.Add(test.age)); rate != test.wantErrorRate || slowness != test.wantSlowness {
+				t.Errorf("error rate %.2f, slowness %.1f, want %.2f and %.1f", rate, slowness, test.wantErrorRate, test.wantSlowness)
+			}
+		})
+	}
+}
+
 // TestServerErrorsOfEnginesCountAmongManyGateways guards against an engine that answers with errors and is never avoided, as its requests must
 // not be sent again, and against deployments with few gateways that choose otherwise than before.
 func TestServerErrorsOfEnginesCountAmongManyGateways(t *testing.T) {
@@ -108,3 +143,60 @@
 		})
 	}
 }
+
+// TestOwnFailuresAreNotHidden guards against a gateway with a bad link to an engine which goes on to use it as the others are served.
+func TestOwnFailuresAreNotHidden(t *testing.T) {
+	f := newTestFleet([]string{"hot"}, []string{"hot"})
+	p := &f.states["e0"].performance
+	for range 5 {
+		p.addResult(Failed, start)
+	}
+	alone := p.errorRate(start)
+	observation := newObservation(registry.Report{Born: 1})
+	observation.Watchers = manyGateways
+	f.Observe("e0", observation, start)
+	if got := p.errorRate(start); got != alone {
+		t.Errorf("error rate %.2f, want %.2f as by this gateway's own answers", got, alone)
+	}
+}
+
+// TestOnlyAnswersOfTheTargetAreReported guards against reports that count what is no fault of the target, as requests that callers have
+// cancelled, and against answers that are reported twice, with few gateways or of an earlier run.
+func TestOnlyAnswersOfTheTargetAreReported(t *testing.T) {
+	f := newTestFleet([]string{"hot"})
+	take := func() LoadReport { return f.TakeLoadReport(func(registry.Target) bool { return true }) }
+	serve := func(started bool, result Result) {
+		a := f.Assign(mustChoose(t, f, shortRequest("hot")), shortRequest("hot"), start)
+		if started {
+			a.Start(start.Add(50 * time.Millisecond))
+		}
+		a.End(result, start.Add(time.Second))
+	}
+	serve(true, Failed)
+	if got := take(); !got.Answers.IsEmpty() {
+		t.Errorf("with few gateways reported %+v", got.Answers)
+	}
+	observeOthers(f, manyGateways, start)
+	for _, result := range []Result{Abandoned, Refused, Misdirected, Unreached} {
+		serve(false, result)
+	}
+	if got := take(); !got.Answers.IsEmpty() {
+		t.Errorf("without answers reported %+v", got.Answers)
+	}
+	serve(true, Served)
+	serve(false, Failed)
+	got := take()
+	if got.Run != (tally.Run{TargetID: "e0", Born: 1}) || got.Answers.Served != 1 || got.Answers.Failed != 1 || got.Answers.TookMs != 50 || got.Answers.ExpectedMs <= 0 {
+		t.Errorf("reported %+v of %+v, want one answer that was served after 50 ms and one that failed", got.Answers, got.Run)
+	}
+	if got := take(); !got.Answers.IsEmpty() {
+		t.Errorf("reported %+v a second time", got.Answers)
+	}
+	a := f.Assign(mustChoose(t, f, shortRequest("hot")), shortRequest("hot"), start)
+	f.Observe("e0", newObservation(registry.Report{Born: 2}), start)
+	observeOthers(f, manyGateways, start)
+	a.End(Failed, start)
+	if got := take(); !got.Answers.IsEmpty() {
+		t.Errorf("reported %+v of an earlier run", got.Answers)
+	}
+}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -22,6 +22,7 @@
 	"gypsumbank/pause"
 	"gypsumbank/registry"
 	"gypsumbank/standby"
+	"gypsumbank/tally"
 	"gypsumbank/wire"
 )
 
@@ -201,10 +202,12 @@
 	pushUsage := a.usageChannel(address)
 	var quarantineRevision uint64 // up to which the agent has been told
 	a.queueKeptOrigins(address)
+	zone := a.fleet.AvailabilityZone() // told in the first update
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
 		storeEpoch, _ := a.epochs.Current()
-		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch)}
+		update := &wire.WatcherUpdate{Node: a.name, HasDemand: isRelay, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch), AvailabilityZone: zone}
+		zone = ""
 		if isRelay {
 			for _, d := range a.fleet.Demand(time.Now()) {
 				update.Demand = append(update.Demand, &wire.ModelDemand{Service: d.Service, Model: d.Model, Work: float32(d.WorkMsPerS)})
@@ -214,6 +217,7 @@
 		update.Origins = a.takeOrigins(address)
 		share := a.fleet.TakeLoadReport(func(t registry.Target) bool { return a.address(t.Address) == address })
 		update.UnreadMs = float32(share.PendingPrefillMs)
+		update.Answers = encodeAnswers(share)
 		for _, use := range share.Uses {
 			update.Uses = append(update.Uses, &wire.ModelUse{Model: use.Model, Adapter: use.Name, Requests: uint32(use.Requests)})
 		}
@@ -242,6 +246,17 @@
 	}
 }
 
+// encodeAnswers returns what this gateway has seen of a target's answers since its last report, or nil.
+func encodeAnswers(share fleet.LoadReport) *wire.Answers {
+	if share.Answers.IsEmpty() {
+		return nil
+	}
+	return &wire.Answers{
+		TargetId: share.Run.TargetID, Born: share.Run.Born, Served: uint32(share.Answers.Served), Failed: uint32(share.Answers.Failed),
+		FirstByteMs: float32(share.Answers.TookMs), ExpectedMs: float32(share.Answers.ExpectedMs),
+	}
+}
+
 // close ends all connections and waits for their goroutines.
 func (a *agentClients) close() {
 	a.setAddresses(nil)
@@ -356,6 +371,7 @@
 	a.fleet.Observe(state.GetTargetId(), fleet.Observation{
 		Report: report, Host: registry.Host(address), Loading: state.GetLoading(), Watchers: int(state.GetWatchers()), PlannedHere: state.GetPlanner() == a.name,
 		AvailableAdapterSlots: int(state.GetAdapterRoom()), QueuedPrefillMs: float64(state.GetUnreadMs()), TurnWaitMs: float64(state.GetWaitingMs()), Requests: int(state.GetRequests()), Parts: decodeParts(state),
+		Others: tally.Estimate{ErrorRate: float64(state.GetOthersFailedPercent()) / 100, Slowness: float64(state.GetOthersSlownessTenths()) / 10},
 	}, time.Now())
 	a.applyDemand(state)
 }
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -184,10 +184,24 @@
 
 // Others returns what the reports of all gateways but one tell that one, which is in a zone.
 func (t *Tally) Others(gateway, zone string, now time.Time) Estimate {
+	return t.estimate(now, func(name string) bool { return name != gateway }, func(failed, excessMs *bounded) (float64, float64) {
+		return failed.value(zone, maxZoneFailed), excessMs.value(zone, maxZoneExcessMs)
+	})
+}
+
+// All returns what the reports of all gateways tell, of whatever zones.
+func (t *Tally) All(now time.Time) Estimate {
+	return t.estimate(now, func(string) bool { return true }, func(failed, excessMs *bounded) (float64, float64) {
+		return failed.value("", math.Inf(1)), excessMs.value("", math.Inf(1))
+	})
+}
+
+// estimate returns the averages over the gateways that are included, with their prior and rounded for messages.
+func (t *Tally) estimate(now time.Time, includes func(gateway string) bool, bound func(failed, excessMs *bounded) (float64, float64)) Estimate {
 	served, expectedMs := 0.0, 0.0
 	var failed, excessMs bounded
 	for name, each := range t.gateways {
-		if name == gateway {
+		if !includes(name) {
 			continue
 		}
 		s := each.at(now)
@@ -196,16 +210,12 @@
 		failed.add(min(s.failed, maxGatewayFailed), s.zone)
 		excessMs.add(min(s.tookMs-s.expectedMs, maxGatewayExcessMs), s.zone)
 	}
-	return estimate(served, failed.value(zone, maxZoneFailed), expectedMs, excessMs.value(zone, maxZoneExcessMs))
-}
-
-// estimate returns the averages of the sums with their prior, rounded for messages.
-func estimate(served, failed, expectedMs, excessMs float64) Estimate {
+	failures, lateMs := bound(&failed, &excessMs)
 	var e Estimate
-	if rate := math.Round(100*failed/(failed+served+priorServed)) / 100; rate >= minErrorRate {
+	if rate := math.Round(100*failures/(failures+served+priorServed)) / 100; rate >= minErrorRate {
 		e.ErrorRate = rate
 	}
-	if slowness := math.Round(10*(1+excessMs/(expectedMs+priorFirstByteMs))) / 10; slowness >= minSlowness {
+	if slowness := math.Round(10*(1+lateMs/(expectedMs+priorFirstByteMs))) / 10; slowness >= minSlowness {
 		e.Slowness = slowness
 	}
 	return e
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -97,6 +97,9 @@
 	for g := 1; g < 30; g += 3 {
 		table.Add(gateway(g), zone(g), run, Report{Failed: 1}, start)
 	}
+	if got := table.All(start).ErrorRate; got < 0.3 {
+		t.Errorf("error rate %.2f by all reports, want at least 0.3", got)
+	}
 	if own, other := table.Others("g31", "b", start).ErrorRate, table.Others("g32", "c", start).ErrorRate; own < 0.4 || own < 3*other {
 		t.Errorf("error rate %.2f in the zone whose gateways see failures and %.2f in another, want at least 0.4 and three times as much", own, other)
 	}
