--- a/agent/sent_bytes_test.go
+++ b/agent/sent_bytes_test.go
@@ -59,12 +59,15 @@
 	bytes    int
 	messages int
 	parts    int
+
+	answerRandom *rand.Rand // of the answers that gateways report; nil if they report none
 }
 
 type loadedGateway struct {
 	watcher  *watcher
 	requests int
 	parts    []*wire.PromptPart
+	answers  *wire.Answers
 	pending  float32
 	sentAt   time.Time
 	changed  bool
@@ -121,6 +124,7 @@
 	update := proto.Clone(r.gateway).(*wire.WatcherUpdate)
 	update.HasDemand = r.load.readsStore
 	update.Node, update.Parts, update.UnreadMs = fmt.Sprintf("frontend-%03d", i), g.parts, g.pending
+	update.Answers, g.answers = g.answers, nil
 	update.Uses = []*wire.ModelUse{{Model: "m", Requests: uint32(g.requests)}}
 	r.w.handleHeartbeat(g.watcher, update)
 	g.parts, g.changed, g.sentAt = nil, false, r.clock.at
@@ -220,6 +224,7 @@
 func (r *relayUnderLoad) end(each runningRequest) bool {
 	each.gateway.requests--
 	each.gateway.changed = true
+	r.addAnswer(each)
 	return true
 }
 
