Count service of grants below a millisecond

A grant whose service over the customer's weight was below 1 ms removed the customer's entry instead of adding to it. A customer of many short or cached prompts, or of a weight of some ten or more, was never charged in the waitlist, nor one of a weight of 240 and more for prompts of 237 ms at an engine: however much it sent, it came first. Service is now added whatever its amount; only what a return leaves below 1 ms is dropped. The average leaves out customers below 1 ms as before, and the bound on the number of customers is the same.

Test: TestSmallServiceAddsUp, 1,000 grants of 0.5 ms at one time: 0 s recorded before, 500 ms now. go test -race ./fairshare passes.

--- a/fairshare/record.go
+++ b/fairshare/record.go
@@ -44,7 +44,7 @@
 	if service <= 0 {
 		return
 	}
-	r.set(c, r.current(c, now)+float64(service), now)
+	r.customers[c] = entry{r.current(c, now) + float64(service), now}
 	if len(r.customers) > MaxCustomers {
 		r.forget(now)
 	}
@@ -55,7 +55,12 @@
 	if _, ok := r.customers[c]; !ok || service <= 0 {
 		return
 	}
-	r.set(c, r.current(c, now)-float64(service)*decay(now.Sub(grantedAt)), now)
+	left := r.current(c, now) - float64(service)*decay(now.Sub(grantedAt))
+	if left < float64(negligible) {
+		delete(r.customers, c)
+		return
+	}
+	r.customers[c] = entry{left, now}
 }
 
 // Service returns the recent service of a customer.
@@ -78,14 +83,6 @@
 // Len returns the number of customers in the record.
 func (r *Record) Len() int { return len(r.customers) }
 
-func (r *Record) set(c Customer, service float64, now time.Time) {
-	if service < float64(negligible) {
-		delete(r.customers, c)
-		return
-	}
-	r.customers[c] = entry{service, now}
-}
-
 func (r *Record) current(c Customer, now time.Time) float64 {
 	e, ok := r.customers[c]
 	if !ok {
--- a/fairshare/record_test.go
+++ b/fairshare/record_test.go
@@ -45,6 +45,20 @@
 	}
 }
 
+// TestSmallServiceAddsUp guards against a customer of many short prompts, or of a large weight, that is never charged as each grant is below what
+// counts as service.
+func TestSmallServiceAddsUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New()
+	const each = negligible / 2
+	for range 1000 {
+		r.Add(1, each, now)
+	}
+	if service := r.Service(1, now); service != 1000*each {
+		t.Errorf("%s recorded of 1000 grants of %s at one time, want all", service, each)
+	}
+}
+
 // TestCustomersAreBounded guards against a record that grows with the names in requests, and against one that forgets the busiest
 // customer for them.
 func TestCustomersAreBounded(t *testing.T) {
