Weigh a customer's share by the quotas of its unit alone

The weight of a customer was its rate over the mean of all quotas, also where some count requests and others tokens. The mean is now taken of the quotas of the same unit.

Test: a case of TestWeight with both units; before, weights 1 and 3.0 where 1.33 and 1.5 are due.

--- a/route/customer.go
+++ b/route/customer.go
@@ -60,30 +60,34 @@
 			out.customersByKey[sha256.Sum256([]byte(key))] = c
 		}
 	}
-	out.meanQuota = meanQuota(out.customers)
+	out.meanQuotas = meanQuotas(out.customers)
 	out.priorities = out.allPriorities()
 	return &out
 }
 
-// Weight returns the weight of a customer's share where requests wait for the same targets: its quota over the mean of all quotas, at least 1, so
-// that a customer with a small quota or none has an equal share.
+// Weight returns the weight of a customer's share where requests wait for the same targets: its quota over the mean of all quotas of the same unit,
+// at least 1, so that a customer with a small quota or none has an equal share.
 func (t *Table) Weight(c *Customer) float64 {
-	if t.meanQuota == 0 {
+	mean := t.meanQuotas[c.Quota.Unit]
+	if mean == 0 {
 		return 1
 	}
-	return max(1, c.Quota.PerSecond/t.meanQuota)
+	return max(1, c.Quota.PerSecond/mean)
 }
 
-// meanQuota returns the mean rate of the customers' quotas; 0 if there are none.
-func meanQuota(customers map[string]*Customer) float64 {
-	sum, limited := 0.0, 0
+// meanQuotas returns the mean rates of the customers' quotas by unit, without the units that no quota has.
+func meanQuotas(customers map[string]*Customer) map[Unit]float64 {
+	sums, limited := map[Unit]float64{}, map[Unit]int{}
 	for _, c := range customers {
 		if c.Quota.IsLimited() {
-			sum += c.Quota.PerSecond
-			limited++
+			sums[c.Quota.Unit] += c.Quota.PerSecond
+			limited[c.Quota.Unit]++
 		}
 	}
-	return sum / float64(max(1, limited))
+	for unit, count := range limited {
+		sums[unit] /= float64(count)
+	}
+	return sums
 }
 
 // HasCustomers reports whether requests need a key on routes that are not public.
--- a/route/customer_test.go
+++ b/route/customer_test.go
@@ -56,18 +56,23 @@
 func TestWeight(t *testing.T) {
 	cases := map[string]struct {
 		quotas []float64 // a second, 0 for none
+		units  []Unit    // of the quotas; all Requests if empty
 		want   []float64
 	}{
 		"no quotas":           {quotas: []float64{0, 0}, want: []float64{1, 1}},
 		"equal quotas":        {quotas: []float64{50, 50, 50}, want: []float64{1, 1, 1}},
 		"one large quota":     {quotas: []float64{700, 100, 100}, want: []float64{700.0 / 300, 1, 1}},
 		"one without a quota": {quotas: []float64{300, 100, 0}, want: []float64{1.5, 1, 1}},
+		"quotas of two units": {quotas: []float64{20, 40, 100_000, 300_000}, units: []Unit{Requests, Requests, Tokens, Tokens}, want: []float64{1, 40.0 / 30, 1, 1.5}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			customers := make([]Customer, len(c.quotas))
 			for i, perSecond := range c.quotas {
 				customers[i] = Customer{Name: string(rune('a' + i)), Quota: Quota{PerSecond: perSecond}}
+				if len(c.units) > 0 {
+					customers[i].Quota.Unit = c.units[i]
+				}
 			}
 			table := (&Table{}).WithCustomers(customers)
 			for i := range customers {
--- a/route/table.go
+++ b/route/table.go
@@ -130,8 +130,8 @@
 
 	customers      map[string]*Customer // by name; nil if requests need no key
 	customersByKey map[keyHash]*Customer
-	meanQuota      float64        // rate of the customers' quotas; 0 if there are none
-	priorities     []priorityPair // that requests of customers may have, in order
+	meanQuotas     map[Unit]float64 // rates of the customers' quotas
+	priorities     []priorityPair   // that requests of customers may have, in order
 }
 
 // New returns a table with the given content. Within a host, routes with longer prefixes match first.
