Send urgent demand that comes while another heartbeat is prepared

Cause: since the demand of many gateways goes only with heartbeats that are due or urgent, a demand that became urgent while a heartbeat for a change of the requests waited for its 10 ms, or together with one, was taken as told: the loop took the new channel and forgot the closed one. The agent got that demand with the next that was due, up to 2.5 s later. Change: the heartbeat has the demand if the channel that was seen before it is closed by now.

--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -210,10 +210,12 @@
 	pushUsage := a.usageChannel(address)
 	var quarantineRevision uint64 // up to which the agent has been told
 	var schedule demandSchedule
-	isDemandPushed := false
+	var seenPush <-chan struct{} // closed once the demand has become urgent since the heartbeat before
 	a.queueKeptOrigins(address)
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
+		isDemandPushed := isClosed(seenPush)
+		seenPush = pushDemand
 		gateways := a.fleet.GatewayCount()
 		update := a.newHeartbeat()
 		update.HasDemand = isRelay && schedule.take(gateways, isDemandPushed, time.Now())
@@ -243,12 +245,10 @@
 		} else {
 			pushDemand = nil
 		}
-		isDemandPushed = false
 		select {
 		case <-ctx.Done():
 			return
 		case <-pushDemand:
-			isDemandPushed = true
 			_ = pause.For(ctx, demandBatchDelay)
 		case <-pushUsage:
 			_ = pause.For(ctx, usageBatchDelay)
@@ -257,6 +257,16 @@
 	}
 }
 
+// isClosed reports whether a channel is closed that no values are sent to.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // close ends all connections and waits for their goroutines.
 func (a *agentClients) close() {
 	a.setAddresses(nil)
--- a/gateway/compact_states_test.go
+++ b/gateway/compact_states_test.go
@@ -177,3 +177,42 @@
 	agents.PushDemand()
 	eventually(t, "an urgent demand is sent", func() bool { return agent.count(hasDemand) > before })
 }
+
+// TestUrgentDemandIsSentBesideUsage has a demand become urgent while a heartbeat that a request has caused is about to be sent. It guards against an agent
+// that gets the demand up to 2.5 s later, with the next that is due.
+func TestUrgentDemandIsSentBesideUsage(t *testing.T) {
+	t.Parallel()
+	agents := newTestAgents(t)
+	agent, address := startWatchedAgent(t)
+	agents.fleet.UpdateTargets([]registry.Target{{ID: "e", Born: 1, Service: "s", Address: "127.0.0.1:1"}}, false, time.Now())
+	agents.setAddresses(map[string]bool{address: true})
+	t.Cleanup(agents.close)
+	state := &wire.TargetState{TargetId: "e", Born: 1, Watchers: 100}
+	agent.states <- state
+	eventually(t, "the gateway knows of the others", func() bool { return agents.fleet.GatewayCount() == 100 })
+	hasDemand := func(u *wire.WatcherUpdate) bool { return u.GetKeepsLists() && u.GetHasDemand() }
+	eventually(t, "a heartbeat with demand is sent", func() bool {
+		agents.push(address)
+		return agent.count(hasDemand) > 0
+	})
+	const pushes, bound = 10, 500 * time.Millisecond
+	late := 0
+	for range pushes {
+		time.Sleep(2 * usageBatchDelay)
+		before := agent.count(hasDemand)
+		agents.push(address)
+		time.Sleep(usageBatchDelay / 3)
+		agents.PushDemand()
+		began := time.Now()
+		for agent.count(hasDemand) == before && time.Since(began) < bound {
+			time.Sleep(2 * time.Millisecond)
+		}
+		if agent.count(hasDemand) == before {
+			late++
+		}
+		agent.states <- state
+	}
+	if late > 0 {
+		t.Errorf("%d of %d urgent demands were not sent within %s", late, pushes, bound)
+	}
+}
