Send requests to another holder if the chosen one would end too late

Cause: the time that an answer takes is reckoned with the slowness of the chosen engine, which is chosen by the time to the first byte. An engine with the prefix of a prompt and one late first byte was chosen, and the request refused, although another holder would have ended its answer in time. Change: if the answer would begin in time but end too late there, up to two other holders are considered, and the request is refused only if it ends too late at these, too. gypsumbank explain does the same.

Measured: go test -race ./dispatch -run TestAnswersEndAtAnotherHolder: refused before (2.0 s expected at the other engine, 3 s left), sent there now.

--- a/dispatch/begin_deadline.go
+++ b/dispatch/begin_deadline.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"gypsumbank/fleet"
@@ -21,6 +22,42 @@
 	return by
 }
 
+// maxOtherHolders bounds the holders that are considered for one whose answer would end too late.
+const maxOtherHolders = 2
+
+// chooseInTime chooses a target. If the answer would begin in time there but end too late, as that target is slow, it chooses among the others; if it
+// would at none, the first choice stays.
+func (d *Dispatch) chooseInTime(now time.Time) (fleet.Choice, bool) {
+	query := d.query()
+	first, ok := d.fleet.Choose(query, now)
+	if !ok || first.LacksModel || !d.endsTooLate(first, now) {
+		return first, ok
+	}
+	query.Exclude = maps.Clone(d.excluded)
+	query.Exclude[first.Target.ID] = true
+	for range maxOtherHolders {
+		other, ok := d.fleet.Choose(query, now)
+		if !ok || other.LacksModel {
+			break
+		}
+		if d.beginsInTime(other, now) {
+			return other, true
+		}
+		query.Exclude[other.Target.ID] = true
+	}
+	return first, true
+}
+
+// beginsInTime reports whether the answer of the chosen target is expected to begin, and to end, in time.
+func (d *Dispatch) beginsInTime(choice fleet.Choice, now time.Time) bool {
+	return choice.Expected+minResponseTime <= d.beginDeadline(choice).Sub(now)
+}
+
+// endsTooLate reports whether the answer of the chosen target is expected to begin while its caller waits, but not to end in time.
+func (d *Dispatch) endsTooLate(choice fleet.Choice, now time.Time) bool {
+	return !d.beginsInTime(choice, now) && choice.Expected+minResponseTime <= d.firstByteDeadline().Sub(now)
+}
+
 // firstByteDeadline returns until when the caller waits for the answer to begin.
 func (d *Dispatch) firstByteDeadline() time.Time {
 	patience := d.route.StreamPatience()
--- a/dispatch/begin_deadline_test.go
+++ b/dispatch/begin_deadline_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"gypsumbank/fleet"
 	"gypsumbank/reply"
+	"gypsumbank/request"
 )
 
 // TestAnswersThatWouldBeCutAreRefused guards against requests that take an engine's time although their caller's time ends before their output
@@ -52,3 +54,37 @@
 		})
 	}
 }
+
+// TestAnswersEndAtAnotherHolder guards against a request that is refused since the engine with its prompt's prefix was slow to answer once, although
+// its answer would end in time at another engine.
+func TestAnswersEndAtAnotherHolder(t *testing.T) {
+	s := &scriptedClient{replies: []func() reply.Result{respond(200)}}
+	d := newDispatcher(s, time.Now)
+	reportGateways(d, 29)
+	req := longRequest()
+	req.PromptTokens, req.LengthHint, req.MaxOutputTokens = 6400, 300, 300
+	req.Parts = []request.Part{{ID: "p", Tokens: 6300}}
+	earlier := time.Now().Add(-2 * time.Second)
+	choice, ok := d.fleet.Choose(fleet.Query{Service: engineService, Request: req, Exclude: map[string]bool{"e2": true}}, earlier)
+	if !ok {
+		t.Fatal("no engine")
+	}
+	assignment := d.fleet.Assign(choice, req, earlier)
+	assignment.Start(earlier.Add(time.Second))
+	assignment.End(fleet.Served, earlier.Add(1200*time.Millisecond))
+
+	r := streamRoute(false)
+	r.Timeout, r.LatencyObjective = 3*time.Second, 500*time.Millisecond
+	query := fleet.Query{Service: engineService, Request: req}
+	if first, _ := d.fleet.Choose(query, time.Now()); first.Target.ID != "e1" {
+		t.Fatalf("%s is chosen, want e1, where the prefix is cached", first.Target.ID)
+	}
+	if p := d.Explain(req, r, engineService, nil); p.Refused != nil {
+		t.Errorf("explained as refused: %+v", p.Refused)
+	}
+	dispatch := d.Begin(t.Context(), req, r, engineService)
+	defer dispatch.Close()
+	if outcome := dispatch.Run(); len(s.sentTo) != 1 || s.sentTo[0].ID != "e2" {
+		t.Errorf("outcome %#v, sent to %v, want one send to e2", outcome, s.sentTo)
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -224,7 +224,7 @@
 			return fleet.Choice{}, refused
 		}
 		now := d.now()
-		choice, ok := d.fleet.Choose(d.query(), now)
+		choice, ok := d.chooseInTime(now)
 		remaining := d.beginDeadline(choice).Sub(now)
 		if refused := d.refuseStopping(choice); refused != nil {
 			return choice, refused
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -84,7 +84,7 @@
 		p.Refused = &Refused{Reason: NoTarget, RetryAfter: defaultRetryAfter}
 		return
 	}
-	choice := p.Fleet.Candidates[0].Choice
+	choice := d.likelyChoice(p.Fleet.Candidates, now)
 	left := d.beginDeadline(choice).Sub(now)
 	if choice.Expected+minResponseTime > left {
 		p.Refused = &Refused{Reason: Overload, RetryAfter: max(choice.Expected/2, choice.TurnWait)}
@@ -104,3 +104,17 @@
 		p.TurnWait = choice.PrefillQueue
 	}
 }
+
+// likelyChoice returns the choice of the likeliest candidate at which the answer ends in time, as chooseInTime makes it.
+func (d *Dispatch) likelyChoice(candidates []fleet.Candidate, now time.Time) fleet.Choice {
+	first := candidates[0].Choice
+	if !d.endsTooLate(first, now) {
+		return first
+	}
+	for _, other := range candidates[1:min(len(candidates), 1+maxOtherHolders)] {
+		if d.beginsInTime(other.Choice, now) {
+			return other.Choice
+		}
+	}
+	return first
+}
