Send the list of models whole if an engine lists one twice

Cause: changes of adapters name their model, and a gateway applies them to the first entry of that name. An engine that lists a model twice and unloads an adapter of the second entry was taken to hold it until its models changed. Change: such lists are sent whole, as are models with an adapter listed twice.

Measured: go test ./holdings -run Twice: before, the gateway kept adapter x; now it has the engine's list. go test -race ./agent -run 'HaveWhat|OnlyWhat|SentBytes|SquareRoot|AdapterIn' passes.

--- a/holdings/lists.go
+++ b/holdings/lists.go
@@ -81,9 +81,9 @@
 }
 
 // adapterChanges returns the adapters that models have or lack, compared with those before. The order of a model's adapters has no meaning.
-// ok is false if the models are others, or if an adapter is listed twice, which changes don't tell.
+// ok is false if the models are others, or if a model or an adapter is listed twice, which changes don't tell.
 func adapterChanges(before, models []*wire.HeldModel) (changes []*wire.AdapterChange, ok bool) {
-	if len(before) != len(models) {
+	if len(before) != len(models) || isRepeated(modelNames(models)) {
 		return nil, false
 	}
 	for i, m := range models {
@@ -99,6 +99,14 @@
 	return changes, true
 }
 
+func modelNames(models []*wire.HeldModel) []string {
+	names := make([]string, 0, len(models))
+	for _, m := range models {
+		names = append(names, m.GetName())
+	}
+	return names
+}
+
 // isRepeated reports whether a name is listed twice.
 func isRepeated(names []string) bool {
 	for i, name := range names {
--- a/holdings/lists_test.go
+++ b/holdings/lists_test.go
@@ -69,3 +69,22 @@
 		}
 	})
 }
+
+// TestModelListedTwiceIsSentWhole guards against an adapter that is taken from the first of two entries of a model though it left the second, so that
+// a gateway goes on sending requests for it.
+func TestModelListedTwiceIsSentWhole(t *testing.T) {
+	state := func(adapters ...string) *wire.TargetState {
+		return &wire.TargetState{TargetId: "t", Born: 1, Models: []*wire.HeldModel{{Name: "m"}, {Name: "m", Adapters: adapters}}}
+	}
+	first, second := state("x"), state()
+	var sent holdings.Sent
+	var lists holdings.Lists
+	revisions := holdings.Revisions{}.Next(nil, first)
+	sent.Record(first, revisions)
+	lists.Complete(proto.Clone(first).(*wire.TargetState))
+	message := sent.Changes(second, holdings.Without(second), revisions.Next(first, second))
+	lists.Complete(message)
+	if got, want := ordered(message), ordered(second); !proto.Equal(got, want) {
+		t.Errorf("the gateway has %v, want %v", got, want)
+	}
+}
