Leave the answer its time once when a request begins to wait for room

Cause: a request begins to wait for room if that is expected within half of the time in which its answer has to begin; the other half is for the answer. With 7 gateways or more the time of the answer is now subtracted before, so that it was left twice, and requests were refused that would have ended in time. Change: the wait must be within that time, and within half of the time for which the caller waits, as before the refusal of answers that would be cut. Nothing changes with fewer gateways.

Measured: go test -race ./dispatch -run TestWaitForRoomLeaves: room after 620 ms, an answer of 1.9 s and 3 s left was refused; it is served now.

--- a/dispatch/begin_deadline_test.go
+++ b/dispatch/begin_deadline_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumbank/fleet"
+	"gypsumbank/registry"
 	"gypsumbank/reply"
 	"gypsumbank/request"
 )
@@ -88,3 +89,32 @@
 		t.Errorf("outcome %#v, sent to %v, want one send to e2", outcome, s.sentTo)
 	}
 }
+
+// TestWaitForRoomLeavesTheAnswerItsTime has full engines that are expected to have room after 620 ms, and a caller with 3 s left for an answer that
+// takes 1.9 s. It guards against a refusal that leaves the answer its time twice: before the wait, and as half of the rest.
+func TestWaitForRoomLeavesTheAnswerItsTime(t *testing.T) {
+	s := &scriptedClient{replies: []func() reply.Result{respond(200)}}
+	d := newDispatcher(s, time.Now)
+	report := func(requests int) {
+		for _, id := range []string{"e1", "e2"} {
+			d.fleet.Observe(id, fleet.Observation{
+				Report: registry.Report{Models: []registry.Model{{Name: "m1"}}, KVTotal: 100000}, Requests: requests, Watchers: 29,
+			}, time.Now())
+		}
+	}
+	const full, room = 110, 10
+	report(full)
+	req := longRequest()
+	req.PromptTokens, req.LengthHint, req.MaxOutputTokens = 800, 300, 600
+	r := streamRoute(false)
+	r.Timeout, r.LatencyObjective = 3*time.Second, 500*time.Millisecond
+	if p := d.Explain(req, r, engineService, nil); p.Refused != nil || p.Room == nil {
+		t.Errorf("explained as refused: %+v, wait for room %+v", p.Refused, p.Room)
+	}
+	dispatch := d.Begin(t.Context(), req, r, engineService)
+	defer dispatch.Close()
+	time.AfterFunc(200*time.Millisecond, func() { report(room) })
+	if outcome := dispatch.Run(); len(s.sentTo) != 1 {
+		t.Errorf("outcome %#v, sent %d times, want once", outcome, len(s.sentTo))
+	}
+}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -93,7 +93,7 @@
 	key := waitlist.Key{Service: d.service, Model: d.request.Model}
 	if ahead := d.waits.AheadOf(key, d.waitRank(choice), now); ahead > 0 || !choice.HasRoom {
 		p.Room = &RoomWait{Ahead: ahead, Expected: choice.Expected + time.Duration(ahead)*choice.SlotInterval}
-		if p.Room.Expected+minResponseTime > d.admissionTime(left) {
+		if p.Room.Expected+minResponseTime > d.admissionTime(left, now) {
 			p.Refused = &Refused{Reason: Overload, RetryAfter: p.Room.Expected}
 			return
 		}
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -18,7 +18,7 @@
 	// the requests behind it.
 	nextTurnInterval  = 8 * time.Millisecond
 	laterTurnInterval = 30 * time.Millisecond
-	// maxPredictedShare is the share of a request's remaining time up to which it is admitted to the waiting ones. The rest
+	// maxPredictedShare is the share of the time for which a caller waits up to which its request is admitted to the waiting ones. The rest
 	// is for the answer, and for the error of the prediction.
 	maxPredictedShare = 0.5
 	// retryJitter is the share by which a Retry-After is varied, so that refused callers do not return together.
@@ -50,7 +50,7 @@
 	remaining := d.beginDeadline(choice).Sub(now)
 	if joins {
 		d.beginWait("room", predicted, remaining)
-		remaining = d.admissionTime(remaining)
+		remaining = d.admissionTime(remaining, now)
 	}
 	if predicted+minResponseTime > remaining {
 		d.log.WithFields(logrus.Fields{
@@ -66,12 +66,13 @@
 	return false, d.pauseWait(interval)
 }
 
-// admissionTime returns up to which predicted time a request may begin to wait that has some time left.
-func (d *Dispatch) admissionTime(remaining time.Duration) time.Duration {
+// admissionTime returns up to which predicted time a request may begin to wait whose answer has to begin within the remaining time. Where that
+// leaves the answer its time, its share is that of the time for which the caller waits.
+func (d *Dispatch) admissionTime(remaining time.Duration, now time.Time) time.Duration {
 	if d.returned && d.fleet.UsesTurns() {
 		return remaining
 	}
-	return time.Duration(maxPredictedShare * float64(remaining))
+	return min(remaining, time.Duration(maxPredictedShare*float64(d.firstByteDeadline().Sub(now))))
 }
 
 // waitRank returns the rank of the request among those that wait for room. With many gateways it is that of requests that wait for
