Bound the estimates by which answers that would be cut are refused

Cause: with 7 gateways or more, a request is refused if its expected output does not fit in its time. The pace of a model is the time of its answers over the tokens that callers expected. Ten answers of 600 tokens with a length hint of 1 made it 129 ms a token, so that each request for 300 tokens within 10 s was refused, for good, as refused requests measure nothing. The same befell callers with a limit of 16384 tokens and no hint, whose half takes 52 s at the default pace, and all callers for seconds after first bytes were late at all holders. Change: for this refusal a token counts for 12.8 ms at most, twice the time at an engine whose batch is full, and a limit without a hint for 300 tokens at most.

Measured: go test -race ./dispatch -run TestEstimatesRefuseNobodyForGood: 5 of 5 cases were refused, and are served now; the cases of TestAnswersThatWouldBeCutAreRefused are as before.

--- a/dispatch/begin_deadline.go
+++ b/dispatch/begin_deadline.go
@@ -7,6 +7,14 @@
 	"gypsumbank/fleet"
 )
 
+const (
+	// maxTokenTime is the time for a token beyond which an estimate refuses nobody: twice that at an engine whose batch is full. Callers that give
+	// wrong estimates, or a late first byte, make a model or an engine look slower, and a model whose requests are refused is not measured again.
+	maxTokenTime = 12800 * time.Microsecond
+	// maxGuessedTokens is the most output expected of a request that has a limit alone, which many callers set far above what they get.
+	maxGuessedTokens = 300
+)
+
 // beginDeadline returns until when the answer of the chosen target has to begin: its caller waits for the first byte no longer, and where there
 // are many gateways, its expected tokens must fit in the time after that. An answer that is cut at the deadline helps nobody and takes the
 // engine's time from others; after a restart of everything many callers come back with little time left.
@@ -15,7 +23,11 @@
 	if d.request.LastEventID != "" || !d.fleet.UsesTurns() {
 		return by
 	}
-	generation := d.fleet.GenerationTime(choice.Target.ID, d.request, d.request.ExpectedOutputTokens(), d.now())
+	tokens := d.request.ExpectedOutputTokens()
+	if d.request.LengthHint == 0 {
+		tokens = min(tokens, maxGuessedTokens)
+	}
+	generation := min(d.fleet.GenerationTime(choice.Target.ID, d.request, tokens, d.now()), time.Duration(tokens)*maxTokenTime)
 	if begin := d.deadline.Add(-generation); begin.Before(by) {
 		return begin
 	}
--- a/dispatch/begin_deadline_test.go
+++ b/dispatch/begin_deadline_test.go
@@ -118,3 +118,53 @@
 		t.Errorf("outcome %#v, sent %d times, want once", outcome, len(s.sentTo))
 	}
 }
+
+// TestEstimatesRefuseNobodyForGood guards against requests that are refused each time although their answers would end in time: a model whose requests
+// are refused is not measured again.
+func TestEstimatesRefuseNobodyForGood(t *testing.T) {
+	wrongHint := request.Request{PromptTokens: 100, LengthHint: 1, MaxOutputTokens: 600}
+	tests := map[string]struct {
+		before    request.Request // answered ten times before
+		firstByte time.Duration   // of these
+		took      time.Duration   // from the first byte
+		hint      int
+		limit     int
+		left      time.Duration
+	}{
+		"another caller gives wrong estimates":  {before: wrongHint, firstByte: 20 * time.Millisecond, took: 3800 * time.Millisecond, hint: 300, limit: 600, left: 10 * time.Second},
+		"the same, little time and output":      {before: wrongHint, firstByte: 20 * time.Millisecond, took: 3800 * time.Millisecond, hint: 100, limit: 600, left: 3 * time.Second},
+		"a high limit, no time set by callers":  {limit: 16384, left: 30 * time.Second},
+		"a high limit, and little time":         {limit: 4096, left: 3 * time.Second},
+		"all engines had first bytes that late": {before: request.Request{PromptTokens: 9190, LengthHint: 10, MaxOutputTokens: 10}, firstByte: 1400 * time.Millisecond, took: 64 * time.Millisecond, hint: 300, limit: 600, left: 6 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &scriptedClient{replies: []func() reply.Result{respond(200)}}
+			d := newDispatcher(s, time.Now)
+			reportGateways(d, 29)
+			for i := 0; i < 10 && test.before.PromptTokens > 0; i++ {
+				earlier := test.before
+				earlier.ID, earlier.Model = "earlier", "m1"
+				ended := time.Now().Add(-20 * time.Millisecond)
+				began := ended.Add(-test.firstByte - test.took)
+				exclude := map[string]bool{[]string{"e1", "e2"}[i%2]: true}
+				choice, ok := d.fleet.Choose(fleet.Query{Service: engineService, Request: &earlier, Exclude: exclude}, began)
+				if !ok {
+					t.Fatal("no engine")
+				}
+				assignment := d.fleet.Assign(choice, &earlier, began)
+				assignment.Start(began.Add(test.firstByte))
+				assignment.End(fleet.Served, ended)
+			}
+			req := longRequest()
+			req.PromptTokens, req.LengthHint, req.MaxOutputTokens = 800, test.hint, test.limit
+			r := streamRoute(false)
+			r.Timeout, r.LatencyObjective = test.left, 500*time.Millisecond
+			dispatch := d.Begin(t.Context(), req, r, engineService)
+			defer dispatch.Close()
+			if outcome := dispatch.Run(); len(s.sentTo) != 1 {
+				t.Errorf("outcome %#v, sent %d times, want once", outcome, len(s.sentTo))
+			}
+		})
+	}
+}
