--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -211,11 +211,13 @@
 	pushUsage := a.usageChannel(address)
 	var quarantineRevision uint64 // up to which the agent has been told
 	var schedule demandSchedule
-	isDemandPushed := false
+	var seenPush <-chan struct{} // closed once the demand has become urgent since the heartbeat before
 	a.queueKeptOrigins(address)
 	zone := a.fleet.AvailabilityZone() // told in the first update
 	for {
 		isRelay, pushDemand := a.demandStatus(address)
+		isDemandPushed := isClosed(seenPush)
+		seenPush = pushDemand
 		gateways := a.fleet.GatewayCount()
 		update := a.newHeartbeat()
 		update.AvailabilityZone, zone = zone, ""
@@ -247,12 +249,10 @@
 		} else {
 			pushDemand = nil
 		}
-		isDemandPushed = false
 		select {
 		case <-ctx.Done():
 			return
 		case <-pushDemand:
-			isDemandPushed = true
 			_ = pause.For(ctx, demandBatchDelay)
 		case <-pushUsage:
 			_ = pause.For(ctx, usageBatchDelay)
@@ -272,6 +272,16 @@
 	}
 }
 
+// isClosed reports whether a channel is closed that no values are sent to.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // close ends all connections and waits for their goroutines.
 func (a *agentClients) close() {
 	a.setAddresses(nil)
