Let keepers of quotas raise their levels 4 s after a store was restored

After the store had come back from an older copy, all claims of a row count as having just taken the place of others at once. Each keeper's raise of its level was therefore refused for 12.4 s, and tried again only 12.4 s after a refusal: a customer whose use grew in that time was refused for 10 s and more.

A raise is refused because a keeper that has taken the place of this one counts on the level until all gateways use the new one, 4 s at most. So it is now refused for 4 s after such a join, and tried again after 4 s. Joins wait for 12.4 s as before.

--- a/agent/quota_levels.go
+++ b/agent/quota_levels.go
@@ -80,7 +80,7 @@
 		r.keeper.failed(change, minQuotaLevelsConflictDelay+rand.N(quotaLevelsConflictSpread))
 	case errors.Is(err, quotalevels.ErrUnsettled):
 		log.WithError(err).Info("quota level stays at the lowest for now")
-		r.keeper.failed(change, change.Settle)
+		r.keeper.failed(change, change.UnsettledRetry())
 	default:
 		log.WithError(err).Info("quota level not stored, will retry")
 		r.keeper.failed(change, quotaLevelsRetry)
--- a/quota/levels.go
+++ b/quota/levels.go
@@ -50,6 +50,15 @@
 	return quotalevels.Update{Address: address, Start: c.Start, Joins: c.Joins, Level: c.Level, Parts: c.Parts, UsedAgo: now.Sub(c.UsedAt), Settle: c.Settle, Beside: c.Beside}
 }
 
+// UnsettledRetry returns the time after which a change is tried again that is not stored as another keeper has just started. A level may be raised once
+// all gateways use that other keeper.
+func (c Change) UnsettledRetry() time.Duration {
+	if c.Start || c.Joins {
+		return c.Settle
+	}
+	return viewLag + time.Second
+}
+
 // levels is what a keeper that stores levels knows of its use of one customer's part.
 type levels struct {
 	// fills are buckets of the capacity and the refill that each level allows. With them, what a keeper uses within a level and what the next one
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -113,3 +113,36 @@
 		t.Errorf("level %.2f a minute after the burst, at 0.3 of the limit, want the lowest", got.Share())
 	}
 }
+
+// TestRaiseAfterARestoredStore guards against refusals of a customer whose use grows from 0.3 to 0.9 of its limit just after the store has come back from
+// an older copy: keepers in place must be able to raise their levels.
+func TestRaiseAfterARestoredStore(t *testing.T) {
+	t.Parallel()
+	const (
+		restores    = 8
+		mostRefused = 0.02 // as in TestRestartAfterReplacedKeepers
+	)
+	c := customerLoad{quota: largeCustomer.quota, costs: hardLoadCosts}
+	total, refused := 0, 0
+	for seed := range uint64(restores) {
+		s := newSimulation(firstDeployment, c.quota, 30, 50, seed)
+		c.offer(s, s.gateways[:5], 0.3, 1, 2*time.Minute)
+		s.store.copied = s.store.row
+		c.offer(s, s.gateways[:5], 0.3, 1, 2*time.Second)
+		s.store.restore()
+		for _, name := range sortedKeys(s.agents) {
+			s.agents[name].keeper.Reconfirm(2*time.Second, s.now)
+		}
+		c.offer(s, s.gateways[:5], 0.3, 1, 2*time.Second)
+		total, refused = total-s.total, refused-len(s.refused)
+		c.offer(s, s.gateways[:5], 0.9, 1, 20*time.Second)
+		total, refused = total+s.total, refused+len(s.refused)
+		if _, err := s.checkWindows(); err != nil {
+			t.Error(err)
+		}
+	}
+	t.Logf("%d of %d refused in the 20 s after the use has grown, in %d restores", refused, total, restores)
+	if float64(refused) > mostRefused*float64(total) {
+		t.Errorf("%d of %d requests refused, at most %.2f of them allowed", refused, total, mostRefused)
+	}
+}
--- a/quota/sim_store_test.go
+++ b/quota/sim_store_test.go
@@ -65,7 +65,7 @@
 				return
 			}
 			next, outcome, err := record.Apply(update, nowMs)
-			unsettled := func() { a.keeper.Failed(c, c.Settle, s.now) }
+			unsettled := func() { a.keeper.Failed(c, c.UnsettledRetry(), s.now) }
 			if err != nil && !record.FromEarlierEpoch() {
 				unsettled()
 				return
--- a/quotalevels/record.go
+++ b/quotalevels/record.go
@@ -128,7 +128,7 @@
 		beside = slices.DeleteFunc(slices.Clone(in.Beside), func(other string) bool { return !r.holds(other) })
 	}
 	raises := !in.Start && shares[in.Level] > claim.Percent
-	if (joins && r.sharedSince(in.Address, beside, settledMs)) || (raises && r.replacedSince(in.Address, settledMs)) {
+	if (joins && r.sharedSince(in.Address, beside, settledMs)) || (raises && r.replacedSince(in.Address, nowMs-viewLag.Milliseconds())) {
 		return r, Outcome{}, ErrUnsettled
 	}
 	out := Outcome{Level: in.Level}
@@ -219,7 +219,8 @@
 	return false
 }
 
-// replacedSince reports whether another keeper has taken the place of this one since a time, with what its level left.
+// replacedSince reports whether another keeper has taken the place of this one since a time, with what its level left. Once all gateways have seen the
+// change, a raise no longer adds to what the other one may grant: who is still asked then is a keeper, or has to join again.
 func (r Record) replacedSince(address string, sinceMs int64) bool {
 	claim := r.Claims[address]
 	for other, s := range r.Claims {
--- a/quotalevels/record_test.go
+++ b/quotalevels/record_test.go
@@ -243,7 +243,7 @@
 }
 
 // TestKeeperThatTakesAPlace guards against a keeper that joins and grants what the level of another one leaves although that one is not known, has just
-// started or may raise its level, and against one that waits although none of this is so.
+// started or may raise its level, and against one that waits, or may not raise its level, although none of this is so.
 func TestKeeperThatTakesAPlace(t *testing.T) {
 	yields := func(s *quotalevels.Claim) { s.Yields = true }
 	for name, c := range map[string]struct {
@@ -277,6 +277,9 @@
 			if _, _, err := next.Apply(raise, testTime+1000); !errors.Is(err, quotalevels.ErrUnsettled) {
 				t.Errorf("error %v as the keeper before raises its level, want %v", err, quotalevels.ErrUnsettled)
 			}
+			if _, _, err := next.Apply(raise, testTime+4000); err != nil {
+				t.Errorf("error %v as the keeper before raises its level once all gateways use the one that joined", err)
+			}
 			raise.Address = self
 			if _, _, err := next.Apply(raise, testTime+1000); err != nil {
 				t.Errorf("error %v as a keeper beside raises its level", err)
