--- a/tally/tally.go
+++ b/tally/tally.go
@@ -6,13 +6,12 @@
 )
 
 // MinGateways is the number of gateways from which each is told what the others have seen, as with that from which their choices are spread
-// (package fleet). Four gateways that shared their answers left an engine at the same moment and served less than each by its own.
+// (package fleet). A few gateways that share their answers all leave an engine at the same moment.
 const MinGateways = 7
 
 const (
 	// failureTimeConstant and slownessTimeConstant are the time constants with which reports decay. They are shorter than those of the answers
-	// that a gateway has seen itself: all gateways avoid the target until the reports have decayed, and together they see enough answers. With
-	// 3 s, engines that had failed for 7 s were used again after 3.4 s instead of 0.9 s.
+	// that a gateway has seen itself: all gateways avoid the target until the reports have decayed, and together they see enough answers.
 	failureTimeConstant  = 1500 * time.Millisecond
 	slownessTimeConstant = time.Second
 	// priorServed and priorFirstByteMs are the prior of both averages, as in package fleet: complete answers, and first bytes on time worth
@@ -27,7 +26,7 @@
 	maxGatewayExcessMs   = 600
 	// maxAnswers and maxExpectedMs bound the weight of all reports, so that a target is tried again after about the same time however many
 	// answers have failed or were late at the same moment. They are the answers of 1.3 s, and the first bytes of some 3 s, at twice the usual
-	// load of an engine: with half of maxExpectedMs no fewer requests were late than without the reports of others.
+	// load of an engine.
 	maxAnswers    = 8
 	maxExpectedMs = 1600
 	// maxZoneFailed and maxZoneExcessMs bound the weight of all gateways of one zone for those of other zones: a fault between a zone and
