Split the watchers of an agent and the heartbeats of a gateway

Prompt parts, sums of the load and heartbeats have files of their own; functions are moved as they are.

--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"maps"
 	"math"
 	"sync"
 	"time"
@@ -11,7 +10,6 @@
 	"gypsumbank/holdings"
 	"gypsumbank/origin"
 	"gypsumbank/quarantine"
-	"gypsumbank/registry"
 	"gypsumbank/tally"
 	"gypsumbank/wire"
 )
@@ -33,7 +31,6 @@
 	runningBucket = 4
 	// pendingPrefillBucketMs is the same for the expected prefill time of the prompts that wait at the target.
 	pendingPrefillBucketMs = 25
-	maxQueuedPromptParts   = 1024
 	// pendingPrefillRiseMs is a rise of that time which is sent at once, so that gateways do not send several long prompts to
 	// the same target at the same time.
 	pendingPrefillRiseMs = 100
@@ -49,11 +46,6 @@
 	// immediateRiseWatchers is the number of gateways up to which a rise of the waiting prompts is sent at once, whatever was sent before. A
 	// later one had more gateways send to the same engine meanwhile.
 	immediateRiseWatchers = 48
-	// partInterval is the time for which a prompt part that was passed on to the gateways isn't passed on again. It is below the some
-	// nine seconds in which long prompts at the rate of a busy engine fill its KV cache.
-	partInterval = 3 * time.Second
-	// maxRememberedParts bounds the parts that are remembered for that.
-	maxRememberedParts = 4096
 )
 
 // watchers sends the newest state of the target to all gateways that watch it, and the summed demand of all gateways to the
@@ -298,15 +290,6 @@
 	return update{full: state, withoutHoldings: holdings.Without(state), holdings: w.holdings}
 }
 
-// sumPendingPrefillMs returns the expected prefill time, in ms, of the prompts that the gateways have waiting at the target.
-func sumPendingPrefillMs(members []*watcher) float32 {
-	sum := float32(0)
-	for _, each := range members {
-		sum += each.pendingPrefillMs
-	}
-	return sum
-}
-
 // loadChanged sends the last state again if the load has changed enough.
 func (w *watchers) loadChanged() {
 	w.mu.Lock()
@@ -314,30 +297,6 @@
 	w.broadcastLoadChange()
 }
 
-// unreadMs returns the expected prefill time, in ms, of the prompts that wait at the target or for a turn there, and the part of
-// it that waits for a turn; the caller holds the lock.
-func (w *watchers) unreadMs(live []*watcher) (total, waiting float32) {
-	total = sumPendingPrefillMs(live)
-	if w.prefillTurns == nil {
-		return total, 0
-	}
-	waiting, granted := w.prefillTurns.workMs()
-	return total + granted + waiting, waiting
-}
-
-// sumRequests returns the number of requests that the gateways have at the target.
-func sumRequests(members []*watcher) uint32 {
-	sum := uint32(0)
-	for _, each := range members {
-		for _, use := range each.requests {
-			if use.GetAdapter() == "" {
-				sum += use.GetRequests()
-			}
-		}
-	}
-	return sum
-}
-
 // sendDemandToPlanner sends the summed demand of all gateways to the planner, at most every minDemandInterval; the caller
 // holds the lock.
 func (w *watchers) sendDemandToPlanner() {
@@ -359,49 +318,6 @@
 	recipient.send(next)
 }
 
-// partsToPassOn returns the prompt parts that were not passed on within partInterval: requests with a shared part would have it sent to all
-// gateways each time. The caller holds the lock.
-func (w *watchers) partsToPassOn(parts []*wire.PromptPart) []*wire.PromptPart {
-	if len(parts) == 0 || len(w.members) <= maxFewWatchers {
-		return parts
-	}
-	now := w.now()
-	if len(w.partsPassedOn) > maxRememberedParts {
-		maps.DeleteFunc(w.partsPassedOn, func(_ uint64, at time.Time) bool { return now.Sub(at) >= partInterval })
-	}
-	if w.partsPassedOn == nil || len(w.partsPassedOn) > maxRememberedParts {
-		w.partsPassedOn = map[uint64]time.Time{}
-	}
-	next := make([]*wire.PromptPart, 0, len(parts))
-	for _, part := range parts {
-		if at, ok := w.partsPassedOn[part.GetHash()]; ok && now.Sub(at) < partInterval {
-			continue
-		}
-		w.partsPassedOn[part.GetHash()] = now
-		next = append(next, part)
-	}
-	return next
-}
-
-// packParts returns the low 32 bits of the hashes of prompt parts, and their tokens. A gateway looks for a hash among the some 200 parts that
-// fit into the KV cache of an engine: it finds another part's in one of 20 million searches, and then expects that part to be cached for one
-// request.
-func packParts(parts []*wire.PromptPart) (hashes, tokens []uint32) {
-	hashes, tokens = make([]uint32, 0, len(parts)), make([]uint32, 0, len(parts))
-	for _, part := range parts {
-		hashes, tokens = append(hashes, uint32(part.GetHash())), append(tokens, part.GetTokens())
-	}
-	return hashes, tokens
-}
-
-// queuePromptParts queues prompt parts for a gateway and drops the oldest above maxQueuedPromptParts.
-func (w *watcher) queuePromptParts(parts []*wire.PromptPart) {
-	w.queuedPromptParts = append(w.queuedPromptParts, parts...)
-	if excess := len(w.queuedPromptParts) - maxQueuedPromptParts; excess > 0 {
-		w.queuedPromptParts = w.queuedPromptParts[excess:]
-	}
-}
-
 // stateFor returns the message for one gateway: the state with the prompt parts queued for it, the reads of the store and what the other
 // gateways have seen of the target's answers, and without the lists of what the target holds if the gateway has them already. Messages on a
 // stream arrive in order or not at all, so that the gateway has the lists that were last sent to it.
@@ -445,20 +361,6 @@
 	w.updates <- next
 }
 
-// requestsByAdapter returns the number of requests that all gateways have at the target, by adapter and, under an empty
-// adapter name, by model.
-func (w *watchers) requestsByAdapter() map[registry.Adapter]int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	requests := map[registry.Adapter]int{}
-	for _, each := range w.live() {
-		for _, use := range each.requests {
-			requests[registry.Adapter{Model: use.GetModel(), Name: use.GetAdapter()}] += int(use.GetRequests())
-		}
-	}
-	return requests
-}
-
 // live returns the gateways whose last heartbeat is younger than watcherTimeout; the caller holds the lock.
 func (w *watchers) live() []*watcher {
 	live := make([]*watcher, 0, len(w.members))
