Test returns of a quota that take longer than the call that asked

A gateway reckons the age of what it returns from when it asked. If the call that returns it takes longer to arrive than the one that asked, the age names a time after the grant at the keeper, and the keeper subtracts the return from grants of a later slot first. Once the slot of the grant has left the span, the later grants count as not granted for up to one slot of 133 ms.

Trial, not taken: to subtract from the earliest grants within 70 ms before the age.

--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -150,6 +150,24 @@
 	}
 }
 
+// TestReturnThatTookLongerThanItsGrant guards against a return that makes a later grant count as not granted: its age, which the gateway reckons from when
+// it asked, names a time after the grant if the call that returns it has taken longer than the one that asked.
+func TestReturnThatTookLongerThanItsGrant(t *testing.T) {
+	k, pass := newTestKeeper()
+	k.Reserve(reservation(0, longAgo), pass(0))
+	h := &k.customers[simCustomer].history
+	slotEnd := h.slotLength - pass(0).Sub(k.started)%h.slotLength
+	k.Reserve(reservation(5000, longAgo), pass(slotEnd-time.Millisecond))
+	k.Reserve(reservation(3000, longAgo), pass(2*time.Millisecond)) // in the next slot
+	back := reservation(0, longAgo)
+	back.Returned, back.ReturnedAge = 5000, 100*time.Millisecond
+	k.Reserve(back, pass(100*time.Millisecond))
+	k.Reserve(reservation(0, longAgo), pass((historySlots-1)*h.slotLength-100*time.Millisecond))
+	if granted := h.granted(); granted != 3000 {
+		t.Errorf("%.0f count as granted once the grant that was returned has left the span, want the 3000 after it", granted)
+	}
+}
+
 // TestGrantsAreRememberedWhileTheLimitIsLow guards against a window in which a customer uses more than its quota, as its limit was lowered and raised
 // again in the meantime.
 func TestGrantsAreRememberedWhileTheLimitIsLow(t *testing.T) {
