Test customers' shares beside customers that send rarely

The mean service counts each customer with 1 ms or more, so for some 25 s after its last prompt of 237 ms. With many such customers the mean is far below what a busy customer gets, and all busy ones are beyond their share at once. Their patient requests then no longer count as urgent when their slack is used up, and come after all urgent ones.

--- a/turns/customers_test.go
+++ b/turns/customers_test.go
@@ -36,6 +36,19 @@
 	return loads
 }
 
+// ofRare returns a load shared equally by 11 further customers.
+func ofRare(l load) []load {
+	const customers = 11
+	var loads []load
+	for c := range customers {
+		l := l
+		l.customer = busy + 1 + fairshare.Customer(c)
+		l.perSecond /= customers
+		loads = append(loads, l)
+	}
+	return loads
+}
+
 // ofBusy returns a load of the customer with the surplus.
 func ofBusy(l load) []load {
 	l.customer = busy
@@ -72,6 +85,7 @@
 	"a third of the engines gone":           {all: join(ofOthers(urgent.during(1.5, 0, 60*s)), ofOthers(patient.during(0.5, 0, 60*s)), ofBusy(urgent.during(0.75, 0, 60*s)))},
 	"overload for good":                     {all: join(ofOthers(urgent.during(4, 0, 60*s)), ofOthers(patient.during(1.2, 0, 60*s)), ofBusy(urgent.during(2, 0, 60*s)), ofBusy(patient.during(0.3, 0, 60*s))), overload: true},
 	"overload for good, equal customers":    {all: join(ofOthers(urgent.during(6, 0, 60*s)), ofOthers(patient.during(1.5, 0, 60*s))), overload: true},
+	"overload for good, rare customers":     {all: join(ofOthers(urgent.during(6, 0, 60*s)), ofOthers(patient.during(1.5, 0, 60*s)), ofRare(urgent.during(0.77, 0, 60*s))), overload: true},
 }
 
 // customerResults holds what became of the requests of several days.
