Order waiting requests by one rule while gateways turn from six to seven

Among more than six gateways the ranks of requests that wait for room have a Cost, among fewer they have none. While the number changes, both kinds wait for the same targets, and two of them were compared by cost only where both had one. The two rules together are no order: of three requests each had one ahead, so that none of the group was sent although there was room, until one gave up. Cost now counts only if all that wait for the same targets have it.

Test: TestOrderOfRequestsWithAndWithoutCost, each of three requests had one ahead before.

--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -18,8 +18,8 @@
 	Priority      int       // of the request, 0 is the most urgent
 	RoutePriority int       // orders requests of equal priority
 	Objective     time.Time // by when the answer has to begin to have its full value
-	// Cost is what a wait costs the caller; where both requests have it, it decides between those of equal Begun, together with the
-	// service that their customers have been granted.
+	// Cost is what a wait costs the caller; where all requests that wait have it, it decides between those of equal Begun, together with
+	// the service that their customers have been granted.
 	Cost *turns.Rank
 }
 
@@ -55,6 +55,12 @@
 	return r
 }
 
+// withoutCost returns the rank as it is among requests that do not all have a Cost.
+func (r Rank) withoutCost() Rank {
+	r.Cost = nil
+	return r
+}
+
 // shareInterval is the time for which the influence of customers' service on an order is kept while no request joins or leaves: the
 // first one that waits checks for room as often.
 const shareInterval = 8 * time.Millisecond
@@ -129,11 +135,16 @@
 	return p.aheadLocked(now, func(r Rank) Rank { return r })
 }
 
-// aheadLocked returns the number of requests ahead of this one by the ranks that view returns.
+// aheadLocked returns the number of requests ahead of this one by the ranks that view returns. Cost counts only if all that wait have it, or the order
+// would be none: the rules with and without it may put three requests in a circle, in which none is the first.
 func (p *Place) aheadLocked(now time.Time, view func(Rank) Rank) int {
+	places := p.list.placesLocked(p.key)
+	if p.rank.Cost == nil || slices.ContainsFunc(places, func(other *Place) bool { return other.rank.Cost == nil }) {
+		view = Rank.withoutCost
+	}
 	rank := view(p.rank)
 	ahead, arrivedBefore := 0, true
-	for _, other := range p.list.placesLocked(p.key) {
+	for _, other := range places {
 		if other == p {
 			arrivedBefore = false
 			continue
--- a/waitlist/list_test.go
+++ b/waitlist/list_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"gypsumbank/turns"
 )
 
 var start = time.Unix(1000, 0)
@@ -52,3 +54,24 @@
 		})
 	}
 }
+
+// TestOrderOfRequestsWithAndWithoutCost guards against requests that all wait for one another: while the seventh gateway joins, some that wait have a Cost
+// and others none.
+func TestOrderOfRequestsWithAndWithoutCost(t *testing.T) {
+	list, key, now := New(), Key{Service: "s", Model: "m"}, start.Add(10*time.Second)
+	join := func(priority int, objective time.Duration, hasCost bool) *Place {
+		rank := Rank{Priority: priority, Objective: now.Add(objective)}
+		if hasCost {
+			rank.Cost = &turns.Rank{Priority: priority, Objective: rank.Objective, Prefill: 10 * time.Millisecond}
+		}
+		return list.Join(key, rank)
+	}
+	places := []*Place{join(0, -time.Second, true), join(1, 5*time.Second, true), join(2, 5*time.Second, false)}
+	seen := map[int]bool{}
+	for _, p := range places {
+		seen[p.Ahead(now)] = true
+	}
+	if !seen[0] || len(seen) != len(places) {
+		t.Errorf("numbers of requests ahead of %d that wait: %v, want each of 0 to %d", len(places), seen, len(places)-1)
+	}
+}
