Leave requests for a few tokens their whole time to wait for a turn

Cause: TestLongPromptsAreSentInTurns/gateway_froze fails since answers that would be cut are refused: a request with a limit of 10 tokens had 32 ms less to wait for its turn, its agent foretold the turn 12 ms too late for that, 1.2 s ahead, and refused it. The four others were served within 0.95 s of 2 s. Change: an output that is expected to take less than 100 ms is not subtracted.

--- a/dispatch/begin_deadline.go
+++ b/dispatch/begin_deadline.go
@@ -13,6 +13,9 @@
 	maxTokenTime = 12800 * time.Microsecond
 	// maxGuessedTokens is the most output expected of a request that has a limit alone, which many callers set far above what they get.
 	maxGuessedTokens = 300
+	// minGenerationTime is the least time of an output that is subtracted: waits for a turn are foretold less exactly than that, and a short answer was
+	// refused for 12 ms, though it would have ended 0.9 s before its deadline.
+	minGenerationTime = 100 * time.Millisecond
 )
 
 // beginDeadline returns until when the answer of the chosen target has to begin: its caller waits for the first byte no longer, and where there
@@ -28,7 +31,7 @@
 		tokens = min(tokens, maxGuessedTokens)
 	}
 	generation := min(d.fleet.GenerationTime(choice.Target.ID, d.request, tokens, d.now()), time.Duration(tokens)*maxTokenTime)
-	if begin := d.deadline.Add(-generation); begin.Before(by) {
+	if begin := d.deadline.Add(-generation); generation >= minGenerationTime && begin.Before(by) {
 		return begin
 	}
 	return by
--- a/dispatch/begin_deadline_test.go
+++ b/dispatch/begin_deadline_test.go
@@ -168,3 +168,22 @@
 		})
 	}
 }
+
+// TestShortAnswersMayWaitForTheirTurn guards against a request for a few tokens that gets less time to wait for its turn since its answer takes some ms:
+// its agent foretells waits less exactly, and refused one that would have been served in time.
+func TestShortAnswersMayWaitForTheirTurn(t *testing.T) {
+	d := newDispatcher(&scriptedClient{}, time.Now)
+	reportGateways(d, 29)
+	r := streamRoute(false)
+	r.Timeout = 2 * time.Second
+	for limit, wantLess := range map[int]bool{10: false, 600: true} {
+		req := longRequest()
+		req.MaxOutputTokens = limit
+		dispatch := d.Begin(t.Context(), req, r, engineService)
+		choice, ok := d.fleet.Choose(dispatch.query(), time.Now())
+		if isLess := dispatch.beginDeadline(choice).Before(dispatch.firstByteDeadline()); !ok || isLess != wantLess {
+			t.Errorf("limit of %d tokens: less time to begin: %v, want %v", limit, isLess, wantLess)
+		}
+		dispatch.Close()
+	}
+}
