Compare customers' service with those that wait, not with all that had any

Cause: the mean of all customers with service recorded counts those that send rarely for some 25 s after each prompt, so that all busy customers were beyond their share at once.

Change: the mean is that of the customers whose requests wait in the same queue.

--- a/turns/share.go
+++ b/turns/share.go
@@ -26,14 +26,18 @@
 	if !slices.ContainsFunc(inOrder, func(r *Rank) bool { return r.Customer != inOrder[0].Customer }) {
 		return false
 	}
-	limit := record.Average(now).Limit()
 	recorded, service := map[fairshare.Customer]time.Duration{}, map[fairshare.Customer]time.Duration{}
-	longest := time.Duration(0) // of the prompts of customers beyond their share
+	sum := time.Duration(0)
 	for _, r := range inOrder {
 		if _, ok := recorded[r.Customer]; !ok {
 			recorded[r.Customer] = record.Service(r.Customer, now)
 			service[r.Customer] = recorded[r.Customer]
+			sum += recorded[r.Customer]
 		}
+	}
+	limit := fairshare.Average{Mean: sum / time.Duration(len(recorded)), Customers: len(recorded)}.Limit()
+	longest := time.Duration(0) // of the prompts of customers beyond their share
+	for _, r := range inOrder {
 		r.share = share{service: service[r.Customer], exceeded: r.Customer != 0 && recorded[r.Customer] > limit}
 		service[r.Customer] += r.Service()
 		if r.share.exceeded {
