--- a/dispatch/begin_deadline.go
+++ b/dispatch/begin_deadline.go
@@ -13,8 +13,7 @@
 	maxTokenTime = 12800 * time.Microsecond
 	// maxGuessedTokens is the most output expected of a request that has a limit alone, which many callers set far above what they get.
 	maxGuessedTokens = 300
-	// minGenerationTime is the least time of an output that is subtracted: waits for a turn are foretold less exactly than that, and a short answer was
-	// refused for 12 ms, though those before it were served in half of their time.
+	// minGenerationTime is the least time of an output that is subtracted: waits for a turn are foretold less exactly than that.
 	minGenerationTime = 100 * time.Millisecond
 )
 
