--- a/review/cases-2/caller_test.go
+++ b/review/cases-2/caller_test.go
@@ -21,13 +21,21 @@
 
 // newCaller returns a client that opens a connection for each request and repeats none.
 func newCaller() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 6 * time.Second}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerPatience}
 }
 
 // ask sends a request to a gateway and returns what came of it.
 func ask(client *http.Client, method, gateway, path, id string, header map[string]string, body string) call {
+	return askWithin(client, callerPatience, method, gateway, path, id, header, body)
+}
+
+// callerPatience is how long callers wait for a whole answer.
+const callerPatience = 6 * time.Second
+
+// askWithin is ask with the time that the caller waits.
+func askWithin(client *http.Client, patience time.Duration, method, gateway, path, id string, header map[string]string, body string) call {
 	c := call{ID: id, At: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway+path, strings.NewReader(body))
 	if err != nil {
--- a/review/cases-2/replica_test.go
+++ b/review/cases-2/replica_test.go
@@ -22,6 +22,7 @@
 	serve   func(r *replica, w http.ResponseWriter, request *http.Request) // answers requests of callers
 
 	loadTime time.Duration
+	mute     func() bool
 
 	mu       sync.Mutex
 	id       string // of the current boot
@@ -174,6 +175,9 @@
 	case "/healthz":
 		w.WriteHeader(http.StatusOK)
 	case "/-/report":
+		for r.mute != nil && r.mute() && request.Context().Err() == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
 		r.report(w)
 	case "/-/order":
 		r.order(w, request)
