review: case 8, a channel is closed without an answer as a target reads on later

Shown: a target that begins to answer before it has read a long body, and reads on 2.5 s later, is cut off after 1.5 s by TCP_USER_TIMEOUT, and the caller's kept channel is closed without an answer (LOST).

--- a/review/cases-2/main_test.go
+++ b/review/cases-2/main_test.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(*deployment) (held bool, err error){
 	"6": badPartBeforeASharedOne,
 	"7": badPartInVolleys,
+	"8": earlyAnswerToALongBody,
 }
 
 // TestMain runs the selected case in place of tests.
--- a/review/cases-2/replica_test.go
+++ b/review/cases-2/replica_test.go
@@ -1,6 +1,7 @@
 package cases
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,8 +23,9 @@
 	agent   *process
 	serve   func(r *replica, w http.ResponseWriter, request *http.Request) // answers requests of callers
 
-	loadTime time.Duration
-	mute     func() bool
+	loadTime      time.Duration
+	receiveBuffer int                      // of each of its connections; 0 for the system's choice
+	serveConn     func(*replica, net.Conn) // answers all requests on a connection, in place of the rest; nil for none
 
 	mu       sync.Mutex
 	id       string // of the current boot
@@ -51,7 +54,8 @@
 
 // start begins a boot of the replica.
 func (r *replica) start() error {
-	listener, err := net.Listen("tcp", r.address)
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return r.limitReceiveBuffer(raw) }}
+	listener, err := config.Listen(context.Background(), "tcp", r.address)
 	if err != nil {
 		return err
 	}
@@ -62,13 +66,46 @@
 	r.server = &http.Server{Handler: http.HandlerFunc(r.handle), ReadHeaderTimeout: time.Minute}
 	server, id := r.server, r.id
 	r.mu.Unlock()
-	go func() { _ = server.Serve(listener) }()
+	if r.serveConn != nil {
+		go r.acceptConns(listener)
+	} else {
+		go func() { _ = server.Serve(listener) }()
+	}
 	r.d.rec.sayf("replica %s of %s starts at %s", id, r.service, r.address)
 	r.register(id)
 	go r.beat(id)
 	return nil
 }
 
+// acceptConns has serveConn answer the requests on the connections that come in.
+func (r *replica) acceptConns(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			r.serveConn(r, conn)
+		}()
+	}
+}
+
+// limitReceiveBuffer sets the buffer of a listening socket, which the connections that it accepts have, too.
+func (r *replica) limitReceiveBuffer(raw syscall.RawConn) error {
+	if r.receiveBuffer == 0 {
+		return nil
+	}
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, r.receiveBuffer)
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
 // register writes the replica's entry of a boot to the store.
 func (r *replica) register(id string) {
 	r.mu.Lock()
@@ -175,9 +212,6 @@
 	case "/healthz":
 		w.WriteHeader(http.StatusOK)
 	case "/-/report":
-		for r.mute != nil && r.mute() && request.Context().Err() == nil {
-			time.Sleep(5 * time.Millisecond)
-		}
 		r.report(w)
 	case "/-/order":
 		r.order(w, request)
