review: case 9, a sound stream is worked on by two engines

Shown: one engine of seven lets a part of the requests to it hang, reports among them. Streams that it serves soundly are sent on to the copies of their runs while it works on (TWICE).

--- a/review/cases-2/main_test.go
+++ b/review/cases-2/main_test.go
@@ -28,6 +28,7 @@
 	"6": badPartBeforeASharedOne,
 	"7": badPartInVolleys,
 	"8": earlyAnswerToALongBody,
+	"9": runGoesOnAtTwoEngines,
 }
 
 // TestMain runs the selected case in place of tests.
--- a/review/cases-2/manifest_test.go
+++ b/review/cases-2/manifest_test.go
@@ -29,3 +29,16 @@
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 }
+
+// copyRuns has the engines copy runs, and adds a route for long streams.
+func (m manifest) copyRuns() {
+	routes, services := m["routes"].([]any), m["services"].([]any)
+	chat := map[string]any{}
+	for key, value := range routes[0].(map[string]any) {
+		chat[key] = value
+	}
+	chat["name"], chat["prefix"], chat["timeoutMs"] = "chat", "/chat/", 15000
+	m["routes"] = append(routes, chat)
+	engine := services[1].(map[string]any)["engine"].(map[string]any)
+	engine["backups"], engine["moves"], engine["kvBytes"], engine["linkMbps"], engine["handle_s"] = true, true, 163840.0, 550000.0, 5.0
+}
--- a/review/cases-2/replica_test.go
+++ b/review/cases-2/replica_test.go
@@ -25,6 +25,7 @@
 
 	loadTime      time.Duration
 	receiveBuffer int                      // of each of its connections; 0 for the system's choice
+	hangs         func() bool              // a request other than a health check hangs; nil for never
 	serveConn     func(*replica, net.Conn) // answers all requests on a connection, in place of the rest; nil for none
 
 	mu       sync.Mutex
@@ -208,6 +209,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if request.URL.Path != "/healthz" && r.hangs != nil && r.hangs() {
+		<-request.Context().Done()
+		return
+	}
 	switch request.URL.Path {
 	case "/healthz":
 		w.WriteHeader(http.StatusOK)
