--- a/review/cases-2/case9_test.go
+++ b/review/cases-2/case9_test.go
@@ -18,7 +18,9 @@
 	hangShare      = 0.45                   // of the requests to the engine
 	copyDelay      = 100 * time.Millisecond // until an event has reached the copy of its run
 	stillAtWork    = 400 * time.Millisecond
-	copyCaseTime   = 20 * time.Second
+	copyCaseTime   = 40 * time.Second
+	hangTimes      = 3
+	hangPause      = 4 * time.Second
 	copyCaseBefore = 5 * time.Second
 )
 
@@ -174,13 +176,17 @@
 		}
 	})
 	time.Sleep(copyCaseBefore)
-	if s.trouble {
+	for range hangTimes {
+		if !s.trouble {
+			break
+		}
 		e := s.busiest()
 		s.rec.sayf("a part of the requests to %s hangs", e.id)
 		s.hanging.Store(e)
 		time.Sleep(hangFor)
 		s.hanging.Store(nil)
 		s.rec.sayf("no requests to %s hang any more", e.id)
+		time.Sleep(hangPause)
 	}
 	wait.Wait()
 }
