review/10: the record lists every stream, each run and the platform's rotation

On a last read the record of case 10 had only the long streams in a stop. It now has what was sent, run and answered, and when a gateway leaves and joins the rotation. What is sent and the check are unchanged.

--- a/review/cases-2/case10_test.go
+++ b/review/cases-2/case10_test.go
@@ -83,6 +83,7 @@
 
 // serve answers a stream, each at the same pace.
 func (s *stopCase) serve(r *replica, w http.ResponseWriter, request *http.Request) {
+	s.rec.sayf("%s runs %s", r.id, request.Header.Get("X-Gypsumbank-Request-Id"))
 	if !strings.HasPrefix(request.URL.Path, "/ask/long") {
 		stream(w, request, usualEvents, eventInterval)
 		return
@@ -105,9 +106,11 @@
 		case <-ticker.C:
 		}
 		if n.isReady() {
-			n.misses.Store(0)
-		} else {
-			n.misses.Add(1)
+			if n.misses.Swap(0) >= missesToBeOut {
+				s.rec.sayf("%s is in rotation again", n.name)
+			}
+		} else if n.misses.Add(1) == missesToBeOut {
+			s.rec.sayf("%s is out of rotation", n.name)
 		}
 	}
 }
@@ -212,9 +215,12 @@
 	sentAfter := c.At.Sub(stopped)
 	inStop := sentAfter < graceLength
 	wasCut := c.Begun && !c.Whole
-	if wasCut || isLong && inStop {
+	events := strings.Count(c.Body, "\n\n")
+	if inStop {
 		s.rec.sayf("%s, sent to %s %.2f s after its SIGTERM, ended %.2f s after it: status %d, %d events, whole %t, error %v", id, chosen.name,
-			sentAfter.Seconds(), time.Since(stopped).Seconds(), c.Status, strings.Count(c.Body, "\n\n"), c.Whole, c.Err != nil)
+			sentAfter.Seconds(), time.Since(stopped).Seconds(), c.Status, events, c.Whole, c.Err)
+	} else {
+		s.rec.sayf("%s, sent to %s %.2f s before: status %d, %d events, whole %t, error %v", id, chosen.name, time.Since(c.At).Seconds(), c.Status, events, c.Whole, c.Err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
