Take a request for written once the system has its last bytes

Cause: the state of a write was read from a channel that its goroutine closes, which lags behind the bytes while it waits for a processor.

Change: at the end of an answer the write is ended and waited for: a write whose bytes the system has taken is done, any other one is cut, and its connection is closed as before.

Evidence: TestAnswerThatOvertakesItsWriteKeepsTheConnection fails before (request 1 is pending; 3 connections for three requests, 1 wanted) and passes after.

Looked at: the end of an answer without length (stoppedByReset did this already, and uses the same call now); dropBody, which asks while the answer begins and only keeps the body for longer; Discard and Close, which close the connection.

--- a/sender/request_write.go
+++ b/sender/request_write.go
@@ -49,10 +49,16 @@
 	return Written
 }
 
+// stop ends the write if it is still in progress and returns its final state. A write whose last bytes the system has taken is done, although its
+// goroutine may not have run since.
+func (w *requestWrite) stop() WriteState {
+	_ = w.conn.SetWriteDeadline(time.Now()) // fails only if the connection is closed, which ends the write too
+	<-w.done
+	return w.state()
+}
+
 // stoppedByReset ends the write if it is still in progress and reports whether the connection was reset under it. The kernel tells one call of
 // a reset: if that is the write, a read beside it returns io.EOF. After an end in order the write fails with EPIPE instead.
 func (w *requestWrite) stoppedByReset() bool {
-	_ = w.conn.SetWriteDeadline(time.Now()) // fails only if the connection is closed, which ends the write too
-	<-w.done
-	return errors.Is(w.err, syscall.ECONNRESET)
+	return w.stop() == WriteFailed && errors.Is(w.err, syscall.ECONNRESET)
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -245,10 +245,11 @@
 	return b.conn.Close()
 }
 
-// release returns the connection to the pool, or closes it if it is not fit for reuse.
+// release returns the connection to the pool, or closes it if it is not fit for reuse, as one whose request has not been written to its end.
 func (b *responseBody) release() {
 	b.done = true
-	if !b.stopAbort() || !b.keepConn || b.response.Close || b.write.state() != Written {
+	written := b.write.stop() == Written
+	if !b.stopAbort() || !b.keepConn || b.response.Close || !written {
 		_ = b.conn.Close()
 		return
 	}
--- a/sender/stale_test.go
+++ b/sender/stale_test.go
@@ -141,7 +141,14 @@
 // sendWhole sends a request and reads its answer.
 func sendWhole(t *testing.T, s *sender.Sender, address, id string) sender.ConnectionUse {
 	t.Helper()
-	response, err := s.Send(t.Context(), address, newRequest(id))
+	return sendRequest(t, s, address, newRequest(id))
+}
+
+// sendRequest sends a request, whose id is its answer, and reads that.
+func sendRequest(t *testing.T, s *sender.Sender, address string, request *sender.Request) sender.ConnectionUse {
+	t.Helper()
+	id := request.ID
+	response, err := s.Send(t.Context(), address, request)
 	if err != nil {
 		t.Fatalf("request %s: %v", id, err)
 	}
