Log who reads the routes, how long a failed read makes a gateway wait and why, and count reads

Change: the wait and its reason, with the number of gateways, connected agents and the ages that decide it, in store lost and (debug) each failed read; the longest wait in store regained; who reads the routes, when that changes; the source of the routes in force and the age of what they replace. No decision is changed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,6 +135,7 @@
 		memory:     newRequestMemory(config),
 		usage:      customer.NewUsage(),
 	}
+	metrics.GetOrCreateGauge("gypsumbank_gateway_routes_age_seconds", func() float64 { return float64(ageMs(g.routesConfirmedAt(), time.Now())) / 1000 })
 	g.registry = refresh.New(g.readTargets, refreshInterval)
 	g.versions = newStoredVersions(store, f, relay, log)
 	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
--- a/gateway/relayed_routes.go
+++ b/gateway/relayed_routes.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		log.WithField("version", table.Version()).Info("routes taken from an agent")
-		g.installRoutes(table)
+		g.installRoutes(table, address)
 		return
 	}
 }
--- a/gateway/routes_agents_test.go
+++ b/gateway/routes_agents_test.go
@@ -79,7 +79,7 @@
 			t.Parallel()
 			log, _ := logtest.NewNullLogger()
 			g := New(&settings.Config{Bounds: settings.Bounds{RetryWindow: time.Second}, Limits: settings.Limits{MemoryMiB: 64}}, log.WithField("test", t.Name()))
-			g.installRoutes(route.New(1, route.Limits{}, nil, nil))
+			g.installRoutes(route.New(1, route.Limits{}, nil, nil), "store")
 			good := startRoutesAgent(t, &routesAgent{answer: func(_ context.Context, known int64) (*wire.RoutesReply, error) {
 				if version := g.relay.routesVersion(); version > known {
 					return &wire.RoutesReply{Version: version, Document: document(version)}, nil
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
@@ -55,16 +56,53 @@
 	}
 }
 
-// waitForRetry waits for maxWait after a failed read. If no agent has read the store recently, it returns early once one
-// has.
-func (g *Gateway) waitForRetry(ctx context.Context, maxWait time.Duration) error {
+// retryWait is how long the store is not read after a failed read, and why.
+type retryWait struct {
+	duration time.Duration
+	reason   string
+}
+
+// Reasons of waits after a failed read.
+const (
+	waitAgentsRead     = "agents-read"      // an agent has read the store recently
+	waitAgentsExpected = "agents-connected" // agents are connected and are expected to tell when the store answers
+	waitOwnRead        = "own-read"         // this gateway finds out by itself
+)
+
+// retryWait returns the wait after a failed read for which the backoff has chosen a duration.
+func (g *Gateway) retryWait(chosen time.Duration) retryWait {
 	if g.relay.isFresh(time.Now()) {
-		return pause.For(ctx, maxWait)
+		return retryWait{chosen, waitAgentsRead}
 	}
 	if g.fleet.GatewayCount() > maxGatewaysForFastHeartbeat && g.agents.connectedRelays() >= relayCount {
-		maxWait *= relayedRetryFactor
+		return retryWait{chosen * relayedRetryFactor, waitAgentsExpected}
+	}
+	return retryWait{chosen, waitOwnRead}
+}
+
+// log returns an entry with the wait and what it was decided from.
+func (w retryWait) log(g *Gateway) *logrus.Entry {
+	now := time.Now()
+	return g.log.WithFields(logrus.Fields{
+		"wait-ms": w.duration.Milliseconds(), "wait-for": w.reason, "gateways": g.fleet.GatewayCount(),
+		"agents-connected": g.agents.connectedRelays(), "agents-read-age-ms": ageMs(g.relay.readAt(), now), "routes-age-ms": ageMs(g.routesConfirmedAt(), now),
+	})
+}
+
+// ageMs returns the age of a time in milliseconds, -1 if it is zero.
+func ageMs(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
 	}
-	end := time.Now().Add(maxWait)
+	return now.Sub(at).Milliseconds()
+}
+
+// waitForRetry waits after a failed read. If no agent has read the store recently, it returns early once one has.
+func (g *Gateway) waitForRetry(ctx context.Context, wait retryWait) error {
+	if wait.reason == waitAgentsRead {
+		return pause.For(ctx, wait.duration)
+	}
+	end := time.Now().Add(wait.duration)
 	for time.Now().Before(end) && !g.relay.isFresh(time.Now()) {
 		if err := pause.For(ctx, relayPollInterval); err != nil {
 			return err
@@ -77,11 +115,17 @@
 // store while agents do so and report no newer version.
 func (g *Gateway) followRoutes(ctx context.Context) error {
 	var position platform.Position
-	storeLost := false
+	storeLost, byAgents := false, false
+	longestWait := time.Duration(0) // since the store was lost
 	retry := newStoreBackoff()
 	for ctx.Err() == nil {
 		start := time.Now()
-		if g.relayCoversRoutes(start) {
+		covered := g.relayCoversRoutes(start)
+		if covered != byAgents {
+			byAgents = covered
+			g.logReader(byAgents, start)
+		}
+		if covered {
 			g.confirmRoutes(g.relay.readAt())
 			_ = pause.For(ctx, relayPollInterval)
 			continue
@@ -95,19 +139,28 @@
 			position = platform.Position{}
 			continue
 		case err != nil:
+			wait := g.retryWait(retry.NextBackOff())
 			if !storeLost {
-				g.log.WithError(err).WithField("store-version", position.Version).Warn("store lost while following routes")
+				wait.log(g).WithError(err).WithField("store-version", position.Version).Warn("store lost while following routes")
+			} else {
+				wait.log(g).WithError(err).Debug("store still lost while following routes")
 			}
 			storeLost = true
-			_ = g.waitForRetry(ctx, retry.NextBackOff())
+			countStoreRead("routes", "failed")
+			longestWait = max(longestWait, wait.duration)
+			_ = g.waitForRetry(ctx, wait)
 			continue
 		}
 		retry.Reset()
 		if storeLost {
-			g.log.WithFields(logrus.Fields{"store-version": next.Version, "after": position.Version, "epoch": next.Epoch}).Info("store regained while following routes")
-			storeLost = false
+			g.log.WithFields(logrus.Fields{
+				"store-version": next.Version, "after": position.Version, "epoch": next.Epoch, "longest-wait-ms": longestWait.Milliseconds(),
+				"routes-age-ms": ageMs(g.routesConfirmedAt(), start),
+			}).Info("store regained while following routes")
+			storeLost, longestWait = false, 0
 		}
-		g.installRoutes(table)
+		countStoreRead("routes", "answered")
+		g.installRoutes(table, "store")
 		g.confirmRoutes(start)
 		position = next
 		if time.Since(start) < minStoreInterval {
@@ -117,6 +170,22 @@
 	return ctx.Err()
 }
 
+// logReader logs that the routes are now read by agents or by this gateway, and why.
+func (g *Gateway) logReader(byAgents bool, now time.Time) {
+	reader := "gateway"
+	if byAgents {
+		reader = "agents"
+	}
+	version := int64(0)
+	if table := g.routeTable.Load(); table != nil {
+		version = table.Version()
+	}
+	g.log.WithFields(logrus.Fields{
+		"reader": reader, "version": version, "agents-version": g.relay.routesVersion(), "agents-read-age-ms": ageMs(g.relay.readAt(), now),
+		"agents-connected": g.agents.connectedRelays(),
+	}).Info("reader of the routes changes")
+}
+
 // relayCoversRoutes reports whether agents have read the store recently and have seen no newer version of the routes than
 // the one in force.
 func (g *Gateway) relayCoversRoutes(now time.Time) bool {
@@ -139,6 +208,11 @@
 	return time.Time{}
 }
 
+// countStoreRead counts a read of this gateway by its result.
+func countStoreRead(what, result string) {
+	metrics.GetOrCreateCounter(`gypsumbank_gateway_store_reads_total{of="` + what + `",result="` + result + `"}`).Inc()
+}
+
 // followRelay puts the targets that agents have read from the store in force, until ctx ends.
 func (g *Gateway) followRelay(ctx context.Context) error {
 	for {
@@ -168,8 +242,8 @@
 	return g.store.RoutesAfter(readCtx, after, routesLongPoll)
 }
 
-// installRoutes puts a routing table in force unless the one in force is as new or newer.
-func (g *Gateway) installRoutes(table *route.Table) {
+// installRoutes puts a routing table in force unless the one in force is as new or newer. The source is the address of the agent that it is from, or "store".
+func (g *Gateway) installRoutes(table *route.Table, source string) {
 	g.replacing.Lock()
 	defer g.replacing.Unlock()
 	current := g.routeTable.Load()
@@ -179,7 +253,10 @@
 	g.routeTable.Store(table)
 	g.fleet.SetServices(table.Services())
 	g.usage.SetCustomers(table.Customers())
-	g.log.WithFields(logrus.Fields{"version": table.Version(), "routes": table.Len()}).Info("routes in force")
+	g.log.WithFields(logrus.Fields{
+		"version": table.Version(), "routes": table.Len(), "source": source, "replaced-age-ms": ageMs(g.routesConfirmedAt(), time.Now()),
+		"agents-version": g.relay.routesVersion(), "agents-read-age-ms": ageMs(g.relay.readAt(), time.Now()),
+	}).Info("routes in force")
 	g.watchAgents() // the first routes may come after the first targets
 }
 
@@ -198,12 +275,17 @@
 			return ctx.Err()
 		case err != nil && !errors.Is(err, errOldRead):
 			failedAt := time.Now()
+			wait := g.retryWait(retry.NextBackOff())
 			if g.storeLostAt.CompareAndSwap(nil, &failedAt) {
-				g.log.WithError(err).Warn("store lost while following targets")
+				wait.log(g).WithError(err).Warn("store lost while following targets")
+			} else {
+				wait.log(g).WithError(err).Debug("store still lost while following targets")
 			}
-			_ = g.waitForRetry(ctx, retry.NextBackOff())
+			countStoreRead("targets", "failed")
+			_ = g.waitForRetry(ctx, wait)
 			continue
 		}
+		countStoreRead("targets", "answered")
 		retry.Reset()
 		_ = pause.For(ctx, poll)
 		poll = nextPollInterval(poll)
