--- a/gateway/group_test.go
+++ b/gateway/group_test.go
@@ -27,6 +27,7 @@
 	log       *logrus.Entry
 
 	gatewayStore string                 // address of the store for gateways
+	agentStore   string                 // address of the store for agents
 	configure    func(*settings.Config) // changes the settings of gateways; nil for no change
 
 	mu        sync.Mutex
@@ -43,7 +44,7 @@
 	_, port, _ := net.SplitHostPort(freeAddress(t))
 	agentPort, _ := strconv.Atoi(port)
 	g := &gatewayGroup{t: t, store: site.NewStore(), agentPort: agentPort, log: log.WithField("test", t.Name())}
-	g.gatewayStore = g.store.Address()
+	g.gatewayStore, g.agentStore = g.store.Address(), g.store.Address()
 	t.Cleanup(g.store.Close)
 	t.Cleanup(g.stopAll)
 	g.store.Put("op", "config", routesDocument(1, 2000))
@@ -85,10 +86,15 @@
 // startAgent starts the agent of an engine that listens at a loopback address of its own.
 func (g *gatewayGroup) startAgent(id string, engine *site.Target) (stop func()) {
 	host, _, _ := net.SplitHostPort(engine.Address())
+	return g.startAgentAt(id, engine, net.JoinHostPort(host, strconv.Itoa(g.agentPort)))
+}
+
+// startAgentAt is startAgent with the address that the agent listens at.
+func (g *gatewayGroup) startAgentAt(id string, engine *site.Target, listen string) (stop func()) {
 	config := &settings.Config{
 		Node:   settings.Node{Name: "agent-" + id, AvailabilityZone: "zone-a"},
-		Agent:  settings.Agent{Listen: net.JoinHostPort(host, strconv.Itoa(g.agentPort)), Target: engine.Address(), Service: "engine"},
-		Store:  settings.Store{Address: g.store.Address()},
+		Agent:  settings.Agent{Listen: listen, Target: engine.Address(), Service: "engine"},
+		Store:  settings.Store{Address: g.agentStore},
 		Bounds: settings.Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1, QuotaWindow: quotaWindow, QuotaOverage: quotaOverage},
 	}
 	return g.run(agent.New(config, g.log).Run)
