Read a store that does not answer at intervals that keep to the time of changes

Cause: after a failed read a gateway of many waited four times the backoff, up to 9.6 s, if two agents were connected, as these would tell it when the store answers. That an agent is connected does not show that it can read the store. Class: a decision that relies on another process by a sign of life that says nothing of what it is relied on for; and waits that were chosen one by one, with no common time that they must keep to.

Change: package propagation divides the time for changes (configApplyMs, setting apply-time, 2 s by default) among a lost read, the wait after it and the next read. No wait depends on agents being connected; it ends early once one has read. After a failed read the next ones do not wait at the store, as a waiting read that is lost costs a second more. The reads of the targets rest four times as long only while this gateway's own reads of the routes, at the shorter interval, find out whether the store answers; the answer ends the rest.

Looked at: targets (same wait, now as above), routes asked of agents and software versions (same backoff, now bounded), agents (0.5 s between reads of those that gateways rely on), quotas (no read of the store in gateways), customers (part of the routes).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"gypsumbank/logs"
 	"gypsumbank/origin"
 	"gypsumbank/platform"
+	"gypsumbank/propagation"
 	"gypsumbank/refresh"
 	"gypsumbank/retrybudget"
 	"gypsumbank/route"
@@ -60,6 +61,7 @@
 	config         *settings.Config
 	log            *logrus.Entry
 	store          *platform.Store
+	changes        propagation.Budget // time for changes of the routes
 	epochs         *epoch.Tracker
 	departures     *departure.Table
 	fleet          *fleet.Fleet
@@ -83,6 +85,7 @@
 	routeTable     atomic.Pointer[route.Table]
 	routesReadAt   atomic.Pointer[time.Time] // when the last read began that found no newer routes than those in force; nil before
 	targetsKnown   atomic.Bool
+	asksStore      atomic.Bool               // the follower of the routes reads a store that does not answer until it does
 	installing     sync.Mutex                // of targets
 	replacing      sync.Mutex                // of routes
 	targetsInForce history.Span              // of the read of the targets that are in force; guarded by installing
@@ -102,6 +105,7 @@
 	origins := origin.New(time.Now)
 	epochs := epoch.New()
 	store := platform.NewStore(config.Store.Address, epochs, log)
+	changes := propagation.New(config.Bounds.ApplyTime)
 	agents := newAgentClients(config.Node.Name, config.Gateway.AgentPort, d, f, relay, crashes, origins, epochs, log)
 	blockedContents := newBlockedContents(store, crashes, agents, log)
 	crashes.changed = func() {
@@ -120,6 +124,7 @@
 		config:     config,
 		log:        log,
 		store:      store,
+		changes:    changes,
 		epochs:     epochs,
 		departures: departure.New(time.Now),
 		fleet:      f,
@@ -137,7 +142,7 @@
 	}
 	metrics.GetOrCreateGauge("gypsumbank_gateway_routes_age_seconds", func() float64 { return float64(ageMs(g.routesConfirmedAt(), time.Now())) / 1000 })
 	g.registry = refresh.New(g.readTargets, refreshInterval)
-	g.versions = newStoredVersions(store, f, relay, log)
+	g.versions = newStoredVersions(store, f, relay, changes, log)
 	g.dispatcher = dispatch.New(f, replicaClient, agents, g.registry, budget, crashes, origins, log, time.Now)
 	g.dispatcher.UseStoredVersions(g.versions)
 	agents.recordEngine = g.dispatcher.RecordEngine
--- a/gateway/late_changes_test.go
+++ b/gateway/late_changes_test.go
@@ -39,8 +39,11 @@
 	waiting.Wait()
 }
 
+// maxCallsPerGateway is what a store with the lowest rate of the deployments known, 2,000 reading calls a second, bears of each of 410 gateways.
+const maxCallsPerGateway = 2000.0 / 410
+
 // TestChangeAfterAnOutageThatAgentsDoNotSeeEnd guards against gateways that ask the store rarely after an outage since connected agents would tell
-// them of its end, while the store turns these agents away.
+// them of its end, while the store turns these agents away; and against gateways that ask so often that the store can't bear hundreds of them.
 func TestChangeAfterAnOutageThatAgentsDoNotSeeEnd(t *testing.T) {
 	t.Parallel()
 	const (
@@ -57,8 +60,14 @@
 	}
 	time.Sleep(3 * time.Second) // until the agents read the store for all
 	agentFront.cut.Store(true)
+	before := g.store.Requests()
 	g.store.SetFault(site.Down)
 	time.Sleep(outage)
+	calls := float64(g.store.Requests()-before) / gateways / outage.Seconds()
+	t.Logf("%.2f calls of the store a second by each gateway", calls)
+	if calls > maxCallsPerGateway {
+		t.Errorf("%.2f calls of the store a second by each gateway while it is down, %.2f allowed", calls, maxCallsPerGateway)
+	}
 	g.store.SetFault(site.NoFault)
 	addRoute(g.store, 5)
 	g.waitForRoute(gateways, 5)
--- a/gateway/relayed_routes.go
+++ b/gateway/relayed_routes.go
@@ -30,7 +30,7 @@
 			return ctx.Err()
 		case <-g.relay.routesRose:
 		}
-		retry := newStoreBackoff()
+		retry := newStoreBackoff(g.changes)
 		wait := ownReadTime
 		for len(g.agentsAhead()) > 0 {
 			if err := pause.For(ctx, wait); err != nil {
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"gypsumbank/epoch"
@@ -16,10 +15,8 @@
 )
 
 const (
-	// storeTimeout bounds one read of the store, of the targets that of one page.
+	// storeTimeout bounds one read of the store, but for the routes; of the targets that of one page.
 	storeTimeout = 600 * time.Millisecond
-	// routesLongPoll bounds one wait for changes of the routes, so that a dead connection delays a change by about a second.
-	routesLongPoll = time.Second
 	// targetsPollInterval is the interval between reads of the targets. It leaves half of the platform's drain period for
 	// requests on their way to a draining target.
 	targetsPollInterval = 800 * time.Millisecond
@@ -31,12 +28,6 @@
 	startupPollGrowth   = 1.5
 	// relayPollInterval is the interval at which the gateway checks whether agents still read the store for it.
 	relayPollInterval = 20 * time.Millisecond
-	// maxStoreBackoff bounds the interval, before jitter, between attempts to read a store that does not respond. Together
-	// with a read it stays below the time within which a change must be in force.
-	maxStoreBackoff = 1600 * time.Millisecond
-	// relayedRetryFactor lengthens the interval where many gateways are connected to agents that try to read the store, too,
-	// and tell them once it responds.
-	relayedRetryFactor = 4
 	// minExpiryGap is the time without a read from which on entries may have expired as the store was away for all: they do so three intervals of some
 	// 1.3 s after their last renewal, which was at most one before that time.
 	minExpiryGap = 2600 * time.Millisecond
@@ -47,77 +38,13 @@
 // errOldRead reports targets that may be older than those in force and are not used.
 var errOldRead = errors.New("targets may be older than those in force")
 
-// newStoreBackoff returns the backoff between attempts to read a store that does not respond. With many gateways, attempts
-// at short intervals would be most of the load of the store.
-func newStoreBackoff() *backoff.ExponentialBackOff {
-	return &backoff.ExponentialBackOff{
-		InitialInterval: minStoreInterval, MaxInterval: maxStoreBackoff,
-		Multiplier: backoff.DefaultMultiplier, RandomizationFactor: backoff.DefaultRandomizationFactor,
-	}
-}
-
-// retryWait is how long the store is not read after a failed read, and why.
-type retryWait struct {
-	duration time.Duration
-	reason   string
-}
-
-// Reasons of waits after a failed read.
-const (
-	waitAgentsRead     = "agents-read"      // an agent has read the store recently
-	waitAgentsExpected = "agents-connected" // agents are connected and are expected to tell when the store answers
-	waitOwnRead        = "own-read"         // this gateway finds out by itself
-)
-
-// retryWait returns the wait after a failed read for which the backoff has chosen a duration.
-func (g *Gateway) retryWait(chosen time.Duration) retryWait {
-	if g.relay.isFresh(time.Now()) {
-		return retryWait{chosen, waitAgentsRead}
-	}
-	if g.fleet.GatewayCount() > maxGatewaysForFastHeartbeat && g.agents.connectedRelays() >= relayCount {
-		return retryWait{chosen * relayedRetryFactor, waitAgentsExpected}
-	}
-	return retryWait{chosen, waitOwnRead}
-}
-
-// log returns an entry with the wait and what it was decided from.
-func (w retryWait) log(g *Gateway) *logrus.Entry {
-	now := time.Now()
-	return g.log.WithFields(logrus.Fields{
-		"wait-ms": w.duration.Milliseconds(), "wait-for": w.reason, "gateways": g.fleet.GatewayCount(),
-		"agents-connected": g.agents.connectedRelays(), "agents-read-age-ms": ageMs(g.relay.readAt(), now), "routes-age-ms": ageMs(g.routesConfirmedAt(), now),
-	})
-}
-
-// ageMs returns the age of a time in milliseconds, -1 if it is zero.
-func ageMs(at, now time.Time) int64 {
-	if at.IsZero() {
-		return -1
-	}
-	return now.Sub(at).Milliseconds()
-}
-
-// waitForRetry waits after a failed read. If no agent has read the store recently, it returns early once one has.
-func (g *Gateway) waitForRetry(ctx context.Context, wait retryWait) error {
-	if wait.reason == waitAgentsRead {
-		return pause.For(ctx, wait.duration)
-	}
-	end := time.Now().Add(wait.duration)
-	for time.Now().Before(end) && !g.relay.isFresh(time.Now()) {
-		if err := pause.For(ctx, relayPollInterval); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // followRoutes reads the routes from the store as they change and puts them in force, until ctx ends. It does not read the
 // store while agents do so and report no newer version.
 func (g *Gateway) followRoutes(ctx context.Context) error {
 	var position platform.Position
 	storeLost, byAgents := false, false
 	longestWait := time.Duration(0) // since the store was lost
-	retry := newStoreBackoff()
+	retry := newStoreBackoff(g.changes)
 	for ctx.Err() == nil {
 		start := time.Now()
 		covered := g.relayCoversRoutes(start)
@@ -126,11 +53,12 @@
 			g.logReader(byAgents, start)
 		}
 		if covered {
+			g.asksStore.Store(false)
 			g.confirmRoutes(g.relay.readAt())
 			_ = pause.For(ctx, relayPollInterval)
 			continue
 		}
-		table, next, err := g.nextRoutes(ctx, position)
+		table, next, err := g.nextRoutes(ctx, position, storeLost)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -139,19 +67,21 @@
 			position = platform.Position{}
 			continue
 		case err != nil:
-			wait := g.retryWait(retry.NextBackOff())
+			wait := g.routesRetryWait(retry.NextBackOff())
 			if !storeLost {
 				wait.log(g).WithError(err).WithField("store-version", position.Version).Warn("store lost while following routes")
 			} else {
 				wait.log(g).WithError(err).Debug("store still lost while following routes")
 			}
 			storeLost = true
+			g.asksStore.Store(true)
 			countStoreRead("routes", "failed")
 			longestWait = max(longestWait, wait.duration)
 			_ = g.waitForRetry(ctx, wait)
 			continue
 		}
 		retry.Reset()
+		g.asksStore.Store(false)
 		if storeLost {
 			g.log.WithFields(logrus.Fields{
 				"store-version": next.Version, "after": position.Version, "epoch": next.Epoch, "longest-wait-ms": longestWait.Milliseconds(),
@@ -229,17 +159,19 @@
 	}
 }
 
-// nextRoutes returns the routes and the position up to which they were read. Given a position, it waits for a change after that;
-// the table is nil if there is none or it has not changed.
-func (g *Gateway) nextRoutes(ctx context.Context, after platform.Position) (*route.Table, platform.Position, error) {
+// nextRoutes returns the routes and the position up to which they were read. Given a position, it waits for a change after that, unless the read before
+// has failed: a read that waits is given up late. The table is nil if there is none or it has not changed.
+func (g *Gateway) nextRoutes(ctx context.Context, after platform.Position, failed bool) (*route.Table, platform.Position, error) {
+	wait, timeout := g.changes.PollWait(), g.changes.PollTimeout()
+	if failed || after == (platform.Position{}) {
+		wait, timeout = 0, g.changes.ReadTimeout()
+	}
+	readCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	if after == (platform.Position{}) {
-		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		defer cancel()
 		return g.store.Routes(readCtx)
 	}
-	readCtx, cancel := context.WithTimeout(ctx, routesLongPoll+storeTimeout/2)
-	defer cancel()
-	return g.store.RoutesAfter(readCtx, after, routesLongPoll)
+	return g.store.RoutesAfter(readCtx, after, wait)
 }
 
 // installRoutes puts a routing table in force unless the one in force is as new or newer. The source is the address of the agent that it is from, or "store".
@@ -263,7 +195,7 @@
 // followTargets reads the registered targets from the store and puts them in force, until ctx ends. It does not read the
 // store while agents do so.
 func (g *Gateway) followTargets(ctx context.Context) error {
-	retry, poll := newStoreBackoff(), startupPollInterval
+	retry, poll := newStoreBackoff(g.changes), startupPollInterval
 	for ctx.Err() == nil {
 		if g.targetsKnown.Load() && g.relay.isFresh(time.Now()) {
 			_ = pause.For(ctx, minStoreInterval)
@@ -275,7 +207,7 @@
 			return ctx.Err()
 		case err != nil && !errors.Is(err, errOldRead):
 			failedAt := time.Now()
-			wait := g.retryWait(retry.NextBackOff())
+			wait := g.targetsRetryWait(retry.NextBackOff())
 			if g.storeLostAt.CompareAndSwap(nil, &failedAt) {
 				wait.log(g).WithError(err).Warn("store lost while following targets")
 			} else {
--- /dev/null
+++ b/gateway/store_retry.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/sirupsen/logrus"
+
+	"gypsumbank/pause"
+	"gypsumbank/propagation"
+)
+
+// probedRetryFactor lengthens the wait between reads of the targets while the follower of the routes asks the store and tells when it answers.
+const probedRetryFactor = 4
+
+// newStoreBackoff returns the backoff between attempts to read a store that does not respond, whose waits keep to the time of changes. With many
+// gateways, attempts at short intervals would be most of the load of the store.
+func newStoreBackoff(changes propagation.Budget) *backoff.ExponentialBackOff {
+	maxInterval := time.Duration(float64(changes.RetryWait()) / (1 + backoff.DefaultRandomizationFactor))
+	return &backoff.ExponentialBackOff{
+		InitialInterval: min(minStoreInterval, maxInterval), MaxInterval: maxInterval,
+		Multiplier: backoff.DefaultMultiplier, RandomizationFactor: backoff.DefaultRandomizationFactor,
+	}
+}
+
+// retryReason is why a wait after a failed read has its length, and may end early.
+type retryReason string
+
+const (
+	retryAgentsRead retryReason = "agents-read" // an agent has read the store recently
+	retryOwnRead    retryReason = "own-read"    // this read finds out whether the store answers
+	retryRoutesRead retryReason = "routes-read" // the read of the routes finds out, and is made more often
+)
+
+// retryWait is how long the store is not read after a failed read, and why.
+type retryWait struct {
+	duration time.Duration
+	reason   retryReason
+}
+
+// routesRetryWait returns the wait after a failed read of the routes for which the backoff has chosen a duration. It depends on no agent: that one is connected
+// does not show that it can read the store.
+func (g *Gateway) routesRetryWait(chosen time.Duration) retryWait {
+	if g.relay.isFresh(time.Now()) {
+		return retryWait{chosen, retryAgentsRead}
+	}
+	return retryWait{chosen, retryOwnRead}
+}
+
+// targetsRetryWait is routesRetryWait for a read of the targets.
+func (g *Gateway) targetsRetryWait(chosen time.Duration) retryWait {
+	if g.asksStore.Load() && !g.relay.isFresh(time.Now()) {
+		return retryWait{chosen * probedRetryFactor, retryRoutesRead}
+	}
+	return g.routesRetryWait(chosen)
+}
+
+// waitForRetry waits after a failed read. It returns early once an agent has read the store, if none had, and if it waits for a read of the routes, once that
+// has been answered.
+func (g *Gateway) waitForRetry(ctx context.Context, wait retryWait) error {
+	if wait.reason == retryAgentsRead {
+		return pause.For(ctx, wait.duration)
+	}
+	end := time.Now().Add(wait.duration)
+	for time.Now().Before(end) && !g.relay.isFresh(time.Now()) && (wait.reason != retryRoutesRead || g.asksStore.Load()) {
+		if err := pause.For(ctx, relayPollInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// log returns an entry with the wait and what it was decided from.
+func (w retryWait) log(g *Gateway) *logrus.Entry {
+	now := time.Now()
+	return g.log.WithFields(logrus.Fields{
+		"wait-ms": w.duration.Milliseconds(), "wait-for": string(w.reason), "gateways": g.fleet.GatewayCount(),
+		"agents-connected": g.agents.connectedRelays(), "agents-read-age-ms": ageMs(g.relay.readAt(), now), "routes-age-ms": ageMs(g.routesConfirmedAt(), now),
+	})
+}
+
+// ageMs returns the age of a time in milliseconds, -1 if it is zero.
+func ageMs(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
--- a/gateway/stored_versions.go
+++ b/gateway/stored_versions.go
@@ -13,6 +13,7 @@
 	"gypsumbank/fleet"
 	"gypsumbank/pause"
 	"gypsumbank/platform"
+	"gypsumbank/propagation"
 	"gypsumbank/refresh"
 	"gypsumbank/registry"
 	"gypsumbank/versionrow"
@@ -33,12 +34,13 @@
 
 // storedVersions reads the store's row of software versions, and keeps it while no agent does.
 type storedVersions struct {
-	row    *versionrow.Row
-	fleet  *fleet.Fleet
-	relay  *relayedReads
-	log    *logrus.Entry
-	shared *refresh.Shared
-	due    chan struct{} // holds a value after a read of the registry
+	row     *versionrow.Row
+	fleet   *fleet.Fleet
+	relay   *relayedReads
+	changes propagation.Budget
+	log     *logrus.Entry
+	shared  *refresh.Shared
+	due     chan struct{} // holds a value after a read of the registry
 
 	mu      sync.Mutex
 	epoch   epoch.Epoch // of the last read of the registry
@@ -46,8 +48,8 @@
 	ready   bool        // checked has returned true
 }
 
-func newStoredVersions(store *platform.Store, f *fleet.Fleet, relay *relayedReads, log *logrus.Entry) *storedVersions {
-	v := &storedVersions{row: versionrow.New(store, log, time.Now), fleet: f, relay: relay, log: log, due: make(chan struct{}, 1)}
+func newStoredVersions(store *platform.Store, f *fleet.Fleet, relay *relayedReads, changes propagation.Budget, log *logrus.Entry) *storedVersions {
+	v := &storedVersions{row: versionrow.New(store, log, time.Now), fleet: f, relay: relay, changes: changes, log: log, due: make(chan struct{}, 1)}
 	v.shared = refresh.New(func(ctx context.Context) error { return v.sync(ctx, false) }, versionsReadInterval)
 	f.UseStoredVersions(v.row.Allows)
 	return v
@@ -105,7 +107,7 @@
 	shared := make(chan error, 1)
 	go func() { shared <- v.shared.Run(ctx) }()
 	lost := false
-	retry := newStoreBackoff()
+	retry := newStoreBackoff(v.changes)
 	var missingSince time.Time
 	for ctx.Err() == nil {
 		if !v.row.Due() {
--- /dev/null
+++ b/propagation/budget.go
@@ -0,0 +1,55 @@
+package propagation
+
+import "time"
+
+const (
+	// DefaultApplyTime is that of a deployment that names none.
+	DefaultApplyTime = 2 * time.Second
+	// margin is left for messages on their way and for processes that wait for a processor.
+	margin = 200 * time.Millisecond
+	// maxReadTimeout bounds a read of the store; a store that is fit for use answers much sooner.
+	maxReadTimeout = 600 * time.Millisecond
+	// maxPollWait bounds a wait for changes at the store, so that a connection that is dead without notice is given up.
+	maxPollWait = time.Second
+	// maxRetryWait bounds the wait between two reads that fail.
+	maxRetryWait = 2400 * time.Millisecond
+	// minPollWait keeps waits for changes from becoming a read without a pause.
+	minPollWait = 100 * time.Millisecond
+	// firstRetryWait is the longest wait after the first read that fails.
+	firstRetryWait = 300 * time.Millisecond
+	// readsPerBudget is the number of reads that fit into the whole time, waits and margin included.
+	readsPerBudget = 4
+)
+
+// Budget is the time of a change from its confirmation by the store until it is in force.
+type Budget struct {
+	apply time.Duration
+}
+
+// New returns the budget of a time; DefaultApplyTime if that is 0.
+func New(apply time.Duration) Budget {
+	if apply <= 0 {
+		apply = DefaultApplyTime
+	}
+	return Budget{apply: apply}
+}
+
+// ReadTimeout returns the time for a read that the store answers at once.
+func (b Budget) ReadTimeout() time.Duration { return min(maxReadTimeout, b.apply/readsPerBudget) }
+
+// RetryWait returns the longest wait between two reads, jitter included: the change may be confirmed as the first has just been sent to a store that
+// does not answer, and the second may take all of its time.
+func (b Budget) RetryWait() time.Duration {
+	return min(maxRetryWait, b.apply-margin-2*b.ReadTimeout())
+}
+
+// PollWait returns how long a read may wait at the store for changes: it may be lost, and the next one follows after firstRetryWait.
+func (b Budget) PollWait() time.Duration {
+	return max(minPollWait, min(maxPollWait, b.apply-margin-b.pollGrace()-firstRetryWait-b.ReadTimeout()))
+}
+
+// PollTimeout returns the time for a read that waits at the store for PollWait.
+func (b Budget) PollTimeout() time.Duration { return b.PollWait() + b.pollGrace() }
+
+// pollGrace returns how long after its wait the answer of a read may come.
+func (b Budget) pollGrace() time.Duration { return b.ReadTimeout() / 2 }
--- a/settings/gateway_agent.go
+++ b/settings/gateway_agent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gypsumbank/inifile"
+	"gypsumbank/propagation"
 )
 
 // Gateway holds the settings of a gateway, which accepts the requests of callers on the users' platform.
@@ -41,6 +42,7 @@
 	QuotaWindow  time.Duration // length of the sliding window for customers' quotas
 	QuotaOverage float64       // share by which the use in a window may exceed a quota
 	QuotaSlack   float64       // use in a window that is allowed on top of that, in the unit of the quota
+	ApplyTime    time.Duration // time within which a confirmed change of the routes must be in force
 	KeyMaxAge    time.Duration // age of the last read of the routes up to which KeysFailClosed allows keys
 	// KeysFailClosed has keys refused while the routes can't be read, as they may have been taken away.
 	KeysFailClosed bool
@@ -81,6 +83,7 @@
 		QuotaWindow:    file.Duration("bounds", "quota-window", 8*time.Second, time.Second, time.Hour),
 		QuotaOverage:   file.Float("bounds", "quota-overage", 0, 0, 10),
 		QuotaSlack:     file.Float("bounds", "quota-slack", 0, 0, 1e12),
+		ApplyTime:      file.Duration("bounds", "apply-time", propagation.DefaultApplyTime, time.Second, time.Hour),
 		KeyMaxAge:      file.Duration("bounds", "key-max-age", 5*time.Second, time.Second, time.Hour),
 		KeysFailClosed: file.Choice("bounds", "keys-fail-closed", "no", "yes", "no") == "yes",
 
--- a/settings/gateway_agent_test.go
+++ b/settings/gateway_agent_test.go
@@ -113,6 +113,7 @@
 		"no optional bound":          {bounds: `{"graceS":8}`, want: Bounds{QuotaWindow: 8 * time.Second, KeyMaxAge: 5 * time.Second}},
 		"an earlier deployment":      {bounds: `{"graceS":8,"passMs":120}`, want: Bounds{EventDelivery: 120 * time.Millisecond, QuotaWindow: 8 * time.Second, KeyMaxAge: 5 * time.Second}},
 		"fractions of a millisecond": {bounds: `{"graceS":8,"passMs":200.5}`, want: Bounds{EventDelivery: 200500 * time.Microsecond, QuotaWindow: 8 * time.Second, KeyMaxAge: 5 * time.Second}},
+		"time for changes":           {bounds: `{"graceS":8,"configApplyMs":3000}`, want: Bounds{QuotaWindow: 8 * time.Second, KeyMaxAge: 5 * time.Second, ApplyTime: 3 * time.Second}},
 		"all optional bounds": {
 			bounds: `{"graceS":8,"passMs":200,"quotaWindowS":6,"quotaOverage":0.1,"quotaSlack":110000,"revokeMs":3000,"revokeFailClosed":true}`,
 			want: Bounds{
@@ -132,6 +133,9 @@
 				t.Fatal(err)
 			}
 			c.want.RetryRatio, c.want.RetryExtra, c.want.RetryWindow, c.want.LoadWindow, c.want.LoadBurst = 0.2, 54, 10*time.Second, 5*time.Second, 1.1
+			if c.want.ApplyTime == 0 {
+				c.want.ApplyTime = 2 * time.Second
+			}
 			if config.Bounds != c.want {
 				t.Errorf("bounds %+v, want %+v", config.Bounds, c.want)
 			}
