Read the list of blocked contents unless an agent has shown that it reads the store

Contents still go to connected agents at once.

Cost: one waiting read in 5 s of each gateway while its agents can't read, as before without agents (docs/CAPACITY.md).

--- a/gateway/blocked_contents.go
+++ b/gateway/blocked_contents.go
@@ -14,18 +14,18 @@
 )
 
 const (
-	// blockedLongPoll bounds a wait for changes of the list of blocked contents while no agent passes it on.
+	// blockedLongPoll bounds a wait for changes of the list of blocked contents while no agent reads it.
 	blockedLongPoll = 5 * time.Second
 	// blockedRetryInterval is the pause after a failed read or write, before jitter.
 	blockedRetryInterval = 800 * time.Millisecond
-	// blockedCheckInterval is the interval at which the gateway checks whether agents are connected.
+	// blockedCheckInterval is the interval at which the gateway checks whether agents read the store.
 	blockedCheckInterval = 200 * time.Millisecond
 	// maxConflictDelay bounds the pause after another gateway has written the list at the same time.
 	maxConflictDelay = 100 * time.Millisecond
 )
 
-// blockedContents shares crashes and blocked contents with other gateways through the store while no agent that would pass them on
-// is connected.
+// blockedContents shares crashes and blocked contents with other gateways through the store while no agent reads the store that would pass them
+// on. Agents that are connected and can't read it pass on only what gateways tell them.
 type blockedContents struct {
 	store   *platform.Store
 	list    *blocklist.List
@@ -39,7 +39,7 @@
 	return &blockedContents{store: store, list: blocklist.New(store, crashes.table, log), crashes: crashes, agents: agents, log: log, due: make(chan struct{}, 1)}
 }
 
-// changed has the list written soon if no agent is connected.
+// changed has the list written soon if no agent reads the store.
 func (b *blockedContents) changed() {
 	select {
 	case b.due <- struct{}{}:
@@ -47,12 +47,12 @@
 	}
 }
 
-// run reads and writes the list as it changes, while no agent is connected, until ctx ends.
+// run reads and writes the list as it changes, while no agent reads the store, until ctx ends.
 func (b *blockedContents) run(ctx context.Context) error {
 	var position platform.Position
 	lost := false
 	for ctx.Err() == nil {
-		if b.agents.connectedRelays() > 0 {
+		if b.agents.relay.isFresh(time.Now()) {
 			position, lost = platform.Position{}, false
 			_ = pause.For(ctx, blockedCheckInterval)
 			continue
@@ -73,7 +73,7 @@
 			continue
 		}
 		if !lost && ctx.Err() == nil && !errors.Is(err, platform.ErrHistoryLost) {
-			b.log.WithError(err).Warn("blocked contents are not shared: no agent is connected and the store does not answer")
+			b.log.WithError(err).Warn("blocked contents are not shared: no agent reads the store and it does not answer")
 			lost = true
 		}
 		position = platform.Position{}
