Date what agents have read by the heartbeat that their message echoes

What callers saw, in a test: requests handled by older routes for as long as messages of agents are on their way, 4 s there (CONFIG).

Cause: a gateway dated a read of an agent by the arrival of its message, less the age that the agent had named as it sent it. A message that lay in a queue, or that a process read late as it stood still, counted as new, and the gateway did not read the store itself. Class: evidence that is dated by its arrival, not by a request of the one who relies on it.

Change: heartbeats to agents that read the store have the time on the gateway's clock at which they were sent; what the agent has read comes with the latest of these and the time since it got it. The message was sent no earlier than that, and its reads are dated from there. Before the first echo, and from agents of an earlier release, the begin of the connection stands in its place, so that such agents are not relied on. A histogram has the time that messages take.

--- a/agent/relay.go
+++ b/agent/relay.go
@@ -246,8 +246,12 @@
 	}
 	message := &wire.StoreReads{
 		RoutesVersion: reads.routesVersion, Revision: reads.targetsRevision, AgeMs: uint32(max(0, w.now().Sub(oldest)).Milliseconds()),
+		RoutesAgeMs: ageMs(reads.routesReadAt, w.now()), TargetsAgeMs: ageMs(reads.targetsReadAt, w.now()),
 		StoreEpoch: uint64(reads.targetsSpan.Epoch()), FirstVersion: reads.targetsSpan.First(), LastVersion: reads.targetsSpan.Last(),
 	}
+	if recipient.sentMs > 0 {
+		message.EchoedMs, message.EchoAgeMs = recipient.sentMs, ageMs(recipient.lastHeartbeatAt, w.now())
+	}
 	if recipient.targetsRevision != reads.targetsRevision {
 		message.HasTargets, message.Targets = true, reads.targets
 		if changed, removed, ok := reads.changesSince(recipient.targetsRevision); ok && recipient.keepsTargets {
@@ -257,3 +261,8 @@
 	}
 	return message
 }
+
+// ageMs returns the age of a time in milliseconds, rounded up; 0 for a time to come.
+func ageMs(at, now time.Time) uint32 {
+	return uint32(max(0, (now.Sub(at) + time.Millisecond - 1).Milliseconds()))
+}
--- a/agent/watchers.go
+++ b/agent/watchers.go
@@ -78,6 +78,7 @@
 	node              string
 	zone              string // availability zone
 	lastHeartbeatAt   time.Time
+	sentMs            uint64 // time on the gateway's clock at which it sent that; 0 if it told none
 	demand            []*wire.ModelDemand
 	requests          []*wire.ModelUse
 	pendingPrefillMs  float32
@@ -132,6 +133,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	from.node, from.lastHeartbeatAt, from.requests, from.pendingPrefillMs = heartbeat.GetNode(), w.now(), heartbeat.GetUses(), heartbeat.GetUnreadMs()
+	from.sentMs = heartbeat.GetSentMs()
 	from.keepsHoldings, from.keepsTargets = heartbeat.GetKeepsHoldings(), heartbeat.GetKeepsTargets()
 	from.readsPackedParts, from.keepsLists = heartbeat.GetReadsPackedParts(), heartbeat.GetKeepsLists()
 	parts := w.partsToPassOn(heartbeat.GetParts())
--- a/gateway/agent_heartbeats.go
+++ b/gateway/agent_heartbeats.go
@@ -18,8 +18,9 @@
 	return &wire.WatcherUpdate{Node: a.name, KeepsHoldings: true, KeepsTargets: true, StoreEpoch: uint64(storeEpoch), ReadsPackedParts: many, KeepsLists: many}
 }
 
-// sendHeartbeats sends heartbeats with the usage, and to relay agents with the demand, until ctx ends or the stream breaks.
-func (a *agentClients) sendHeartbeats(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient) {
+// sendHeartbeats sends heartbeats with the usage, and to relay agents with the demand, until ctx ends or the stream breaks. Their times are those since
+// began.
+func (a *agentClients) sendHeartbeats(ctx context.Context, address string, stream wire.DRPCAgent_WatchClient, began time.Time) {
 	pushUsage := a.usageChannel(address)
 	var quarantineRevision uint64 // up to which the agent has been told
 	var schedule demandSchedule
@@ -41,6 +42,7 @@
 		}
 		if isRelay {
 			update.Quarantine, quarantineRevision = a.crashes.table.Changes(quarantineRevision, true)
+			update.SentMs = uint64(max(1, time.Since(began).Milliseconds()))
 		}
 		update.Origins = a.takeOrigins(address)
 		share := a.fleet.TakeLoadReport(func(t registry.Target) bool { return a.address(t.Address) == address })
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
@@ -226,6 +227,7 @@
 func (a *agentClients) watchOnce(ctx context.Context, address string, onState func()) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	began := time.Now()
 	conn, err := a.dialer.Dial(ctx, address)
 	if err != nil {
 		return err
@@ -239,7 +241,7 @@
 	}
 	link := newTurnLink()
 	var sending sync.WaitGroup
-	sending.Go(func() { a.sendHeartbeats(ctx, address, stream) })
+	sending.Go(func() { a.sendHeartbeats(ctx, address, stream, began) })
 	sending.Go(func() { link.send(ctx, a.name, stream) })
 	defer func() {
 		cancel()
@@ -268,7 +270,10 @@
 			a.crashes.merge(address, news)
 		}
 		if storeReads := state.GetStoreReads(); storeReads != nil {
-			if err := a.relay.record(address, storeReads, time.Now()); err != nil {
+			now := time.Now()
+			sentAt := sentAfter(storeReads, began, now)
+			metrics.GetOrCreateHistogram("gypsumbank_gateway_store_reads_message_seconds").Update(now.Sub(sentAt).Seconds())
+			if err := a.relay.record(address, storeReads, sentAt); err != nil {
 				return err
 			}
 		}
@@ -281,6 +286,16 @@
 	}
 }
 
+// sentAfter returns the latest time at which an agent is known not to have sent a message yet, on a connection that began at a time: after it got the heartbeat
+// that it echoes, and by the time that it had it. The message may have been on its way, or unread, for any time since.
+func sentAfter(storeReads *wire.StoreReads, began, now time.Time) time.Time {
+	sinceBegan := time.Duration(storeReads.GetEchoedMs()+uint64(storeReads.GetEchoAgeMs())) * time.Millisecond
+	if at := began.Add(sinceBegan); at.Before(now) {
+		return at
+	}
+	return now
+}
+
 // applyDown applies what an agent sends while its engine does not answer: the end of a run, or that a run is silent.
 func (a *agentClients) applyDown(address string, state *wire.TargetState) {
 	if ended := state.GetEndedRun(); ended != nil {
--- a/gateway/relayed.go
+++ b/gateway/relayed.go
@@ -59,9 +59,9 @@
 // agent again to get all of them.
 var errTargetsMissing = errors.New("changes to targets that are not known")
 
-// record stores what an agent has read from the store. Reads of agents of an earlier release, which do not tell their place in the
-// store's history, are ignored. The error is errTargetsMissing if the targets of the agent's revision can't be known from what it has sent.
-func (r *relayedReads) record(agent string, storeReads *wire.StoreReads, now time.Time) error {
+// record stores what an agent has read from the store and sent no earlier than at a time. Reads of agents of an earlier release, which do not tell their place in
+// the store's history, are ignored. The error is errTargetsMissing if the targets of the agent's revision can't be known from what it has sent.
+func (r *relayedReads) record(agent string, storeReads *wire.StoreReads, sentAt time.Time) error {
 	if storeReads.GetLastVersion() == 0 {
 		return nil
 	}
@@ -80,7 +80,7 @@
 	}
 	readIn := epoch.Epoch(storeReads.GetStoreEpoch())
 	if storeReads.GetRoutesVersion() > r.highestRoutes() {
-		r.routesRoseAt = now
+		r.routesRoseAt = sentAt
 		select {
 		case r.routesRose <- struct{}{}:
 		default:
@@ -88,7 +88,7 @@
 	}
 	hasChanges := read.routesVersion != storeReads.GetRoutesVersion() || storeReads.GetHasTargets() || read.span.Epoch() != readIn
 	read.span = history.New(readIn, storeReads.GetFirstVersion(), storeReads.GetLastVersion())
-	read.readAt, read.routesVersion = now.Add(-time.Duration(storeReads.GetAgeMs())*time.Millisecond), storeReads.GetRoutesVersion()
+	read.readAt, read.routesVersion = sentAt.Add(-time.Duration(storeReads.GetAgeMs())*time.Millisecond), storeReads.GetRoutesVersion()
 	if hasChanges {
 		select {
 		case r.changed <- struct{}{}:
