Fail no call for idle connections that the server has closed

What callers saw: nothing alone; with the long waits of this issue, routes in force up to a second later.

Cause: a call that met an idle connection which the server had closed tried one further connection; with two idle ones closed it failed, and a wait after a failed read began.

Change: a call goes through idle connections that are not fit for use, on which nothing has been sent, up to a new one.

Evidence: TestClosedIdleConnectionsFailNoCall fails before with two and five idle connections and passes after.

Looked at: sender and connpool (check idle connections one after the other already), dialer (RPC connections are not shared by calls side by side), tables and lists of the own interface (this client).

--- a/jsonclient/client.go
+++ b/jsonclient/client.go
@@ -108,8 +108,8 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// maxAttempts allows for one further connection if the first one is not fit for use and nothing has been sent on it.
-const maxAttempts = 2
+// maxAttempts allows for a new connection after all idle ones: on one that is not fit for use nothing has been sent.
+const maxAttempts = fasthttp.DefaultMaxConnsPerHost + 1
 
 // newHTTPClient returns an HTTP client that sends a request once and accepts answers of at most maxBytes.
 func newHTTPClient(maxBytes int) *fasthttp.Client {
