--- a/sender/late_write_test.go
+++ b/sender/late_write_test.go
@@ -26,7 +26,9 @@
 }
 
 // SyscallConn lets the pool check whether the connection is quiet.
-func (c lateWriteConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
+func (c lateWriteConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
 
 // TestAnswerThatOvertakesItsWriteKeepsTheConnection guards against a connection that is closed, and a request that counts as not written, as the whole
 // answer came before the goroutine of the write went on.
