Take the first wait after a failed read from the budget, and say what connected relays show

Cause: the longest first wait stood twice, as a constant of propagation and as the first interval of the backoff in gateway with its jitter; a change of one would have broken the time for changes unseen, and no test looked at the waits with their jitter. The comment of connectedRelays still said that connected agents read the store.

Change: the backoff takes both bounds from propagation; values are as before (0.2 s, jitter up to 0.3 s).

--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -142,7 +142,7 @@
 	return relays
 }
 
-// connectedRelays returns the number of agents that read the store for this gateway and whose states arrive.
+// connectedRelays returns the number of relay agents whose states arrive. It does not show that they can read the store.
 func (a *agentClients) connectedRelays() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -20,7 +20,7 @@
 	// targetsPollInterval is the interval between reads of the targets. It leaves half of the platform's drain period for
 	// requests on their way to a draining target.
 	targetsPollInterval = 800 * time.Millisecond
-	// minStoreInterval is the least time between reads of the routes, and the first interval of the backoff.
+	// minStoreInterval is the least time between reads of the routes.
 	minStoreInterval = 200 * time.Millisecond
 	// startupPollInterval is the first interval between reads of the targets after the start, until agents read the store for this gateway. It
 	// grows with each read, as all gateways of a deployment may start at the same moment.
--- a/gateway/store_retry.go
+++ b/gateway/store_retry.go
@@ -17,9 +17,12 @@
 // newStoreBackoff returns the backoff between attempts to read a store that does not respond, whose waits keep to the time of changes. With many
 // gateways, attempts at short intervals would be most of the load of the store.
 func newStoreBackoff(changes propagation.Budget) *backoff.ExponentialBackOff {
-	maxInterval := time.Duration(float64(changes.RetryWait()) / (1 + backoff.DefaultRandomizationFactor))
+	withoutJitter := func(wait time.Duration) time.Duration {
+		return time.Duration(float64(wait) / (1 + backoff.DefaultRandomizationFactor))
+	}
+	maxInterval := withoutJitter(changes.RetryWait())
 	return &backoff.ExponentialBackOff{
-		InitialInterval: min(minStoreInterval, maxInterval), MaxInterval: maxInterval,
+		InitialInterval: min(withoutJitter(propagation.FirstRetryWait), maxInterval), MaxInterval: maxInterval,
 		Multiplier: backoff.DefaultMultiplier, RandomizationFactor: backoff.DefaultRandomizationFactor,
 	}
 }
--- a/propagation/budget.go
+++ b/propagation/budget.go
@@ -15,8 +15,8 @@
 	maxRetryWait = 2400 * time.Millisecond
 	// minPollWait keeps waits for changes from becoming a read without a pause.
 	minPollWait = 100 * time.Millisecond
-	// firstRetryWait is the longest wait after the first read that fails.
-	firstRetryWait = 300 * time.Millisecond
+	// FirstRetryWait is the longest wait, jitter included, after the first read that fails.
+	FirstRetryWait = 300 * time.Millisecond
 	// agentDelay is the longest time from an agent's read until a gateway knows of it: the interval between states that agents send, and the way.
 	agentDelay = 750 * time.Millisecond
 	// readsPerBudget is the number of reads that fit into the whole time, waits and margin included.
@@ -45,9 +45,9 @@
 	return min(maxRetryWait, b.apply-margin-2*b.ReadTimeout())
 }
 
-// PollWait returns how long a read may wait at the store for changes: it may be lost, and the next one follows after firstRetryWait.
+// PollWait returns how long a read may wait at the store for changes: it may be lost, and the next one follows after FirstRetryWait.
 func (b Budget) PollWait() time.Duration {
-	return max(minPollWait, min(maxPollWait, b.apply-margin-b.pollGrace()-firstRetryWait-b.ReadTimeout()))
+	return max(minPollWait, min(maxPollWait, b.apply-margin-b.pollGrace()-FirstRetryWait-b.ReadTimeout()))
 }
 
 // PollTimeout returns the time for a read that waits at the store for PollWait.
