Log and measure how long reads of the store take

An operator could not tell from the logs whether a gateway that had lost the store got no answers or gave up reads before they came: a failed read had no time in the logs, and no metric had that of those which were answered. store lost and store regained have read-ms, store lost has answered-read-ms, and gypsumbank_gateway_store_read_seconds has all. No decision changes.

--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -44,6 +44,7 @@
 	var position platform.Position
 	storeLost, byAgents := false, false
 	longestWait := time.Duration(0) // since the store was lost
+	answered := time.Duration(0)    // what the last read took that was answered
 	retry := newStoreBackoff(g.changes)
 	for ctx.Err() == nil {
 		start := time.Now()
@@ -59,6 +60,7 @@
 			continue
 		}
 		table, next, err := g.nextRoutes(ctx, position, storeLost)
+		took := time.Since(start)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -69,13 +71,15 @@
 		case err != nil:
 			wait := g.routesRetryWait(retry.NextBackOff())
 			if !storeLost {
-				wait.log(g).WithError(err).WithField("store-version", position.Version).Warn("store lost while following routes")
+				wait.log(g).WithError(err).WithFields(logrus.Fields{
+					"store-version": position.Version, "read-ms": took.Milliseconds(), "answered-read-ms": answered.Milliseconds(),
+				}).Warn("store lost while following routes")
 			} else {
-				wait.log(g).WithError(err).Debug("store still lost while following routes")
+				wait.log(g).WithError(err).WithField("read-ms", took.Milliseconds()).Debug("store still lost while following routes")
 			}
 			storeLost = true
 			g.asksStore.Store(true)
-			countStoreRead("routes", "failed")
+			countStoreRead("routes", "failed", took)
 			longestWait = max(longestWait, wait.duration)
 			_ = g.waitForRetry(ctx, wait)
 			continue
@@ -85,11 +89,12 @@
 		if storeLost {
 			g.log.WithFields(logrus.Fields{
 				"store-version": next.Version, "after": position.Version, "epoch": next.Epoch, "longest-wait-ms": longestWait.Milliseconds(),
-				"routes-age-ms": ageMs(g.routesConfirmedAt(), start),
+				"routes-age-ms": ageMs(g.routesConfirmedAt(), start), "read-ms": took.Milliseconds(),
 			}).Info("store regained while following routes")
 			storeLost, longestWait = false, 0
 		}
-		countStoreRead("routes", "answered")
+		countStoreRead("routes", "answered", took)
+		answered = took
 		g.installRoutes(table, "store")
 		g.confirmRoutes(start)
 		position = next
@@ -143,9 +148,11 @@
 	return time.Time{}
 }
 
-// countStoreRead counts a read of this gateway by its result.
-func countStoreRead(what, result string) {
-	metrics.GetOrCreateCounter(`gypsumbank_gateway_store_reads_total{of="` + what + `",result="` + result + `"}`).Inc()
+// countStoreRead counts a read of this gateway by its result, with the time that it took.
+func countStoreRead(what, result string, took time.Duration) {
+	labels := `{of="` + what + `",result="` + result + `"}`
+	metrics.GetOrCreateCounter(`gypsumbank_gateway_store_reads_total` + labels).Inc()
+	metrics.GetOrCreateHistogram(`gypsumbank_gateway_store_read_seconds` + labels).Update(took.Seconds())
 }
 
 // followRelay puts the targets that agents have read from the store in force, until ctx ends.
@@ -206,6 +213,7 @@
 			_ = pause.For(ctx, minStoreInterval)
 			continue
 		}
+		began := time.Now()
 		err := g.readTargets(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -218,11 +226,11 @@
 			} else {
 				wait.log(g).WithError(err).Debug("store still lost while following targets")
 			}
-			countStoreRead("targets", "failed")
+			countStoreRead("targets", "failed", time.Since(began))
 			_ = g.waitForRetry(ctx, wait)
 			continue
 		}
-		countStoreRead("targets", "answered")
+		countStoreRead("targets", "answered", time.Since(began))
 		retry.Reset()
 		_ = pause.For(ctx, poll)
 		poll = nextPollInterval(poll)
