--- a/gateway/slow_way_test.go
+++ b/gateway/slow_way_test.go
@@ -78,7 +78,7 @@
 			ways.gatewayStore.Refuse(true)
 			ways.agentStore.SetDelay(delay)
 		}},
-		"all links of gateways": {slow: slowGateways},
+		"all links of gateways":                  {slow: slowGateways},
 		"all links of gateways, after an outage": {away: true, slow: slowGateways},
 	}
 	firstEngine := 180
