--- a/gateway/slow_way_test.go
+++ b/gateway/slow_way_test.go
@@ -78,6 +78,12 @@
 			ways.gatewayStore.Refuse(true)
 			ways.agentStore.SetDelay(delay)
 		}},
+		"of gateways to agents, gateways turned away": {slow: func(ways *slowWays, delay time.Duration) {
+			ways.gatewayStore.Refuse(true)
+			for _, agent := range ways.agents {
+				agent.SetDelay(delay)
+			}
+		}},
 		"all links of gateways":                  {slow: slowGateways},
 		"all links of gateways, after an outage": {away: true, slow: slowGateways},
 	}
