Give calls for rows of the store the time that its way needs

Fencing tokens, lists of models, blocked contents, software versions, quota levels and reads of the targets for requests gave each call a fixed time, gave it up at its end and began anew: on a way that takes longer, an agent that starts never gets its token, and so orders nothing.

Not changed: the budget of loads (agent/control.go) does not use a grant that took more than 0.35 s, as the load would count at the wrong time; on such a way engines load nothing from the weight store. Reserve calls of quotas go to agents, and are refused for want of an answer within the time of the request.

--- a/agent/quarantine.go
+++ b/agent/quarantine.go
@@ -85,7 +85,7 @@
 
 // syncBlocklist reads and writes the list once.
 func (a *Agent) syncBlocklist(ctx context.Context, list *blocklist.List) ([]request.Content, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*a.store.CallTime(storeTimeout))
 	defer cancel()
 	return list.Sync(ctx)
 }
--- a/agent/quota_levels.go
+++ b/agent/quota_levels.go
@@ -105,7 +105,7 @@
 // write reads a customer's row and writes it with a change, if nobody else has written it meanwhile. It is not written if it has all of the
 // change already.
 func (r *quotaRows) write(ctx context.Context, change quota.Change) (outcome quotalevels.Outcome, written bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.store.CallTime(storeTimeout))
 	defer cancel()
 	row, nowMs, err := r.store.Row(ctx, quotaLevelsTable, "", change.Customer)
 	record := quotalevels.New(row.Epoch)
--- a/agent/software_versions.go
+++ b/agent/software_versions.go
@@ -14,7 +14,7 @@
 // storeVersions reads the store's row of software versions and writes what it lacks. If that fails, targets of a version that the row does
 // not have are not passed on, and gateways read the registry themselves.
 func (a *Agent) storeVersions(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.store.CallTime(storeTimeout))
 	defer cancel()
 	for range maxVersionTries {
 		_, err := a.versions.Sync(ctx, true)
--- a/gateway/blocked_contents.go
+++ b/gateway/blocked_contents.go
@@ -84,7 +84,7 @@
 
 // waitForChange waits until the list has changed after a position or a crash is to be written, and returns the position to go on from.
 func (b *blockedContents) waitForChange(ctx context.Context, after platform.Position) (changed bool, next platform.Position, err error) {
-	timeout := storeTimeout
+	timeout := b.store.CallTime(storeTimeout)
 	if after != (platform.Position{}) {
 		timeout += blockedLongPoll
 	}
@@ -107,7 +107,7 @@
 
 // sync reads and writes the list once.
 func (b *blockedContents) sync(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*b.store.CallTime(storeTimeout))
 	defer cancel()
 	blocked, err := b.list.Sync(ctx)
 	b.crashes.logBlocked(blocked, "store")
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -288,7 +288,7 @@
 // is not known which are newer.
 func (g *Gateway) readTargets(ctx context.Context) error {
 	began := time.Now()
-	read, err := g.store.Targets(ctx, storeTimeout)
+	read, err := g.store.Targets(ctx, g.store.CallTime(storeTimeout))
 	if err != nil {
 		return err
 	}
--- a/gateway/stored_versions.go
+++ b/gateway/stored_versions.go
@@ -34,6 +34,7 @@
 
 // storedVersions reads the store's row of software versions, and keeps it while no agent does.
 type storedVersions struct {
+	store   *platform.Store
 	row     *versionrow.Row
 	fleet   *fleet.Fleet
 	relay   *relayedReads
@@ -49,7 +50,7 @@
 }
 
 func newStoredVersions(store *platform.Store, f *fleet.Fleet, relay *relayedReads, changes propagation.Budget, log *logrus.Entry) *storedVersions {
-	v := &storedVersions{row: versionrow.New(store, log, time.Now), fleet: f, relay: relay, changes: changes, log: log, due: make(chan struct{}, 1)}
+	v := &storedVersions{store: store, row: versionrow.New(store, log, time.Now), fleet: f, relay: relay, changes: changes, log: log, due: make(chan struct{}, 1)}
 	v.shared = refresh.New(func(ctx context.Context) error { return v.sync(ctx, false) }, versionsReadInterval)
 	f.UseStoredVersions(v.row.Allows)
 	return v
@@ -91,7 +92,7 @@
 
 // sync reads the row once, writes it if the gateway is to, and updates the fleet.
 func (v *storedVersions) sync(ctx context.Context, mayWrite bool) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*v.store.CallTime(storeTimeout))
 	defer cancel()
 	found, err := v.row.Sync(ctx, mayWrite)
 	v.mu.Lock()
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -27,6 +27,7 @@
 type Store interface {
 	Row(ctx context.Context, table, part, key string) (platform.Row, int64, error)
 	CompareAndSwap(ctx context.Context, row platform.Row) (int64, error)
+	CallTime(least time.Duration) time.Duration
 }
 
 // ErrReplaced is returned if a later start of an agent has acquired a fencing token.
@@ -100,7 +101,7 @@
 
 // tryConfirm makes one attempt to confirm a token.
 func (h *Holder) tryConfirm(ctx context.Context, token int64) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, h.store.CallTime(storeTimeout))
 	defer cancel()
 	row, stored, _, err := h.read(ctx)
 	if err != nil {
@@ -118,7 +119,7 @@
 // tryAcquire makes one attempt: it raises the token in the store by a compare-and-swap and waits for the takeover delay. If
 // an earlier write of this run was performed, its token is returned again.
 func (h *Holder) tryAcquire(ctx context.Context) (int64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, h.store.CallTime(storeTimeout))
 	defer cancel()
 	row, stored, nowMs, err := h.read(callCtx)
 	if err != nil {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -31,6 +31,7 @@
 type Store interface {
 	Row(ctx context.Context, table, part, key string) (platform.Row, int64, error)
 	CompareAndSwap(ctx context.Context, row platform.Row) (int64, error)
+	CallTime(least time.Duration) time.Duration
 }
 
 // Inventory maintains the stored list of models of the target at one address. Only the agent of that target writes it.
@@ -154,7 +155,7 @@
 // readRow returns the stored row with its decoded value. A missing row or an unreadable value counts as an empty
 // record.
 func (i *Inventory) readRow(ctx context.Context) (platform.Row, record, error) {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, i.store.CallTime(storeTimeout))
 	defer cancel()
 	row, _, err := i.store.Row(callCtx, table, i.targetAddress, key)
 	var stored record
@@ -182,7 +183,7 @@
 	if row.Value, err = json.Marshal(record{Models: models}); err != nil {
 		return fmt.Errorf("encode inventory: %w", err)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, i.store.CallTime(storeTimeout))
 	defer cancel()
 	i.version, err = i.store.CompareAndSwap(callCtx, row)
 	i.versionKnown = err == nil
--- a/standin/row/store.go
+++ b/standin/row/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"gypsumbank/epoch"
 	"gypsumbank/platform"
@@ -42,6 +43,9 @@
 // New returns a store whose row does not exist yet and whose steady clock is nowMs.
 func New(nowMs func() int64) *Store { return &Store{nowMs: nowMs} }
 
+// CallTime returns the time that a call is to be given, which is the given one: calls take none.
+func (s *Store) CallTime(least time.Duration) time.Duration { return least }
+
 // SetFaults sets the faults of the next writes, one for each write; writes after them have none.
 func (s *Store) SetFaults(faults ...Fault) {
 	s.mu.Lock()
