Give calls to the table service the time that its way needs

Entries, sidecars and the operators' commands gave each call to the table one fixed time (table-timeout). On a way that takes longer no list and no key was ever read. TestTableIsReadOverASlowWay: none of list, item and write is answered within 10 s with a time of 0.3 s and 0.2 s each way before; all are after.

--- a/table/client.go
+++ b/table/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"gypsumbank/calltime"
 	"gypsumbank/jsonclient"
 )
 
@@ -53,48 +54,57 @@
 
 // Client reads and writes items of the table. It is safe for concurrent use.
 type Client struct {
-	json    *jsonclient.Client
-	timeout time.Duration
-	down    atomic.Bool
+	json     *jsonclient.Client
+	timeout  time.Duration
+	callTime calltime.Tracker
+	down     atomic.Bool
 }
 
 // maxAnswerBytes is enough for an item with a list of the largest accepted size.
 const maxAnswerBytes = 16 << 20
 
-// New returns a client for the service at address. Each call fails after timeout.
+// New returns a client for the service at address. Each call fails after timeout, or later where the way to the service has been seen to take longer.
 func New(address string, timeout time.Duration) *Client {
 	return &Client{json: jsonclient.New(address, maxAnswerBytes), timeout: timeout}
 }
 
 // Get returns an item; the error wraps ErrNotFound or ErrUnavailable.
 func (c *Client) Get(ctx context.Context, key string) (Item, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	var item Item
-	err := c.json.Do(ctx, "GET", "/items/"+url.PathEscape(key), nil, &item)
-	return item, c.handleResult(err)
+	return get[Item](ctx, c, "/items/"+url.PathEscape(key))
 }
 
 // List returns at most limit items whose keys start with prefix and sort after the key after; the error wraps
 // ErrUnavailable.
 func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]Item, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	query := url.Values{}
 	query.Set("prefix", prefix)
 	query.Set("after", after)
 	query.Set("limit", strconv.Itoa(limit))
-	var items []Item
-	err := c.json.Do(ctx, "GET", "/items?"+query.Encode(), nil, &items)
-	return items, c.handleResult(err)
+	return get[[]Item](ctx, c, "/items?"+query.Encode())
 }
 
 // Write commits a transaction; the error wraps ErrConflict or ErrUnavailable.
 func (c *Client) Write(ctx context.Context, transaction Transaction) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	_, err := do(ctx, c, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, c.json.Do(ctx, "POST", "/transactions", transaction, nil)
+	})
+	return err
+}
+
+// get returns what the service answers to a path.
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	return do(ctx, c, func(ctx context.Context) (out T, err error) {
+		err = c.json.Do(ctx, "GET", path, nil, &out)
+		return out, err
+	})
+}
+
+// do makes a call in the time that it needs and converts its error.
+func do[T any](ctx context.Context, c *Client, call func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.callTime.Limit(c.timeout))
 	defer cancel()
-	err := c.json.Do(ctx, "POST", "/transactions", transaction, nil)
-	return c.handleResult(err)
+	value, err := calltime.Run(ctx, &c.callTime, 0, call)
+	return value, c.handleResult(err)
 }
 
 // Up reports whether the service gave a usable answer to the latest call; it is true before the first call.
