Date polls that another row has ended by their begin

An agent took a poll without new routes for one that the store had held open to the end of its wait if the answer took that long to arrive. The store also answers at once when another row of the table changes; on a slow way such an answer arrives as late. The read then counted as up to a wait newer than it was, and gateways relied on it, for up to a second longer than the time for changes allows.

RoutesAfter now tells whether any row came. The gateway's own polls were dated by their begin already.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -255,8 +255,8 @@
 			}
 			continue
 		}
-		table := answer.Value.table
-		position = answer.Value.next
+		table := answer.Value.Table
+		position = answer.Value.Position
 		if table != nil && table.Version() < routesVersion {
 			a.log.WithFields(logrus.Fields{"version": table.Version(), "version-in-force": routesVersion}).Info("routes of an older copy of the store, not used")
 			table = nil
@@ -291,11 +291,10 @@
 	return routesPollInterval
 }
 
-// routesRead is one read of the routes. The table is nil if there was no change; there was no other change until asOf.
+// routesRead is one read of the routes. There was no change until asOf but those that it tells of.
 type routesRead struct {
-	table *route.Table
-	next  platform.Position
-	asOf  time.Time
+	platform.RoutesRead
+	asOf time.Time
 }
 
 // readRoutes returns the answer of the next read that is answered: of the routes in force if there is no position, and otherwise of those after it. An agent that
@@ -308,7 +307,7 @@
 	if after == none {
 		return reads.Read(ctx, storeTimeout, func(ctx context.Context) (read routesRead, err error) {
 			read.asOf = time.Now()
-			read.table, read.next, err = a.store.Routes(ctx)
+			read.RoutesRead, err = a.store.Routes(ctx)
 			return read, err
 		})
 	}
@@ -318,8 +317,8 @@
 	}
 	return reads.Read(ctx, wait+storeTimeout/2, func(ctx context.Context) (read routesRead, err error) {
 		began := time.Now()
-		read.table, read.next, err = a.store.RoutesAfter(ctx, after, wait)
-		read.asOf = pollAsOf(began, wait, time.Now(), read.table != nil)
+		read.RoutesRead, err = a.store.RoutesAfter(ctx, after, wait)
+		read.asOf = pollAsOf(began, wait, time.Now(), read.Changed)
 		return read, err
 	})
 }
--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -56,7 +56,7 @@
 	longestWait := time.Duration(0) // since the store was lost
 	answered := time.Duration(0)    // what the last read took that was answered
 	retry := newStoreBackoff(g.changes)
-	reads := hedge.New[routesRead](maxRoutesReads, g.changes.ReadLifetime())
+	reads := hedge.New[platform.RoutesRead](maxRoutesReads, g.changes.ReadLifetime())
 	defer reads.Close()
 	for ctx.Err() == nil {
 		start := time.Now()
@@ -97,7 +97,7 @@
 		}
 		retry.Reset()
 		g.asksStore.Store(false)
-		next := answer.Value.next
+		next := answer.Value.Position
 		if storeLost {
 			g.log.WithFields(logrus.Fields{
 				"store-version": next.Version, "after": position.Version, "epoch": next.Epoch, "longest-wait-ms": longestWait.Milliseconds(),
@@ -107,7 +107,7 @@
 		}
 		countStoreRead("routes", "answered", answer.Took)
 		answered = answer.Took
-		g.installRoutes(answer.Value.table, "store")
+		g.installRoutes(answer.Value.Table, "store")
 		g.confirmRoutes(answer.Began)
 		position = next
 		if time.Since(start) < minStoreInterval {
@@ -194,26 +194,18 @@
 	}
 }
 
-// routesRead is one read of the routes: a table, nil if there is none or it has not changed, and the position up to which they were read.
-type routesRead struct {
-	table *route.Table
-	next  platform.Position
-}
-
 // nextRoutes returns the answer of the next read of the routes that is answered. Given a position, the read waits for a change after that, unless the one before
 // has failed: a read that waits is known to be lost late.
-func (g *Gateway) nextRoutes(ctx context.Context, reads *hedge.Reads[routesRead], after platform.Position, failed bool) (hedge.Answer[routesRead], error) {
+func (g *Gateway) nextRoutes(ctx context.Context, reads *hedge.Reads[platform.RoutesRead], after platform.Position, failed bool) (hedge.Answer[platform.RoutesRead], error) {
 	wait, timeout := g.changes.PollWait(), g.changes.PollTimeout()
 	if failed || after == (platform.Position{}) {
 		wait, timeout = 0, g.changes.ReadTimeout()
 	}
-	return reads.Read(ctx, timeout, func(ctx context.Context) (read routesRead, err error) {
+	return reads.Read(ctx, timeout, func(ctx context.Context) (platform.RoutesRead, error) {
 		if after == (platform.Position{}) {
-			read.table, read.next, err = g.store.Routes(ctx)
-		} else {
-			read.table, read.next, err = g.store.RoutesAfter(ctx, after, wait)
+			return g.store.Routes(ctx)
 		}
-		return read, err
+		return g.store.RoutesAfter(ctx, after, wait)
 	})
 }
 
