Tell the ages of an agent's reads as of the moment of the echo

A gateway dates an agent's reads by its own heartbeat, which the message echoes with its age, less the ages that the message names. The agent took these one after the other, the ages of the reads first: a process that stood still in between told old reads as new, and the gateway relied on them for so much longer. TestAgesAndEchoAreOfOneMoment: with a clock that goes on by 200 ms at each look, reads of routes were told 400 ms and reads of targets 200 ms newer than they were; both are now taken at one moment.

--- a/agent/poll_as_of_test.go
+++ b/agent/poll_as_of_test.go
@@ -52,3 +52,26 @@
 		t.Errorf("echo of %d ms, %d ms old; want 700, 300", reads.GetEchoedMs(), reads.GetEchoAgeMs())
 	}
 }
+
+// TestAgesAndEchoAreOfOneMoment guards against a process that stands still between the two: old reads count as new as the heartbeat is known to be old.
+func TestAgesAndEchoAreOfOneMoment(t *testing.T) {
+	const standstill = 200 * time.Millisecond
+	w, clock := newTestWatchers()
+	gateway := w.add()
+	w.handleHeartbeat(gateway, &wire.WatcherUpdate{Node: "g1", HasDemand: true, SentMs: 700})
+	readAt := clock.now().Add(-50 * time.Millisecond)
+	w.setRoutesVersion(3, readAt)
+	w.setTargets([]registry.Target{{ID: "a"}}, history.New(1, 1, 1), readAt)
+	w.now = func() time.Time {
+		clock.advance(standstill)
+		return clock.now()
+	}
+	w.mu.Lock()
+	reads := w.storeReadsFor(gateway)
+	w.mu.Unlock()
+	for of, age := range map[string]uint32{"routes": reads.GetRoutesAgeMs(), "targets": reads.GetTargetsAgeMs()} {
+		if age != reads.GetEchoAgeMs()+50 {
+			t.Errorf("the read of the %s is told as %d ms old with a heartbeat that is %d ms old, 50 ms more wanted", of, age, reads.GetEchoAgeMs())
+		}
+	}
+}
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -236,8 +236,8 @@
 // all, so that the gateway has what was last sent to it. Where there are many gateways, each is told of a read once. It returns nil if no gateway needs them or if the routes or the targets have not been read yet. The caller holds
 // the lock.
 func (w *watchers) storeReadsFor(recipient *watcher) *wire.StoreReads {
-	reads := &w.storeReads
-	if w.now().Sub(reads.requestedAt) >= relayRequestTTL || reads.targetsRevision == 0 || reads.routesVersion == 0 {
+	reads, now := &w.storeReads, w.now()
+	if now.Sub(reads.requestedAt) >= relayRequestTTL || reads.targetsRevision == 0 || reads.routesVersion == 0 {
 		return nil
 	}
 	readAt := reads.targetsReadAt
@@ -253,12 +253,12 @@
 		oldest = reads.targetsReadAt
 	}
 	message := &wire.StoreReads{
-		RoutesVersion: reads.routesVersion, Revision: reads.targetsRevision, AgeMs: ageMs(oldest, w.now()),
-		RoutesAgeMs: ageMs(reads.routesReadAt, w.now()), TargetsAgeMs: ageMs(reads.targetsReadAt, w.now()),
+		RoutesVersion: reads.routesVersion, Revision: reads.targetsRevision, AgeMs: ageMs(oldest, now),
+		RoutesAgeMs: ageMs(reads.routesReadAt, now), TargetsAgeMs: ageMs(reads.targetsReadAt, now),
 		StoreEpoch: uint64(reads.targetsSpan.Epoch()), FirstVersion: reads.targetsSpan.First(), LastVersion: reads.targetsSpan.Last(),
 	}
 	if recipient.sentMs > 0 {
-		message.EchoedMs, message.EchoAgeMs = recipient.sentMs, ageMs(recipient.lastHeartbeatAt, w.now())
+		message.EchoedMs, message.EchoAgeMs = recipient.sentMs, ageMs(recipient.lastHeartbeatAt, now)
 	}
 	if recipient.targetsRevision != reads.targetsRevision {
 		message.HasTargets, message.Targets = true, reads.targets
