Let a gateway's first read after agents have read not wait at the store

The budget of changes leaves a gateway one read of 0.5 or 0.6 s once it no longer relies on agents, but that read waited at the store for changes, so that its loss showed after 1.3 s: 2.2 s of silent agents, 1.3 s, 0.3 s of wait and a read make more than 3 s. The first own read now asks for what there is, and the ones after it wait. TestFirstReadAfterAgentsDoesNotWait: waits of [1000 1000] ms before, [0 1000] after. In the usual change, of which agents tell, the read found it and did not wait before either, so that the store gets no more calls.

--- a/gateway/store_follow.go
+++ b/gateway/store_follow.go
@@ -53,8 +53,8 @@
 func (g *Gateway) followRoutes(ctx context.Context) error {
 	var position platform.Position
 	storeLost, byAgents := false, false
+	answered := time.Duration(0)    // what the last own read took; 0 if there is none since agents read
 	longestWait := time.Duration(0) // since the store was lost
-	answered := time.Duration(0)    // what the last read took that was answered
 	retry := newStoreBackoff(g.changes)
 	reads := hedge.New[platform.RoutesRead](maxRoutesReads, g.changes.ReadLifetime())
 	defer reads.Close()
@@ -64,6 +64,7 @@
 		if covered != byAgents {
 			byAgents = covered
 			reads.Drop()
+			answered = 0
 			g.logReader(byAgents, start)
 		}
 		if covered {
@@ -72,7 +73,7 @@
 			_ = pause.For(ctx, relayPollInterval)
 			continue
 		}
-		answer, err := g.nextRoutes(ctx, reads, position, storeLost)
+		answer, err := g.nextRoutes(ctx, reads, position, !storeLost && answered > 0)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -194,11 +195,11 @@
 	}
 }
 
-// nextRoutes returns the answer of the next read of the routes that is answered. Given a position, the read waits for a change after that, unless the one before
-// has failed: a read that waits is known to be lost late.
-func (g *Gateway) nextRoutes(ctx context.Context, reads *hedge.Reads[platform.RoutesRead], after platform.Position, failed bool) (hedge.Answer[platform.RoutesRead], error) {
+// nextRoutes returns the answer of the next read of the routes that is answered. Given a position and a store that has answered lately, the read waits for a change
+// after that: of one that waits it is known late that it is lost.
+func (g *Gateway) nextRoutes(ctx context.Context, reads *hedge.Reads[platform.RoutesRead], after platform.Position, answers bool) (hedge.Answer[platform.RoutesRead], error) {
 	wait, timeout := g.changes.PollWait(), g.changes.PollTimeout()
-	if failed || after == (platform.Position{}) {
+	if !answers || after == (platform.Position{}) {
 		wait, timeout = 0, g.changes.ReadTimeout()
 	}
 	return reads.Read(ctx, timeout, func(ctx context.Context) (platform.RoutesRead, error) {
