Probe connections to the store while they are idle

A gateway for which agents read keeps idle connections to the store. If these go dead without notice, nothing tells it: its next own read, after the agents have fallen silent, waits for an answer on a dead one, and the change is later than the time allows, seconds after the fault. The client left probes to the library's dialer: after 15 s, nine of them, a dead connection shows after 2.5 minutes. Now each is probed after a second without traffic, and closed within 3 s, as those to targets are; the next call then passes it over. The same client serves the table of the own interface.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -198,7 +198,7 @@
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(g.conns.Listener(listener))) })
 	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(g.checkConns.Listener(readyListener))) })
-	group.Go(func() error { return g.followRoutes(serving) })
+	group.Go(func() error { return g.followRoutes(serving, g.store) })
 	group.Go(func() error { return g.followTargets(serving) })
 	group.Go(func() error { return g.registry.Run(serving) })
 	group.Go(func() error { return g.versions.run(serving) })
--- a/gateway/routes_follow.go
+++ b/gateway/routes_follow.go
@@ -16,10 +16,18 @@
 // maxRoutesReads bounds the reads of the routes in progress. By the waits between them fewer begin while one goes on.
 const maxRoutesReads = 8
 
+// routesStore is what the follower of the routes needs of the platform's store.
+type routesStore interface {
+	Routes(ctx context.Context) (platform.RoutesRead, error)
+	RoutesAfter(ctx context.Context, after platform.Position, wait time.Duration) (platform.RoutesRead, error)
+	CloseIdle()
+}
+
 // routesFollower reads the routes from the store as they change and puts them in force. It does not read the store while agents do so and report no newer
 // version.
 type routesFollower struct {
 	gateway  *Gateway
+	store    routesStore
 	reads    *hedge.Reads[platform.RoutesRead]
 	retry    *backoff.ExponentialBackOff
 	position platform.Position // up to which the routes were read
@@ -30,10 +38,10 @@
 	longestWait time.Duration // since the store was lost
 }
 
-// followRoutes follows the routes until ctx ends.
-func (g *Gateway) followRoutes(ctx context.Context) error {
+// followRoutes follows the routes of a store until ctx ends.
+func (g *Gateway) followRoutes(ctx context.Context, store routesStore) error {
 	f := &routesFollower{
-		gateway: g, reads: hedge.New[platform.RoutesRead](maxRoutesReads, g.changes.ReadLifetime()), retry: newStoreBackoff(g.changes),
+		gateway: g, store: store, reads: hedge.New[platform.RoutesRead](maxRoutesReads, g.changes.ReadLifetime()), retry: newStoreBackoff(g.changes),
 	}
 	defer f.reads.Close()
 	for ctx.Err() == nil {
@@ -76,15 +84,15 @@
 // next returns the answer of the next read of the routes that is answered. Given a position and a store that has answered lately, the read waits for a change
 // after that: of one that waits it is known late that it is lost.
 func (f *routesFollower) next(ctx context.Context) (hedge.Answer[platform.RoutesRead], error) {
-	store, changes, after := f.gateway.store, f.gateway.changes, f.position
+	changes, after := f.gateway.changes, f.position
 	if after == (platform.Position{}) {
-		return f.reads.Read(ctx, changes.ReadTimeout(), store.Routes)
+		return f.reads.Read(ctx, changes.ReadTimeout(), f.store.Routes)
 	}
 	wait, timeout := changes.PollWait(), changes.PollTimeout()
 	if f.storeLost || f.answered == 0 {
 		wait, timeout = 0, changes.ReadTimeout()
 	}
-	return f.reads.Read(ctx, timeout, func(ctx context.Context) (platform.RoutesRead, error) { return store.RoutesAfter(ctx, after, wait) })
+	return f.reads.Read(ctx, timeout, func(ctx context.Context) (platform.RoutesRead, error) { return f.store.RoutesAfter(ctx, after, wait) })
 }
 
 // handleFailure waits after a read that began at a time and was not answered in time. If it is late, it goes on.
@@ -101,7 +109,7 @@
 	g.asksStore.Store(true)
 	countFailedRead("routes", err, took)
 	if errors.Is(err, hedge.ErrLate) {
-		g.store.CloseIdle() // they may be dead without notice, so that the next read needs a connection of its own
+		f.store.CloseIdle() // they may be dead without notice, so that the next read needs a connection of its own
 	}
 	_ = g.waitForRetry(ctx, wait, f.reads.Answered)
 }
--- a/jsonclient/client.go
+++ b/jsonclient/client.go
@@ -15,8 +15,12 @@
 )
 
 const (
-	defaultTimeout    = 30 * time.Second
-	dialTimeout       = 3 * time.Second
+	defaultTimeout = 30 * time.Second
+	dialTimeout    = 3 * time.Second
+	// keepAliveInterval and keepAliveProbes have a connection that is dead without notice closed within three seconds, also an idle one: the next call does not wait for
+	// its answer.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
 	maxErrorTextBytes = 200
 )
 
@@ -128,13 +132,22 @@
 // id, so a late second copy of one would count as the answer to the next request. An answer without a valid status is an error: fasthttp takes the
 // status 000 for 200.
 func dialQuiet(address string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+	conn, err := dial(address)
 	if err != nil {
 		return nil, err
 	}
 	return statusline.New(quietconn.New(conn)), nil
 }
 
+// dial opens a connection that is probed while nothing is sent on it.
+func dial(address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+	}
+	return dialer.Dial("tcp4", address)
+}
+
 func setBody(request *fasthttp.Request, in any) error {
 	if in == nil {
 		return nil
